Lay out the workspace, the core's data and the Thrift carrier

Cause: an empty project. Ruled out: Thrift's own service stubs with a Tornado transport (the generator's py:tornado calls tornado.gen.engine, which Tornado 6 lacks); structs over one HTTP POST are used instead.

--- /dev/null
+++ b/packages/adapters/src/persimmonferry_adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters of persimmonferry to engines, stores and the platform."""
--- /dev/null
+++ b/packages/cli/src/persimmonferry_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of operators and callers of persimmonferry."""
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of persimmonferry without I/O and without a clock."""
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/codes.py
@@ -0,0 +1,105 @@
+"""
+Numbered result codes of every answer that a caller or an operator can get.
+
+The hundreds tell the ending: 1xxx answered, 2xxx not run, 3xxx outcome unknown,
+4xxx run earlier, 5xxx operators' requests. docs/RESULT-CODES.md is the table.
+"""
+
+import enum
+from dataclasses import dataclass
+
+__all__ = ["Ran", "ResultCode"]
+
+
+class Ran(enum.Enum):
+    """Whether the request ran at an upstream."""
+
+    YES = "yes"
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class _Meaning:
+    number: int
+    http_status: int
+    ran: Ran
+    text: str
+
+
+class ResultCode(enum.Enum):
+    """
+    One ending of a request: its number, HTTP status, and whether the request ran.
+
+    >>> ResultCode.NO_UPSTREAM.number, ResultCode.NO_UPSTREAM.ran.value
+    (2010, 'no')
+    """
+
+    ANSWERED = _Meaning(1000, 200, Ran.YES, "answered")
+
+    MALFORMED_REQUEST = _Meaning(2001, 400, Ran.NO, "the request is malformed")
+    UNKNOWN_SERVICE = _Meaning(2002, 404, Ran.NO, "no such service")
+    UNKNOWN_TIER = _Meaning(2003, 400, Ran.NO, "no such tier of patience")
+    BODY_TOO_LARGE = _Meaning(2004, 413, Ran.NO, "the body is too large")
+    INVALID_KEY = _Meaning(2005, 401, Ran.NO, "the key is not valid")
+    ACCESS_DENIED = _Meaning(2006, 403, Ran.NO, "the account may not use this")
+    IDEMPOTENCY_KEY_MISSING = _Meaning(2007, 400, Ran.NO, "Idempotency-Key is missing")
+    WAIT_NOT_KEPT = _Meaning(2008, 503, Ran.NO, "the promised wait can't be kept")
+    LIMIT_EXCEEDED = _Meaning(2009, 429, Ran.NO, "the account's limit is used up")
+    NO_UPSTREAM = _Meaning(2010, 503, Ran.NO, "no upstream takes new work")
+    STOPPING = _Meaning(2011, 503, Ran.NO, "this process is stopping")
+    PLATFORM_UNAVAILABLE = _Meaning(2012, 503, Ran.NO, "the claim can't be recorded")
+    UPSTREAM_REFUSED = _Meaning(2013, 503, Ran.NO, "the upstream refused")
+    IDEMPOTENCY_KEY_EXPIRED = _Meaning(
+        2014, 409, Ran.NO, "the idempotency key is older than the retention"
+    )
+    IDEMPOTENCY_KEY_REUSED = _Meaning(
+        2015, 422, Ran.NO, "the idempotency key came with another body before"
+    )
+    RETRIES_EXHAUSTED = _Meaning(2016, 503, Ran.NO, "the retry budget is used up")
+    CALLER_TOO_SLOW = _Meaning(2017, 408, Ran.NO, "the body came too slowly")
+    NO_CONFIGURATION = _Meaning(2018, 503, Ran.NO, "no configuration is in force yet")
+    WRONG_VERSION = _Meaning(2019, 503, Ran.NO, "the upstream has another version")
+    NOT_FOUND = _Meaning(2020, 404, Ran.NO, "no such address")
+    FENCING_REFUSED = _Meaning(2021, 409, Ran.NO, "the fencing number is old")
+    DUPLICATE_RUN = _Meaning(2022, 409, Ran.NO, "this attempt was started before")
+
+    UPSTREAM_LOST = _Meaning(3001, 502, Ran.UNKNOWN, "the upstream was lost")
+    UPSTREAM_TIMEOUT = _Meaning(3002, 504, Ran.UNKNOWN, "the upstream did not answer")
+    ANSWER_TRUNCATED = _Meaning(3003, 502, Ran.UNKNOWN, "the answer was cut short")
+    ANSWER_MISMATCHED = _Meaning(3004, 502, Ran.UNKNOWN, "the answer is another run's")
+    INTERNAL_FAULT = _Meaning(3005, 500, Ran.UNKNOWN, "an internal fault")
+
+    ANSWER_NOT_HELD = _Meaning(
+        4001, 409, Ran.YES, "it ran before, its answer is no longer held"
+    )
+    STILL_RUNNING = _Meaning(4002, 409, Ran.UNKNOWN, "it is still running")
+
+    CONFIGURATION_FAULTY = _Meaning(5001, 422, Ran.NO, "the document has faults")
+    REVISION_CONFLICT = _Meaning(5002, 409, Ran.NO, "the document was changed before")
+    PLATFORM_DOWN = _Meaning(5003, 503, Ran.NO, "the platform's service is down")
+    WRITE_UNKNOWN = _Meaning(5004, 504, Ran.UNKNOWN, "the outcome is not known")
+    OPERATOR_DENIED = _Meaning(5005, 401, Ran.NO, "the operator's key is not valid")
+    SETTINGS_FAULTY = _Meaning(5006, 422, Ran.NO, "the settings have faults")
+    BLOCK_INVALID = _Meaning(5007, 404, Ran.NO, "the cache block may not be read")
+    STORE_FULL = _Meaning(5008, 507, Ran.NO, "the store VM is full")
+
+    @property
+    def number(self) -> int:
+        """The number that callers and logs see."""
+        return self.value.number
+
+    @property
+    def http_status(self) -> int:
+        """The HTTP status that goes with the code."""
+        return self.value.http_status
+
+    @property
+    def ran(self) -> Ran:
+        """Whether the request ran."""
+        return self.value.ran
+
+    @property
+    def text(self) -> str:
+        """One sentence for the caller."""
+        return self.value.text
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/exceptions.py
@@ -0,0 +1,111 @@
+"""Exceptions of all packages; each carries a result code and prints for the user."""
+
+from persimmonferry_core.codes import Ran, ResultCode
+
+__all__ = [
+    "ConfigurationFaulty",
+    "FerryError",
+    "NotRun",
+    "OutcomeUnknown",
+    "PlatformAnswerLost",
+    "PlatformError",
+    "PlatformUnavailable",
+    "RanBefore",
+    "StoreError",
+    "SwapConflict",
+]
+
+
+class FerryError(Exception):
+    """
+    Base of the tree.
+
+    :param code: the numbered result code.
+    :param detail: what happened, in words fit for the user; never a prompt or answer.
+    :param retry_after_s: when to come back, in seconds, or None when never.
+
+    >>> print(FerryError(ResultCode.NO_UPSTREAM, "service notes", 1.5))
+    2010 no upstream takes new work: service notes; come back in 1.5 s
+    """
+
+    def __init__(
+        self, code: ResultCode, detail: str = "", retry_after_s: float | None = None
+    ) -> None:
+        self.code = code
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+        super().__init__(code, detail, retry_after_s)
+
+    def __str__(self) -> str:
+        parts = [f"{self.code.number} {self.code.text}"]
+        if self.detail:
+            parts.append(f": {self.detail}")
+        if self.retry_after_s is not None:
+            parts.append(f"; come back in {self.retry_after_s:g} s")
+        return "".join(parts)
+
+
+class NotRun(FerryError):
+    """The request provably did not run; it may be tried elsewhere."""
+
+    def __init__(
+        self, code: ResultCode, detail: str = "", retry_after_s: float | None = None
+    ) -> None:
+        if code.ran is not Ran.NO:
+            raise ValueError(f"{code} does not say that the request did not run")
+        super().__init__(code, detail, retry_after_s)
+
+
+class OutcomeUnknown(FerryError):
+    """Bytes went out to the upstream and no whole answer came back."""
+
+
+class RanBefore(FerryError):
+    """The request ran, or still runs, under an earlier attempt."""
+
+
+class ConfigurationFaulty(FerryError):
+    """
+    A document or a settings file has faults.
+
+    :param faults: one sentence for each fault, with section and key.
+    """
+
+    def __init__(self, code: ResultCode, faults: tuple[str, ...]) -> None:
+        self.faults = faults
+        super().__init__(code, "; ".join(faults))
+
+
+class PlatformError(FerryError):
+    """The platform's key-value service did not do what was asked."""
+
+
+class PlatformUnavailable(PlatformError):
+    """The call took no effect: the service refused it or could not be reached."""
+
+    def __init__(self, detail: str = "", retry_after_s: float = 1.0) -> None:
+        super().__init__(ResultCode.PLATFORM_DOWN, detail, retry_after_s)
+
+
+class PlatformAnswerLost(PlatformError):
+    """The write may or may not have taken effect; reading back settles it."""
+
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(ResultCode.WRITE_UNKNOWN, detail)
+
+
+class SwapConflict(PlatformError):
+    """
+    Another writer was first.
+
+    :param revision: the revision that the key has now.
+    """
+
+    def __init__(self, key: str, revision: int) -> None:
+        self.revision = revision
+        detail = f"{key} is at revision {revision}"
+        super().__init__(ResultCode.REVISION_CONFLICT, detail)
+
+
+class StoreError(FerryError):
+    """A store VM refused, is full, or holds no readable block of that name."""
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry and agent processes of persimmonferry."""
--- /dev/null
+++ b/packages/wire/messages/membership.thrift
@@ -0,0 +1,34 @@
+namespace py persimmonferry_wire.generated.membership
+
+struct LoadReport {
+  1: i32 running
+  2: i32 waiting
+  3: i32 waiting_prefill_tokens
+  4: i32 slots
+  5: double prefill_tokens_per_s
+  6: double decode_tokens_per_s
+}
+
+// From an agent to the entries that use it. Sequence grows within an incarnation.
+struct AgentReport {
+  1: string name
+  2: i64 incarnation
+  3: i64 sequence
+  4: string host
+  5: i32 port
+  6: string failure_domain
+  7: string service_name
+  8: string model
+  9: string version
+  10: bool leaving
+  11: LoadReport load
+  12: i64 configuration_revision
+  13: list<string> stored_blocks
+  14: list<string> removed_blocks
+  15: i64 cache_sequence
+}
+
+struct ReportReply {
+  1: i64 configuration_revision
+  2: bool resend_cache
+}
--- /dev/null
+++ b/packages/wire/src/persimmonferry_wire/__init__.py
@@ -0,0 +1,15 @@
+"""Thrift messages between the processes of persimmonferry."""
+
+from persimmonferry_wire.carrier import PeerClient, PeerHandler, PeerLost, PeerRoute
+from persimmonferry_wire.codec import FrameReader, decode, encode, encode_frame
+
+__all__ = [
+    "FrameReader",
+    "PeerClient",
+    "PeerHandler",
+    "PeerLost",
+    "PeerRoute",
+    "decode",
+    "encode",
+    "encode_frame",
+]
--- /dev/null
+++ b/packages/wire/src/persimmonferry_wire/codec.py
@@ -0,0 +1,72 @@
+"""Encoding of the generated Thrift structs."""
+
+import struct
+from collections.abc import Iterator
+from typing import Any, TypeVar
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.transport.TTransport import TMemoryBuffer
+
+__all__ = ["FrameReader", "decode", "encode", "encode_frame"]
+
+Message = TypeVar("Message")
+
+_LENGTH = struct.Struct("!I")
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+
+
+def encode(message: Any) -> bytes:
+    """Return the bytes of a generated struct."""
+    buffer = TMemoryBuffer()
+    message.write(TBinaryProtocolAccelerated(buffer))
+    return buffer.getvalue()
+
+
+def decode(kind: type[Message], data: bytes) -> Message:
+    """
+    Read a generated struct.
+
+    :raises ValueError: when the bytes are not a struct of that kind.
+    """
+    message = kind()
+    try:
+        message.read(TBinaryProtocolAccelerated(TMemoryBuffer(data)))
+        message.validate()
+    except Exception as error:
+        # The library raises whatever its C extension meets in the bytes.
+        raise ValueError(f"not a {kind.__name__}") from error
+    return message
+
+
+def encode_frame(message: Any) -> bytes:
+    """Return a struct behind its length, for a stream of structs."""
+    data = encode(message)
+    return _LENGTH.pack(len(data)) + data
+
+
+class FrameReader:
+    """Cuts a stream of bytes into structs of one kind."""
+
+    def __init__(self, kind: type[Message]) -> None:
+        self._kind = kind
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[Message]:
+        """
+        Take bytes and return the structs that are complete.
+
+        :raises ValueError: when a frame is longer than ``MAX_FRAME_BYTES`` or broken.
+        """
+        self._buffer += data
+        start = 0
+        while len(self._buffer) - start >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(self._buffer, start)
+            if length > MAX_FRAME_BYTES:
+                raise ValueError(f"a frame of {length} bytes")
+            end = start + _LENGTH.size + length
+            if len(self._buffer) < end:
+                break
+            body = bytes(self._buffer[start + _LENGTH.size : end])
+            start = end
+            yield decode(self._kind, body)
+        del self._buffer[:start]
