--- a/packages/wire/src/persimmonferry_wire/carrier.py
+++ b/packages/wire/src/persimmonferry_wire/carrier.py
@@ -5,10 +5,11 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from persimmonferry_wire.codec import decode, encode
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 from tornado.web import RequestHandler
 
+from persimmonferry_wire.codec import decode, encode
+
 __all__ = ["CONTENT_TYPE", "PeerClient", "PeerHandler", "PeerLost", "PeerRoute"]
 
 Reply = TypeVar("Reply")
