--- /dev/null
+++ b/packages/core/src/persimmonferry_core/answers.py
@@ -0,0 +1,125 @@
+"""
+Answers of prompts that an agent is generating or has generated.
+
+A caller that gives a request id may come back through another entry after its first
+entry died; the agent that runs the prompt is then the only place that has the tokens.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from persimmonferry_core.exceptions import FerryError
+from persimmonferry_core.runs import RunEnd
+
+__all__ = ["Answer", "AnswerTable"]
+
+RETENTION_S = 120.0
+MAX_HELD_TOKENS = 2_000_000
+
+
+@dataclass
+class Answer:
+    """
+    One answer as it grows.
+
+    :param key: digest of client account, request id and body; empty when the caller
+        gave no request id, and then nobody but the first follower can find it.
+    :param tokens: of the whole answer so far.
+    :param end: the end mark once the answer is whole.
+    :param failure: why the answer will never be whole.
+    """
+
+    key: str
+    run_id: str
+    tokens: list[str] = field(default_factory=list)
+    end: RunEnd | None = None
+    failure: FerryError | None = None
+    ended_at: float | None = None
+    _followers: list[Callable[[], None]] = field(default_factory=list)
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no more tokens will come."""
+        return self.end is not None or self.failure is not None
+
+    @property
+    def is_followed(self) -> bool:
+        """Whether anybody waits for more tokens."""
+        return bool(self._followers)
+
+    def follow(self, notify: Callable[[], None]) -> None:
+        """Have ``notify`` called after each change."""
+        self._followers.append(notify)
+
+    def unfollow(self, notify: Callable[[], None]) -> None:
+        """Stop the calls of ``notify``."""
+        if notify in self._followers:
+            self._followers.remove(notify)
+
+    def extend(self, first_index: int, tokens: tuple[str, ...]) -> bool:
+        """
+        Add tokens; those held already are passed over.
+
+        :returns: False when tokens between the held ones and these are missing.
+        """
+        if first_index > len(self.tokens):
+            return False
+        fresh = tokens[len(self.tokens) - first_index :]
+        if fresh:
+            self.tokens.extend(fresh)
+            self._notify()
+        return True
+
+    def finish(self, end: RunEnd, now: float) -> None:
+        """Set the end mark."""
+        self.end = end
+        self.ended_at = now
+        self._notify()
+
+    def fail(self, failure: FerryError, now: float) -> None:
+        """Record that the answer will not be whole."""
+        self.failure = failure
+        self.ended_at = now
+        self._notify()
+
+    def _notify(self) -> None:
+        for notify in tuple(self._followers):
+            notify()
+
+
+class AnswerTable:
+    """The answers of one agent, bounded in time and in tokens."""
+
+    def __init__(self) -> None:
+        self._answers: OrderedDict[str, Answer] = OrderedDict()
+
+    def open(self, key: str, run_id: str, delivered: tuple[str, ...]) -> Answer:
+        """Add a new answer; one of the same key that failed is replaced."""
+        answer = Answer(key, run_id, list(delivered))
+        self._answers[key or run_id] = answer
+        return answer
+
+    def find(self, key: str) -> Answer | None:
+        """Return the answer of a key unless it failed."""
+        answer = self._answers.get(key) if key else None
+        if answer is None or answer.failure is not None:
+            return None
+        return answer
+
+    def find_run(self, run_id: str) -> Answer | None:
+        """Return the answer of an attempt."""
+        matches = (item for item in self._answers.values() if item.run_id == run_id)
+        return next(matches, None)
+
+    def trim(self, now: float) -> None:
+        """Drop answers that ended long ago, and the oldest while too much is held."""
+        held_tokens = sum(len(answer.tokens) for answer in self._answers.values())
+        for name, answer in list(self._answers.items()):
+            if answer.ended_at is None:
+                continue
+            is_old = now - answer.ended_at > RETENTION_S
+            if not is_old and held_tokens <= MAX_HELD_TOKENS and answer.key:
+                continue
+            held_tokens -= len(answer.tokens)
+            del self._answers[name]
--- a/packages/core/src/persimmonferry_core/codes.py
+++ b/packages/core/src/persimmonferry_core/codes.py
@@ -62,12 +62,12 @@
     WRONG_VERSION = _Meaning(2019, 503, Ran.NO, "the upstream has another version")
     NOT_FOUND = _Meaning(2020, 404, Ran.NO, "no such address")
     FENCING_REFUSED = _Meaning(2021, 409, Ran.NO, "the fencing number is old")
-    DUPLICATE_RUN = _Meaning(2022, 409, Ran.NO, "this attempt was started before")
 
     UPSTREAM_LOST = _Meaning(3001, 502, Ran.UNKNOWN, "the upstream was lost")
     UPSTREAM_TIMEOUT = _Meaning(3002, 504, Ran.UNKNOWN, "the upstream did not answer")
     ANSWER_TRUNCATED = _Meaning(3003, 502, Ran.UNKNOWN, "the answer was cut short")
     ANSWER_MISMATCHED = _Meaning(3004, 502, Ran.UNKNOWN, "the answer is another run's")
+    DUPLICATE_RUN = _Meaning(3006, 409, Ran.UNKNOWN, "this attempt was started before")
     INTERNAL_FAULT = _Meaning(3005, 500, Ran.UNKNOWN, "an internal fault")
 
     ANSWER_NOT_HELD = _Meaning(
@@ -103,3 +103,15 @@
     def text(self) -> str:
         """One sentence for the caller."""
         return self.value.text
+
+    @classmethod
+    def from_number(cls, number: int) -> "ResultCode":
+        """
+        Return the code of a number that another process sent.
+
+        A number that this version does not know says nothing about the run.
+
+        >>> ResultCode.from_number(2010).name, ResultCode.from_number(7).name
+        ('NO_UPSTREAM', 'INTERNAL_FAULT')
+        """
+        return next((code for code in cls if code.number == number), cls.INTERNAL_FAULT)
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/failures.py
@@ -0,0 +1,29 @@
+"""Errors as they travel between processes, as Thrift structs."""
+
+from persimmonferry_core.codes import Ran, ResultCode
+from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown, RanBefore
+from persimmonferry_wire.generated.runs.ttypes import Failure
+
+__all__ = ["from_failure", "to_failure"]
+
+
+def to_failure(error: FerryError) -> Failure:
+    """Return the struct that stands for an error."""
+    return Failure(error.code.number, error.detail, error.retry_after_s)
+
+
+def from_failure(failure: Failure) -> FerryError:
+    """
+    Return the error of a struct.
+
+    >>> error = from_failure(Failure(2011, "agent-1", 0.5))
+    >>> type(error).__name__, str(error)
+    ('NotRun', '2011 this process is stopping: agent-1; come back in 0.5 s')
+    """
+    code = ResultCode.from_number(failure.code)
+    kinds = {
+        Ran.NO: NotRun,
+        Ran.UNKNOWN: OutcomeUnknown,
+        Ran.YES: RanBefore,
+    }
+    return kinds[code.ran](code, failure.detail, failure.retry_after_s)
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/loads.py
@@ -0,0 +1,52 @@
+"""The upstream's load, read at intervals."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Generic, TypeVar
+
+from persimmonferry_core.exceptions import FerryError
+
+__all__ = ["LoadPoller"]
+
+Load = TypeVar("Load")
+
+LOAD_INTERVAL_S = 0.25
+MAX_FAILED_READS = 3
+
+
+class LoadPoller(Generic[Load]):
+    """
+    Keeps the newest load that an upstream reported.
+
+    :param read: asks the upstream.
+    """
+
+    def __init__(self, read: Callable[[], Awaitable[Load]]) -> None:
+        self._read = read
+        self._failed_reads = 0
+        self._task: asyncio.Task | None = None
+        self.latest: Load | None = None
+
+    async def start(self) -> None:
+        """Read once and go on in the background."""
+        await self._refresh()
+        self._task = asyncio.create_task(self._poll())
+
+    async def stop(self) -> None:
+        """Read no more."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _poll(self) -> None:
+        while True:
+            await asyncio.sleep(LOAD_INTERVAL_S)
+            await self._refresh()
+
+    async def _refresh(self) -> None:
+        try:
+            self.latest = await self._read()
+            self._failed_reads = 0
+        except FerryError:
+            self._failed_reads += 1
+            if self._failed_reads >= MAX_FAILED_READS:
+                self.latest = None
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/servers.py
@@ -0,0 +1,117 @@
+"""HTTP servers of a process and the routes that every process has."""
+
+import json
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import FerryError
+from persimmonferry_core.world import Address
+from persimmonferry_wire import PeerHandler, PeerRoute
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+__all__ = ["ErrorHandler", "Listener", "describe_error", "list_peer_rules"]
+
+MAX_HEADER_BYTES = 64 * 1024
+IDLE_CONNECTION_TIMEOUT_S = 120
+
+
+def describe_error(error: FerryError) -> dict[str, Any]:
+    """Return the JSON body that callers and operators get for an error."""
+    return {
+        "error": {
+            "code": error.code.number,
+            "message": str(error),
+            "type": error.code.name.lower(),
+            "ran": error.code.ran.value,
+            "retry_after_s": error.retry_after_s,
+        }
+    }
+
+
+class ErrorHandler(RequestHandler):
+    """Base of the handlers that answer errors as JSON with a numbered code."""
+
+    def send_failure(self, error: FerryError) -> None:
+        """Answer with the error's code, whether it ran, and when to come back."""
+        self.set_status(error.code.http_status)
+        if error.retry_after_s is not None:
+            # The header takes whole seconds; the body has the exact time.
+            self.set_header("Retry-After", str(max(1, round(error.retry_after_s))))
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(describe_error(error)))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Give Tornado's own failures a numbered code too."""
+        code = {
+            400: ResultCode.MALFORMED_REQUEST,
+            404: ResultCode.NOT_FOUND,
+            405: ResultCode.NOT_FOUND,
+            413: ResultCode.BODY_TOO_LARGE,
+        }.get(status_code, ResultCode.INTERNAL_FAULT)
+        self.send_failure(FerryError(code))
+
+
+class _NotFound(ErrorHandler):
+    def prepare(self) -> None:
+        self.send_failure(FerryError(ResultCode.NOT_FOUND))
+
+
+class _Health(RequestHandler):
+    def initialize(self, check: Callable[[], bool]) -> None:
+        self._check = check
+
+    def get(self) -> None:
+        healthy = self._check()
+        self.set_status(200 if healthy else 503)
+        self.finish("ok\n" if healthy else "not ready\n")
+
+
+def list_peer_rules(routes: Sequence[PeerRoute]) -> list[tuple]:
+    """Return Tornado's rules for the routes."""
+    return [(route.path, PeerHandler, {"route": route}) for route in routes]
+
+
+class Listener:
+    """One HTTP server on one address."""
+
+    def __init__(
+        self,
+        address: Address,
+        rules: Sequence[tuple],
+        is_ready: Callable[[], bool],
+        max_body_bytes: int = 64 * 1024 * 1024,
+        body_timeout_s: float | None = None,
+    ) -> None:
+        application = Application(
+            [
+                ("/health", _Health, {"check": lambda: True}),
+                ("/ready", _Health, {"check": is_ready}),
+                *rules,
+            ],
+            default_handler_class=_NotFound,
+        )
+        self._server = HTTPServer(
+            application,
+            max_body_size=max_body_bytes,
+            max_header_size=MAX_HEADER_BYTES,
+            body_timeout=body_timeout_s,
+            idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
+        )
+        sockets = bind_sockets(address.port, address.host)
+        self.address = Address(address.host, sockets[0].getsockname()[1])
+        self._sockets = sockets
+
+    def start(self) -> None:
+        """Begin to accept connections."""
+        self._server.add_sockets(self._sockets)
+
+    def stop(self) -> None:
+        """Accept no more connections; those open go on."""
+        self._server.stop()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._server.close_all_connections()
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/upstreams.py
@@ -0,0 +1,232 @@
+"""An entry's way to the agents: runs, calls and queries over HTTP."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+import pycurl
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import NotRun, OutcomeUnknown
+from persimmonferry_core.runs import RunEnd
+from persimmonferry_core.world import Address
+from persimmonferry_wire import (
+    FrameReader,
+    PeerClient,
+    PeerLost,
+    encode,
+    was_sent,
+)
+from persimmonferry_wire.generated.runs.ttypes import (
+    Acknowledgement,
+    AnswerQuery,
+    AttemptQuery,
+    AttemptReply,
+    CallReply,
+    CallRequest,
+    CancelRequest,
+    RunFrame,
+    RunRequest,
+)
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from persimmonferry_daemon.failures import from_failure
+from persimmonferry_daemon.paths import (
+    ANSWER_PATH,
+    ATTEMPT_PATH,
+    CALL_PATH,
+    CANCEL_PATH,
+    RUN_PATH,
+)
+
+__all__ = ["AgentClient"]
+
+CONNECT_TIMEOUT_S = 0.5
+SILENCE_TIMEOUT_S = 1.2
+ABORT_AFTER_SILENCE_S = 2
+RUN_TIMEOUT_S = 600.0
+CALL_TIMEOUT_S = 30.0
+QUERY_TIMEOUT_S = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+class AgentClient:
+    """Asks agents; one for each entry."""
+
+    def __init__(self, client: AsyncHTTPClient, peers: PeerClient) -> None:
+        self._client = client
+        self._peers = peers
+
+    async def run(
+        self,
+        address: Address,
+        request: RunRequest,
+        deliver: Callable[[list[str]], None],
+    ) -> RunEnd:
+        """
+        Run a prompt at an agent's engine.
+
+        :param deliver: called with the next tokens of the answer, in order, each once.
+        :raises NotRun: the agent provably did not start it.
+        :raises OutcomeUnknown: the agent fell silent, or the answer broke off.
+        """
+        exchange = _Exchange(request, deliver)
+        http_request = HTTPRequest(
+            address.url + RUN_PATH,
+            method="POST",
+            body=encode(request),
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=RUN_TIMEOUT_S,
+            streaming_callback=exchange.feed,
+            prepare_curl_callback=_limit_silence,
+        )
+        fetch = asyncio.ensure_future(self._client.fetch(http_request))
+        fetch.add_done_callback(exchange.close)
+        return await exchange.wait()
+
+    async def call(self, address: Address, request: CallRequest) -> CallReply:
+        """
+        Make a call at an agent's plain service.
+
+        :raises NotRun: the agent or the service provably did not start it.
+        :raises OutcomeUnknown: no whole answer came.
+        """
+        try:
+            reply = await self._peers.ask(
+                address.url + CALL_PATH, request, CallReply, CALL_TIMEOUT_S
+            )
+        except PeerLost as error:
+            if not error.sent:
+                raise NotRun(ResultCode.NO_UPSTREAM, "the agent is gone", 0.5) from None
+            raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, "the agent") from error
+        if reply.run_id != request.run_id:
+            raise OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "another call's reply")
+        if reply.failure is not None:
+            raise from_failure(reply.failure)
+        return reply
+
+    async def query_attempt(self, address: Address, run_id: str) -> AttemptReply:
+        """
+        Ask what an agent knows of an attempt.
+
+        :raises PeerLost: no whole reply in time.
+        """
+        return await self._peers.ask(
+            address.url + ATTEMPT_PATH,
+            AttemptQuery(run_id),
+            AttemptReply,
+            QUERY_TIMEOUT_S,
+        )
+
+    async def has_answer(self, address: Address, answer_key: str) -> bool:
+        """Tell whether an agent holds or generates the answer of a key."""
+        try:
+            reply = await self._peers.ask(
+                address.url + ANSWER_PATH,
+                AnswerQuery(answer_key),
+                Acknowledgement,
+                QUERY_TIMEOUT_S,
+            )
+        except PeerLost:
+            return False
+        return reply.known
+
+    async def cancel(self, address: Address, run_id: str) -> None:
+        """Have a run stopped; an agent that does not answer is no error."""
+        try:
+            await self._peers.ask(
+                address.url + CANCEL_PATH,
+                CancelRequest(run_id),
+                Acknowledgement,
+                QUERY_TIMEOUT_S,
+            )
+        except PeerLost:
+            _log.info("run not cancelled", extra={"run_id": run_id})
+
+
+def _limit_silence(curl: pycurl.Curl) -> None:
+    # The exchange gives up earlier by itself; this frees the connection.
+    curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
+    curl.setopt(pycurl.LOW_SPEED_TIME, ABORT_AFTER_SILENCE_S)
+
+
+class _Exchange:
+    """One streamed answer of an agent, checked frame by frame."""
+
+    def __init__(
+        self, request: RunRequest, deliver: Callable[[list[str]], None]
+    ) -> None:
+        self._run_id = request.run_id
+        self._next_index = len(request.delivered)
+        self._deliver = deliver
+        self._reader = FrameReader(RunFrame)
+        self._loop = asyncio.get_running_loop()
+        self._result: asyncio.Future[RunEnd] = self._loop.create_future()
+        self._heard_at = self._loop.time()
+
+    async def wait(self) -> RunEnd:
+        """Return the end mark; give up when the agent is silent for too long."""
+        while not self._result.done():
+            silence_s = self._loop.time() - self._heard_at
+            if silence_s >= SILENCE_TIMEOUT_S:
+                self._fail(OutcomeUnknown(ResultCode.UPSTREAM_LOST, "silent"))
+                break
+            await asyncio.wait((self._result,), timeout=SILENCE_TIMEOUT_S - silence_s)
+        return self._result.result()
+
+    def feed(self, data: bytes) -> None:
+        """Take bytes of the answer."""
+        self._heard_at = self._loop.time()
+        if self._result.done():
+            return
+        try:
+            for frame in self._reader.feed(data):
+                self._take(frame)
+        except ValueError:
+            self._fail(OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "broken frame"))
+
+    def close(self, fetch: asyncio.Future) -> None:
+        """Take the end of the HTTP exchange."""
+        error = None if fetch.cancelled() else fetch.exception()
+        if self._result.done():
+            return
+        if error is not None and not was_sent(error):
+            self._fail(NotRun(ResultCode.NO_UPSTREAM, "the agent is gone", 0.5))
+        elif error is not None:
+            self._fail(OutcomeUnknown(ResultCode.UPSTREAM_LOST, "connection broke"))
+        else:
+            self._fail(OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "no end mark"))
+
+    def _take(self, frame: RunFrame) -> None:
+        if self._result.done():
+            return
+        if frame.run_id != self._run_id or frame.first_index > self._next_index:
+            self._fail(OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "another answer"))
+            return
+        fresh = frame.tokens[self._next_index - frame.first_index :]
+        if fresh:
+            self._next_index += len(fresh)
+            self._deliver(fresh)
+        if frame.failure is not None:
+            self._fail(from_failure(frame.failure))
+        elif frame.end is not None:
+            self._finish(frame)
+
+    def _finish(self, frame: RunFrame) -> None:
+        mark = frame.end
+        if mark.total_tokens != self._next_index:
+            self._fail(OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "tokens missing"))
+            return
+        end = RunEnd(
+            frame.run_id,
+            mark.version,
+            mark.total_tokens,
+            mark.prompt_tokens,
+            mark.cached_tokens,
+            mark.finish_reason,
+        )
+        self._result.set_result(end)
+
+    def _fail(self, error: Exception) -> None:
+        if not self._result.done():
+            self._result.set_exception(error)
--- a/packages/wire/messages/membership.thrift
+++ b/packages/wire/messages/membership.thrift
@@ -9,6 +9,13 @@
   6: double decode_tokens_per_s
 }
 
+// Changes of what an engine holds since the last report. reset: forget all before.
+struct CacheReport {
+  1: list<string> stored
+  2: list<string> removed
+  3: bool reset
+}
+
 // From an agent to the entries that use it. Sequence grows within an incarnation.
 struct AgentReport {
   1: string name
@@ -18,17 +25,21 @@
   5: i32 port
   6: string failure_domain
   7: string service_name
+  14: bool is_model
   8: string model
   9: string version
   10: bool leaving
   11: LoadReport load
   12: i64 configuration_revision
-  13: list<string> stored_blocks
-  14: list<string> removed_blocks
-  15: i64 cache_sequence
+  13: CacheReport cache
 }
 
 struct ReportReply {
   1: i64 configuration_revision
-  2: bool resend_cache
+}
+
+// From an entry to an agent that may not know it; the reply is an AgentReport.
+struct Introduction {
+  1: string host
+  2: i32 port
 }
--- a/packages/wire/messages/runs.thrift
+++ b/packages/wire/messages/runs.thrift
@@ -12,7 +12,7 @@
   9: list<string> delivered
   10: list<string> block_names
   11: i32 block_tokens
-  12: double deadline_s
+  12: string answer_key
 }
 
 struct EndMark {
@@ -58,6 +58,11 @@
   1: string run_id
 }
 
+// Asks an agent whether it has, or is generating, the answer of a key.
+struct AnswerQuery {
+  1: string answer_key
+}
+
 struct Acknowledgement {
   1: bool known
 }
--- a/packages/wire/src/persimmonferry_wire/__init__.py
+++ b/packages/wire/src/persimmonferry_wire/__init__.py
@@ -1,6 +1,12 @@
 """Thrift messages between the processes of persimmonferry."""
 
-from persimmonferry_wire.carrier import PeerClient, PeerHandler, PeerLost, PeerRoute
+from persimmonferry_wire.carrier import (
+    PeerClient,
+    PeerHandler,
+    PeerLost,
+    PeerRoute,
+    was_sent,
+)
 from persimmonferry_wire.codec import FrameReader, decode, encode, encode_frame
 
 __all__ = [
@@ -12,4 +18,5 @@
     "decode",
     "encode",
     "encode_frame",
+    "was_sent",
 ]
--- a/packages/wire/src/persimmonferry_wire/carrier.py
+++ b/packages/wire/src/persimmonferry_wire/carrier.py
@@ -5,12 +5,20 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
+import pycurl
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 from tornado.web import RequestHandler
 
 from persimmonferry_wire.codec import decode, encode
 
-__all__ = ["CONTENT_TYPE", "PeerClient", "PeerHandler", "PeerLost", "PeerRoute"]
+__all__ = [
+    "CONTENT_TYPE",
+    "PeerClient",
+    "PeerHandler",
+    "PeerLost",
+    "PeerRoute",
+    "was_sent",
+]
 
 Reply = TypeVar("Reply")
 
@@ -59,8 +67,16 @@
             response = await self._client.fetch(request)
             return decode(kind, response.body)
         except (HTTPClientError, OSError, ValueError) as error:
-            refused = "Failed to connect" in str(error)
-            raise PeerLost(str(error), sent=not refused) from error
+            raise PeerLost(str(error), sent=was_sent(error)) from error
+
+
+def was_sent(error: Exception) -> bool:
+    """
+    Tell whether bytes of a failed request may have reached the other side.
+
+    Only a refused connection proves that none did.
+    """
+    return getattr(error, "errno", None) != pycurl.E_COULDNT_CONNECT
 
 
 @dataclass(frozen=True)
