--- /dev/null
+++ b/packages/core/src/persimmonferry_core/patience.py
@@ -0,0 +1,224 @@
+"""Requests that wait for an upstream: promised waits, tiers and admission."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from heapq import merge
+
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.contracts import Tier
+from persimmonferry_core.shares import FairQueue, QueueEntry
+
+__all__ = ["PatienceQueue", "PromptRequest", "Queued", "Refused", "WaitingRequest"]
+
+ADMISSION_MARGIN = 0.8
+DEMAND_WINDOW_S = 10.0
+MIN_RETRY_AFTER_S = 0.1
+
+
+@dataclass(frozen=True)
+class PromptRequest:
+    """
+    One prompt that asks for an answer.
+
+    :param request_id: unique among the requests of this entry.
+    :param block_names: names of the prompt's full cache blocks, in order.
+    :param block_bytes: bytes of one exported cache block.
+    :param arrival_s: when the entry received it.
+    :param block_tokens: tokens in one cache block.
+    """
+
+    request_id: str
+    account: str
+    tier: str
+    service: str
+    prompt_tokens: int
+    max_tokens: int
+    arrival_s: float
+    block_names: tuple[str, ...] = ()
+    block_bytes: int = 0
+    block_tokens: int = 1000
+
+
+@dataclass(frozen=True)
+class Queued:
+    """
+    The request was admitted.
+
+    :param latest_start_s: when its run has to start for the promised wait to be kept.
+    :param estimated_wait_s: how long it is expected to wait for its start.
+    """
+
+    request_id: str
+    latest_start_s: float
+    estimated_wait_s: float
+
+
+@dataclass(frozen=True)
+class Refused:
+    """
+    The request did not run and will not run.
+
+    :param retry_after_s: when to come back, or None when never.
+    """
+
+    request_id: str
+    code: ResultCode
+    retry_after_s: float | None
+
+
+@dataclass(frozen=True)
+class WaitingRequest:
+    """
+    A request in the queue.
+
+    :param cost_s: seconds of one whole upstream that the run is expected to use.
+    :param avoid: upstreams that failed it before.
+    """
+
+    request: PromptRequest
+    latest_start_s: float
+    cost_s: float
+    priority: int
+    avoid: frozenset[str] = frozenset()
+
+
+class _Demand:
+    """Recent demand of one tier, in upstream seconds for each second."""
+
+    def __init__(self) -> None:
+        self._sum = 0.0
+        self._updated_s = 0.0
+
+    def add(self, cost_s: float, now: float) -> None:
+        """Count admitted work."""
+        self._sum = self._decayed(now) + cost_s
+        self._updated_s = now
+
+    def rate(self, now: float) -> float:
+        """Return the recent rate."""
+        return self._decayed(now) / DEMAND_WINDOW_S
+
+    def _decayed(self, now: float) -> float:
+        elapsed = max(0.0, now - self._updated_s)
+        return self._sum * max(0.0, 1.0 - elapsed / DEMAND_WINDOW_S)
+
+
+class PatienceQueue:
+    """
+    The queue of one service.
+
+    Tiers are taken in the order of the latest start of their next request; within a
+    tier, client accounts are served by their fair shares. Work is admitted only while
+    its promised wait can be kept with a margin, so that patient requests don't come
+    near their latest start and urgent ones stay first.
+
+    :param tiers: of the team's document.
+    """
+
+    def __init__(self, tiers: tuple[Tier, ...]) -> None:
+        self._queues: dict[str, FairQueue[WaitingRequest]] = {}
+        self._demands: dict[str, _Demand] = {}
+        self._tiers: dict[str, Tier] = {}
+        self._ranks: dict[str, int] = {}
+        self.configure(tiers)
+
+    def __len__(self) -> int:
+        return sum(len(queue) for queue in self._queues.values())
+
+    def configure(self, tiers: tuple[Tier, ...]) -> None:
+        """Take over the tiers of a new document; waiting requests stay."""
+        ordered = sorted(tiers, key=lambda tier: (tier.promised_wait_s, tier.name))
+        self._ranks = {tier.name: rank for rank, tier in enumerate(ordered)}
+        self._tiers = {tier.name: tier for tier in ordered}
+        for tier in ordered:
+            self._queues.setdefault(tier.name, FairQueue())
+            self._demands.setdefault(tier.name, _Demand())
+
+    def find_tier(self, name: str) -> Tier | None:
+        """Return the tier of that name, or None."""
+        return self._tiers.get(name)
+
+    def rank(self, tier: str) -> int:
+        """Return the tier's priority: 0 for the most urgent."""
+        return self._ranks.get(tier, len(self._ranks))
+
+    def estimate_wait(
+        self, waiting: WaitingRequest, weight: float, capacity: float, now: float
+    ) -> float:
+        """
+        Return the expected wait in seconds if the request joined the queue now.
+
+        :param weight: fair share of its client account.
+        :param capacity: upstream seconds that the fleet works off each second.
+        """
+        request = waiting.request
+        urgent_rate = 0.0
+        ahead = 0.0
+        for name, queue in self._queues.items():
+            if self.rank(name) < waiting.priority:
+                urgent_rate += self._demands[name].rate(now)
+                ahead += queue.total_cost
+        own = self._queues[request.tier]
+        ahead += own.estimate_work_ahead(request.account, weight, waiting.cost_s)
+        free = max(capacity - urgent_rate, 0.05 * capacity)
+        return ahead / free if free > 0 else float("inf")
+
+    def offer(
+        self, waiting: WaitingRequest, weight: float, capacity: float, now: float
+    ) -> Queued | Refused:
+        """
+        Admit the request if its promised wait can be kept, refuse it otherwise.
+
+        :param weight: fair share of its client account.
+        :param capacity: upstream seconds that the fleet works off each second.
+        """
+        request = waiting.request
+        wait = self.estimate_wait(waiting, weight, capacity, now)
+        slack = waiting.latest_start_s - now
+        allowed = ADMISSION_MARGIN * slack
+        if wait > allowed and wait > 0:
+            retry_after = max(MIN_RETRY_AFTER_S, min(wait - allowed, 60.0))
+            return Refused(request.request_id, ResultCode.WAIT_NOT_KEPT, retry_after)
+        self.push(waiting, weight)
+        self._demands[request.tier].add(waiting.cost_s, now)
+        return Queued(request.request_id, waiting.latest_start_s, wait)
+
+    def push(self, waiting: WaitingRequest, weight: float) -> None:
+        """Put a request into the queue without an admission check."""
+        request = waiting.request
+        self._queues[request.tier].push(
+            QueueEntry(
+                request.request_id,
+                request.account,
+                waiting.cost_s,
+                waiting.latest_start_s,
+                waiting,
+            ),
+            weight,
+        )
+
+    def iterate(self) -> Iterator[WaitingRequest]:
+        """Return the waiting requests in the order in which they should start."""
+        streams = (queue.iterate() for queue in self._queues.values() if len(queue))
+        return (entry.item for entry in merge(*streams, key=_start_order))
+
+    def take(self, waiting: WaitingRequest) -> None:
+        """Remove a request that was assigned and charge its account's fair share."""
+        self._queues[waiting.request.tier].take(waiting.request.request_id)
+
+    def remove(self, waiting: WaitingRequest) -> None:
+        """Remove a request that was given up; nothing is charged."""
+        self._queues[waiting.request.tier].remove(waiting.request.request_id)
+
+    def expire(self, now: float) -> tuple[WaitingRequest, ...]:
+        """Remove and return the requests whose latest start has passed."""
+        late = []
+        for queue in self._queues.values():
+            late += [entry.item for entry in queue.find_late(now)]
+        for waiting in late:
+            self.remove(waiting)
+        return tuple(late)
+
+
+def _start_order(entry: QueueEntry[WaitingRequest]) -> float:
+    return entry.latest_start_s
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/shares.py
@@ -0,0 +1,152 @@
+"""Fair shares among client accounts of one tier (start-time fair queueing)."""
+
+from bisect import insort
+from collections.abc import Iterator
+from dataclasses import dataclass
+from heapq import heapify, heappop, heapreplace
+from typing import Generic, TypeVar
+
+__all__ = ["FairQueue", "QueueEntry"]
+
+Item = TypeVar("Item")
+
+
+@dataclass(frozen=True, eq=False)
+class QueueEntry(Generic[Item]):
+    """
+    An item that waits.
+
+    :param cost: what it takes from its account's share, in any one unit.
+    """
+
+    entry_id: str
+    account: str
+    cost: float
+    latest_start_s: float
+    item: Item
+
+
+class _Flow(Generic[Item]):
+    """The waiting entries of one account, by latest start, and its virtual start."""
+
+    def __init__(self, weight: float, start: float) -> None:
+        self.weight = weight
+        self.start = start
+        self.cost = 0.0
+        self.entries: list[QueueEntry[Item]] = []
+
+    def add(self, entry: QueueEntry[Item]) -> None:
+        insort(self.entries, entry, key=_entry_order)
+        self.cost += entry.cost
+
+    def discard(self, entry: QueueEntry[Item]) -> None:
+        self.entries.remove(entry)
+        self.cost = self.cost - entry.cost if self.entries else 0.0
+
+
+class FairQueue(Generic[Item]):
+    """
+    Serves accounts in proportion to their weights, and each one by latest start.
+
+    The account with the lowest virtual start is next; serving it moves its virtual
+    start on by cost / weight. An account that was idle begins at the present virtual
+    time, so that it gets its share at once but no credit for its idle time.
+    """
+
+    def __init__(self) -> None:
+        self._flows: dict[str, _Flow[Item]] = {}
+        self._idle_starts: dict[str, float] = {}
+        self._entries: dict[str, QueueEntry[Item]] = {}
+        self._virtual_time = 0.0
+        self.total_cost = 0.0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def push(self, entry: QueueEntry[Item], weight: float) -> None:
+        """Add an entry; the weight is its account's from now on."""
+        flow = self._flows.get(entry.account)
+        if flow is None:
+            start = max(self._virtual_time, self._idle_starts.pop(entry.account, 0.0))
+            flow = self._flows[entry.account] = _Flow(weight, start)
+        flow.weight = weight
+        flow.add(entry)
+        self._entries[entry.entry_id] = entry
+        self.total_cost += entry.cost
+
+    def iterate(self) -> Iterator[QueueEntry[Item]]:
+        """Return the entries in the order of service, without removing them."""
+        order = [(flow.start, name, 0) for name, flow in self._flows.items()]
+        heapify(order)
+        while order:
+            start, name, index = order[0]
+            flow = self._flows[name]
+            entry = flow.entries[index]
+            if index + 1 < len(flow.entries):
+                heapreplace(order, (start + entry.cost / flow.weight, name, index + 1))
+            else:
+                heappop(order)
+            yield entry
+
+    def take(self, entry_id: str) -> None:
+        """Remove an entry that is served and charge its account."""
+        entry = self._entries[entry_id]
+        flow = self._flows[entry.account]
+        self._virtual_time = max(self._virtual_time, flow.start)
+        flow.start += entry.cost / flow.weight
+        self.remove(entry_id)
+
+    def remove(self, entry_id: str) -> None:
+        """Remove an entry without charging its account."""
+        entry = self._entries.pop(entry_id)
+        flow = self._flows[entry.account]
+        flow.discard(entry)
+        self.total_cost = self.total_cost - entry.cost if self._entries else 0.0
+        if not flow.entries:
+            del self._flows[entry.account]
+            self._keep_idle_start(entry.account, flow.start)
+
+    def find_late(self, now: float) -> tuple[QueueEntry[Item], ...]:
+        """Return the entries whose latest start is before now."""
+        late: list[QueueEntry[Item]] = []
+        for flow in self._flows.values():
+            for entry in flow.entries:
+                if entry.latest_start_s >= now:
+                    break
+                late.append(entry)
+        return tuple(late)
+
+    def estimate_work_ahead(self, account: str, weight: float, cost: float) -> float:
+        """
+        Return the work served before the last entry of an account would start.
+
+        Each other account is served at most in proportion to its weight until then,
+        so one account's backlog does not count against another's short queue.
+
+        :param cost: of an entry of the account that is about to join.
+        """
+        flow = self._flows.get(account)
+        own = flow.cost if flow else 0.0
+        rounds = (own + cost) / weight
+        others = (
+            min(other.cost, rounds * other.weight)
+            for name, other in self._flows.items()
+            if name != account
+        )
+        return own + sum(others)
+
+    def _keep_idle_start(self, account: str, start: float) -> None:
+        """Remember what an idle account was served ahead of the others."""
+        passed = [
+            name
+            for name, idle_start in self._idle_starts.items()
+            if idle_start <= self._virtual_time
+        ]
+        for name in passed:
+            del self._idle_starts[name]
+        if start > self._virtual_time:
+            self._idle_starts[account] = start
+
+
+def _entry_order(entry: QueueEntry[Item]) -> float:
+    return entry.latest_start_s
--- /dev/null
+++ b/packages/core/tests/test_dispatch.py
@@ -0,0 +1,208 @@
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.contracts import (
+    ClientAccount,
+    Service,
+    ServiceKind,
+    TeamDocument,
+    Tier,
+)
+from persimmonferry_core.dispatch import (
+    Dispatcher,
+    PromptRequest,
+    Queued,
+    Refused,
+    UpstreamReport,
+)
+from persimmonferry_core.runs import RunEnd
+
+TIERS = (Tier("door", 1.0, 2.0, 0.2), Tier("dawn", 60.0, 0.5, 0.05))
+ACCOUNTS = tuple(
+    ClientAccount(name, (), "", weight, ("notes", "orders"))
+    for name, weight in (("a", 1.0), ("b", 2.0), ("c", 1.0))
+)
+SERVICES = (
+    Service("notes", ServiceKind.MODEL, "m", "v1"),
+    Service("orders", ServiceKind.PLAIN),
+)
+DOCUMENT = TeamDocument("team", 1, SERVICES, TIERS, ACCOUNTS, ())
+NAMES = ("u0", "u1", "u2")
+
+
+def make_report(name="u0", sequence=1, **changes):
+    values = {
+        "incarnation": 1,
+        "failure_domain": "east",
+        "service": "notes",
+        "model": "m",
+        "version": "v1",
+        "running": 0,
+        "waiting": 0,
+        "waiting_prefill_tokens": 0,
+        "slots": 2,
+        "prefill_tokens_per_s": 10_000.0,
+        "decode_tokens_per_s": 40.0,
+    }
+    return UpstreamReport(name=name, sequence=sequence, **(values | changes))
+
+
+def make_request(number, now, tier="door", account="a", tokens=800, **changes):
+    return PromptRequest(
+        f"r{number}", account, tier, "notes", tokens, 20, now, **changes
+    )
+
+
+def make_end(request_id):
+    return RunEnd(request_id, "v1", 20, 800, 0, "stop")
+
+
+class DispatcherMachine(RuleBasedStateMachine):
+    """The oracle knows each request's place and each upstream's last report."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.dispatcher = Dispatcher(DOCUMENT, frozenset({"east"}), seed=1)
+        self.reports = {}
+        self.sequence = 0
+        self.count = 0
+        self.waiting = {}
+        self.running = {}
+        self.peaks = {name: 0 for name in NAMES}
+
+    def _running_at(self, name):
+        return sum(1 for upstream in self.running.values() if upstream == name)
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        leaving=st.sampled_from((False, False, True)),
+        version=st.sampled_from(("v1", "v1", "v2")),
+        others=st.integers(0, 2),
+        late=st.booleans(),
+    )
+    def report(self, name, leaving, version, others, late):
+        self.sequence += 1
+        running = self._running_at(name) + others
+        report = make_report(
+            name, self.sequence, leaving=leaving, version=version, running=running
+        )
+        self.dispatcher.report(report, self.now)
+        self.reports[name] = report
+        if late:
+            older = make_report(name, 0, slots=8)
+            self.dispatcher.report(older, self.now)
+
+    @rule(name=st.sampled_from(NAMES))
+    def remove(self, name):
+        self.dispatcher.remove(name)
+        self.reports.pop(name, None)
+        gone = [key for key, upstream in self.running.items() if upstream == name]
+        for request_id in gone:
+            self._fail(request_id, ran=True)
+
+    @rule(
+        tier=st.sampled_from(("door", "dawn")),
+        account=st.sampled_from("abc"),
+        tokens=st.integers(1, 30_000),
+        blocks=st.integers(0, 3),
+    )
+    def offer(self, tier, account, tokens, blocks):
+        self.count += 1
+        names = tuple(f"{account}{index}" for index in range(blocks))
+        request = make_request(
+            self.count, self.now, tier, account, tokens, block_names=names
+        )
+        match self.dispatcher.offer(request, self.now):
+            case Queued(request_id, latest):
+                assert latest >= self.now
+                self.waiting[request_id] = latest
+            case Refused(code=code, retry_after_s=retry_after_s):
+                assert code in (ResultCode.WAIT_NOT_KEPT, ResultCode.NO_UPSTREAM)
+                assert retry_after_s > 0
+
+    @rule(name=st.sampled_from(NAMES), account=st.sampled_from("abc"))
+    def hold(self, name, account):
+        self.dispatcher.record_held(name, (f"{account}0", f"{account}1"))
+
+    @rule()
+    def assign(self):
+        before = {name: self._running_at(name) for name in NAMES}
+        for assignment in self.dispatcher.assign(self.now):
+            request_id = assignment.request.request_id
+            assert request_id in self.waiting
+            del self.waiting[request_id]
+            report = self.reports[assignment.upstream]
+            assert not report.leaving
+            assert report.version == "v1"
+            self.running[request_id] = assignment.upstream
+        for name, count in before.items():
+            if self._running_at(name) > count:
+                assert self._running_at(name) <= self.reports[name].slots
+
+    @precondition(lambda self: self.running)
+    @rule(data=st.data(), how=st.sampled_from(("finish", "start", "refuse", "lose")))
+    def go_on(self, data, how):
+        request_id = data.draw(st.sampled_from(sorted(self.running)))
+        match how:
+            case "start":
+                self.dispatcher.started(request_id, self.now)
+                self.dispatcher.progressed(request_id, 3, self.now)
+            case "finish":
+                del self.running[request_id]
+                self.dispatcher.finished(request_id, make_end(request_id), self.now)
+            case _:
+                self._fail(request_id, ran=how == "lose")
+
+    def _fail(self, request_id, ran):
+        del self.running[request_id]
+        answer = self.dispatcher.failed(request_id, ran, self.now)
+        if isinstance(answer, Queued):
+            self.waiting[request_id] = answer.latest_start_s
+
+    @precondition(lambda self: self.waiting or self.running)
+    @rule(data=st.data())
+    def cancel(self, data):
+        known = sorted({**self.waiting, **self.running})
+        request_id = data.draw(st.sampled_from(known))
+        upstream = self.dispatcher.cancel(request_id, self.now)
+        assert upstream == self.running.pop(request_id, None)
+        self.waiting.pop(request_id, None)
+
+    @rule(seconds=st.floats(0.001, 5.0))
+    def advance(self, seconds):
+        self.now += seconds
+        refused = {item.request_id for item in self.dispatcher.expire(self.now)}
+        assert refused <= set(self.waiting)
+        late = {key for key, latest in self.waiting.items() if latest < self.now}
+        assert late <= refused
+        for request_id in refused:
+            del self.waiting[request_id]
+
+    @invariant()
+    def waiting_requests_are_looked_after(self):
+        event = self.dispatcher.next_event(self.now)
+        assert (event is not None) == bool(self.waiting)
+        assert event is None or event > self.now
+
+    def teardown(self):
+        """A fleet that is free again starts everything that still waits."""
+        for request_id in sorted(self.running):
+            self.dispatcher.cancel(request_id, self.now)
+        for index in range(2):
+            report = make_report(f"spare{index}", slots=500)
+            self.dispatcher.report(report, self.now)
+        for step in range(200):
+            moment = min([self.now, *self.waiting.values()]) + step * 1e-6
+            for assignment in self.dispatcher.assign(moment):
+                request_id = assignment.request.request_id
+                del self.waiting[request_id]
+                self.dispatcher.started(request_id, moment)
+        assert not self.waiting
+
+
+DispatcherMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=60, stateful_step_count=40, deadline=None
+)
+TestDispatcher = DispatcherMachine.TestCase
