--- a/packages/core/src/persimmonferry_core/blocks.py
+++ b/packages/core/src/persimmonferry_core/blocks.py
@@ -1,6 +1,7 @@
 """Names of cache blocks, and the envelope that a block travels and lies in."""
 
 import hashlib
+import re
 import struct
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -23,6 +24,10 @@
 _DIGEST_BYTES = 24
 _CHECKSUM_BYTES = 16
 _CHAIN_HEX_DIGITS = 12
+_NAME = re.compile(
+    rf"(?P<chain>[0-9a-f]{{{_CHAIN_HEX_DIGITS}}})-(?P<index>[0-9]{{1,9}})"
+    rf"-[0-9a-f]{{{2 * _DIGEST_BYTES}}}"
+)
 _MAGIC = b"PFB1"
 _HEADER = struct.Struct(f"<4sHQ{_CHECKSUM_BYTES}s")
 
@@ -87,10 +92,10 @@
 
 def read_position(name: str) -> BlockPosition | None:
     """Return the position that a block's name tells, None for a foreign name."""
-    parts = name.split("-")
-    if len(parts) != 3 or not parts[1].isdecimal():
+    match = _NAME.fullmatch(name)
+    if match is None:
         return None
-    return BlockPosition(parts[0], int(parts[1]))
+    return BlockPosition(match["chain"], int(match["index"]))
 
 
 def seal(name: str, data: bytes) -> bytes:
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/eviction.py
@@ -0,0 +1,164 @@
+"""Chooses which blocks of a full store VM are removed, by expected reuse."""
+
+import struct
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from persimmonferry_core.blocks import read_position
+from persimmonferry_core.interfaces import StoreUsage
+
+__all__ = [
+    "ChainUse",
+    "UseHistory",
+    "estimate_wait",
+    "is_eviction_due",
+    "plan_eviction",
+]
+
+START_SHARE = 0.9
+TARGET_SHARE = 0.8
+UNKNOWN_INTERVAL_S = 3600.0
+MERGED_USE_S = 30.0
+MAX_CHAINS = 20_000
+
+_INTERVAL_GAIN = 0.5
+_CHAIN_BYTES = 6
+_RECORD = struct.Struct(f"<{_CHAIN_BYTES}sdf")
+
+
+@dataclass(frozen=True)
+class ChainUse:
+    """
+    Uses of the prompts that share a first block.
+
+    :param last_used_s: time of the last use, in seconds.
+    :param interval_s: estimated time between uses, 0 after a single use.
+    """
+
+    last_used_s: float
+    interval_s: float = 0.0
+
+    def add(self, now: float) -> "ChainUse":
+        """Return the uses with one more; uses in quick succession count as one."""
+        gap = now - self.last_used_s
+        if gap < MERGED_USE_S:
+            return ChainUse(max(now, self.last_used_s), self.interval_s)
+        if not self.interval_s:
+            return ChainUse(now, gap)
+        change = _INTERVAL_GAIN * (gap - self.interval_s)
+        return ChainUse(now, self.interval_s + change)
+
+
+def estimate_wait(use: ChainUse | None, now: float) -> float:
+    """
+    Return the expected time until the next use, in seconds.
+
+    A chain long overdue is expected after as long again as it has been away.
+    """
+    if use is None:
+        return UNKNOWN_INTERVAL_S
+    age = now - use.last_used_s
+    interval = use.interval_s or UNKNOWN_INTERVAL_S
+    if age <= 2 * interval:
+        return abs(interval - age)
+    return age
+
+
+class UseHistory:
+    """
+    Uses of the chains that one process knows of.
+
+    :param max_chains: the chains used longest ago are dropped above this number.
+    """
+
+    def __init__(self, max_chains: int = MAX_CHAINS) -> None:
+        self._max_chains = max_chains
+        self._uses: OrderedDict[str, ChainUse] = OrderedDict()
+
+    def note(self, name: str, now: float) -> None:
+        """Note that the prompt with this first block was used."""
+        position = read_position(name)
+        if position is None:
+            return
+        use = self._uses.get(position.chain)
+        self._set(position.chain, use.add(now) if use else ChainUse(now))
+
+    def _set(self, chain: str, use: ChainUse) -> None:
+        self._uses[chain] = use
+        self._uses.move_to_end(chain)
+        if len(self._uses) > self._max_chains:
+            self._uses.popitem(last=False)
+
+    def find(self, name: str) -> ChainUse | None:
+        """Return the uses of a block's chain, None when unknown."""
+        position = read_position(name)
+        return self._uses.get(position.chain) if position else None
+
+    def encode(self) -> bytes:
+        """Return the history as bytes that other processes can merge."""
+        records = (
+            _RECORD.pack(bytes.fromhex(chain), use.last_used_s, use.interval_s)
+            for chain, use in self._uses.items()
+        )
+        return b"".join(records)
+
+    def merge(self, value: bytes) -> None:
+        """
+        Take in another process's history; of each chain the later use counts.
+
+        :raises ValueError: when the bytes are no history.
+        """
+        if len(value) % _RECORD.size:
+            raise ValueError("the history is cut short")
+        records = (
+            (text.hex(), ChainUse(last_used_s, interval_s))
+            for text, last_used_s, interval_s in _RECORD.iter_unpack(value)
+        )
+        news = [item for item in records if self._is_later(*item)]
+        merged = {**self._uses, **dict(news)}
+        ordered = sorted(merged.items(), key=lambda item: item[1].last_used_s)
+        self._uses = OrderedDict(ordered[-self._max_chains :])
+
+    def _is_later(self, chain: str, use: ChainUse) -> bool:
+        known = self._uses.get(chain)
+        if known is None:
+            return True
+        return use.last_used_s > known.last_used_s
+
+
+def is_eviction_due(usage: StoreUsage) -> bool:
+    """Whether a store is so full that blocks have to go."""
+    return usage.used_bytes > START_SHARE * usage.capacity_bytes
+
+
+def plan_eviction(
+    names: Iterable[str], usage: StoreUsage, history: UseHistory, now: float
+) -> tuple[str, ...]:
+    """
+    Return the blocks to remove, first to go first.
+
+    Blocks of the chain that is expected back last go first, and of one chain the later
+    blocks, since an earlier one is worth keeping without them. Names that are not the
+    system's are left alone. Block sizes are taken as equal.
+
+    :param names: of all blocks of the store.
+    """
+    if not is_eviction_due(usage):
+        return ()
+    positions = {name: read_position(name) for name in names}
+    if not positions:
+        return ()
+    block_bytes = usage.used_bytes / len(positions)
+    excess_bytes = usage.used_bytes - TARGET_SHARE * usage.capacity_bytes
+    count = max(1, round(excess_bytes / block_bytes))
+    own = [(name, position) for name, position in positions.items() if position]
+    ranked = sorted(
+        own,
+        key=lambda item: (
+            -estimate_wait(history.find(item[0]), now),
+            item[1].chain,
+            -item[1].index,
+        ),
+    )
+    return tuple(name for name, _ in ranked[:count])
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/placement.py
@@ -0,0 +1,49 @@
+"""Chooses the store VMs of a block by rendezvous hashing, without a directory."""
+
+import hashlib
+from collections.abc import Iterable
+
+__all__ = ["PauseList", "rank_stores"]
+
+
+def rank_stores(name: str, stores: Iterable[str], count: int = 2) -> tuple[str, ...]:
+    """
+    Return the first choices for a block, best first.
+
+    A store that comes or goes moves only the blocks that it wins or held.
+
+    :param name: of the block.
+    :param stores: names of the store VMs of the failure domain.
+    :param count: how many choices to return.
+
+    >>> rank_stores("c-0-aa", ["s1"])
+    ('s1',)
+    """
+    ranked = sorted(stores, key=lambda store: _score(name, store), reverse=True)
+    return tuple(ranked[:count])
+
+
+def _score(name: str, store: str) -> tuple[bytes, str]:
+    text = f"{len(name)}:{name}{store}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest(), store
+
+
+class PauseList:
+    """
+    Store VMs that are not asked for a while, after they failed or were full.
+
+    :param pause_s: how long a store is left alone.
+    """
+
+    def __init__(self, pause_s: float) -> None:
+        self._pause_s = pause_s
+        self._until: dict[str, float] = {}
+
+    def pause(self, store: str, now: float) -> None:
+        """Leave a store alone from now on."""
+        self._until[store] = now + self._pause_s
+
+    def keep_open(self, stores: Iterable[str], now: float) -> tuple[str, ...]:
+        """Return the stores that are not paused, and forget pauses that are over."""
+        self._until = {name: end for name, end in self._until.items() if end > now}
+        return tuple(store for store in stores if store not in self._until)
--- /dev/null
+++ b/packages/core/tests/test_eviction.py
@@ -0,0 +1,60 @@
+import pytest
+from persimmonferry_core.blocks import name_blocks
+from persimmonferry_core.eviction import UseHistory, estimate_wait, plan_eviction
+from persimmonferry_core.interfaces import StoreUsage
+
+MINUTE_S = 60.0
+HOUR_S = 3600.0
+
+
+def name_prompt(word, blocks=5):
+    return name_blocks("secret", "m", "v", "", [word] * blocks, block_tokens=1)
+
+
+def test_the_chain_expected_back_last_loses_its_later_blocks_first():
+    soon, late = name_prompt("soon"), name_prompt("late")
+    history = UseHistory()
+    for now in (0.0, 10 * MINUTE_S, 20 * MINUTE_S):
+        history.note(soon[0], now)
+    for now in (-24 * HOUR_S, 0.0):
+        history.note(late[0], now)
+    foreign = tuple(f"foreign{index}" for index in range(10))
+    usage = StoreUsage(100, 100)
+    names = soon + foreign + late
+    planned = plan_eviction(names, usage, history, now=25 * MINUTE_S)
+    assert planned == (late[4], late[3], late[2], late[1])
+
+
+def test_nothing_goes_before_the_store_is_nearly_full():
+    names = name_prompt("a")
+    assert plan_eviction(names, StoreUsage(90, 100), UseHistory(), 0.0) == ()
+    assert plan_eviction((), StoreUsage(100, 100), UseHistory(), 0.0) == ()
+
+
+def test_a_chain_long_overdue_is_expected_later_than_one_about_to_return():
+    history = UseHistory()
+    due, overdue = name_prompt("due")[0], name_prompt("overdue")[0]
+    for now in (0.0, HOUR_S):
+        history.note(overdue, now)
+    for now in (0.0, 6 * HOUR_S):
+        history.note(due, now)
+    now = 11 * HOUR_S
+    assert estimate_wait(history.find(due), now) == HOUR_S
+    assert estimate_wait(history.find(overdue), now) == 10 * HOUR_S
+
+
+def test_histories_merge_to_the_later_use_of_each_chain_in_any_order():
+    names = [name_prompt(word)[0] for word in "abc"]
+    first, second = UseHistory(), UseHistory()
+    for index, name in enumerate(names):
+        first.note(name, 100.0 * index)
+        second.note(name, 200.0 - 100.0 * index)
+    both = (first.encode(), second.encode())
+    for values in (both, both[::-1]):
+        merged = UseHistory(max_chains=2)
+        for value in values:
+            merged.merge(value)
+        used = [merged.find(name) for name in names]
+        assert [use and use.last_used_s for use in used] == [200.0, None, 200.0]
+    with pytest.raises(ValueError, match="cut short"):
+        first.merge(b"x")
