--- /dev/null
+++ b/packages/core/src/persimmonferry_core/accounts.py
@@ -0,0 +1,75 @@
+"""Keys of client accounts and operators: only their digests are ever stored."""
+
+import hashlib
+import hmac
+from collections.abc import Iterable
+from dataclasses import replace
+from typing import TypeVar
+
+from persimmonferry_core.contracts import ClientAccount, Operator, TeamDocument
+
+__all__ = [
+    "VALID_KEYS",
+    "find_account",
+    "find_operator",
+    "hash_key",
+    "rotate_key",
+]
+
+VALID_KEYS = 2
+
+Holder = TypeVar("Holder", ClientAccount, Operator)
+
+
+def hash_key(key: str) -> str:
+    """
+    Return the digest under which a key is stored.
+
+    Keys are random and long, so that one round of SHA-256 is enough.
+
+    :param key: the key as its holder presents it.
+
+    >>> hash_key("demo-key-florist")[:16]
+    'eab4d2c731895705'
+    """
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def find_account(document: TeamDocument, key: str) -> ClientAccount | None:
+    """
+    Return the client account that a presented key belongs to, or None.
+
+    The comparison takes place between digests: a caller can't choose the digest's
+    leading bytes, so a lookup that takes a varying time tells nothing of a key.
+    """
+    return document.find_account(hash_key(key))
+
+
+def find_operator(document: TeamDocument, key: str) -> Operator | None:
+    """Return the operator that a presented key belongs to, or None."""
+    return _find_holder(document.operators, hash_key(key))
+
+
+def rotate_key(holder: Holder, key: str) -> Holder:
+    """
+    Return the holder with a new key beside the newest earlier one.
+
+    A key that is valid already becomes the newest one.
+
+    :param holder: a client account or an operator.
+    :param key: the new key; the digest of the oldest is dropped.
+    """
+    digest = hash_key(key)
+    earlier = tuple(item for item in holder.key_digests if item != digest)
+    digests = (*earlier, digest)[-VALID_KEYS:]
+    return replace(holder, key_digests=digests)
+
+
+def _find_holder(holders: Iterable[Operator], digest: str) -> Operator | None:
+    found = None
+    # Every digest is compared, so that the time doesn't tell whose key it was.
+    for holder in holders:
+        for candidate in holder.key_digests:
+            if hmac.compare_digest(candidate, digest):
+                found = holder
+    return found
