--- a/packages/core/src/persimmonferry_core/membership.py
+++ b/packages/core/src/persimmonferry_core/membership.py
@@ -3,14 +3,14 @@
 import enum
 from dataclasses import dataclass, replace
 
-from persimmonferry_core.contracts import ServiceKind
+from persimmonferry_core.routing import UpstreamReport
 from persimmonferry_core.world import Address
 
 __all__ = [
     "REPORT_INTERVAL_S",
     "REPORT_TIMEOUT_S",
     "Observation",
-    "UpstreamReport",
+    "Presence",
     "UpstreamTable",
 ]
 
@@ -19,33 +19,15 @@
 
 
 @dataclass(frozen=True)
-class UpstreamReport:
+class Presence:
     """
-    What an agent says of its upstream.
+    An upstream as its agent last reported it.
 
-    :param incarnation: start time of the agent process, in milliseconds since the
-        epoch; a higher one replaces a lower one.
-    :param sequence: grows with each report of an incarnation.
     :param address: of the agent, for runs and calls.
-    :param leaving: whether it refuses new work.
     """
 
-    name: str
-    incarnation: int
-    sequence: int
+    report: UpstreamReport
     address: Address
-    failure_domain: str
-    service: str
-    kind: ServiceKind
-    model: str
-    version: str
-    leaving: bool
-    running: int
-    waiting: int
-    waiting_prefill_tokens: int
-    slots: int
-    prefill_tokens_per_s: float
-    decode_tokens_per_s: float
 
 
 class Observation(enum.Enum):
@@ -58,7 +40,7 @@
 
 @dataclass(frozen=True)
 class _Row:
-    report: UpstreamReport
+    presence: Presence
     heard_at: float
     suspected: bool = False
 
@@ -69,7 +51,9 @@
     def __init__(self) -> None:
         self._rows: dict[str, _Row] = {}
 
-    def observe(self, report: UpstreamReport, now: float) -> Observation:
+    def observe(
+        self, report: UpstreamReport, address: Address, now: float
+    ) -> Observation:
         """
         Take a report.
 
@@ -77,16 +61,13 @@
         that wakes up after its VM was replaced must not bring its old state back.
         An address that another upstream had belongs to the newer incarnation.
         """
-        row = self._rows.get(report.name)
-        if row is not None and _order(report) <= _order(row.report):
+        known = self.find(report.name)
+        if known is not None and _order(report) <= _order(known.report):
+            return Observation.STALE
+        if not self._claim_address(report, address):
             return Observation.STALE
-        for name, other in list(self._rows.items()):
-            if name != report.name and other.report.address == report.address:
-                if other.report.incarnation > report.incarnation:
-                    return Observation.STALE
-                del self._rows[name]
-        self._rows[report.name] = _Row(report, now)
-        if row is None or row.report.incarnation != report.incarnation:
+        self._rows[report.name] = _Row(Presence(report, address), now)
+        if known is None or known.report.incarnation != report.incarnation:
             return Observation.NEW
         return Observation.UPDATED
 
@@ -108,29 +89,41 @@
         :returns: whether the table changed.
         """
         row = self._rows.get(name)
-        if row is None or row.report.incarnation != incarnation or row.suspected:
+        if row is None or row.suspected:
+            return False
+        if row.presence.report.incarnation != incarnation:
             return False
         self._rows[name] = replace(row, suspected=True)
         return True
 
-    def find(self, name: str) -> UpstreamReport | None:
-        """Return the newest report of an upstream, or None."""
+    def find(self, name: str) -> Presence | None:
+        """Return an upstream as last reported, or None."""
         row = self._rows.get(name)
-        return None if row is None else row.report
+        return None if row is None else row.presence
 
-    def list_usable(self, service: str) -> tuple[UpstreamReport, ...]:
+    def list_usable(self, service: str) -> tuple[Presence, ...]:
         """Return the upstreams of a service that take new work."""
         return tuple(
-            row.report
+            row.presence
             for row in self._rows.values()
-            if row.report.service == service
-            and not row.report.leaving
+            if row.presence.report.service == service
+            and not row.presence.report.leaving
             and not row.suspected
         )
 
-    def list_all(self) -> tuple[UpstreamReport, ...]:
-        """Return the newest report of every upstream."""
-        return tuple(row.report for row in self._rows.values())
+    def list_all(self) -> tuple[Presence, ...]:
+        """Return every upstream as last reported."""
+        return tuple(row.presence for row in self._rows.values())
+
+    def _claim_address(self, report: UpstreamReport, address: Address) -> bool:
+        """Drop the former user of an address, unless it is the newer one."""
+        for name, row in list(self._rows.items()):
+            if name == report.name or row.presence.address != address:
+                continue
+            if row.presence.report.incarnation > report.incarnation:
+                return False
+            del self._rows[name]
+        return True
 
 
 def _order(report: UpstreamReport) -> tuple[int, int]:
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -3,23 +3,22 @@
 import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
-from persimmonferry_core.contracts import ServiceKind
 from persimmonferry_core.membership import (
     REPORT_TIMEOUT_S,
     Observation,
-    UpstreamReport,
+    Presence,
     UpstreamTable,
 )
+from persimmonferry_core.routing import UpstreamReport
 from persimmonferry_core.world import Address
 
+ADDRESS = Address("127.0.0.1", 9)
 REPORT = UpstreamReport(
     name="u1",
     incarnation=5,
     sequence=1,
-    address=Address("127.0.0.1", 9),
     failure_domain="a",
     service="notes",
-    kind=ServiceKind.MODEL,
     model="m",
     version="v1",
     leaving=False,
@@ -34,28 +33,28 @@
 
 def test_a_report_of_an_older_incarnation_changes_nothing():
     table = UpstreamTable()
-    table.observe(REPORT, 0.0)
+    table.observe(REPORT, ADDRESS, 0.0)
     old = replace(REPORT, incarnation=4, sequence=99, leaving=True)
-    assert table.observe(old, 0.1) is Observation.STALE
-    assert table.list_usable("notes") == (REPORT,)
+    assert table.observe(old, ADDRESS, 0.1) is Observation.STALE
+    assert table.list_usable("notes") == (Presence(REPORT, ADDRESS),)
 
 
 def test_a_suspected_upstream_is_avoided_until_its_next_report():
     table = UpstreamTable()
-    table.observe(REPORT, 0.0)
+    table.observe(REPORT, ADDRESS, 0.0)
     assert table.suspect("u1", 5)
     assert table.list_usable("notes") == ()
     fresh = replace(REPORT, sequence=2)
-    table.observe(fresh, 0.2)
-    assert table.list_usable("notes") == (fresh,)
+    table.observe(fresh, ADDRESS, 0.2)
+    assert table.list_usable("notes") == (Presence(fresh, ADDRESS),)
 
 
 @pytest.mark.parametrize("incarnation, kept", [(9, "u2"), (3, "u1")])
 def test_an_address_used_again_belongs_to_the_newer_incarnation(incarnation, kept):
     table = UpstreamTable()
-    table.observe(REPORT, 0.0)
-    table.observe(replace(REPORT, name="u2", incarnation=incarnation), 0.1)
-    assert [report.name for report in table.list_all()] == [kept]
+    table.observe(REPORT, ADDRESS, 0.0)
+    table.observe(replace(REPORT, name="u2", incarnation=incarnation), ADDRESS, 0.1)
+    assert [item.report.name for item in table.list_all()] == [kept]
 
 
 class TableMachine(RuleBasedStateMachine):
@@ -80,9 +79,9 @@
             incarnation=incarnation,
             sequence=sequence,
             leaving=leaving,
-            address=Address("127.0.0.1", ord(name[1])),
         )
-        self.table.observe(report, self.now)
+        address = Address("127.0.0.1", ord(name[1]))
+        self.table.observe(report, address, self.now)
         known = self.newest.get(name)
         order = (incarnation, sequence)
         if known is None or order > (known[0].incarnation, known[0].sequence):
@@ -113,7 +112,7 @@
             if not report.leaving and not suspected
         }
         usable = self.table.list_usable("notes")
-        assert {report.name for report in usable} == expected
+        assert {item.report.name for item in usable} == expected
 
 
 TestTable = TableMachine.TestCase
--- a/packages/daemon/src/persimmonferry_daemon/upstreams.py
+++ b/packages/daemon/src/persimmonferry_daemon/upstreams.py
@@ -41,6 +41,7 @@
 __all__ = ["AgentClient"]
 
 CONNECT_TIMEOUT_S = 0.5
+HTTP_OK = 200
 SILENCE_TIMEOUT_S = 1.2
 ABORT_AFTER_SILENCE_S = 2
 RUN_TIMEOUT_S = 600.0
@@ -80,7 +81,9 @@
             streaming_callback=exchange.feed,
             prepare_curl_callback=_limit_silence,
         )
-        fetch = asyncio.ensure_future(self._client.fetch(http_request))
+        fetch = asyncio.ensure_future(
+            self._client.fetch(http_request, raise_error=False)
+        )
         fetch.add_done_callback(exchange.close)
         return await exchange.wait()
 
@@ -187,12 +190,12 @@
 
     def close(self, fetch: asyncio.Future) -> None:
         """Take the end of the HTTP exchange."""
-        error = None if fetch.cancelled() else fetch.exception()
-        if self._result.done():
+        if self._result.done() or fetch.cancelled():
             return
-        if error is not None and not was_sent(error):
+        response = fetch.result()
+        if not was_sent(response):
             self._fail(NotRun(ResultCode.NO_UPSTREAM, "the agent is gone", 0.5))
-        elif error is not None:
+        elif response.code != HTTP_OK:
             self._fail(OutcomeUnknown(ResultCode.UPSTREAM_LOST, "connection broke"))
         else:
             self._fail(OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "no end mark"))
--- a/packages/wire/src/persimmonferry_wire/carrier.py
+++ b/packages/wire/src/persimmonferry_wire/carrier.py
@@ -5,8 +5,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-import pycurl
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 from tornado.web import RequestHandler
 
 from persimmonferry_wire.codec import decode, encode
@@ -24,6 +23,8 @@
 
 CONTENT_TYPE = "application/x-thrift"
 CONNECT_TIMEOUT_S = 0.5
+HTTP_OK = 200
+TORNADO_TRANSPORT_ERROR = 599
 
 _log = logging.getLogger(__name__)
 
@@ -63,20 +64,24 @@
             connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
             request_timeout=timeout_s,
         )
+        response = await self._client.fetch(request, raise_error=False)
+        if response.code != HTTP_OK:
+            raise PeerLost(f"status {response.code}", sent=was_sent(response))
         try:
-            response = await self._client.fetch(request)
             return decode(kind, response.body)
-        except (HTTPClientError, OSError, ValueError) as error:
-            raise PeerLost(str(error), sent=was_sent(error)) from error
+        except ValueError as error:
+            raise PeerLost(str(error), sent=True) from error
 
 
-def was_sent(error: Exception) -> bool:
+def was_sent(response: HTTPResponse) -> bool:
     """
     Tell whether bytes of a failed request may have reached the other side.
 
-    Only a refused connection proves that none did.
+    None did when libcurl never came to the point of sending.
     """
-    return getattr(error, "errno", None) != pycurl.E_COULDNT_CONNECT
+    if response.code != TORNADO_TRANSPORT_ERROR:
+        return True
+    return response.time_info.get("pretransfer", 0.0) > 0.0
 
 
 @dataclass(frozen=True)
