Add HTTP adapters and stand-ins for the outside systems

Cause: the processes need engines, plain services, the platform, store VMs and the list of VMs to work against. Change: one adapter module per interface and one stand-in server each, with faults over a control interface. Requests that may run at most once go out on a connection of their own, since libcurl resends a request by itself when a reused connection closes before the first byte of the answer. Ruled out: Tornado's simple client, which has no idle time-outs either. Faults are not tested yet.

--- /dev/null
+++ b/packages/adapters/src/persimmonferry_adapters/engine.py
@@ -0,0 +1,267 @@
+"""HTTP adapter to a model engine."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pycurl
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import (
+    FerryError,
+    NotRun,
+    OutcomeUnknown,
+    StoreError,
+)
+from persimmonferry_core.runs import (
+    CacheEvent,
+    CacheEventKind,
+    EngineLoad,
+    EngineOrder,
+    RunEnd,
+    RunOrder,
+    TokenBatch,
+)
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+
+from persimmonferry_adapters.answer import AnswerReader
+from persimmonferry_adapters.exchange import (
+    Loss,
+    Reuse,
+    classify,
+    exchange,
+    make_request,
+    make_upstream_error,
+    raise_upstream_loss,
+)
+from persimmonferry_adapters.forms import (
+    BLOCK_NAME_HEADER,
+    JSON_TYPE,
+    OCTETS_TYPE,
+    encode_engine_order,
+    encode_json,
+    encode_run_order,
+    find_refusal_code,
+    quote_segment,
+)
+
+__all__ = ["HttpEngine"]
+
+RUN_IDLE_TIMEOUT_S = 2.0
+ORDER_TIMEOUT_S = 120.0
+BLOCK_TIMEOUT_S = 30.0
+
+
+class _Transfer:
+    """
+    One streamed run on the wire.
+
+    Tornado's curl client can't abort a request, so libcurl's progress callback does.
+    """
+
+    def __init__(self, reader: AnswerReader) -> None:
+        self._reader = reader
+        self._aborted = False
+        self.activity = asyncio.Event()
+
+    def make_request(self, url: str, order: RunOrder) -> HTTPRequest:
+        request = make_request(
+            url,
+            method="POST",
+            body=encode_run_order(order),
+            content_type=JSON_TYPE,
+            reuse=Reuse.NEVER,
+            timeout_s=0,
+            streaming_callback=self._receive,
+        )
+        prepare_connection = request.prepare_curl_callback
+
+        def prepare(curl: pycurl.Curl) -> None:
+            prepare_connection(curl)
+            curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
+            curl.setopt(pycurl.LOW_SPEED_TIME, 1)
+            curl.setopt(pycurl.NOPROGRESS, 0)
+            curl.setopt(pycurl.XFERINFOFUNCTION, self._check_progress)
+
+        request.prepare_curl_callback = prepare
+        return request
+
+    def abort(self) -> None:
+        self._aborted = True
+
+    def _receive(self, chunk: bytes) -> None:
+        if not self._aborted:
+            self._reader.feed(chunk)
+            self.activity.set()
+
+    def _check_progress(self, *_totals: int) -> int:
+        return 1 if self._aborted else 0
+
+
+class HttpEngine:
+    """
+    A model engine that speaks HTTP.
+
+    Every method raises NotRun when no connection could be made, and OutcomeUnknown
+    when the request may have arrived but no whole answer came back.
+
+    :param url: base URL without a slash at the end.
+    :param idle_timeout_s: longest silence of a running answer, heartbeats included.
+    """
+
+    def __init__(
+        self,
+        client: AsyncHTTPClient,
+        url: str,
+        idle_timeout_s: float = RUN_IDLE_TIMEOUT_S,
+    ) -> None:
+        self._client = client
+        self._url = url
+        self._idle_timeout_s = idle_timeout_s
+
+    async def run(
+        self, order: RunOrder, deliver: Callable[[TokenBatch], None]
+    ) -> RunEnd:
+        """
+        Run a prompt and return the end mark; see ``Engine.run``.
+
+        Cancelling the coroutine closes the connection; ``cancel`` frees the slot.
+
+        :raises NotRun: the engine refused the run or could not be reached.
+        :raises OutcomeUnknown: lost, silent, cut short, or another run's answer.
+        """
+        reader = AnswerReader(order, deliver)
+        transfer = _Transfer(reader)
+        request = transfer.make_request(f"{self._url}/v1/runs", order)
+        fetch = asyncio.ensure_future(self._client.fetch(request, raise_error=False))
+        try:
+            loss = await self._follow(fetch, transfer, reader)
+        finally:
+            transfer.abort()
+        if reader.failure is not None:
+            raise reader.failure
+        if loss is not None:
+            raise make_upstream_error(loss, "engine")
+        response = fetch.result()
+        if reader.end is not None and response.code == 200:
+            return reader.end
+        if response.code == 200:
+            raise OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "no end mark")
+        raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {response.code}")
+
+    async def _follow(
+        self,
+        fetch: asyncio.Future[HTTPResponse],
+        transfer: _Transfer,
+        reader: AnswerReader,
+    ) -> Loss | None:
+        """Wait for the end of the transfer, a fault in the answer, or silence."""
+        while not fetch.done() and reader.failure is None:
+            transfer.activity.clear()
+            activity = asyncio.ensure_future(transfer.activity.wait())
+            try:
+                done, _ = await asyncio.wait(
+                    {fetch, activity},
+                    timeout=self._idle_timeout_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            finally:
+                activity.cancel()
+            if not done:
+                return Loss.TIMED_OUT
+        return classify(fetch.result()) if fetch.done() else None
+
+    async def cancel(self, run_id: str) -> None:
+        """Stop a run; a run that is not known is no error."""
+        body = encode_json({"run_id": run_id})
+        await self._ask("/v1/cancel", method="POST", body=body)
+
+    async def read_load(self) -> EngineLoad:
+        """Return the reported load."""
+        return EngineLoad(**await self._ask("/v1/load"))
+
+    async def read_cache_events(self, after: int) -> tuple[CacheEvent, ...]:
+        """Return the events behind a sequence number that are published so far."""
+        fields = await self._ask(f"/v1/cache_events?after={after}")
+        return tuple(
+            CacheEvent(event["sequence"], CacheEventKind(event["kind"]), event["block"])
+            for event in fields["events"]
+        )
+
+    async def export_block(self, name: str) -> bytes:
+        """
+        Return the bytes of a cached block.
+
+        :raises StoreError: the engine holds no such block.
+        """
+        request = make_request(
+            f"{self._url}/v1/blocks/{quote_segment(name)}", timeout_s=BLOCK_TIMEOUT_S
+        )
+        response = await self._exchange(request)
+        if response.code != 200 or response.headers.get(BLOCK_NAME_HEADER) != name:
+            raise StoreError(ResultCode.BLOCK_INVALID, "the engine holds no such block")
+        return response.body
+
+    async def import_block(self, name: str, data: bytes) -> None:
+        """
+        Put a block into the engine's cache.
+
+        :raises StoreError: the engine refused it.
+        """
+        request = make_request(
+            f"{self._url}/v1/blocks/{quote_segment(name)}",
+            method="PUT",
+            body=data,
+            content_type=OCTETS_TYPE,
+            timeout_s=BLOCK_TIMEOUT_S,
+        )
+        response = await self._exchange(request)
+        if response.code != 200:
+            raise StoreError(ResultCode.BLOCK_INVALID, f"status {response.code}")
+
+    async def give_order(self, order: EngineOrder) -> None:
+        """
+        Give an order; returns when it is done.
+
+        :raises NotRun: with FENCING_REFUSED when the engine refuses the number.
+        :raises OutcomeUnknown: the order may have been carried out.
+        """
+        request = make_request(
+            f"{self._url}/v1/orders",
+            method="POST",
+            body=encode_engine_order(order),
+            content_type=JSON_TYPE,
+            reuse=Reuse.NEVER,
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+        response = await self._exchange(request)
+        if response.code != 200:
+            raise _read_refusal(response)
+
+    async def _ask(
+        self, path: str, *, method: str = "GET", body: bytes | None = None
+    ) -> dict[str, Any]:
+        request = make_request(
+            self._url + path, method=method, body=body, content_type=JSON_TYPE
+        )
+        response = await self._exchange(request)
+        if response.code != 200:
+            raise _read_refusal(response)
+        return json.loads(response.body)
+
+    async def _exchange(self, request: HTTPRequest) -> HTTPResponse:
+        match await exchange(self._client, request):
+            case Loss() as loss:
+                raise_upstream_loss(loss, "engine")
+            case response:
+                return response
+
+
+def _read_refusal(response: HTTPResponse) -> FerryError:
+    """Return the error that an answer other than 200 stands for."""
+    try:
+        refused = json.loads(response.body)["refused"]
+        code = find_refusal_code(refused["code"])
+        return NotRun(code, str(refused["reason"]), refused.get("retry_after_s"))
+    except (ValueError, KeyError, TypeError):
+        return OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {response.code}")
--- /dev/null
+++ b/packages/adapters/src/persimmonferry_adapters/forms.py
@@ -0,0 +1,144 @@
+"""HTTP forms that the adapters and the stand-ins share: headers, paths, JSON bodies."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import asdict
+from typing import Any
+from urllib.parse import quote
+
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.runs import (
+    EngineOrder,
+    LoadAdapter,
+    LoadVersion,
+    RunEnd,
+    RunOrder,
+)
+
+__all__ = [
+    "BLOCK_NAME_HEADER",
+    "COMMITTED_HEADER",
+    "GENERATION_HEADER",
+    "JSON_TYPE",
+    "NOT_RUN_HEADER",
+    "OCTETS_TYPE",
+    "REVISION_HEADER",
+    "RUN_ID_HEADER",
+    "decode_engine_order",
+    "decode_run_end",
+    "decode_run_order",
+    "encode_engine_order",
+    "encode_json",
+    "encode_run_order",
+    "find_refusal_code",
+    "quote_segment",
+]
+
+JSON_TYPE = "application/json"
+OCTETS_TYPE = "application/octet-stream"
+RUN_ID_HEADER = "X-Run-Id"
+NOT_RUN_HEADER = "X-Not-Run"
+REVISION_HEADER = "X-Revision"
+GENERATION_HEADER = "X-Generation"
+COMMITTED_HEADER = "X-Committed"
+BLOCK_NAME_HEADER = "X-Block-Name"
+
+_REFUSAL_CODES = {
+    code.number: code
+    for code in (
+        ResultCode.UPSTREAM_REFUSED,
+        ResultCode.WRONG_VERSION,
+        ResultCode.FENCING_REFUSED,
+        ResultCode.DUPLICATE_RUN,
+        ResultCode.STOPPING,
+    )
+}
+
+
+def quote_segment(text: str) -> str:
+    """
+    Return text as one segment of a URL's path.
+
+    >>> quote_segment("team/notes")
+    'team%2Fnotes'
+    """
+    return quote(text, safe="")
+
+
+def encode_json(value: Any) -> bytes:
+    """Return compact JSON."""
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def find_refusal_code(number: int) -> ResultCode:
+    """
+    Return the code of an upstream's refusal.
+
+    >>> find_refusal_code(2019).name, find_refusal_code(9999).name
+    ('WRONG_VERSION', 'UPSTREAM_REFUSED')
+    """
+    return _REFUSAL_CODES.get(number, ResultCode.UPSTREAM_REFUSED)
+
+
+def encode_run_order(order: RunOrder) -> bytes:
+    """Return the body that starts a run."""
+    return encode_json(asdict(order))
+
+
+def decode_run_order(body: bytes) -> RunOrder:
+    """
+    Read the body that starts a run.
+
+    :raises ValueError: when it is malformed.
+    """
+    try:
+        fields = json.loads(body)
+        fields["delivered"] = tuple(fields["delivered"])
+        fields["block_names"] = tuple(fields["block_names"])
+        return RunOrder(**fields)
+    except (KeyError, TypeError) as error:
+        raise ValueError("not a run order") from error
+
+
+def decode_run_end(run_id: str, fields: Mapping[str, Any]) -> RunEnd:
+    """
+    Read the end mark of a run.
+
+    :raises ValueError: when it is malformed.
+    """
+    try:
+        return RunEnd(
+            run_id=run_id,
+            version=str(fields["version"]),
+            total_tokens=int(fields["total_tokens"]),
+            prompt_tokens=int(fields["prompt_tokens"]),
+            cached_tokens=int(fields["cached_tokens"]),
+            finish_reason=str(fields["finish_reason"]),
+        )
+    except (KeyError, TypeError) as error:
+        raise ValueError("not an end mark") from error
+
+
+def encode_engine_order(order: EngineOrder) -> bytes:
+    """Return the body of an order to an engine."""
+    match order.order:
+        case LoadVersion(model, version):
+            fields = {"kind": "version", "model": model, "name": version}
+        case LoadAdapter(model, adapter):
+            fields = {"kind": "adapter", "model": model, "name": adapter}
+    return encode_json({"fencing": order.fencing, **fields})
+
+
+def decode_engine_order(body: bytes) -> EngineOrder:
+    """
+    Read the body of an order to an engine.
+
+    :raises ValueError: when it is malformed.
+    """
+    try:
+        fields = json.loads(body)
+        kinds = {"version": LoadVersion, "adapter": LoadAdapter}
+        kind = kinds[fields["kind"]]
+        return EngineOrder(fields["fencing"], kind(fields["model"], fields["name"]))
+    except (KeyError, TypeError) as error:
+        raise ValueError("not an order to an engine") from error
--- /dev/null
+++ b/packages/adapters/src/persimmonferry_adapters/plain.py
@@ -0,0 +1,87 @@
+"""HTTP adapter to a plain service."""
+
+import json
+
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import NotRun, OutcomeUnknown
+from persimmonferry_core.runs import CallAnswer, CallOrder, PlainLoad
+from tornado.httpclient import AsyncHTTPClient
+
+from persimmonferry_adapters.exchange import (
+    Loss,
+    Reuse,
+    exchange,
+    make_request,
+    raise_upstream_loss,
+)
+from persimmonferry_adapters.forms import NOT_RUN_HEADER, RUN_ID_HEADER
+
+__all__ = ["HttpPlainService"]
+
+CALL_TIMEOUT_S = 30.0
+
+
+class HttpPlainService:
+    """
+    A plain service that speaks HTTP and returns the run id in a header.
+
+    A status alone, also 503, is an answer like any other: only the explicit mark
+    that the call was not run counts as a refusal.
+
+    :param url: base URL without a slash at the end.
+    :param call_timeout_s: longest time of one call.
+    """
+
+    def __init__(
+        self,
+        client: AsyncHTTPClient,
+        url: str,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        self._client = client
+        self._url = url
+        self._call_timeout_s = call_timeout_s
+
+    async def call(self, order: CallOrder) -> CallAnswer:
+        """
+        Make one call; the request goes out at most once.
+
+        :raises NotRun: no byte of the call reached the service, or it refused.
+        :raises OutcomeUnknown: bytes went out and no whole answer came back.
+        """
+        request = make_request(
+            self._url + order.path,
+            method=order.method,
+            body=order.body if order.body or order.method != "GET" else None,
+            content_type=order.content_type,
+            headers={RUN_ID_HEADER: order.run_id},
+            reuse=Reuse.NEVER,
+            timeout_s=self._call_timeout_s,
+        )
+        match await exchange(self._client, request):
+            case Loss() as loss:
+                raise_upstream_loss(loss, "plain service")
+            case response:
+                headers = response.headers
+        if headers.get(RUN_ID_HEADER) != order.run_id:
+            raise OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "another run's id")
+        if headers.get(NOT_RUN_HEADER) == order.run_id:
+            raise NotRun(ResultCode.UPSTREAM_REFUSED, "refused by the plain service")
+        content_type = headers.get("Content-Type", "")
+        return CallAnswer(order.run_id, response.code, content_type, response.body)
+
+    async def read_load(self) -> PlainLoad:
+        """
+        Return the reported load.
+
+        :raises NotRun: no connection was made.
+        :raises OutcomeUnknown: no whole answer came back.
+        """
+        match await exchange(self._client, make_request(f"{self._url}/v1/load")):
+            case Loss() as loss:
+                raise_upstream_loss(loss, "plain service")
+            case response if response.code == 200:
+                return PlainLoad(**json.loads(response.body))
+            case response:
+                detail = f"status {response.code}"
+                raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, detail)
--- /dev/null
+++ b/packages/adapters/src/persimmonferry_adapters/platform.py
@@ -0,0 +1,158 @@
+"""HTTP adapter to the platform's key-value service."""
+
+import json
+
+from persimmonferry_core.exceptions import (
+    PlatformAnswerLost,
+    PlatformUnavailable,
+    SwapConflict,
+)
+from persimmonferry_core.interfaces import Lease, Versioned
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+
+from persimmonferry_adapters.exchange import Loss, Reuse, exchange, make_request
+from persimmonferry_adapters.forms import (
+    JSON_TYPE,
+    OCTETS_TYPE,
+    REVISION_HEADER,
+    encode_json,
+    quote_segment,
+)
+
+__all__ = ["HttpPlatform"]
+
+CALL_TIMEOUT_S = 2.0
+WATCH_MARGIN_S = 2.0
+
+
+class HttpPlatform:
+    """
+    The platform's key-value service over HTTP.
+
+    :param url: base URL without a slash at the end.
+    :param call_timeout_s: longest time of a call, a watch's wait not included.
+    """
+
+    def __init__(
+        self,
+        client: AsyncHTTPClient,
+        url: str,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        self._client = client
+        self._url = url
+        self._call_timeout_s = call_timeout_s
+
+    async def read(self, key: str) -> Versioned:
+        """
+        Return a value.
+
+        :raises PlatformUnavailable: no answer.
+        """
+        url = self._value_url(key)
+        request = make_request(url, timeout_s=self._call_timeout_s)
+        response = await self._ask(request)
+        return Versioned(key, response.body, _read_revision(response))
+
+    async def swap(self, key: str, value: bytes, expected: int) -> Versioned:
+        """
+        Write a value if the key still has the expected revision.
+
+        :raises SwapConflict: it has another one.
+        :raises PlatformUnavailable: the write provably took no effect.
+        :raises PlatformAnswerLost: the write may have taken effect.
+        """
+        request = make_request(
+            f"{self._value_url(key)}?expected={expected}",
+            method="PUT",
+            body=value,
+            content_type=OCTETS_TYPE,
+            reuse=Reuse.NEVER,
+            timeout_s=self._call_timeout_s,
+        )
+        match await exchange(self._client, request):
+            case Loss.NOT_SENT as loss:
+                raise PlatformUnavailable(loss.value)
+            case Loss() as loss:
+                raise PlatformAnswerLost(loss.value)
+            case response if response.code == 503:
+                raise PlatformUnavailable("refused")
+            case response if response.code in (200, 409):
+                revision = _read_revision(response)
+            case response:
+                raise PlatformAnswerLost(f"status {response.code}")
+        if response.code == 409:
+            raise SwapConflict(key, revision)
+        return Versioned(key, value, revision)
+
+    async def watch(self, key: str, after: int, wait_s: float) -> Versioned | None:
+        """
+        Return the value when its revision is above ``after``, None after ``wait_s``.
+
+        :raises PlatformUnavailable: no answer.
+        """
+        request = make_request(
+            f"{self._value_url(key)}?after={after}&wait_s={wait_s}",
+            timeout_s=wait_s + WATCH_MARGIN_S,
+        )
+        response = await self._ask(request, 200, 204)
+        if response.code == 204:
+            return None
+        return Versioned(key, response.body, _read_revision(response))
+
+    async def acquire_lease(
+        self, name: str, holder: str, duration_s: float, now: float
+    ) -> Lease | None:
+        """
+        Take or renew a lease; None when another holder has it.
+
+        The service counts the duration from when it gets the request, which is after
+        ``now``, so the lease does not outlive ``expires_s`` at the holder.
+
+        :raises PlatformUnavailable: no answer.
+        """
+        request = make_request(
+            f"{self._url}/v1/leases/{quote_segment(name)}",
+            method="POST",
+            body=encode_json({"holder": holder, "duration_s": duration_s}),
+            content_type=JSON_TYPE,
+            timeout_s=self._call_timeout_s,
+        )
+        response = await self._ask(request, 200, 409)
+        if response.code == 409:
+            return None
+        fencing = json.loads(response.body)["fencing"]
+        return Lease(name, holder, fencing, now + duration_s)
+
+    async def release_lease(self, lease: Lease) -> None:
+        """
+        Give a lease back; a lease that lapsed before is no error.
+
+        :raises PlatformUnavailable: no answer.
+        """
+        query = f"holder={quote_segment(lease.holder)}&fencing={lease.fencing}"
+        request = make_request(
+            f"{self._url}/v1/leases/{quote_segment(lease.name)}?{query}",
+            method="DELETE",
+            timeout_s=self._call_timeout_s,
+        )
+        await self._ask(request)
+
+    def _value_url(self, key: str) -> str:
+        return f"{self._url}/v1/values/{quote_segment(key)}"
+
+    async def _ask(self, request: HTTPRequest, *expected: int) -> HTTPResponse:
+        match await exchange(self._client, request):
+            case Loss() as loss:
+                raise PlatformUnavailable(loss.value)
+            case response if response.code in (expected or (200,)):
+                return response
+            case response:
+                raise PlatformUnavailable(f"status {response.code}")
+
+
+def _read_revision(response: HTTPResponse) -> int:
+    revision = response.headers.get(REVISION_HEADER, "")
+    if not revision.isdigit():
+        raise PlatformAnswerLost("an answer without a revision")
+    return int(revision)
--- /dev/null
+++ b/packages/adapters/src/persimmonferry_adapters/store.py
@@ -0,0 +1,142 @@
+"""HTTP adapter to a store VM."""
+
+import json
+
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import StoreError
+from persimmonferry_core.interfaces import StoredBlock, StoreUsage
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+
+from persimmonferry_adapters.exchange import Loss, Reuse, exchange, make_request
+from persimmonferry_adapters.forms import (
+    BLOCK_NAME_HEADER,
+    COMMITTED_HEADER,
+    GENERATION_HEADER,
+    JSON_TYPE,
+    OCTETS_TYPE,
+    encode_json,
+    quote_segment,
+)
+
+__all__ = ["HttpStore"]
+
+TRANSFER_TIMEOUT_S = 30.0
+CALL_TIMEOUT_S = 2.0
+
+
+class HttpStore:
+    """
+    A store VM over HTTP; every method raises StoreError when it can't be reached.
+
+    :param url: base URL without a slash at the end.
+    :param transfer_timeout_s: longest time to write or read one block.
+    :param call_timeout_s: longest time of every other call.
+    """
+
+    def __init__(
+        self,
+        client: AsyncHTTPClient,
+        url: str,
+        transfer_timeout_s: float = TRANSFER_TIMEOUT_S,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        self._client = client
+        self._url = url
+        self._transfer_timeout_s = transfer_timeout_s
+        self._call_timeout_s = call_timeout_s
+
+    async def write(self, name: str, data: bytes) -> int:
+        """
+        Write a block without its commit mark and return its generation.
+
+        :raises StoreError: full, or not reachable.
+        """
+        request = make_request(
+            self._block_url(name),
+            method="PUT",
+            body=data,
+            content_type=OCTETS_TYPE,
+            reuse=Reuse.NEVER,
+            timeout_s=self._transfer_timeout_s,
+        )
+        response = await self._ask(request)
+        return int(json.loads(response.body)["generation"])
+
+    async def commit(self, name: str, generation: int) -> None:
+        """
+        Set the commit mark.
+
+        :raises StoreError: the generation is gone.
+        """
+        request = make_request(
+            f"{self._block_url(name)}/commit",
+            method="POST",
+            body=encode_json({"generation": generation}),
+            content_type=JSON_TYPE,
+            timeout_s=self._call_timeout_s,
+        )
+        await self._ask(request)
+
+    async def read(self, name: str) -> StoredBlock:
+        """
+        Return a block as it lies there; its name, mark and bytes are not checked.
+
+        :raises StoreError: no such block, or not reachable.
+        """
+        request = make_request(
+            self._block_url(name), timeout_s=self._transfer_timeout_s
+        )
+        response = await self._ask(request)
+        headers = response.headers
+        try:
+            generation = int(headers[GENERATION_HEADER])
+            stored_name = headers[BLOCK_NAME_HEADER]
+        except (KeyError, ValueError) as error:
+            raise StoreError(ResultCode.BLOCK_INVALID, "a malformed answer") from error
+        committed = headers.get(COMMITTED_HEADER) == "1"
+        return StoredBlock(stored_name, generation, committed, response.body)
+
+    async def read_generation(self, name: str) -> int:
+        """Return the generation that a committed name has now, 0 when it is gone."""
+        url = f"{self._block_url(name)}/generation"
+        request = make_request(url, timeout_s=self._call_timeout_s)
+        response = await self._ask(request)
+        return int(json.loads(response.body)["generation"])
+
+    async def remove(self, name: str, generation: int) -> None:
+        """Free a block if it still has that generation."""
+        request = make_request(
+            f"{self._block_url(name)}?generation={generation}",
+            method="DELETE",
+            timeout_s=self._call_timeout_s,
+        )
+        await self._ask(request)
+
+    async def list_names(self) -> tuple[str, ...]:
+        """Return the names of all blocks."""
+        url = f"{self._url}/v1/blocks"
+        request = make_request(url, timeout_s=self._call_timeout_s)
+        response = await self._ask(request)
+        return tuple(json.loads(response.body)["names"])
+
+    async def read_usage(self) -> StoreUsage:
+        """Return how full the store is."""
+        url = f"{self._url}/v1/usage"
+        request = make_request(url, timeout_s=self._call_timeout_s)
+        response = await self._ask(request)
+        return StoreUsage(**json.loads(response.body))
+
+    def _block_url(self, name: str) -> str:
+        return f"{self._url}/v1/blocks/{quote_segment(name)}"
+
+    async def _ask(self, request: HTTPRequest) -> HTTPResponse:
+        match await exchange(self._client, request):
+            case Loss() as loss:
+                raise StoreError(ResultCode.BLOCK_INVALID, f"store VM: {loss.value}")
+            case response if response.code == 200:
+                return response
+            case response if response.code == ResultCode.STORE_FULL.http_status:
+                raise StoreError(ResultCode.STORE_FULL)
+            case response:
+                detail = f"store VM: status {response.code}"
+                raise StoreError(ResultCode.BLOCK_INVALID, detail)
--- /dev/null
+++ b/packages/adapters/src/persimmonferry_adapters/vms.py
@@ -0,0 +1,58 @@
+"""HTTP adapter to the platform's list of VMs."""
+
+import json
+from typing import Any
+
+from persimmonferry_core.exceptions import PlatformUnavailable
+from persimmonferry_core.world import VM, Address, FailureDomain, Role, VMState
+from tornado.httpclient import AsyncHTTPClient
+
+from persimmonferry_adapters.exchange import Loss, exchange, make_request
+
+__all__ = ["HttpVMList"]
+
+CALL_TIMEOUT_S = 2.0
+
+
+class HttpVMList:
+    """
+    The platform's list of live and leaving VMs over HTTP.
+
+    :param url: base URL without a slash at the end.
+    """
+
+    def __init__(self, client: AsyncHTTPClient, url: str) -> None:
+        self._client = client
+        self._url = url
+
+    async def read(self) -> tuple[VM, ...]:
+        """
+        Return the list.
+
+        :raises PlatformUnavailable: no answer.
+        """
+        request = make_request(f"{self._url}/v1/vms", timeout_s=CALL_TIMEOUT_S)
+        match await exchange(self._client, request):
+            case Loss() as loss:
+                raise PlatformUnavailable(loss.value)
+            case response if response.code == 200:
+                return _decode_vms(response.body)
+            case response:
+                raise PlatformUnavailable(f"status {response.code}")
+
+
+def _decode_vms(body: bytes) -> tuple[VM, ...]:
+    try:
+        return tuple(_decode_vm(fields) for fields in json.loads(body)["vms"])
+    except (ValueError, KeyError, TypeError) as error:
+        raise PlatformUnavailable("a malformed list of VMs") from error
+
+
+def _decode_vm(fields: dict[str, Any]) -> VM:
+    return VM(
+        name=fields["name"],
+        role=Role(fields["role"]),
+        address=Address(fields["host"], int(fields["port"])),
+        failure_domain=FailureDomain(fields["region"], fields["failure_domain"]),
+        state=VMState(fields["state"]),
+    )
--- /dev/null
+++ b/packages/standins/src/persimmonferry_standins/session.py
@@ -0,0 +1,25 @@
+"""Stand-ins and a client of their own for the time of one test."""
+
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient
+
+from persimmonferry_standins.server import StandIn
+
+__all__ = ["open_session"]
+
+MAX_CLIENTS = 64
+
+
+@asynccontextmanager
+async def open_session(*standins: StandIn) -> AsyncIterator[AsyncHTTPClient]:
+    """Start stand-ins, give out a client, and stop them at the end."""
+    async with AsyncExitStack() as stack:
+        client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        stack.callback(client.close)
+        for standin in standins:
+            await standin.start()
+            stack.push_async_callback(standin.stop)
+        yield client
