Ask agents for reports as often as the control budget allows

Cause: at two years' size a node may spend 4 KB/s on control; agents that report four times a second to every entry would use many times that. Ruled out: a fixed slow interval (today's small groups would notice a lost upstream late). Change: the entry's reply names the interval, which grows with the upstreams it hears; reports carry only the changes of the cache, and all of it to an entry that missed one; a gate has reasons to be closed.

--- a/packages/core/src/persimmonferry_core/membership.py
+++ b/packages/core/src/persimmonferry_core/membership.py
@@ -7,15 +7,18 @@
 from persimmonferry_core.world import Address
 
 __all__ = [
+    "MIN_REPORT_TIMEOUT_S",
     "REPORT_INTERVAL_S",
-    "REPORT_TIMEOUT_S",
     "Observation",
     "Presence",
     "UpstreamTable",
 ]
 
 REPORT_INTERVAL_S = 0.25
-REPORT_TIMEOUT_S = 1.0
+MIN_REPORT_TIMEOUT_S = 1.0
+MISSED_REPORTS = 3
+REPORT_BYTES = 350
+REPORT_BYTES_PER_S = 3000
 
 
 @dataclass(frozen=True)
@@ -73,15 +76,25 @@
 
     def expire(self, now: float) -> tuple[str, ...]:
         """Remove upstreams that have been silent for too long; return their names."""
+        timeout_s = max(MIN_REPORT_TIMEOUT_S, MISSED_REPORTS * self.choose_interval())
         silent = [
-            name
-            for name, row in self._rows.items()
-            if now - row.heard_at > REPORT_TIMEOUT_S
+            name for name, row in self._rows.items() if now - row.heard_at > timeout_s
         ]
         for name in silent:
             del self._rows[name]
         return tuple(silent)
 
+    def choose_interval(self) -> float:
+        """
+        Return how often agents should report, in seconds.
+
+        The more upstreams an entry hears, the less often each reports, so that the
+        bytes a second stay within the entry's share for control traffic.
+        """
+        return max(
+            REPORT_INTERVAL_S, len(self._rows) * REPORT_BYTES / REPORT_BYTES_PER_S
+        )
+
     def suspect(self, name: str, incarnation: int) -> bool:
         """
         Avoid an upstream whose connection broke until its next report.
--- a/packages/core/src/persimmonferry_core/runs.py
+++ b/packages/core/src/persimmonferry_core/runs.py
@@ -1,6 +1,7 @@
 """Typed messages between an agent and its upstream: runs, calls, answers, loads."""
 
 import enum
+import re
 from dataclasses import dataclass
 
 __all__ = [
@@ -20,6 +21,9 @@
 ]
 
 
+_TOKEN = re.compile(r"\s*\S+")
+
+
 def split_tokens(text: str) -> tuple[str, ...]:
     """
     Split text into tokens: a word with the white space before it.
@@ -29,15 +33,7 @@
     >>> split_tokens("two red roses")
     ('two', ' red', ' roses')
     """
-    tokens = []
-    start = 0
-    for index in range(1, len(text)):
-        if text[index].isspace() and not text[index - 1].isspace():
-            tokens.append(text[start:index])
-            start = index
-    if text[start:].strip():
-        tokens.append(text[start:])
-    return tuple(tokens)
+    return tuple(_TOKEN.findall(text))
 
 
 @dataclass(frozen=True)
--- a/packages/core/tests/test_membership.py
+++ b/packages/core/tests/test_membership.py
@@ -4,7 +4,8 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from persimmonferry_core.membership import (
-    REPORT_TIMEOUT_S,
+    MIN_REPORT_TIMEOUT_S,
+    REPORT_BYTES,
     Observation,
     Presence,
     UpstreamTable,
@@ -57,6 +58,16 @@
     assert [item.report.name for item in table.list_all()] == [kept]
 
 
+def test_reports_stay_within_the_bytes_for_control_however_many_upstreams_there_are():
+    table = UpstreamTable()
+    for number in range(300):
+        report = replace(REPORT, name=f"u{number}")
+        table.observe(report, Address("127.0.0.1", number), 0.0)
+    assert 300 * REPORT_BYTES / table.choose_interval() <= 4096
+    assert table.expire(3 * table.choose_interval()) == ()
+    assert len(table.expire(5 * table.choose_interval())) == 300
+
+
 class TableMachine(RuleBasedStateMachine):
     """Compares the table with a list of all reports, judged from the start."""
 
@@ -101,7 +112,7 @@
         self.newest = {
             name: row
             for name, row in self.newest.items()
-            if self.now - row[1] <= REPORT_TIMEOUT_S
+            if self.now - row[1] <= MIN_REPORT_TIMEOUT_S
         }
 
     @invariant()
--- a/packages/daemon/src/persimmonferry_daemon/gate.py
+++ b/packages/daemon/src/persimmonferry_daemon/gate.py
@@ -1,22 +1,31 @@
-"""Counts the work under way, and refuses new work once a stop has begun."""
+"""Counts the work under way, and refuses new work for as long as there is a reason."""
 
 import asyncio
+import enum
 from collections.abc import Iterator
 from contextlib import contextmanager
 
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.exceptions import NotRun
 
-__all__ = ["Gate"]
+__all__ = ["CloseReason", "Gate", "LoadingGate"]
 
-STOP_RETRY_AFTER_S = 0.5
+RETRY_AFTER_S = 0.5
+
+
+class CloseReason(enum.Enum):
+    """Why new work is refused."""
+
+    STOPPING = "the process is stopping"
+    DRAINED = "an operator drained it"
+    LOADING = "weights are being loaded"
 
 
 class Gate:
     """
     The door that all work of a process goes through.
 
-    ``closed`` refuses new work; ``wait_idle`` returns when the last work has ended.
+    :param name: of the process, for refusals.
     """
 
     def __init__(self, name: str) -> None:
@@ -24,22 +33,50 @@
         self._count = 0
         self._idle = asyncio.Event()
         self._idle.set()
-        self.closed = False
+        self._reasons: set[CloseReason] = set()
+
+    @property
+    def closed(self) -> bool:
+        """Whether new work is refused."""
+        return bool(self._reasons)
 
     @property
     def count(self) -> int:
         """How much work is under way."""
         return self._count
 
+    def close(self, reason: CloseReason) -> None:
+        """Refuse new work until the reason is gone."""
+        self._reasons.add(reason)
+
+    def open(self, reason: CloseReason) -> None:
+        """Take new work again, unless there is another reason not to."""
+        self._reasons.discard(reason)
+
+    def find_refusal(self) -> NotRun | None:
+        """Return why new work is refused now, None when it is taken."""
+        if not self._reasons:
+            return None
+        reasons = sorted(reason.value for reason in self._reasons)
+        detail = f"{self._name}: {', '.join(reasons)}"
+        return NotRun(ResultCode.STOPPING, detail, RETRY_AFTER_S)
+
     @contextmanager
     def hold(self) -> Iterator[None]:
         """
-        Count one piece of work for as long as the context lasts.
+        Count one piece of new work for as long as the context lasts.
 
         :raises NotRun: the gate is closed.
         """
-        if self.closed:
-            raise NotRun(ResultCode.STOPPING, self._name, STOP_RETRY_AFTER_S)
+        refusal = self.find_refusal()
+        if refusal is not None:
+            raise refusal
+        with self.count_work():
+            yield
+
+    @contextmanager
+    def count_work(self) -> Iterator[None]:
+        """Count one piece of work that was let in, or that refuses by itself."""
         self._count += 1
         self._idle.clear()
         try:
@@ -52,3 +89,22 @@
     async def wait_idle(self) -> None:
         """Return when no work is under way."""
         await self._idle.wait()
+
+
+class LoadingGate:
+    """The gate as the keeper of weights closes it during a load."""
+
+    def __init__(self, gate: Gate) -> None:
+        self._gate = gate
+
+    def drain(self) -> None:
+        """Refuse new runs."""
+        self._gate.close(CloseReason.LOADING)
+
+    def resume(self) -> None:
+        """Take new runs again, unless the agent is stopping or drained."""
+        self._gate.open(CloseReason.LOADING)
+
+    async def wait_idle(self) -> None:
+        """Return when no run is under way."""
+        await self._gate.wait_idle()
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/members.py
@@ -0,0 +1,153 @@
+"""The entry's upstreams: reports come in, the table decides, the dispatcher learns."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from persimmonferry_core.membership import Observation, Presence, UpstreamTable
+from persimmonferry_core.routing import UpstreamReport
+from persimmonferry_core.world import VM, Address, Role
+from persimmonferry_wire import PeerClient, PeerLost, PeerRoute
+from persimmonferry_wire.generated.membership.ttypes import (
+    AgentReport,
+    Introduction,
+    ReportReply,
+)
+
+from persimmonferry_daemon.paths import INTRODUCTION_PATH, REPORT_PATH
+from persimmonferry_daemon.scheduling import Scheduler
+from persimmonferry_daemon.vms import VMWatch
+
+__all__ = ["Members"]
+
+EXPIRY_INTERVAL_S = 0.1
+INTRODUCTION_TIMEOUT_S = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+class Members:
+    """
+    Keeps the table of upstreams current.
+
+    :param read_revision: returns the revision of the configuration in force here.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        peers: PeerClient,
+        vms: VMWatch,
+        read_clock: Callable[[], float],
+        read_revision: Callable[[], int],
+    ) -> None:
+        self._scheduler = scheduler
+        self._peers = peers
+        self._vms = vms
+        self._read_clock = read_clock
+        self._read_revision = read_revision
+        self._table = UpstreamTable()
+        self._task: asyncio.Task | None = None
+        self.routes = (PeerRoute(REPORT_PATH, AgentReport, self._answer_report),)
+
+    async def start(self, address: Address) -> None:
+        """
+        Ask the agents of all listed upstreams for their reports.
+
+        An entry starts with no state: what it needs, the agents have.
+
+        :param address: of this entry, for later reports.
+        """
+        introduction = Introduction(address.host, address.port)
+        vms = self._vms.list_role(Role.UPSTREAM)
+        await asyncio.gather(*(self._introduce(vm, introduction) for vm in vms))
+        self._task = asyncio.create_task(self._watch())
+
+    async def stop(self) -> None:
+        """Look for silent upstreams no more."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def find(self, name: str) -> Presence | None:
+        """Return an upstream as last reported, or None."""
+        return self._table.find(name)
+
+    def list_service(self, service: str) -> tuple[Presence, ...]:
+        """Return all upstreams of a service, leaving ones included."""
+        return tuple(
+            item for item in self._table.list_all() if item.report.service == service
+        )
+
+    def list_all(self) -> tuple[Presence, ...]:
+        """Return all upstreams."""
+        return self._table.list_all()
+
+    def suspect(self, name: str, incarnation: int) -> None:
+        """Avoid an upstream that was lost until its next report."""
+        if self._table.suspect(name, incarnation):
+            self._drop(name, "suspected")
+
+    async def _introduce(self, vm: VM, introduction: Introduction) -> None:
+        try:
+            report = await self._peers.ask(
+                vm.address.url + INTRODUCTION_PATH,
+                introduction,
+                AgentReport,
+                INTRODUCTION_TIMEOUT_S,
+            )
+        except PeerLost:
+            return
+        self._observe(report)
+
+    async def _answer_report(self, message: AgentReport) -> ReportReply:
+        self._observe(message)
+        return ReportReply(self._read_revision(), self._table.choose_interval())
+
+    def _observe(self, message: AgentReport) -> None:
+        report = _read_report(message)
+        address = Address(message.host, message.port)
+        now = self._read_clock()
+        observation = self._table.observe(report, address, now)
+        if observation is Observation.STALE:
+            return
+        if observation is Observation.NEW:
+            _log.info(
+                "upstream appeared",
+                extra={"upstream": report.name, "incarnation": report.incarnation},
+            )
+        dispatcher = self._scheduler.dispatcher
+        dispatcher.report(report, now)
+        dispatcher.record_removed(report.name, tuple(message.cache.removed))
+        dispatcher.record_held(report.name, tuple(message.cache.stored))
+        self._scheduler.plan_pump()
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            for name in self._table.expire(self._read_clock()):
+                self._drop(name, "silent")
+
+    def _drop(self, name: str, reason: str) -> None:
+        _log.warning("upstream avoided", extra={"upstream": name, "reason": reason})
+        self._scheduler.dispatcher.remove(name)
+        self._scheduler.plan_pump()
+
+
+def _read_report(message: AgentReport) -> UpstreamReport:
+    load = message.load
+    return UpstreamReport(
+        name=message.name,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        failure_domain=message.failure_domain,
+        service=message.service_name,
+        model=message.model,
+        version=message.version,
+        running=load.running,
+        waiting=load.waiting,
+        waiting_prefill_tokens=load.waiting_prefill_tokens,
+        slots=load.slots,
+        prefill_tokens_per_s=load.prefill_tokens_per_s,
+        decode_tokens_per_s=load.decode_tokens_per_s,
+        leaving=message.leaving,
+    )
--- a/packages/daemon/src/persimmonferry_daemon/reports.py
+++ b/packages/daemon/src/persimmonferry_daemon/reports.py
@@ -30,16 +30,19 @@
     Entries come from the VM list, and from entries that introduce themselves: the
     list lags, and an entry that has just started must not wait for it.
 
-    :param describe: returns the report to send, with a new sequence number.
+    :param describe: returns the report to send, with a new sequence number; with
+        ``whole`` it tells all cache blocks and not only the changes.
     """
 
     def __init__(
-        self, peers: PeerClient, vms: VMWatch, describe: Callable[[], AgentReport]
+        self, peers: PeerClient, vms: VMWatch, describe: Callable[..., AgentReport]
     ) -> None:
         self._peers = peers
         self._vms = vms
         self._describe = describe
         self._introduced: set[Address] = set()
+        self._told: set[Address] = set()
+        self._intervals: dict[Address, float] = {}
         self._sending: set[Address] = set()
         self._task: asyncio.Task | None = None
         self.routes = (PeerRoute(INTRODUCTION_PATH, Introduction, self._introduce),)
@@ -55,34 +58,57 @@
 
     async def report_now(self) -> None:
         """Send one report to every entry and wait for the replies."""
-        report = self._describe()
-        entries = self._list_entries() - self._sending
-        await asyncio.gather(*(self._send(entry, report) for entry in entries))
+        entries = self._list_entries()
+        self._told &= entries
+        newcomers = entries - self._told
+        changes = self._describe(whole=False)
+        whole = self._describe(whole=True) if newcomers else changes
+        await asyncio.gather(
+            *(
+                self._send(entry, whole if entry in newcomers else changes)
+                for entry in entries
+                # One that has not answered yet must not be sent more and more.
+                if entry not in self._sending
+            )
+        )
 
     def _list_entries(self) -> set[Address]:
         listed = {vm.address for vm in self._vms.list_role(Role.ENTRY)}
         self._introduced -= listed
         return listed | self._introduced
 
+    def _find_interval(self) -> float:
+        asked = (self._intervals.get(entry, 0.0) for entry in self._told)
+        return max(REPORT_INTERVAL_S, *asked, 0.0)
+
     async def _run(self) -> None:
         while True:
             # Not awaited: an entry that does not answer must not delay the others.
             task = asyncio.create_task(self.report_now())
-            await asyncio.sleep(REPORT_INTERVAL_S)
-            if task.done() and task.exception() is not None:
-                _log.error("report failed", exc_info=task.exception())
+            task.add_done_callback(_log_failure)
+            await asyncio.sleep(self._find_interval())
 
     async def _send(self, entry: Address, report: AgentReport) -> None:
         self._sending.add(entry)
         try:
-            await self._peers.ask(
+            reply = await self._peers.ask(
                 entry.url + REPORT_PATH, report, ReportReply, REPORT_TIMEOUT_S
             )
         except PeerLost:
+            # What it missed is told whole when it answers again.
+            self._told.discard(entry)
             self._introduced.discard(entry)
+        else:
+            self._told.add(entry)
+            self._intervals[entry] = reply.interval_s
         finally:
             self._sending.discard(entry)
 
     async def _introduce(self, introduction: Introduction) -> AgentReport:
         self._introduced.add(Address(introduction.host, introduction.port))
-        return self._describe()
+        return self._describe(whole=True)
+
+
+def _log_failure(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.error("report failed", exc_info=task.exception())
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/scheduling.py
@@ -0,0 +1,114 @@
+"""Drives the entry's dispatcher with the time, and wakes the requests it decides on."""
+
+import asyncio
+from collections.abc import Callable
+
+from persimmonferry_core.dispatch import (
+    Assignment,
+    Dispatcher,
+    PromptRequest,
+    Queued,
+    Refused,
+)
+from persimmonferry_core.exceptions import NotRun
+from persimmonferry_core.runs import RunEnd
+
+__all__ = ["Scheduler"]
+
+
+class Scheduler:
+    """
+    The one place that calls the dispatcher.
+
+    :param read_clock: monotonic seconds.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, read_clock: Callable[[], float]) -> None:
+        self.dispatcher = dispatcher
+        self._read_clock = read_clock
+        self._futures: dict[str, asyncio.Future[Assignment]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._pump_planned = False
+
+    async def admit(self, request: PromptRequest) -> Assignment:
+        """
+        Queue a request and return its first assignment.
+
+        :raises NotRun: refused at once, or given up since its wait can't be kept.
+        """
+        answer = self.dispatcher.offer(request, self._read_clock())
+        return await self._wait(request.request_id, answer)
+
+    async def retry(self, request_id: str, *, ran: bool) -> Assignment:
+        """
+        Return the next assignment of a request whose attempt failed.
+
+        :param ran: whether the attempt may have run.
+        :raises NotRun: it is not tried again.
+        """
+        answer = self.dispatcher.failed(request_id, ran, self._read_clock())
+        return await self._wait(request_id, answer)
+
+    def note_progress(self, request_id: str, tokens: int, *, first: bool) -> None:
+        """Tell the dispatcher of tokens that came."""
+        now = self._read_clock()
+        if first:
+            self.dispatcher.started(request_id, now)
+        self.dispatcher.progressed(request_id, tokens, now)
+
+    def finish(self, request_id: str, end: RunEnd) -> None:
+        """Tell the dispatcher of a whole answer."""
+        self.dispatcher.finished(request_id, end, self._read_clock())
+        self.plan_pump()
+
+    def cancel(self, request_id: str) -> None:
+        """Forget a request."""
+        self._futures.pop(request_id, None)
+        self.dispatcher.cancel(request_id, self._read_clock())
+        self.plan_pump()
+
+    def plan_pump(self) -> None:
+        """Have the dispatcher decide once the current callback has ended."""
+        if not self._pump_planned:
+            self._pump_planned = True
+            asyncio.get_running_loop().call_soon(self._pump)
+
+    async def _wait(self, request_id: str, answer: Queued | Refused) -> Assignment:
+        match answer:
+            case Refused():
+                raise NotRun(answer.code, "", answer.retry_after_s)
+            case Queued():
+                future = asyncio.get_running_loop().create_future()
+                self._futures[request_id] = future
+                self.plan_pump()
+                return await future
+
+    def _pump(self) -> None:
+        self._pump_planned = False
+        now = self._read_clock()
+        for refused in self.dispatcher.expire(now):
+            error = NotRun(refused.code, "", refused.retry_after_s)
+            self._resolve(refused.request_id, error)
+        for assignment in self.dispatcher.assign(now):
+            self._resolve(assignment.request.request_id, assignment)
+        self._plan_next(now)
+
+    def _resolve(self, request_id: str, result: Assignment | NotRun) -> None:
+        future = self._futures.pop(request_id, None)
+        if future is None or future.done():
+            return
+        match result:
+            case NotRun():
+                future.set_exception(result)
+            case Assignment():
+                future.set_result(result)
+
+    def _plan_next(self, now: float) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        next_event = self.dispatcher.next_event(now)
+        if next_event is not None:
+            delay_s = max(0.0, next_event - now)
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(delay_s, self.plan_pump)
--- a/packages/daemon/src/persimmonferry_daemon/upstreams.py
+++ b/packages/daemon/src/persimmonferry_daemon/upstreams.py
@@ -89,37 +89,38 @@
 
     async def call(self, address: Address, request: CallRequest) -> CallReply:
         """
-        Make a call at an agent's plain service.
+        Make a call at an agent's plain service and return the agent's whole reply.
 
-        :raises NotRun: the agent or the service provably did not start it.
-        :raises OutcomeUnknown: no whole answer came.
+        :raises NotRun: no byte of the request left this process.
+        :raises OutcomeUnknown: no whole reply came.
         """
         try:
-            reply = await self._peers.ask(
-                address.url + CALL_PATH, request, CallReply, CALL_TIMEOUT_S
+            return await self._peers.ask(
+                address.url + CALL_PATH,
+                request,
+                CallReply,
+                CALL_TIMEOUT_S,
+                fresh=not request.idempotent,
             )
         except PeerLost as error:
-            if not error.sent:
-                raise NotRun(ResultCode.NO_UPSTREAM, "the agent is gone", 0.5) from None
-            raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, "the agent") from error
-        if reply.run_id != request.run_id:
-            raise OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "another call's reply")
-        if reply.failure is not None:
-            raise from_failure(reply.failure)
-        return reply
+            if error.sent:
+                raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, "the agent") from error
+            raise NotRun(ResultCode.NO_UPSTREAM, "the agent is gone", 0.5) from error
 
-    async def query_attempt(self, address: Address, run_id: str) -> AttemptReply:
+    async def query_attempt(
+        self, address: Address, query: AttemptQuery
+    ) -> AttemptReply:
         """
         Ask what an agent knows of an attempt.
 
-        :raises PeerLost: no whole reply in time.
+        :raises OutcomeUnknown: no whole reply in time.
         """
-        return await self._peers.ask(
-            address.url + ATTEMPT_PATH,
-            AttemptQuery(run_id),
-            AttemptReply,
-            QUERY_TIMEOUT_S,
-        )
+        try:
+            return await self._peers.ask(
+                address.url + ATTEMPT_PATH, query, AttemptReply, QUERY_TIMEOUT_S
+            )
+        except PeerLost as error:
+            raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, "the agent") from error
 
     async def has_answer(self, address: Address, answer_key: str) -> bool:
         """Tell whether an agent holds or generates the answer of a key."""
--- a/packages/wire/messages/membership.thrift
+++ b/packages/wire/messages/membership.thrift
@@ -34,8 +34,10 @@
   13: CacheReport cache
 }
 
+// interval_s: how often the entry wants to hear this agent.
 struct ReportReply {
   1: i64 configuration_revision
+  2: double interval_s
 }
 
 // From an entry to an agent that may not know it; the reply is an AgentReport.
--- a/packages/wire/src/persimmonferry_wire/carrier.py
+++ b/packages/wire/src/persimmonferry_wire/carrier.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
+import pycurl
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
 from tornado.web import RequestHandler
 
@@ -23,6 +24,7 @@
 
 CONTENT_TYPE = "application/x-thrift"
 CONNECT_TIMEOUT_S = 0.5
+USER_AGENT = "pf"
 HTTP_OK = 200
 TORNADO_TRANSPORT_ERROR = 599
 
@@ -48,12 +50,20 @@
         self._client = client
 
     async def ask(
-        self, url: str, message: Any, kind: type[Reply], timeout_s: float
+        self,
+        url: str,
+        message: Any,
+        kind: type[Reply],
+        timeout_s: float,
+        *,
+        fresh: bool = False,
     ) -> Reply:
         """
         Send a struct and return the peer's reply.
 
         :param url: base URL of the peer and the route's path.
+        :param fresh: use a new connection. On one that was kept alive libcurl may send
+            a request twice, and then ``PeerLost.sent`` proves nothing.
         :raises PeerLost: no whole reply in time.
         """
         request = HTTPRequest(
@@ -61,8 +71,11 @@
             method="POST",
             body=encode(message),
             headers={"Content-Type": CONTENT_TYPE},
+            user_agent=USER_AGENT,
+            decompress_response=False,
             connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
             request_timeout=timeout_s,
+            prepare_curl_callback=_use_fresh_connection if fresh else None,
         )
         response = await self._client.fetch(request, raise_error=False)
         if response.code != HTTP_OK:
@@ -73,6 +86,11 @@
             raise PeerLost(str(error), sent=True) from error
 
 
+def _use_fresh_connection(curl: pycurl.Curl) -> None:
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+    curl.setopt(pycurl.FORBID_REUSE, 1)
+
+
 def was_sent(response: HTTPResponse) -> bool:
     """
     Tell whether bytes of a failed request may have reached the other side.
@@ -105,6 +123,11 @@
         """Take the route that the URL stands for."""
         self._route = route
 
+    def set_default_headers(self) -> None:
+        """Leave out what no peer reads: control traffic has few bytes a second."""
+        self.clear_header("Server")
+        self.clear_header("Date")
+
     async def post(self) -> None:
         """Decode the struct, have it answered, and send the reply."""
         try:
