Load weights under slot leases and draft the keeper of cache blocks

Each agent compares the document with its engine and loads under one of the service's slot leases, so that no controller is set aside. Fencing numbers of different slots can't be compared, and an engine would refuse a later order with a lower one; the number therefore comes from a lease of the engine itself. The order goes out only while both leases outlast the load by the process's clock, which also guards engines that ignore the number. The keeper of blocks has no test of its own yet.

--- a/packages/core/src/persimmonferry_core/codes.py
+++ b/packages/core/src/persimmonferry_core/codes.py
@@ -83,6 +83,7 @@
     SETTINGS_FAULTY = _Meaning(5006, 422, Ran.NO, "the settings have faults")
     BLOCK_INVALID = _Meaning(5007, 404, Ran.NO, "the cache block may not be read")
     STORE_FULL = _Meaning(5008, 507, Ran.NO, "the store VM is full")
+    STORE_UNAVAILABLE = _Meaning(5020, 503, Ran.NO, "the store VM can't be reached")
 
     @property
     def number(self) -> int:
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/blocks.py
@@ -0,0 +1,379 @@
+"""Imports cache blocks before a run and exports them after it."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+
+from persimmonferry_core.contracts import RoutingWeights
+from persimmonferry_core.eviction import UseHistory
+from persimmonferry_core.exceptions import StoreError
+from persimmonferry_core.holdings import Holdings
+from persimmonferry_core.imports import (
+    ByteBudget,
+    ImportOffer,
+    LinkEstimate,
+    PrefillTable,
+    StoredHints,
+    plan_import,
+)
+from persimmonferry_core.interfaces import Engine, Platform, Store
+from persimmonferry_core.runs import EngineLoad, RunEnd, RunOrder
+
+from persimmonferry_daemon.blockstores import OUTSIDE_FAULTS, BlockStores
+from persimmonferry_daemon.eviction import StoreEvictor
+
+__all__ = ["BlockKeeper", "BlockSettings"]
+
+ENGINE_CALL_TIMEOUT_S = 0.5
+EVENT_INTERVAL_S = 1.0
+EVICTION_INTERVAL_S = 60.0
+SHARE_INTERVAL_S = 300.0
+IMPORT_WINDOW = 4
+MAX_QUEUED_EXPORTS = 1000
+
+_SIZE_GAIN = 0.2
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class BlockSettings:
+    """
+    What the keeper assumes and allows.
+
+    :param block_bytes: size of a block before one was seen.
+    :param link_bytes_per_s: rate of the link to the stores before it was measured.
+    :param link_price_per_gb: of 10^9 bytes from the stores, in the team's currency.
+    :param export_bytes_per_s: mean rate that exports may take.
+    :param export_burst_bytes: bytes of exports that may go at once.
+    """
+
+    block_bytes: float = 1e6
+    link_bytes_per_s: float = 1e8
+    link_price_per_gb: float = 0.0
+    export_bytes_per_s: float = 2e7
+    export_burst_bytes: float = 4e7
+
+
+@dataclass(frozen=True)
+class _Prompt:
+    """
+    A run whose end was not seen yet.
+
+    :param held_blocks: leading blocks that the engine seemed to hold at its start.
+    :param crossed_swap: whether the engine was seen with another version since.
+    """
+
+    names: tuple[str, ...]
+    version: str
+    held_blocks: int = 0
+    crossed_swap: bool = False
+    computed: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+@dataclass(frozen=True)
+class _Export:
+    name: str
+    version: str
+
+
+class BlockKeeper:
+    """
+    Keeps an engine's cache blocks in the store VMs and brings them back.
+
+    :param find_stores: returns the stores of the failure domain by VM name.
+    :param holder: identity of this process in leases.
+    :param scope: names the stores' team and failure domain in the platform's keys.
+    :param find_weights: returns what seconds and links count in the service.
+    :param clock: returns seconds since the epoch, comparable between VMs.
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        find_stores: Callable[[], Mapping[str, Store]],
+        platform: Platform,
+        holder: str,
+        scope: str,
+        find_weights: Callable[[], RoutingWeights],
+        clock: Callable[[], float],
+        settings: BlockSettings = BlockSettings(),
+    ) -> None:
+        self._engine = engine
+        self._find_weights = find_weights
+        self._clock = clock
+        self._settings = settings
+        self._stores = BlockStores(find_stores, clock)
+        self._history = UseHistory()
+        self._evictor = StoreEvictor(
+            find_stores, platform, holder, scope, self._history, clock
+        )
+        self.holdings = Holdings()
+        self._prefills = PrefillTable()
+        self._prompts: dict[str, _Prompt] = {}
+        self._stored = StoredHints()
+        self._tainted_versions: set[str] = set()
+        rate = settings.link_bytes_per_s
+        self._link = LinkEstimate(start_bytes_per_s=rate, bytes_per_s=rate)
+        self._block_bytes = settings.block_bytes
+        self._budget = ByteBudget(
+            settings.export_bytes_per_s, settings.export_burst_bytes
+        )
+        self._exports: asyncio.Queue[_Export] = asyncio.Queue(MAX_QUEUED_EXPORTS)
+        self._tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Start the background work on the running loop."""
+        loops = (
+            self._export_forever(),
+            self._repeat(self.read_events, EVENT_INTERVAL_S),
+            self._repeat(self._evictor.evict, EVICTION_INTERVAL_S),
+            self._repeat(self._evictor.share_history, SHARE_INTERVAL_S),
+        )
+        self._tasks = [asyncio.create_task(loop) for loop in loops]
+
+    async def close(self, grace_s: float) -> None:
+        """Stop, but let exports that are queued go out for at most ``grace_s``."""
+        try:
+            await asyncio.wait_for(self._exports.join(), grace_s)
+        except TimeoutError:
+            _log.info("%d exports are given up", self._exports.qsize())
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def prepare(self, order: RunOrder, now: float) -> int:
+        """
+        Import blocks that the engine lacks, as far as that pays.
+
+        Never fails the run; the caller ends each prepared run by ``retain`` or
+        ``abandon``, and calls ``finish_prefill`` at its first token.
+
+        :param now: present time in seconds, of the same clock as the keeper's.
+        :return: how many blocks were imported.
+        """
+        if not order.block_names:
+            return 0
+        self._history.note(order.block_names[0], now)
+        self._prefills.begin(order.run_id, order.block_names, order.priority)
+        self._prompts[order.run_id] = _Prompt(order.block_names, order.version)
+        try:
+            imported = await self._import_missing(order, now)
+        except OUTSIDE_FAULTS as error:
+            _log.warning("run %s: no import: %s", order.run_id, error)
+            imported = 0
+        held = self.holdings.count_prefix(order.block_names)
+        prompt = self._prompts.get(order.run_id)
+        if prompt:
+            self._prompts[order.run_id] = replace(prompt, held_blocks=held)
+        return imported
+
+    async def _import_missing(self, order: RunOrder, now: float) -> int:
+        load = await self._read_load()
+        if not _serves(load, order):
+            return 0
+        missing = self._find_missing(order)
+        offer = self._make_offer(order, load, len(missing))
+        computed_s = now + offer.queue_s + offer.missing_blocks * offer.prefill_s
+        await self._await_earlier(order, missing, computed_s)
+        missing = self._find_missing(order)
+        offer = replace(offer, missing_blocks=len(missing))
+        plan = plan_import(offer, self._find_weights(), self._clock())
+        planned = missing[: plan.block_count]
+        return await self._import_until(order, planned, plan.deadline_s)
+
+    async def _read_load(self) -> EngineLoad:
+        reading = self._engine.read_load()
+        load = await asyncio.wait_for(reading, ENGINE_CALL_TIMEOUT_S)
+        for run_id, prompt in self._prompts.items():
+            if prompt.version != load.version:
+                self._prompts[run_id] = replace(prompt, crossed_swap=True)
+        return load
+
+    def _find_missing(self, order: RunOrder) -> tuple[str, ...]:
+        return tuple(
+            name for name in order.block_names if not self.holdings.holds(name)
+        )
+
+    def _make_offer(
+        self, order: RunOrder, load: EngineLoad, missing_blocks: int
+    ) -> ImportOffer:
+        rate = max(load.prefill_tokens_per_s, 1.0)
+        return ImportOffer(
+            missing_blocks=missing_blocks,
+            block_tokens=order.block_tokens,
+            block_bytes=self._block_bytes,
+            link_bytes_per_s=self._link.read_rate(self._clock()),
+            prefill_tokens_per_s=rate,
+            queue_s=load.waiting_prefill_tokens / rate,
+            link_price_per_gb=self._settings.link_price_per_gb,
+        )
+
+    async def _await_earlier(
+        self, order: RunOrder, names: Sequence[str], deadline_s: float
+    ) -> None:
+        """Wait while earlier runs compute blocks that this one needs."""
+        while earlier_id := self._prefills.find_earlier(order.run_id, names):
+            rest_s = deadline_s - self._clock()
+            if rest_s <= 0:
+                return
+            try:
+                await asyncio.wait_for(
+                    self._prompts[earlier_id].computed.wait(), rest_s
+                )
+            except TimeoutError:
+                return
+
+    async def _import_until(
+        self, order: RunOrder, names: Sequence[str], deadline_s: float
+    ) -> int:
+        """Import blocks in order until one is missing or the deadline has passed."""
+        imported = 0
+        start_s = self._clock()
+        rest_s = max(0.0, deadline_s - start_s)
+        try:
+            async with asyncio.timeout(rest_s) as limit:
+                for start in range(0, len(names), IMPORT_WINDOW):
+                    window = names[start : start + IMPORT_WINDOW]
+                    blocks = await self._fetch_window(window)
+                    for name, data in zip(window, blocks, strict=True):
+                        if data is None or not await self._import(order, name, data):
+                            return imported
+                        imported += 1
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            self._note_abandoned(imported, len(names), rest_s)
+        return imported
+
+    def _note_abandoned(self, imported: int, planned: int, elapsed_s: float) -> None:
+        tried = min(planned, imported + IMPORT_WINDOW)
+        size_bytes = tried * self._block_bytes
+        self._link = self._link.add_abandoned(size_bytes, elapsed_s, self._clock())
+
+    async def _fetch_window(self, names: Sequence[str]) -> list[bytes | None]:
+        start_s = self._clock()
+        blocks = await asyncio.gather(*(self._fetch(name) for name in names))
+        sizes = [len(data) for data in blocks if data is not None]
+        if sizes:
+            now = self._clock()
+            self._link = self._link.add_transfer(sum(sizes), now - start_s, now)
+            mean_bytes = sum(sizes) / len(sizes)
+            self._block_bytes += _SIZE_GAIN * (mean_bytes - self._block_bytes)
+        return blocks
+
+    async def _fetch(self, name: str) -> bytes | None:
+        try:
+            data = await self._stores.fetch(name)
+        except StoreError:
+            self._stored.forget(name)
+            return None
+        self._stored.note(name, self._clock())
+        return data
+
+    async def _import(self, order: RunOrder, name: str, data: bytes) -> bool:
+        if not _serves(await self._read_load(), order):
+            return False
+        await self._engine.import_block(name, data)
+        self.holdings.assume([name])
+        return True
+
+    def finish_prefill(self, run_id: str) -> None:
+        """Note that a run's prompt was computed: its first token has come."""
+        prompt = self._prompts.get(run_id)
+        if prompt and not prompt.computed.is_set():
+            self.holdings.assume(prompt.names)
+            self._end_prefill(run_id, prompt)
+
+    def abandon(self, run_id: str) -> None:
+        """Note that a run ended without a whole answer."""
+        prompt = self._prompts.get(run_id)
+        if prompt and prompt.crossed_swap:
+            # Without an end mark it is not known which version computed the blocks.
+            self._tainted_versions.add(prompt.version)
+        self._forget_run(run_id)
+
+    def _forget_run(self, run_id: str) -> None:
+        prompt = self._prompts.pop(run_id, None)
+        if prompt:
+            self._end_prefill(run_id, prompt)
+
+    def _end_prefill(self, run_id: str, prompt: _Prompt) -> None:
+        self._prefills.end(run_id)
+        prompt.computed.set()
+
+    async def retain(self, order: RunOrder, end: RunEnd) -> None:
+        """Queue the blocks of a run that gave its whole answer for export."""
+        prompt = self._prompts.get(order.run_id)
+        if end.version != order.version:
+            # The engine may hold blocks of its own version under these names.
+            self._tainted_versions.add(order.version)
+            self._forget_run(order.run_id)
+            return
+        if prompt and end.cached_tokens < prompt.held_blocks * order.block_tokens:
+            self.holdings.forget()
+        self.finish_prefill(order.run_id)
+        self._forget_run(order.run_id)
+        now = self._clock()
+        for name in self._stored.choose_exports(order.block_names, now):
+            self._queue_export(_Export(name, order.version), now)
+
+    def _queue_export(self, export: _Export, now: float) -> None:
+        if self._exports.full():
+            return
+        self._stored.note(export.name, now)
+        self._exports.put_nowait(export)
+
+    async def _export_forever(self) -> None:
+        while True:
+            export = await self._exports.get()
+            try:
+                await self._export(export)
+            except OUTSIDE_FAULTS as error:
+                self._stored.forget(export.name)
+                _log.info("no export: %s", error)
+            finally:
+                self._exports.task_done()
+
+    async def _export(self, export: _Export) -> None:
+        if await self._stores.holds(export.name):
+            return
+        if not await self._may_export(export):
+            self._stored.forget(export.name)
+            return
+        data = await self._engine.export_block(export.name)
+        await asyncio.sleep(self._budget.reserve(len(data), self._clock()))
+        if not await self._stores.put(export.name, data):
+            self._stored.forget(export.name)
+
+    async def _may_export(self, export: _Export) -> bool:
+        """Return False when the block may be another version's, or of no more use."""
+        if export.version in self._tainted_versions:
+            return False
+        load = await self._read_load()
+        return load.version == export.version and not load.loading
+
+    async def read_events(self) -> None:
+        """Take in the engine's version and its cache events published so far."""
+        await self._read_load()
+        events = await self._engine.read_cache_events(self.holdings.cursor)
+        self.holdings.apply(events, self._clock())
+
+    async def _repeat(self, work: Callable[[], Awaitable], interval_s: float) -> None:
+        while True:
+            # Spread out, so that many processes don't ask at once.
+            await asyncio.sleep(interval_s * random.uniform(0.5, 1.5))
+            try:
+                await work()
+            except OUTSIDE_FAULTS as error:
+                _log.info("background work failed: %s", error)
+
+
+def _serves(load: EngineLoad, order: RunOrder) -> bool:
+    """Whether the engine has the order's model and version and is not loading."""
+    return not load.loading and (load.model, load.version) == (
+        order.model,
+        order.version,
+    )
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/blockstores.py
@@ -0,0 +1,93 @@
+"""Reads and writes cache blocks at the store VMs of the failure domain."""
+
+from collections.abc import Callable, Iterator, Mapping
+
+from persimmonferry_core.blocks import open_block, seal
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import FerryError, StoreError
+from persimmonferry_core.interfaces import Store
+from persimmonferry_core.placement import PauseList, rank_stores
+
+__all__ = ["OUTSIDE_FAULTS", "BlockStores"]
+
+DEAD_PAUSE_S = 5.0
+FULL_PAUSE_S = 10.0
+
+OUTSIDE_FAULTS = (FerryError, OSError, ValueError)
+
+
+class BlockStores:
+    """
+    The store VMs as one place for blocks.
+
+    :param find_stores: returns the stores of the failure domain by VM name.
+    :param clock: returns the present time in seconds.
+    """
+
+    def __init__(
+        self, find_stores: Callable[[], Mapping[str, Store]], clock: Callable[[], float]
+    ) -> None:
+        self._find_stores = find_stores
+        self._clock = clock
+        self._dead = PauseList(DEAD_PAUSE_S)
+        self._full = PauseList(FULL_PAUSE_S)
+
+    async def fetch(self, name: str) -> bytes:
+        """
+        Return the data of a block that passed every check.
+
+        :raises StoreError: no store returned a block that may be read.
+        """
+        for store_name, store in self._choose(name, self._dead):
+            try:
+                return await _read_checked(store, name)
+            except OUTSIDE_FAULTS as error:
+                self._note_fault(store_name, error)
+        raise StoreError(ResultCode.BLOCK_INVALID, "no store holds it")
+
+    async def holds(self, name: str) -> bool:
+        """Whether a store has the block with its commit mark."""
+        for store_name, store in self._choose(name, self._dead):
+            try:
+                if await store.read_generation(name):
+                    return True
+            except OUTSIDE_FAULTS as error:
+                self._note_fault(store_name, error)
+        return False
+
+    async def put(self, name: str, data: bytes) -> bool:
+        """Write and commit a block; return False when no store took it."""
+        sealed = seal(name, data)
+        for store_name, store in self._choose(name, self._dead, self._full):
+            try:
+                generation = await store.write(name, sealed)
+                await store.commit(name, generation)
+                return True
+            except OUTSIDE_FAULTS as error:
+                self._note_fault(store_name, error)
+        return False
+
+    def _choose(self, name: str, *pauses: PauseList) -> Iterator[tuple[str, Store]]:
+        stores = self._find_stores()
+        open_names = tuple(stores)
+        for pause in pauses:
+            open_names = pause.keep_open(open_names, self._clock())
+        return ((choice, stores[choice]) for choice in rank_stores(name, open_names))
+
+    def _note_fault(self, store_name: str, error: Exception) -> None:
+        match getattr(error, "code", ResultCode.STORE_UNAVAILABLE):
+            case ResultCode.BLOCK_INVALID:
+                pass
+            case ResultCode.STORE_FULL:
+                self._full.pause(store_name, self._clock())
+            case _:
+                self._dead.pause(store_name, self._clock())
+
+
+async def _read_checked(store: Store, name: str) -> bytes:
+    stored = await store.read(name)
+    data = open_block(name, stored)
+    # The space may have been freed and written anew during the transfer.
+    if await store.read_generation(name) != stored.generation:
+        raise StoreError(ResultCode.BLOCK_INVALID, "it was freed while being read")
+    return data
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/weights.py
@@ -0,0 +1,220 @@
+"""Loads the weights that the team's document wants into the engine of this agent."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+from persimmonferry_core.contracts import Service
+from persimmonferry_core.exceptions import NotRun, PlatformError
+from persimmonferry_core.interfaces import Engine, Lease, Platform
+from persimmonferry_core.rollout import (
+    LEASE_S,
+    LOAD_TIMEOUT_S,
+    RetryDelay,
+    choose_order,
+    choose_slot,
+    is_slot_usable,
+    name_engine_lease,
+)
+from persimmonferry_core.runs import (
+    EngineLoad,
+    EngineOrder,
+    LoadAdapter,
+    LoadVersion,
+)
+
+from persimmonferry_daemon.blockstores import OUTSIDE_FAULTS
+
+__all__ = ["WeightKeeper", "WorkGate"]
+
+DRAIN_TIMEOUT_S = 10.0
+ENGINE_CALL_TIMEOUT_S = 0.5
+LOAD_POLL_S = 0.5
+MAX_ORDERS = 2
+
+_log = logging.getLogger(__name__)
+
+
+class WorkGate(Protocol):
+    """The agent's way to take its engine out of work and back."""
+
+    def drain(self) -> None:
+        """Refuse new runs as not run."""
+
+    def resume(self) -> None:
+        """Take new runs again, unless the agent is stopping."""
+
+    async def wait_idle(self) -> None:
+        """Return when no run is under way."""
+
+
+class WeightKeeper:
+    """
+    Compares what the document wants with what the engine holds, and has it loaded.
+
+    An engine leaves work only under one of the service's slot leases. The order goes
+    out only while its lease can't have lapsed by this process's clock, which protects
+    engines that ignore fencing numbers too.
+
+    :param holder: identity of this process, another one after each restart.
+    :param engine_name: of the engine's VM, equal for all processes beside it.
+    :param find_service: returns what the document in force wants, None when unknown.
+    :param clock: returns the present time in seconds; it goes on while paused.
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        platform: Platform,
+        gate: WorkGate,
+        holder: str,
+        engine_name: str,
+        team: str,
+        find_service: Callable[[], Service | None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._engine = engine
+        self._platform = platform
+        self._gate = gate
+        self._holder = holder
+        self._engine_lease_name = name_engine_lease(team, engine_name)
+        self._team = team
+        self._find_service = find_service
+        self._clock = clock
+        self._delay = RetryDelay()
+        self._adapter: tuple[LoadVersion, str] | None = None
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Start comparing on the running loop."""
+        self._task = asyncio.create_task(self._run_forever())
+
+    async def close(self) -> None:
+        """Stop; a load that was ordered goes on in the engine, its lease lapses."""
+        if self._task:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run_forever(self) -> None:
+        while True:
+            try:
+                done = await self.compare()
+            except OUTSIDE_FAULTS as error:
+                _log.warning("weights are not compared: %s", error)
+                done = False
+            self._delay.note_attempt(done)
+            # Spread out, so that waiting agents don't ask for a slot at once.
+            await asyncio.sleep(self._delay.compute() * random.uniform(0.5, 1.5))
+
+    async def compare(self) -> bool:
+        """
+        Have the engine load what it lacks, if a slot is free.
+
+        :return: whether the engine holds what the document wants.
+        """
+        if await self._choose_order() is None:
+            return True
+        slot = await self._take_slot()
+        if slot is None:
+            return False
+        try:
+            self._gate.drain()
+            await self._drain()
+            done = await self._load(slot)
+        finally:
+            self._gate.resume()
+        await self._release(slot)
+        return done
+
+    async def _choose_order(self) -> LoadVersion | LoadAdapter | None:
+        service = self._find_service()
+        if service is None:
+            return None
+        load = await self._read_load()
+        return choose_order(service, load, self._find_adapter(load))
+
+    def _find_adapter(self, load: EngineLoad) -> str | None:
+        if self._adapter is None:
+            return None
+        loaded_for, adapter = self._adapter
+        return adapter if loaded_for == LoadVersion(load.model, load.version) else None
+
+    async def _read_load(self) -> EngineLoad:
+        return await asyncio.wait_for(self._engine.read_load(), ENGINE_CALL_TIMEOUT_S)
+
+    async def _take_slot(self) -> Lease | None:
+        service = self._find_service()
+        if service is None:
+            return None
+        attempt = self._delay.attempts
+        return await self._lease(
+            choose_slot(self._team, service, self._holder, attempt)
+        )
+
+    async def _lease(self, name: str) -> Lease | None:
+        asked_s = self._clock()
+        return await self._platform.acquire_lease(name, self._holder, LEASE_S, asked_s)
+
+    async def _drain(self) -> None:
+        try:
+            await asyncio.wait_for(self._gate.wait_idle(), DRAIN_TIMEOUT_S)
+        except TimeoutError:
+            _log.info("long runs continue across the swap")
+
+    async def _load(self, slot: Lease) -> bool:
+        """Give the orders that are still wanted; return True when none is left."""
+        for _ in range(MAX_ORDERS):
+            order = await self._choose_order()
+            if order is None:
+                return True
+            if not await self._give(order, slot.name):
+                return False
+        return await self._choose_order() is None
+
+    async def _give(self, order: LoadVersion | LoadAdapter, slot_name: str) -> bool:
+        engine_lease = await self._lease(self._engine_lease_name)
+        slot = await self._lease(slot_name)
+        if engine_lease is None or slot is None:
+            _log.warning("another process holds the lease of this engine or slot")
+            return False
+        now = self._clock()
+        if not (is_slot_usable(engine_lease, now) and is_slot_usable(slot, now)):
+            _log.warning("the lease may lapse before the load ends")
+            return False
+        numbered = EngineOrder(engine_lease.fencing, order)
+        try:
+            await asyncio.wait_for(self._engine.give_order(numbered), LOAD_TIMEOUT_S)
+        except NotRun as error:
+            _log.warning("the engine refused the order: %s", error)
+            return False
+        finally:
+            await self._wait_loaded(slot_name)
+        await self._note_loaded(order)
+        await self._release(engine_lease)
+        return True
+
+    async def _wait_loaded(self, slot_name: str) -> None:
+        """Keep the slot for as long as the engine is still loading."""
+        while (await self._read_load()).loading:
+            try:
+                await self._lease(slot_name)
+            except PlatformError as error:
+                _log.warning("lease %s was not renewed: %s", slot_name, error)
+            await asyncio.sleep(LOAD_POLL_S)
+
+    async def _note_loaded(self, order: LoadVersion | LoadAdapter) -> None:
+        load = await self._read_load()
+        match order:
+            case LoadAdapter(adapter=adapter):
+                loaded_for = LoadVersion(load.model, load.version)
+                self._adapter = (loaded_for, adapter)
+            case LoadVersion():
+                self._adapter = None
+
+    async def _release(self, slot: Lease) -> None:
+        try:
+            await self._platform.release_lease(slot)
+        except PlatformError:
+            _log.info("lease %s is left to lapse", slot.name)
--- /dev/null
+++ b/packages/daemon/tests/test_weights.py
@@ -0,0 +1,274 @@
+import asyncio
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.contracts import Service, ServiceKind
+from persimmonferry_core.exceptions import (
+    FerryError,
+    NotRun,
+    PlatformAnswerLost,
+    PlatformUnavailable,
+)
+from persimmonferry_core.interfaces import Lease
+from persimmonferry_core.rollout import LEASE_S
+from persimmonferry_core.runs import EngineLoad, LoadAdapter, LoadVersion
+from persimmonferry_daemon.weights import DRAIN_TIMEOUT_S, WeightKeeper
+from persimmonferry_standins.virtualtime import VirtualLoop
+
+LOAD_S = 2.0
+AGENTS = 4
+
+
+class FakePlatform:
+    """Leases in virtual time; calls can fail before or after they take effect."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self.granted = {}
+        self.fencing = {}
+        self.fault = None
+
+    async def acquire_lease(self, name, holder, duration_s, now):
+        await asyncio.sleep(0.01)
+        if self.fault is PlatformUnavailable:
+            raise PlatformUnavailable()
+        held_by, until_s = self.granted.get(name, ("", 0.0))
+        present_s = self.loop.time()
+        if held_by != holder and until_s > present_s:
+            return None
+        if held_by != holder or until_s <= present_s:
+            self.fencing[name] = self.fencing.get(name, 0) + 1
+        self.granted[name] = (holder, present_s + duration_s)
+        if self.fault is PlatformAnswerLost:
+            raise PlatformAnswerLost()
+        return Lease(name, holder, self.fencing[name], now + duration_s)
+
+    async def release_lease(self, lease):
+        if self.fault is not None:
+            raise self.fault()
+        if self.granted.get(lease.name, ("",))[0] == lease.holder:
+            del self.granted[lease.name]
+
+
+@dataclass
+class FakeEngine:
+    loop: VirtualLoop
+    fenced: bool = False
+    model: str = "m"
+    version: str = "v1"
+    adapter: str = ""
+    loading: int = 0
+    highest: int = 0
+    orders: list = field(default_factory=list)
+
+    async def read_load(self):
+        version = "" if self.loading else self.version
+        loading = bool(self.loading)
+        return EngineLoad(self.model, version, 0, 0, 0, 8, 1e4, 50.0, loading)
+
+    async def give_order(self, numbered):
+        if self.fenced and numbered.fencing < self.highest:
+            raise NotRun(ResultCode.FENCING_REFUSED)
+        self.highest = max(self.highest, numbered.fencing)
+        self.orders.append(numbered.order)
+        self.loading += 1
+        # The load goes on in the engine when the order's call is given up.
+        await asyncio.shield(asyncio.ensure_future(self._load(numbered.order)))
+
+    async def _load(self, order):
+        await asyncio.sleep(LOAD_S)
+        self.loading -= 1
+        match order:
+            case LoadVersion(model, version):
+                self.model, self.version, self.adapter = model, version, ""
+            case LoadAdapter(_, adapter):
+                self.adapter = adapter
+
+
+class FakeGate:
+    def __init__(self):
+        self.draining = False
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    def drain(self):
+        self.draining = True
+
+    def resume(self):
+        self.draining = False
+
+    async def wait_idle(self):
+        await self.idle.wait()
+
+
+class Pauses:
+    """Stands between a process and the outside; a paused one sees answers late."""
+
+    def __init__(self, inner):
+        self.inner = inner
+        self.running = asyncio.Event()
+        self.running.set()
+
+    def __getattr__(self, name):
+        method = getattr(self.inner, name)
+
+        async def call(*arguments):
+            try:
+                return await method(*arguments)
+            finally:
+                await self.running.wait()
+
+        return call
+
+
+class Fleet:
+    def __init__(self, loading_slots, fenced=False):
+        self.loop = VirtualLoop()
+        self.platform = FakePlatform(self.loop)
+        self.loading_slots = loading_slots
+        self.want("v1")
+        self.engines = [FakeEngine(self.loop, fenced) for _ in range(AGENTS)]
+        self.gates = [FakeGate() for _ in range(AGENTS)]
+        self.ways = [Pauses(self.platform) for _ in range(AGENTS)]
+        self.keepers = [self.make_keeper(index, "a") for index in range(AGENTS)]
+
+    def want(self, version, adapter=""):
+        self.service = Service(
+            "s", ServiceKind.MODEL, "m", version, adapter, 8, self.loading_slots
+        )
+
+    def make_keeper(self, index, incarnation):
+        return WeightKeeper(
+            self.engines[index],
+            self.ways[index],
+            self.gates[index],
+            f"vm{index}/{incarnation}",
+            f"vm{index}",
+            "team",
+            lambda: self.service,
+            self.loop.time,
+        )
+
+    def start(self):
+        self.loop.run(self._start())
+
+    async def _start(self):
+        for keeper in self.keepers:
+            keeper.start()
+
+
+class Rollouts(RuleBasedStateMachine):
+    """Documents change while processes pause and the platform fails."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = Fleet(loading_slots=2)
+        self.fleet.start()
+
+    @rule(version=st.sampled_from(["v1", "v2", "v3"]), adapter=st.sampled_from("ab"))
+    def change_document(self, version, adapter):
+        self.fleet.want(version, adapter)
+
+    @rule(fault=st.sampled_from([PlatformUnavailable, PlatformAnswerLost, None]))
+    def change_platform(self, fault):
+        self.fleet.platform.fault = fault
+
+    @rule(index=st.integers(0, AGENTS - 1))
+    def pause(self, index):
+        self.fleet.ways[index].running.clear()
+
+    @rule(index=st.integers(0, AGENTS - 1))
+    def resume(self, index):
+        self.fleet.ways[index].running.set()
+
+    @rule(index=st.integers(0, AGENTS - 1))
+    def start_or_end_a_long_run(self, index):
+        idle = self.fleet.gates[index].idle
+        idle.clear() if idle.is_set() else idle.set()
+
+    @rule(duration_s=st.sampled_from([0.1, 1.0, 5.0, LEASE_S, 2 * LEASE_S]))
+    def wait(self, duration_s):
+        end_s = self.fleet.loop.time() + duration_s
+        while self.fleet.loop.time() < end_s:
+            self.fleet.loop.run_for(0.25)
+            self.no_more_engines_load_than_allowed()
+
+    @invariant()
+    def no_more_engines_load_than_allowed(self):
+        loading = [engine.loading for engine in self.fleet.engines]
+        assert sum(loading) <= 2
+        assert max(loading) <= 1
+
+    def teardown(self):
+        """Once faults end, every engine gets what the document wants."""
+        self.fleet.platform.fault = None
+        for way in self.fleet.ways:
+            way.running.set()
+        self.wait(5 * LEASE_S)
+        wanted = (self.fleet.service.version, self.fleet.service.adapter)
+        held = {(engine.version, engine.adapter) for engine in self.fleet.engines}
+        assert held == {wanted}
+        assert not any(gate.draining for gate in self.fleet.gates)
+        self.fleet.loop.stop_all()
+
+
+Rollouts.TestCase.settings = settings(
+    derandomize=True, max_examples=25, stateful_step_count=25, deadline=None
+)
+TestRollouts = Rollouts.TestCase
+
+
+def test_a_holder_paused_past_its_lease_gives_no_order():
+    fleet = Fleet(loading_slots=1)
+    fleet.want("v2")
+    engine = fleet.engines[0]
+    fleet.gates[0].idle.clear()
+    task = fleet.loop.create_task(fleet.keepers[0].compare())
+    fleet.loop.run_for(DRAIN_TIMEOUT_S)
+    fleet.ways[0].running.clear()
+    fleet.loop.run_for(2 * LEASE_S)
+    fleet.loop.run(fleet.keepers[1].compare())
+    assert fleet.engines[1].version == "v2"
+    fleet.ways[0].running.set()
+    assert fleet.loop.run(task) is False
+    assert engine.orders == []
+    fleet.loop.stop_all()
+
+
+def test_a_fenced_engine_refuses_the_process_that_was_replaced():
+    fleet = Fleet(loading_slots=2, fenced=True)
+    fleet.want("v2")
+    fleet.engines[0].highest = 5
+    assert fleet.loop.run(fleet.keepers[0].compare()) is False
+    assert fleet.engines[0].orders == []
+    assert not fleet.gates[0].draining
+    fleet.loop.stop_all()
+
+
+def test_no_order_goes_out_after_the_document_changed_back_during_the_drain():
+    fleet = Fleet(loading_slots=1)
+    fleet.want("v2")
+    fleet.gates[0].idle.clear()
+    task = fleet.loop.create_task(fleet.keepers[0].compare())
+    fleet.loop.run_for(1.0)
+    assert fleet.gates[0].draining
+    fleet.want("v1")
+    fleet.gates[0].idle.set()
+    assert fleet.loop.run(task) is True
+    assert fleet.engines[0].orders == []
+    fleet.loop.stop_all()
+
+
+def test_an_outage_of_the_platform_keeps_every_engine_in_work():
+    fleet = Fleet(loading_slots=4)
+    fleet.want("v2")
+    fleet.platform.fault = PlatformUnavailable
+    for keeper in fleet.keepers:
+        with pytest.raises(FerryError):
+            fleet.loop.run(keeper.compare())
+    assert not any(gate.draining for gate in fleet.gates)
+    assert not any(engine.orders for engine in fleet.engines)
+    fleet.loop.stop_all()
