Let an agent start each attempt at most once

An attempt is named by run id, agent incarnation and start deadline. The table refuses a run id that it has seen, another incarnation, and a deadline that has passed on the agent's own clock; so it may forget with bounded memory. fence() turns 'never seen' into a proof of 'not run' for other entries. The seams of the call dispatcher come along so that the agent can be wired.

--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/attempts.py
@@ -0,0 +1,169 @@
+"""
+The agent's side of calls to a plain service.
+
+:class:`CallGate` lets each attempt through to the service at most once and answers
+what became of it. The agent process registers :meth:`CallGate.call` and
+:meth:`CallGate.query` as peer routes.
+"""
+
+import logging
+from collections.abc import Callable
+
+from persimmonferry_core.attempts import (
+    Admitted,
+    Answered,
+    Attempt,
+    AttemptState,
+    AttemptTable,
+    Denied,
+    Ending,
+    Finished,
+    Lost,
+    NeverSeen,
+    Refused,
+    Repeated,
+    Running,
+)
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import FerryError, NotRun
+from persimmonferry_core.interfaces import PlainService
+from persimmonferry_core.runs import CallAnswer, CallOrder
+from persimmonferry_wire.generated.runs.ttypes import (
+    AttemptQuery,
+    AttemptReply,
+    CallReply,
+    CallRequest,
+    Failure,
+)
+
+__all__ = ["CallGate"]
+
+_log = logging.getLogger(__name__)
+
+_STATE_NEVER_SEEN = 0
+_STATE_RUNNING = 1
+_STATE_ANSWERED = 2
+_STATE_NOT_RUN = 3
+_STATE_UNKNOWN = 4
+
+
+class CallGate:
+    """
+    Guards the plain service of one agent.
+
+    :param find_refusal: returns why new work is refused now, or None.
+    :param read_clock: returns the present time in seconds since 1970.
+    """
+
+    def __init__(
+        self,
+        table: AttemptTable,
+        service: PlainService,
+        find_refusal: Callable[[], NotRun | None],
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._table = table
+        self._service = service
+        self._find_refusal = find_refusal
+        self._read_clock = read_clock
+        self._running = 0
+
+    @property
+    def running(self) -> int:
+        """Calls that the service has not answered yet."""
+        return self._running
+
+    async def call(self, request: CallRequest) -> CallReply:
+        """Run the call if this attempt may start, and reply with how it ended."""
+        if request.idempotent:
+            return _encode_ending(request.run_id, await self._run(request))
+        attempt = Attempt(request.run_id, request.incarnation, request.start_deadline_s)
+        match self._table.admit(attempt, self._read_clock()):
+            case Admitted():
+                ending = await self._run(request)
+                self._table.finish(request.run_id, ending)
+                return _encode_ending(request.run_id, ending)
+            case Repeated():
+                duplicate = NotRun(ResultCode.DUPLICATE_RUN)
+                return _encode_error(request.run_id, duplicate)
+            case Denied(error):
+                return _encode_error(request.run_id, error)
+
+    async def query(self, query: AttemptQuery) -> AttemptReply:
+        """Reply with what is known of an attempt, and fence it when asked to."""
+        attempt = Attempt(query.run_id, query.incarnation, query.start_deadline_s)
+        ask = self._table.fence if query.fence else self._table.query
+        state = ask(attempt, self._read_clock())
+        return _encode_state(query.run_id, state, self._table.incarnation)
+
+    async def _run(self, request: CallRequest) -> Ending:
+        refusal = self._find_refusal()
+        if refusal is not None:
+            return Refused(refusal.code, refusal.detail, refusal.retry_after_s)
+        self._running += 1
+        try:
+            return Answered(await self._service.call(_build_order(request)))
+        except NotRun as error:
+            return Refused(error.code, error.detail, error.retry_after_s)
+        except FerryError as error:
+            return Lost(error.code, error.detail)
+        except Exception:
+            _log.exception("a call failed", extra={"run_id": request.run_id})
+            return Lost(ResultCode.INTERNAL_FAULT)
+        finally:
+            self._running -= 1
+
+
+def _build_order(request: CallRequest) -> CallOrder:
+    return CallOrder(
+        run_id=request.run_id,
+        method=request.method,
+        path=request.path,
+        content_type=request.content_type,
+        body=request.body,
+    )
+
+
+def _encode_ending(run_id: str, ending: Ending) -> CallReply:
+    match ending:
+        case Answered(CallAnswer() as answer):
+            return _encode_answer(answer)
+        case Refused(code, detail, retry_after_s):
+            return _encode_failure(run_id, code, detail, retry_after_s)
+        case Lost(code, detail):
+            return _encode_failure(run_id, code, detail, None)
+    raise ValueError(f"{ending} can't be sent")
+
+
+def _encode_answer(answer: CallAnswer) -> CallReply:
+    return CallReply(answer.run_id, answer.status, answer.content_type, answer.body)
+
+
+def _encode_error(run_id: str, error: FerryError) -> CallReply:
+    return _encode_failure(run_id, error.code, error.detail, error.retry_after_s)
+
+
+def _encode_failure(
+    run_id: str, code: ResultCode, detail: str, retry_after_s: float | None
+) -> CallReply:
+    failure = Failure(code.number, detail, retry_after_s)
+    return CallReply(run_id, 0, "", b"", failure)
+
+
+def _encode_state(run_id: str, state: AttemptState, incarnation: int) -> AttemptReply:
+    match state:
+        case NeverSeen():
+            return AttemptReply(_STATE_NEVER_SEEN, None, incarnation)
+        case Running():
+            return AttemptReply(_STATE_RUNNING, None, incarnation)
+        case Finished(Answered(None)):
+            return AttemptReply(_STATE_ANSWERED, None, incarnation)
+        case Finished(Answered(answer)):
+            return AttemptReply(_STATE_ANSWERED, _encode_answer(answer), incarnation)
+        case Finished(Refused() as ending):
+            reply = _encode_ending(run_id, ending)
+            return AttemptReply(_STATE_NOT_RUN, reply, incarnation)
+        case Finished(Lost() as ending):
+            reply = _encode_ending(run_id, ending)
+            return AttemptReply(_STATE_UNKNOWN, reply, incarnation)
+    raise ValueError(f"{state} can't be sent")
--- a/packages/wire/messages/runs.thrift
+++ b/packages/wire/messages/runs.thrift
@@ -37,6 +37,9 @@
   5: optional Failure failure
 }
 
+// One attempt at a call. The agent admits a run id once, only in the incarnation that
+// the claim names, and not after the start deadline (seconds since 1970). An
+// idempotent call has no claim and passes without these three checks.
 struct CallRequest {
   1: string run_id
   2: string service_name
@@ -44,6 +47,9 @@
   4: string path
   5: string content_type
   6: binary body
+  7: i64 incarnation
+  8: double start_deadline_s
+  9: bool idempotent
 }
 
 struct CallReply {
@@ -63,12 +69,19 @@
 }
 
 // Asks an agent what it knows of an attempt. state: 0 never seen, 1 running,
-// 2 answered (reply holds the answer), 3 not run, 4 outcome unknown.
+// 2 answered (reply holds the answer, or is absent when it is no longer held),
+// 3 not run and never will, 4 outcome unknown. With fence set, an attempt that was
+// never seen is refused from now on, and the state is 3. An agent that has another
+// incarnation than the asked one answers state 4 with its own incarnation.
 struct AttemptQuery {
   1: string run_id
+  2: i64 incarnation
+  3: double start_deadline_s
+  4: bool fence
 }
 
 struct AttemptReply {
   1: i32 state
   2: optional CallReply reply
+  3: i64 incarnation
 }
