Tell exactly how far a request got; test each fault of engines and services

Cause: three faults of libcurl as seen through Tornado's client, all found by trials against a raw server: (1) on a reused connection that closes before the first byte it sends a POST a second time (3 requests for 2 calls); (2) an answer cut within its headers is passed off as whole (cuts behind the last header that carries the length, chunked, empty and 204 answers); (3) the error text alone does not tell whether a byte went out, since the second, unasked connection can be refused after the first one carried the request. Change: requests that run at most once have a connection of their own; the pre-request callback tells whether a byte may have gone out and forbids a second sending; the end of the headers must have come. Ruled out: timings of the response (Tornado drops them with the error), error texts.

--- a/packages/adapters/src/persimmonferry_adapters/engine.py
+++ b/packages/adapters/src/persimmonferry_adapters/engine.py
@@ -22,16 +22,15 @@
     RunOrder,
     TokenBatch,
 )
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 
 from persimmonferry_adapters.answer import AnswerReader
 from persimmonferry_adapters.exchange import (
     Loss,
+    Request,
     Reuse,
-    classify,
     exchange,
-    make_request,
-    make_upstream_error,
+    fetch,
     raise_upstream_loss,
 )
 from persimmonferry_adapters.forms import (
@@ -64,8 +63,11 @@
         self._aborted = False
         self.activity = asyncio.Event()
 
-    def make_request(self, url: str, order: RunOrder) -> HTTPRequest:
-        request = make_request(
+    async def fetch(
+        self, client: AsyncHTTPClient, url: str, order: RunOrder
+    ) -> HTTPResponse | Loss:
+        """Send the order and return when the transfer is over."""
+        request = Request(
             url,
             method="POST",
             body=encode_run_order(order),
@@ -74,17 +76,16 @@
             timeout_s=0,
             streaming_callback=self._receive,
         )
-        prepare_connection = request.prepare_curl_callback
 
         def prepare(curl: pycurl.Curl) -> None:
-            prepare_connection(curl)
+            request.prepare(curl)
             curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
             curl.setopt(pycurl.LOW_SPEED_TIME, 1)
             curl.setopt(pycurl.NOPROGRESS, 0)
             curl.setopt(pycurl.XFERINFOFUNCTION, self._check_progress)
 
-        request.prepare_curl_callback = prepare
-        return request
+        request.http.prepare_curl_callback = prepare
+        return await fetch(client, request)
 
     def abort(self) -> None:
         self._aborted = True
@@ -132,36 +133,37 @@
         """
         reader = AnswerReader(order, deliver)
         transfer = _Transfer(reader)
-        request = transfer.make_request(f"{self._url}/v1/runs", order)
-        fetch = asyncio.ensure_future(self._client.fetch(request, raise_error=False))
+        url = f"{self._url}/v1/runs"
+        fetching = asyncio.ensure_future(transfer.fetch(self._client, url, order))
         try:
-            loss = await self._follow(fetch, transfer, reader)
+            result = await self._follow(fetching, transfer, reader)
         finally:
             transfer.abort()
         if reader.failure is not None:
             raise reader.failure
-        if loss is not None:
-            raise make_upstream_error(loss, "engine")
-        response = fetch.result()
-        if reader.end is not None and response.code == 200:
-            return reader.end
-        if response.code == 200:
+        match result:
+            case Loss() as loss:
+                raise_upstream_loss(loss, "engine")
+            case response if response.code != 200:
+                detail = f"status {response.code}"
+                raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, detail)
+        if reader.end is None:
             raise OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "no end mark")
-        raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {response.code}")
+        return reader.end
 
     async def _follow(
         self,
-        fetch: asyncio.Future[HTTPResponse],
+        fetching: asyncio.Future[HTTPResponse | Loss],
         transfer: _Transfer,
         reader: AnswerReader,
-    ) -> Loss | None:
+    ) -> HTTPResponse | Loss:
         """Wait for the end of the transfer, a fault in the answer, or silence."""
-        while not fetch.done() and reader.failure is None:
+        while not fetching.done():
             transfer.activity.clear()
             activity = asyncio.ensure_future(transfer.activity.wait())
             try:
                 done, _ = await asyncio.wait(
-                    {fetch, activity},
+                    {fetching, activity},
                     timeout=self._idle_timeout_s,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
@@ -169,7 +171,9 @@
                 activity.cancel()
             if not done:
                 return Loss.TIMED_OUT
-        return classify(fetch.result()) if fetch.done() else None
+            if reader.failure is not None:
+                return Loss.LOST
+        return fetching.result()
 
     async def cancel(self, run_id: str) -> None:
         """Stop a run; a run that is not known is no error."""
@@ -194,7 +198,7 @@
 
         :raises StoreError: the engine holds no such block.
         """
-        request = make_request(
+        request = Request(
             f"{self._url}/v1/blocks/{quote_segment(name)}", timeout_s=BLOCK_TIMEOUT_S
         )
         response = await self._exchange(request)
@@ -208,7 +212,7 @@
 
         :raises StoreError: the engine refused it.
         """
-        request = make_request(
+        request = Request(
             f"{self._url}/v1/blocks/{quote_segment(name)}",
             method="PUT",
             body=data,
@@ -226,7 +230,7 @@
         :raises NotRun: with FENCING_REFUSED when the engine refuses the number.
         :raises OutcomeUnknown: the order may have been carried out.
         """
-        request = make_request(
+        request = Request(
             f"{self._url}/v1/orders",
             method="POST",
             body=encode_engine_order(order),
@@ -241,7 +245,7 @@
     async def _ask(
         self, path: str, *, method: str = "GET", body: bytes | None = None
     ) -> dict[str, Any]:
-        request = make_request(
+        request = Request(
             self._url + path, method=method, body=body, content_type=JSON_TYPE
         )
         response = await self._exchange(request)
@@ -249,7 +253,7 @@
             raise _read_refusal(response)
         return json.loads(response.body)
 
-    async def _exchange(self, request: HTTPRequest) -> HTTPResponse:
+    async def _exchange(self, request: Request) -> HTTPResponse:
         match await exchange(self._client, request):
             case Loss() as loss:
                 raise_upstream_loss(loss, "engine")
--- a/packages/adapters/src/persimmonferry_adapters/exchange.py
+++ b/packages/adapters/src/persimmonferry_adapters/exchange.py
@@ -12,11 +12,11 @@
 __all__ = [
     "CONNECT_TIMEOUT_S",
     "Loss",
+    "Request",
     "Reuse",
-    "classify",
     "exchange",
+    "fetch",
     "is_framed",
-    "make_request",
     "make_upstream_error",
     "raise_upstream_loss",
 ]
@@ -34,6 +34,12 @@
     TRUNCATED = "the answer was cut short"
 
 
+_LOSSES = {
+    pycurl.E_OPERATION_TIMEDOUT: Loss.TIMED_OUT,
+    pycurl.E_PARTIAL_FILE: Loss.TRUNCATED,
+}
+
+
 class Reuse(enum.Enum):
     """
     Whether a request may travel on a connection that is already open.
@@ -47,65 +53,82 @@
     NEVER = "never"
 
 
-def make_request(
-    url: str,
-    *,
-    method: str = "GET",
-    body: bytes | None = None,
-    content_type: str = "",
-    headers: dict[str, str] | None = None,
-    reuse: Reuse = Reuse.ALLOWED,
-    timeout_s: float = DEFAULT_TIMEOUT_S,
-    **options: Any,
-) -> HTTPRequest:
+class Request:
     """
-    Return a request that follows no redirect and passes no proxy.
+    One request that follows no redirect and passes no proxy.
+
+    ``sent`` tells whether a byte of it may have gone out, ``head_ended`` whether the
+    headers of the answer came whole: libcurl takes an answer that is cut within its
+    headers for a whole one.
 
     :param timeout_s: for the whole exchange; 0 means no limit.
+    :param options: further ones of Tornado's ``HTTPRequest``.
     """
-    all_headers = dict(headers or {})
-    if content_type:
-        all_headers["Content-Type"] = content_type
 
-    def prepare(curl: pycurl.Curl) -> None:
+    def __init__(
+        self,
+        url: str,
+        *,
+        method: str = "GET",
+        body: bytes | None = None,
+        content_type: str = "",
+        headers: dict[str, str] | None = None,
+        reuse: Reuse = Reuse.ALLOWED,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+        **options: Any,
+    ) -> None:
+        all_headers = dict(headers or {})
+        if content_type:
+            all_headers["Content-Type"] = content_type
+        self._reuse = reuse
+        self.sent = False
+        self.head_ended = False
+        self.http = HTTPRequest(
+            url,
+            method=method,
+            body=body,
+            headers=all_headers,
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=timeout_s,
+            follow_redirects=False,
+            decompress_response=False,
+            allow_nonstandard_methods=True,
+            header_callback=self._read_header,
+            prepare_curl_callback=self.prepare,
+            **options,
+        )
+
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Set the options of libcurl that Tornado does not know."""
         curl.setopt(pycurl.NOPROXY, "*")
-        if reuse is Reuse.NEVER:
+        curl.setopt(pycurl.PREREQFUNCTION, self._allow_sending)
+        if self._reuse is Reuse.NEVER:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
             curl.setopt(pycurl.FORBID_REUSE, 1)
 
-    return HTTPRequest(
-        url,
-        method=method,
-        body=body,
-        headers=all_headers,
-        connect_timeout=CONNECT_TIMEOUT_S,
-        request_timeout=timeout_s,
-        follow_redirects=False,
-        decompress_response=False,
-        allow_nonstandard_methods=True,
-        prepare_curl_callback=prepare,
-        **options,
-    )
-
-
-def classify(response: HTTPResponse) -> Loss | None:
-    """Return how a request was lost, or None for a whole answer."""
-    error = response.error
-    if response.code != 599 or error is None:
-        return None
-    if not isinstance(error, CurlError):
-        # The request could not even be set up.
-        return Loss.NOT_SENT
-    if response.time_info.get("pretransfer", 0.0) == 0.0:
-        return Loss.NOT_SENT
-    match error.errno:
-        case pycurl.E_COULDNT_CONNECT:
+    def _read_header(self, line: str) -> None:
+        """Note the end of the headers; each interim answer starts them anew."""
+        if line.startswith("HTTP/"):
+            self.head_ended = False
+        elif line in ("\r\n", "\n"):
+            self.head_ended = True
+
+    def _allow_sending(self, *_addresses: Any) -> int:
+        """Note that the first byte is about to go out on an open connection."""
+        if self.sent and self._reuse is Reuse.NEVER:
+            return pycurl.PREREQFUNC_ABORT
+        self.sent = True
+        return pycurl.PREREQFUNC_OK
+
+
+async def fetch(client: AsyncHTTPClient, request: Request) -> HTTPResponse | Loss:
+    """Make one exchange and return the answer as it came, or how it was lost."""
+    try:
+        return await client.fetch(request.http, raise_error=False)
+    except CurlError as error:
+        if not request.sent:
             return Loss.NOT_SENT
-        case pycurl.E_OPERATION_TIMEDOUT:
-            return Loss.TIMED_OUT
-        case pycurl.E_PARTIAL_FILE:
-            return Loss.TRUNCATED
-    return Loss.LOST
+        return _LOSSES.get(error.errno, Loss.LOST)
 
 
 def is_framed(response: HTTPResponse) -> bool:
@@ -118,17 +141,14 @@
     return length.isdigit() and int(length) == len(response.body)
 
 
-async def exchange(
-    client: AsyncHTTPClient, request: HTTPRequest
-) -> HTTPResponse | Loss:
+async def exchange(client: AsyncHTTPClient, request: Request) -> HTTPResponse | Loss:
     """Make one exchange and return the whole answer, or how it was lost."""
-    response = await client.fetch(request, raise_error=False)
-    loss = classify(response)
-    if loss is not None:
-        return loss
-    if not is_framed(response):
-        return Loss.TRUNCATED
-    return response
+    match await fetch(client, request):
+        case Loss() as loss:
+            return loss
+        case response if request.head_ended and is_framed(response):
+            return response
+    return Loss.TRUNCATED
 
 
 def make_upstream_error(loss: Loss, detail: str) -> FerryError:
--- a/packages/adapters/src/persimmonferry_adapters/plain.py
+++ b/packages/adapters/src/persimmonferry_adapters/plain.py
@@ -9,9 +9,9 @@
 
 from persimmonferry_adapters.exchange import (
     Loss,
+    Request,
     Reuse,
     exchange,
-    make_request,
     raise_upstream_loss,
 )
 from persimmonferry_adapters.forms import NOT_RUN_HEADER, RUN_ID_HEADER
@@ -49,7 +49,7 @@
         :raises NotRun: no byte of the call reached the service, or it refused.
         :raises OutcomeUnknown: bytes went out and no whole answer came back.
         """
-        request = make_request(
+        request = Request(
             self._url + order.path,
             method=order.method,
             body=order.body if order.body or order.method != "GET" else None,
@@ -77,7 +77,7 @@
         :raises NotRun: no connection was made.
         :raises OutcomeUnknown: no whole answer came back.
         """
-        match await exchange(self._client, make_request(f"{self._url}/v1/load")):
+        match await exchange(self._client, Request(f"{self._url}/v1/load")):
             case Loss() as loss:
                 raise_upstream_loss(loss, "plain service")
             case response if response.code == 200:
--- a/packages/adapters/src/persimmonferry_adapters/platform.py
+++ b/packages/adapters/src/persimmonferry_adapters/platform.py
@@ -8,9 +8,9 @@
     SwapConflict,
 )
 from persimmonferry_core.interfaces import Lease, Versioned
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 
-from persimmonferry_adapters.exchange import Loss, Reuse, exchange, make_request
+from persimmonferry_adapters.exchange import Loss, Request, Reuse, exchange
 from persimmonferry_adapters.forms import (
     JSON_TYPE,
     OCTETS_TYPE,
@@ -50,7 +50,7 @@
         :raises PlatformUnavailable: no answer.
         """
         url = self._value_url(key)
-        request = make_request(url, timeout_s=self._call_timeout_s)
+        request = Request(url, timeout_s=self._call_timeout_s)
         response = await self._ask(request)
         return Versioned(key, response.body, _read_revision(response))
 
@@ -62,7 +62,7 @@
         :raises PlatformUnavailable: the write provably took no effect.
         :raises PlatformAnswerLost: the write may have taken effect.
         """
-        request = make_request(
+        request = Request(
             f"{self._value_url(key)}?expected={expected}",
             method="PUT",
             body=value,
@@ -91,7 +91,7 @@
 
         :raises PlatformUnavailable: no answer.
         """
-        request = make_request(
+        request = Request(
             f"{self._value_url(key)}?after={after}&wait_s={wait_s}",
             timeout_s=wait_s + WATCH_MARGIN_S,
         )
@@ -111,7 +111,7 @@
 
         :raises PlatformUnavailable: no answer.
         """
-        request = make_request(
+        request = Request(
             f"{self._url}/v1/leases/{quote_segment(name)}",
             method="POST",
             body=encode_json({"holder": holder, "duration_s": duration_s}),
@@ -131,7 +131,7 @@
         :raises PlatformUnavailable: no answer.
         """
         query = f"holder={quote_segment(lease.holder)}&fencing={lease.fencing}"
-        request = make_request(
+        request = Request(
             f"{self._url}/v1/leases/{quote_segment(lease.name)}?{query}",
             method="DELETE",
             timeout_s=self._call_timeout_s,
@@ -141,7 +141,7 @@
     def _value_url(self, key: str) -> str:
         return f"{self._url}/v1/values/{quote_segment(key)}"
 
-    async def _ask(self, request: HTTPRequest, *expected: int) -> HTTPResponse:
+    async def _ask(self, request: Request, *expected: int) -> HTTPResponse:
         match await exchange(self._client, request):
             case Loss() as loss:
                 raise PlatformUnavailable(loss.value)
--- a/packages/adapters/src/persimmonferry_adapters/store.py
+++ b/packages/adapters/src/persimmonferry_adapters/store.py
@@ -5,9 +5,9 @@
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.exceptions import StoreError
 from persimmonferry_core.interfaces import StoredBlock, StoreUsage
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 
-from persimmonferry_adapters.exchange import Loss, Reuse, exchange, make_request
+from persimmonferry_adapters.exchange import Loss, Request, Reuse, exchange
 from persimmonferry_adapters.forms import (
     BLOCK_NAME_HEADER,
     COMMITTED_HEADER,
@@ -51,7 +51,7 @@
 
         :raises StoreError: full, or not reachable.
         """
-        request = make_request(
+        request = Request(
             self._block_url(name),
             method="PUT",
             body=data,
@@ -68,7 +68,7 @@
 
         :raises StoreError: the generation is gone.
         """
-        request = make_request(
+        request = Request(
             f"{self._block_url(name)}/commit",
             method="POST",
             body=encode_json({"generation": generation}),
@@ -83,9 +83,7 @@
 
         :raises StoreError: no such block, or not reachable.
         """
-        request = make_request(
-            self._block_url(name), timeout_s=self._transfer_timeout_s
-        )
+        request = Request(self._block_url(name), timeout_s=self._transfer_timeout_s)
         response = await self._ask(request)
         headers = response.headers
         try:
@@ -99,13 +97,13 @@
     async def read_generation(self, name: str) -> int:
         """Return the generation that a committed name has now, 0 when it is gone."""
         url = f"{self._block_url(name)}/generation"
-        request = make_request(url, timeout_s=self._call_timeout_s)
+        request = Request(url, timeout_s=self._call_timeout_s)
         response = await self._ask(request)
         return int(json.loads(response.body)["generation"])
 
     async def remove(self, name: str, generation: int) -> None:
         """Free a block if it still has that generation."""
-        request = make_request(
+        request = Request(
             f"{self._block_url(name)}?generation={generation}",
             method="DELETE",
             timeout_s=self._call_timeout_s,
@@ -115,21 +113,21 @@
     async def list_names(self) -> tuple[str, ...]:
         """Return the names of all blocks."""
         url = f"{self._url}/v1/blocks"
-        request = make_request(url, timeout_s=self._call_timeout_s)
+        request = Request(url, timeout_s=self._call_timeout_s)
         response = await self._ask(request)
         return tuple(json.loads(response.body)["names"])
 
     async def read_usage(self) -> StoreUsage:
         """Return how full the store is."""
         url = f"{self._url}/v1/usage"
-        request = make_request(url, timeout_s=self._call_timeout_s)
+        request = Request(url, timeout_s=self._call_timeout_s)
         response = await self._ask(request)
         return StoreUsage(**json.loads(response.body))
 
     def _block_url(self, name: str) -> str:
         return f"{self._url}/v1/blocks/{quote_segment(name)}"
 
-    async def _ask(self, request: HTTPRequest) -> HTTPResponse:
+    async def _ask(self, request: Request) -> HTTPResponse:
         match await exchange(self._client, request):
             case Loss() as loss:
                 raise StoreError(ResultCode.BLOCK_INVALID, f"store VM: {loss.value}")
--- a/packages/adapters/src/persimmonferry_adapters/vms.py
+++ b/packages/adapters/src/persimmonferry_adapters/vms.py
@@ -7,7 +7,7 @@
 from persimmonferry_core.world import VM, Address, FailureDomain, Role, VMState
 from tornado.httpclient import AsyncHTTPClient
 
-from persimmonferry_adapters.exchange import Loss, exchange, make_request
+from persimmonferry_adapters.exchange import Loss, Request, exchange
 
 __all__ = ["HttpVMList"]
 
@@ -31,7 +31,7 @@
 
         :raises PlatformUnavailable: no answer.
         """
-        request = make_request(f"{self._url}/v1/vms", timeout_s=CALL_TIMEOUT_S)
+        request = Request(f"{self._url}/v1/vms", timeout_s=CALL_TIMEOUT_S)
         match await exchange(self._client, request):
             case Loss() as loss:
                 raise PlatformUnavailable(loss.value)
--- a/packages/adapters/tests/test_engine.py
+++ b/packages/adapters/tests/test_engine.py
@@ -1,31 +1,418 @@
 import asyncio
+from dataclasses import replace
 
+import pytest
 from persimmonferry_adapters import HttpEngine
-from persimmonferry_core.runs import RunOrder
-from persimmonferry_standins import EngineStandIn, answer_tokens, open_session
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import NotRun, OutcomeUnknown, StoreError
+from persimmonferry_core.runs import (
+    CacheEventKind,
+    EngineOrder,
+    LoadAdapter,
+    LoadVersion,
+    RunOrder,
+)
+from persimmonferry_standins import (
+    Control,
+    EngineSettings,
+    EngineStandIn,
+    WeightsSettings,
+    WeightsStandIn,
+    answer_tokens,
+    block_bytes,
+    open_session,
+)
+from persimmonferry_standins.faults import (
+    CrossAnswer,
+    CutAnswer,
+    CutStream,
+    DelayAnswer,
+    DropCacheEvents,
+    Hang,
+    LoseAnswer,
+    Refuse,
+    SlowDown,
+)
+from persimmonferry_standins.raw import RawAnswer, RawServer
 
+IDLE_TIMEOUT_S = 0.3
+SETTINGS = EngineSettings(
+    block_tokens=2, decode_tokens_per_s=1000.0, tick_s=0.005, heartbeat_s=0.1
+)
+ORDER = RunOrder(
+    run_id="run",
+    model="model",
+    version="v1",
+    adapter="",
+    prompt="two red roses and one fern",
+    max_tokens=20,
+    priority=0,
+    block_names=("a", "b", "c"),
+    block_tokens=2,
+)
+ANSWER = answer_tokens(ORDER.prompt, "v1", ORDER.max_tokens)
 
-def make_order(run_id="run", **fields):
-    defaults = dict(
-        model="model",
-        version="v1",
-        adapter="",
-        prompt="two red roses",
-        max_tokens=20,
-        priority=0,
-    )
-    return RunOrder(run_id=run_id, **{**defaults, **fields})
 
+def run_scenario(scenario, settings=SETTINGS, **changes):
+    """Run ``scenario(adapter, stand-in, control)`` within a bounded time."""
 
-def test_a_run_delivers_the_right_answer_and_its_end_mark():
-    async def scenario():
-        engine = EngineStandIn()
+    async def body():
+        engine = EngineStandIn(replace(settings, **changes))
         async with open_session(engine) as client:
-            batches = []
-            end = await HttpEngine(client, engine.url).run(make_order(), batches.append)
-            tokens = tuple(token for batch in batches for token in batch.tokens)
-            assert tokens == answer_tokens("two red roses", "v1", 20)
-            assert end.total_tokens == 20
-            assert end.prompt_tokens == 3
-
-    asyncio.run(scenario())
+            adapter = HttpEngine(client, engine.url, IDLE_TIMEOUT_S)
+            await scenario(adapter, engine, Control(client, engine.url))
+
+    asyncio.run(asyncio.wait_for(body(), 20))
+
+
+def join(batches, first=0):
+    """Return all tokens, checked to follow each other."""
+    tokens = []
+    for batch in batches:
+        assert batch.first_index == first + len(tokens)
+        tokens += batch.tokens
+    return tuple(tokens)
+
+
+def test_a_run_delivers_the_right_answer_in_order_with_its_end_mark():
+    async def scenario(adapter, engine, control):
+        batches = []
+        end = await adapter.run(ORDER, batches.append)
+        assert join(batches) == ANSWER
+        assert (end.run_id, end.total_tokens, end.prompt_tokens) == ("run", 20, 6)
+        again = await adapter.run(replace(ORDER, run_id="again"), batches.append)
+        assert (end.cached_tokens, again.cached_tokens) == (0, 6)
+
+    run_scenario(scenario)
+
+
+def test_a_resumed_run_goes_on_behind_the_delivered_tokens():
+    async def scenario(adapter, engine, control):
+        batches = []
+        end = await adapter.run(replace(ORDER, delivered=ANSWER[:7]), batches.append)
+        assert join(batches, first=7) == ANSWER[7:]
+        assert end.total_tokens == 20
+        assert engine.counters["tokens_generated"] == 13
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("fault", "error", "code", "delivered"),
+    [
+        (Refuse(), NotRun, ResultCode.UPSTREAM_REFUSED, 0),
+        (Hang(path="/v1/runs"), OutcomeUnknown, ResultCode.UPSTREAM_TIMEOUT, 0),
+        (CutStream(after_tokens=5), OutcomeUnknown, ResultCode.ANSWER_TRUNCATED, 5),
+        (LoseAnswer(), OutcomeUnknown, ResultCode.UPSTREAM_LOST, 0),
+        (CrossAnswer(), OutcomeUnknown, ResultCode.ANSWER_MISMATCHED, 0),
+        (DelayAnswer(delay_s=2.0), OutcomeUnknown, ResultCode.UPSTREAM_TIMEOUT, 0),
+    ],
+)
+def test_each_fault_of_a_run_has_its_own_ending(fault, error, code, delivered):
+    async def scenario(adapter, engine, control):
+        await control.set_fault(fault)
+        batches = []
+        with pytest.raises(error) as caught:
+            await adapter.run(ORDER, batches.append)
+        assert caught.value.code is code
+        assert join(batches) == ANSWER[:delivered]
+        await control.clear_faults()
+        end = await adapter.run(replace(ORDER, run_id="next"), batches.append)
+        assert end.total_tokens == 20
+
+    run_scenario(scenario)
+
+
+def test_an_engine_that_hangs_in_mid_answer_is_given_up_after_the_idle_timeout():
+    async def scenario(adapter, engine, control):
+        batches = []
+
+        def deliver(batch):
+            batches.append(batch)
+            engine.set_fault(Hang(path="/v1/runs"))
+
+        with pytest.raises(OutcomeUnknown) as caught:
+            await adapter.run(replace(ORDER, max_tokens=2000), deliver)
+        assert caught.value.code is ResultCode.UPSTREAM_TIMEOUT
+        given_up = len(batches)
+        engine.clear_faults()
+        await asyncio.sleep(0.1)
+        assert len(batches) == given_up
+
+    run_scenario(scenario)
+
+
+def test_a_stopped_engine_is_not_run_and_one_that_stops_in_mid_answer_unknown():
+    async def scenario(adapter, engine, control):
+        stopping = []
+
+        def deliver(batch):
+            if not stopping:
+                stopping.append(asyncio.ensure_future(engine.stop()))
+
+        with pytest.raises(OutcomeUnknown) as caught:
+            await adapter.run(replace(ORDER, max_tokens=2000), deliver)
+        assert caught.value.code is ResultCode.ANSWER_TRUNCATED
+        await stopping[0]
+        with pytest.raises(NotRun):
+            await adapter.run(ORDER, deliver)
+
+    run_scenario(scenario)
+
+
+def test_an_engine_refuses_another_version_model_and_a_run_id_it_knows():
+    async def scenario(adapter, engine, control):
+        await adapter.run(ORDER, lambda batch: None)
+        for order, code in (
+            (replace(ORDER, run_id="2", version="v2"), ResultCode.WRONG_VERSION),
+            (replace(ORDER, run_id="3", model="x"), ResultCode.UPSTREAM_REFUSED),
+            (replace(ORDER, run_id="4", adapter="x"), ResultCode.UPSTREAM_REFUSED),
+            (ORDER, ResultCode.DUPLICATE_RUN),
+        ):
+            with pytest.raises(NotRun) as caught:
+                await adapter.run(order, lambda batch: None)
+            assert caught.value.code is code
+        assert engine.counters["runs_started"] == 1
+
+    run_scenario(scenario)
+
+
+def test_a_run_that_waits_longer_than_the_idle_timeout_is_kept_by_heartbeats():
+    async def scenario(adapter, engine, control):
+        long = replace(ORDER, run_id="long", max_tokens=800)
+        first = asyncio.ensure_future(adapter.run(long, lambda batch: None))
+        await asyncio.sleep(0.05)
+        batches = []
+        await adapter.run(ORDER, batches.append)
+        assert first.done()
+        assert join(batches) == ANSWER
+
+    run_scenario(scenario, slots=1)
+
+
+def test_cancelling_frees_the_slot_and_only_a_waiting_run_counts_as_not_run():
+    async def scenario(adapter, engine, control):
+        started = asyncio.Event()
+        long = replace(ORDER, run_id="long", max_tokens=100_000)
+        running = asyncio.ensure_future(adapter.run(long, lambda _: started.set()))
+        await started.wait()
+        waiting = asyncio.ensure_future(adapter.run(ORDER, lambda batch: None))
+        while not engine.batch.waiting:
+            await asyncio.sleep(0.01)
+        for run_id in ("run", "long", "unknown"):
+            await adapter.cancel(run_id)
+        with pytest.raises(NotRun):
+            await waiting
+        with pytest.raises(OutcomeUnknown):
+            await running
+        assert engine.batch.runs == ()
+
+    run_scenario(scenario, slots=1)
+
+
+def test_a_coroutine_that_is_cancelled_stops_the_run_at_the_engine():
+    async def scenario(adapter, engine, control):
+        started = asyncio.Event()
+        long = replace(ORDER, max_tokens=100_000)
+        running = asyncio.ensure_future(adapter.run(long, lambda _: started.set()))
+        await started.wait()
+        running.cancel()
+        while engine.batch.runs:
+            await asyncio.sleep(0.01)
+
+    run_scenario(scenario)
+
+
+def test_orders_are_fenced_only_by_engines_that_refuse_old_numbers():
+    async def scenario(adapter, engine, control):
+        await adapter.give_order(EngineOrder(5, LoadVersion("model", "v2")))
+        old = EngineOrder(4, LoadVersion("model", "v1"))
+        if engine.settings.fenced:
+            with pytest.raises(NotRun) as caught:
+                await adapter.give_order(old)
+            assert caught.value.code is ResultCode.FENCING_REFUSED
+            assert (await adapter.read_load()).version == "v2"
+        else:
+            await adapter.give_order(old)
+            assert (await adapter.read_load()).version == "v1"
+        await adapter.give_order(EngineOrder(5, LoadAdapter("model", "notes")))
+        assert engine.adapters == {"notes"}
+
+    run_scenario(scenario, fenced=True)
+    run_scenario(scenario, fenced=False)
+
+
+@pytest.mark.parametrize(
+    ("fault", "error", "code"),
+    [
+        (Refuse(), NotRun, ResultCode.UPSTREAM_REFUSED),
+        (LoseAnswer(), OutcomeUnknown, ResultCode.UPSTREAM_LOST),
+        (CutAnswer(after_bytes=1), OutcomeUnknown, ResultCode.ANSWER_TRUNCATED),
+    ],
+)
+def test_each_fault_of_an_order_and_of_a_block_has_its_own_ending(fault, error, code):
+    async def scenario(adapter, engine, control):
+        await adapter.import_block("a", block_bytes("a", 128))
+        await control.set_fault(fault)
+        with pytest.raises(error) as caught:
+            await adapter.give_order(EngineOrder(1, LoadVersion("model", "v2")))
+        assert caught.value.code is code
+        assert (engine.version == "v2") is (error is OutcomeUnknown)
+        with pytest.raises((error, StoreError)):
+            await adapter.export_block("a")
+
+    run_scenario(scenario)
+
+
+def test_runs_that_wait_while_weights_are_loaded_are_not_run():
+    async def scenario(adapter, engine, control):
+        started = asyncio.Event()
+        long = replace(ORDER, run_id="long", max_tokens=100)
+        running = asyncio.ensure_future(adapter.run(long, lambda _: started.set()))
+        await started.wait()
+        waiting = asyncio.ensure_future(adapter.run(ORDER, lambda batch: None))
+        while not engine.batch.waiting:
+            await asyncio.sleep(0.01)
+        order = EngineOrder(1, LoadVersion("model", "v2"))
+        loading = asyncio.ensure_future(adapter.give_order(order))
+        with pytest.raises(NotRun) as caught:
+            await waiting
+        assert caught.value.code is ResultCode.WRONG_VERSION
+        load = await adapter.read_load()
+        assert (load.loading, load.version) == (True, "")
+        assert (await running).version == "v1"
+        await loading
+        assert (await adapter.read_load()).version == "v2"
+
+    run_scenario(scenario, slots=1, weights_s=0.3)
+
+
+def test_weights_take_longer_when_more_loads_go_on_than_the_store_carries():
+    async def scenario():
+        weights = WeightsStandIn(WeightsSettings(load_s=0.2, parallel=2))
+        settings = replace(SETTINGS, weights_url="")
+        async with open_session(weights) as client:
+            settings = replace(settings, weights_url=weights.url)
+            engines = [EngineStandIn(settings) for _ in range(6)]
+            for engine in engines:
+                await engine.start()
+            adapters = [HttpEngine(client, engine.url) for engine in engines]
+            order = EngineOrder(1, LoadVersion("model", "v2"))
+            before = asyncio.get_running_loop().time()
+            await asyncio.gather(*(item.give_order(order) for item in adapters))
+            elapsed_s = asyncio.get_running_loop().time() - before
+            for engine in engines:
+                await engine.stop()
+        assert elapsed_s >= 0.2 * 6 / 2 * 0.9
+        assert weights.counters["loads"] == 6
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_blocks_are_exported_and_imported_with_their_bytes():
+    async def scenario(adapter, engine, control):
+        await adapter.run(ORDER, lambda batch: None)
+        data = await adapter.export_block("a")
+        assert data == block_bytes("a", 2 * 64)
+        await control.evict_blocks()
+        with pytest.raises(StoreError):
+            await adapter.export_block("a")
+        await adapter.import_block("a", data)
+        assert "a" in engine.cache
+        await adapter.import_block("b", data)
+        assert (await control.read_report()).counters["corrupt_imports"] == 1
+
+    run_scenario(scenario)
+
+
+def test_cache_events_come_late_and_with_gaps():
+    async def scenario(adapter, engine, control):
+        await adapter.import_block("a", b"")
+        await control.set_fault(DropCacheEvents())
+        await adapter.import_block("b", b"")
+        await control.clear_faults()
+        await adapter.import_block("c", b"")
+        assert await adapter.read_cache_events(0) == ()
+        events = ()
+        while len(events) < 3:
+            await asyncio.sleep(0.02)
+            events = await adapter.read_cache_events(0)
+        seen = [(event.sequence, event.kind, event.block_name) for event in events]
+        assert seen == [
+            (1, CacheEventKind.STORED, "a"),
+            (3, CacheEventKind.STORED, "c"),
+            (4, CacheEventKind.REMOVED, "a"),
+        ]
+        assert await adapter.read_cache_events(3) == events[2:]
+
+    run_scenario(scenario, event_lag_s=0.2, cache_blocks=2)
+
+
+def test_the_load_is_reported_late():
+    async def scenario(adapter, engine, control):
+        long = replace(ORDER, max_tokens=100_000)
+        running = asyncio.ensure_future(adapter.run(long, lambda batch: None))
+        while not engine.batch.running:
+            await asyncio.sleep(0.01)
+        assert (await adapter.read_load()).running == 0
+        while (await adapter.read_load()).running == 0:
+            await asyncio.sleep(0.02)
+        running.cancel()
+
+    run_scenario(scenario, load_lag_s=0.3)
+
+
+def test_a_slow_engine_takes_longer_and_reports_its_pace():
+    async def scenario(adapter, engine, control):
+        await control.set_fault(SlowDown(factor=10.0))
+        assert (await adapter.read_load()).decode_tokens_per_s == 100.0
+        before = asyncio.get_running_loop().time()
+        await adapter.run(ORDER, lambda batch: None)
+        assert asyncio.get_running_loop().time() - before >= 0.15
+
+    run_scenario(scenario)
+
+
+def make_answer(chunked):
+    """Return the bytes of a whole answer of an engine."""
+    lines = [
+        b'{"run_id":"run","heartbeat":true}\n',
+        b'{"run_id":"run","first":0,"tokens":["a"]}\n',
+        b'{"run_id":"run","first":1,"tokens":["b","c"]}\n',
+        b'{"run_id":"run","end":{"version":"v1","total_tokens":3,"prompt_tokens":6,'
+        b'"cached_tokens":0,"finish_reason":"length"}}\n',
+    ]
+    if not chunked:
+        body = b"".join(lines)
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(line), line) for line in lines)
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head + chunks + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize("chunked", [True, False])
+@pytest.mark.parametrize("reset", [True, False])
+def test_no_cut_of_an_answer_is_passed_off_as_whole_or_as_not_run(chunked, reset):
+    whole = make_answer(chunked)
+    order = replace(ORDER, max_tokens=3)
+    cut = 0
+
+    async def scenario():
+        nonlocal cut
+        server = RawServer(lambda _: RawAnswer(whole[:cut], reset=reset))
+        await server.start()
+        async with open_session() as client:
+            adapter = HttpEngine(client, server.url)
+            for cut in range(len(whole)):
+                batches = []
+                with pytest.raises(OutcomeUnknown):
+                    await adapter.run(order, batches.append)
+                tokens = join(batches)
+                assert tokens == ("a", "b", "c")[: len(tokens)]
+                assert len(server.requests) == cut + 1
+            cut = len(whole)
+            if not reset:
+                assert (await adapter.run(order, batches.append)).total_tokens == 3
+        await server.stop()
+
+    asyncio.run(asyncio.wait_for(scenario(), 60))
--- a/packages/standins/src/persimmonferry_standins/engine.py
+++ b/packages/standins/src/persimmonferry_standins/engine.py
@@ -324,11 +324,11 @@
         late = self._take(DelayAnswer)
         self._silent_until_s = self.standin.now() + (late.delay_s if late else 0.0)
         self._last_line_s = self.standin.now()
-        self._held: list[bytes] = []
         self._sent_tokens = 0
         self.set_header("Content-Type", STREAM_TYPE)
         self._run = self.standin.submit(order, self)
         await self._ended.wait()
+        await asyncio.sleep(self._silent_until_s - self.standin.now())
 
     def emit(self, run: Run, tokens: tuple[str, ...], done: bool) -> None:
         """Send a group of tokens and, at the end, the end mark."""
@@ -351,9 +351,10 @@
             self._send({"heartbeat": True})
 
     def end_early(self, code: ResultCode, reason: str) -> None:
-        """End the run without an end mark."""
+        """End the run without an end mark; only a run that waits was not run."""
         if not self._ended.is_set():
-            self._write(_make_refusal(self._shown_run_id, code, reason))
+            if self._run in self.standin.batch.waiting:
+                self._write(_make_refusal(self._shown_run_id, code, reason))
             self._leave_batch()
 
     def on_connection_close(self) -> None:
@@ -385,8 +386,8 @@
         self._leave_batch()
 
     def _cut(self) -> None:
-        self.standin.forget(self._run)
-        self._ended.set()
+        self._auto_finish = False
+        self._leave_batch()
         # The loop first writes out what was sent before.
         asyncio.get_running_loop().call_soon(self.close_connection)
 
