Prove imports, exports and eviction in virtual time

The state machine frees, tears, fills and kills stores and swaps engines at any moment of a transfer; its oracle compares what is imported with what was computed under that name for that account and version.

--- a/packages/core/src/persimmonferry_core/eviction.py
+++ b/packages/core/src/persimmonferry_core/eviction.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "ChainUse",
+    "EvictionPlan",
     "UseHistory",
     "estimate_wait",
     "is_eviction_due",
@@ -127,6 +128,20 @@
         return use.last_used_s > known.last_used_s
 
 
+@dataclass(frozen=True)
+class EvictionPlan:
+    """
+    What to remove from a store.
+
+    :param candidates: blocks, first to go first; more than have to go, because some
+        can turn out to be gone or not yet committed.
+    :param count: how many have to go.
+    """
+
+    candidates: tuple[str, ...] = ()
+    count: int = 0
+
+
 def is_eviction_due(usage: StoreUsage) -> bool:
     """Whether a store is so full that blocks have to go."""
     return usage.used_bytes > START_SHARE * usage.capacity_bytes
@@ -134,9 +149,9 @@
 
 def plan_eviction(
     names: Iterable[str], usage: StoreUsage, history: UseHistory, now: float
-) -> tuple[str, ...]:
+) -> EvictionPlan:
     """
-    Return the blocks to remove, first to go first.
+    Choose the blocks to remove.
 
     Blocks of the chain that is expected back last go first, and of one chain the later
     blocks, since an earlier one is worth keeping without them. Names that are not the
@@ -145,10 +160,10 @@
     :param names: of all blocks of the store.
     """
     if not is_eviction_due(usage):
-        return ()
+        return EvictionPlan()
     positions = {name: read_position(name) for name in names}
     if not positions:
-        return ()
+        return EvictionPlan()
     block_bytes = usage.used_bytes / len(positions)
     excess_bytes = usage.used_bytes - TARGET_SHARE * usage.capacity_bytes
     count = max(1, round(excess_bytes / block_bytes))
@@ -161,4 +176,4 @@
             -item[1].index,
         ),
     )
-    return tuple(name for name, _ in ranked[:count])
+    return EvictionPlan(tuple(name for name, _ in ranked), count)
--- a/packages/core/tests/test_eviction.py
+++ b/packages/core/tests/test_eviction.py
@@ -21,14 +21,15 @@
     foreign = tuple(f"foreign{index}" for index in range(10))
     usage = StoreUsage(100, 100)
     names = soon + foreign + late
-    planned = plan_eviction(names, usage, history, now=25 * MINUTE_S)
-    assert planned == (late[4], late[3], late[2], late[1])
+    plan = plan_eviction(names, usage, history, now=25 * MINUTE_S)
+    assert plan.count == 4
+    assert plan.candidates == late[::-1] + soon[::-1]
 
 
 def test_nothing_goes_before_the_store_is_nearly_full():
     names = name_prompt("a")
-    assert plan_eviction(names, StoreUsage(90, 100), UseHistory(), 0.0) == ()
-    assert plan_eviction((), StoreUsage(100, 100), UseHistory(), 0.0) == ()
+    assert plan_eviction(names, StoreUsage(90, 100), UseHistory(), 0.0).count == 0
+    assert plan_eviction((), StoreUsage(100, 100), UseHistory(), 0.0).count == 0
 
 
 def test_a_chain_long_overdue_is_expected_later_than_one_about_to_return():
--- a/packages/daemon/src/persimmonferry_daemon/blocks.py
+++ b/packages/daemon/src/persimmonferry_daemon/blocks.py
@@ -350,10 +350,17 @@
 
     async def _may_export(self, export: _Export) -> bool:
         """Return False when the block may be another version's, or of no more use."""
-        if export.version in self._tainted_versions:
-            return False
         load = await self._read_load()
-        return load.version == export.version and not load.loading
+        if load.loading or load.version != export.version:
+            return False
+        return not self._is_suspect(export.version)
+
+    def _is_suspect(self, version: str) -> bool:
+        """Whether another version may have computed blocks under this one's names."""
+        return version in self._tainted_versions or any(
+            prompt.crossed_swap and prompt.version == version
+            for prompt in self._prompts.values()
+        )
 
     async def read_events(self) -> None:
         """Take in the engine's version and its cache events published so far."""
--- a/packages/daemon/src/persimmonferry_daemon/eviction.py
+++ b/packages/daemon/src/persimmonferry_daemon/eviction.py
@@ -89,10 +89,11 @@
         if lease is None:
             return 0
         names = await store.list_names()
-        planned = plan_eviction(names, usage, self._history, self._clock())
+        plan = plan_eviction(names, usage, self._history, self._clock())
         removed = 0
-        for name in planned:
-            if self._clock() > lease.expires_s - LEASE_MARGIN_S:
+        for name in plan.candidates:
+            lapsing = self._clock() > lease.expires_s - LEASE_MARGIN_S
+            if lapsing or removed == plan.count:
                 break
             removed += await self._remove(store_name, store, name)
         await self._release(lease)
--- /dev/null
+++ b/packages/daemon/tests/test_blocks.py
@@ -0,0 +1,441 @@
+import asyncio
+from dataclasses import dataclass
+
+import pytest
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+from persimmonferry_core.blocks import name_blocks
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.contracts import RoutingWeights
+from persimmonferry_core.exceptions import OutcomeUnknown, StoreError
+from persimmonferry_core.interfaces import Lease, StoredBlock, StoreUsage
+from persimmonferry_core.runs import EngineLoad, RunEnd, RunOrder
+from persimmonferry_daemon.blocks import BlockKeeper, BlockSettings
+from persimmonferry_standins.virtualtime import VirtualLoop
+
+BLOCK_S = 0.2
+SWAP_S = 2.0
+VERSIONS = ["v1", "v2"]
+
+
+@dataclass
+class Cell:
+    generation: int
+    data: bytes
+    committed: bool = False
+
+
+class FakeStore:
+    """Space that can be freed and written anew while it is read or written."""
+
+    def __init__(self, loop, delay_s=0.01, capacity=10**6):
+        self.loop = loop
+        self.delay_s = delay_s
+        self.capacity = capacity
+        self.alive = True
+        self.cells = {}
+        self.generations = 0
+        self.freed_s = {}
+        self.reads = {}
+
+    def check(self):
+        if not self.alive:
+            raise StoreError(ResultCode.STORE_UNAVAILABLE)
+
+    def free(self, name):
+        cell = self.cells.pop(name, None)
+        if cell:
+            self.freed_s[cell.generation] = self.loop.time()
+
+    def die(self):
+        self.alive = False
+        for name in list(self.cells):
+            self.free(name)
+
+    def open_cell(self, name, data):
+        self.free(name)
+        self.generations += 1
+        self.cells[name] = Cell(self.generations, data)
+        return self.cells[name]
+
+    async def write(self, name, data):
+        self.check()
+        used = sum(len(cell.data) for cell in self.cells.values())
+        if used + len(data) > self.capacity:
+            raise StoreError(ResultCode.STORE_FULL)
+        cell = self.open_cell(name, data[: len(data) // 2])
+        await asyncio.sleep(self.delay_s)
+        self.check()
+        cell.data = data
+        return cell.generation
+
+    async def commit(self, name, generation):
+        self.check()
+        if await self.read_any_generation(name) != generation:
+            raise StoreError(ResultCode.BLOCK_INVALID)
+        self.cells[name].committed = True
+
+    async def read(self, name):
+        self.check()
+        cell = self.cells.get(name)
+        if cell is None:
+            raise StoreError(ResultCode.BLOCK_INVALID)
+        head, committed = cell.data[:40], cell.committed
+        await asyncio.sleep(self.delay_s)
+        self.check()
+        tail = self.cells.get(name, cell).data[40:]
+        ended_s = self.loop.time()
+        freed_s = self.freed_s.get(cell.generation, ended_s + 1)
+        self.reads[name] = committed and freed_s > ended_s
+        return StoredBlock(name, cell.generation, committed, head + tail)
+
+    async def read_any_generation(self, name):
+        return self.cells[name].generation if name in self.cells else 0
+
+    async def read_generation(self, name):
+        self.check()
+        cell = self.cells.get(name)
+        return cell.generation if cell and cell.committed else 0
+
+    async def remove(self, name, generation):
+        self.check()
+        if await self.read_any_generation(name) == generation:
+            self.free(name)
+
+    async def list_names(self):
+        self.check()
+        return tuple(self.cells)
+
+    async def read_usage(self):
+        self.check()
+        used = sum(len(cell.data) for cell in self.cells.values())
+        return StoreUsage(used, self.capacity)
+
+
+class FakeEngine:
+    """Computes blocks with the version it has, whatever version the names are of."""
+
+    def __init__(self, world):
+        self.world = world
+        self.version = "v1"
+        self.cache = {}
+        self.imported = []
+        self.ends = True
+
+    async def read_load(self):
+        return EngineLoad("m", self.version, 0, 0, 0, 8, 1000 / BLOCK_S, 50.0)
+
+    async def read_cache_events(self, after):
+        return ()
+
+    async def export_block(self, name):
+        if name not in self.cache:
+            raise StoreError(ResultCode.BLOCK_INVALID)
+        return self.cache[name]
+
+    async def import_block(self, name, data):
+        self.world.check_import(name, data, self)
+        self.imported.append(name)
+        self.cache[name] = data
+
+    async def run(self, order):
+        version = self.version
+        cached = 0
+        for name in order.block_names:
+            if name in self.cache:
+                cached += 1
+                continue
+            await asyncio.sleep(BLOCK_S)
+            self.world.computed += 1
+            data = f"{self.world.owners[name]} {version} {self.world.computed}"
+            self.cache[name] = data.encode()
+        if not self.ends:
+            raise OutcomeUnknown(ResultCode.UPSTREAM_LOST)
+        total = len(order.block_names) * order.block_tokens
+        return RunEnd(order.run_id, version, 1, total, cached * 1000, "stop")
+
+    async def swap(self, version):
+        self.version = ""
+        await asyncio.sleep(SWAP_S)
+        self.version = version
+
+
+class FakePlatform:
+    async def acquire_lease(self, name, holder, duration_s, now):
+        return Lease(name, holder, 1, now + duration_s)
+
+    async def release_lease(self, lease):
+        pass
+
+
+class World:
+    """Two engines with their keepers, and two stores; the oracle of imports."""
+
+    def __init__(self):
+        self.loop = VirtualLoop()
+        self.stores = {name: FakeStore(self.loop) for name in ("s1", "s2")}
+        self.owners = {}
+        self.computed = 0
+        self.runs = 0
+        self.engines = [FakeEngine(self) for _ in range(2)]
+        self.keepers = [self.make_keeper(engine) for engine in self.engines]
+
+    def make_keeper(self, engine):
+        return BlockKeeper(
+            engine,
+            lambda: self.stores,
+            FakePlatform(),
+            "holder",
+            "team/domain",
+            RoutingWeights,
+            self.loop.time,
+            BlockSettings(block_bytes=100.0, link_bytes_per_s=1e4),
+        )
+
+    def check_import(self, name, data, engine):
+        account, version, index = self.owners[name]
+        assert data.decode().startswith(f"{(account, version, index)} {version} ")
+        assert engine.version == version
+        reads = [store.reads.pop(name, False) for store in self.stores.values()]
+        assert any(reads), "uncommitted or freed"
+
+    def make_order(self, account="a", word="rose", blocks=4, version="v1"):
+        tokens = [word] * blocks * 1000
+        names = name_blocks(account, "m", version, "", tokens)
+        for index, name in enumerate(names):
+            self.owners[name] = (account, version, (word, index))
+        self.runs += 1
+        run_id = f"run{self.runs}"
+        return RunOrder(run_id, "m", version, "", "", 9, 0, (), names)
+
+    async def serve(self, index, order):
+        keeper, engine = self.keepers[index], self.engines[index]
+        await keeper.prepare(order, self.loop.time())
+        try:
+            end = await engine.run(order)
+        except OutcomeUnknown:
+            keeper.abandon(order.run_id)
+            return None
+        await keeper.retain(order, end)
+        return end
+
+    def start(self):
+        self.loop.run(self._start())
+
+    async def _start(self):
+        for keeper in self.keepers:
+            keeper.start()
+
+    def close(self):
+        self.loop.run(asyncio.wait_for(self.keepers[0].close(60.0), 61.0))
+        self.loop.run(asyncio.wait_for(self.keepers[1].close(60.0), 61.0))
+        self.loop.stop_all()
+
+
+class Blocks(RuleBasedStateMachine):
+    """Stores and engines fail, free, tear and swap at any moment of a transfer."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+        self.world.start()
+        self.tasks = []
+
+    stores = st.sampled_from(["s1", "s2"])
+    engines = st.integers(0, 1)
+
+    def spawn(self, work):
+        self.tasks.append(self.world.loop.create_task(work))
+        self.world.loop.run_for(0.0)
+
+    @rule(
+        index=engines,
+        account=st.sampled_from("ab"),
+        word=st.sampled_from(["rose", "vise"]),
+        blocks=st.integers(0, 6),
+        version=st.sampled_from(VERSIONS),
+    )
+    def run(self, index, account, word, blocks, version):
+        order = self.world.make_order(account, word, blocks, version)
+        self.spawn(self.world.serve(index, order))
+
+    @rule(index=engines, version=st.sampled_from(VERSIONS))
+    def swap(self, index, version):
+        if self.world.engines[index].version:
+            self.spawn(self.world.engines[index].swap(version))
+
+    @rule(index=engines)
+    def lose_or_mend_ends(self, index):
+        self.world.engines[index].ends ^= True
+
+    @rule(index=engines)
+    def clear_engine(self, index):
+        self.world.engines[index].cache.clear()
+
+    @rule(duration_s=st.sampled_from([0.005, 0.05, 0.5, 5.0, 70.0]))
+    def wait(self, duration_s):
+        self.world.loop.run_for(duration_s)
+
+    @rule(name=stores)
+    def kill_or_start_store(self, name):
+        store = self.world.stores[name]
+        store.die() if store.alive else setattr(store, "alive", True)
+
+    @rule(name=stores, capacity=st.sampled_from([100, 700, 10**6]))
+    def fill_store(self, name, capacity):
+        self.world.stores[name].capacity = capacity
+
+    @rule(name=stores, delay_s=st.sampled_from([0.01, 0.1, 20.0]))
+    def change_link(self, name, delay_s):
+        self.world.stores[name].delay_s = delay_s
+
+    @rule(name=stores, pick=st.integers(0, 99), reuse=st.booleans())
+    def free(self, name, pick, reuse):
+        cells = self.world.stores[name].cells
+        if not cells:
+            return
+        block = sorted(cells)[pick % len(cells)]
+        data = cells[block].data
+        self.world.stores[name].free(block)
+        if reuse:
+            self.world.stores[name].open_cell(block, data[::-1])
+
+    @rule(name=stores, pick=st.integers(0, 99))
+    def tear(self, name, pick):
+        cells = self.world.stores[name].cells
+        if cells:
+            cell = cells[sorted(cells)[pick % len(cells)]]
+            cell.data = cell.data[:-1] + b"?"
+
+    def teardown(self):
+        for store in self.world.stores.values():
+            store.alive, store.delay_s = True, 0.01
+        self.world.loop.run_for(120.0)
+        for task in self.tasks:
+            task.result()
+        self.world.close()
+
+
+Blocks.TestCase.settings = settings(
+    derandomize=True, max_examples=120, stateful_step_count=30, deadline=None
+)
+TestBlocks = Blocks.TestCase
+
+
+@pytest.fixture
+def world():
+    world = World()
+    world.start()
+    yield world
+    world.close()
+
+
+def serve_first(world, **order):
+    """Run a prompt at the first engine and let its blocks reach the stores."""
+    world.loop.run(world.serve(0, world.make_order(**order)))
+    world.loop.run_for(5.0)
+    assert sum(len(store.cells) for store in world.stores.values()) == 4
+
+
+def test_a_prompt_that_returns_elsewhere_is_imported_and_not_computed(world):
+    serve_first(world)
+    end = world.loop.run(world.serve(1, world.make_order()))
+    assert (end.cached_tokens, world.computed) == (4000, 4)
+
+
+def test_two_quick_returns_of_one_prompt_pay_for_one_prefill(world):
+    orders = [world.make_order() for _ in range(2)]
+
+    async def serve_both():
+        return await asyncio.gather(*(world.serve(0, order) for order in orders))
+
+    ends = world.loop.run(serve_both())
+    assert [end.cached_tokens for end in ends] == [0, 4000]
+    assert world.computed == 4
+
+
+def test_no_block_is_imported_once_the_engine_swaps_during_the_import(world):
+    serve_first(world, blocks=4)
+    for store in world.stores.values():
+        store.delay_s = 0.1
+    order = world.make_order()
+    world.loop.run(start_both(world, order))
+    assert world.engines[1].imported == []
+
+
+async def start_both(world, order):
+    preparing = asyncio.create_task(world.keepers[1].prepare(order, world.loop.time()))
+    await asyncio.sleep(0.05)
+    swapping = asyncio.create_task(world.engines[1].swap("v2"))
+    assert await preparing == 0
+    await swapping
+    assert await world.keepers[1].prepare(order, world.loop.time()) == 0
+
+
+def test_a_resumed_run_that_crosses_a_swap_exports_nothing(world):
+    order = world.make_order()
+
+    async def resume():
+        serving = asyncio.create_task(world.serve(0, order))
+        await asyncio.sleep(BLOCK_S)
+        await world.engines[0].swap("v2")
+        return await serving
+
+    assert world.loop.run(resume()).version == "v1"
+    world.loop.run_for(5.0)
+    assert not any(store.cells for store in world.stores.values())
+
+
+def test_blocks_of_a_run_that_another_version_answered_never_reach_a_store(world):
+    world.engines[0].version = "v2"
+    order = world.make_order(version="v1")
+    assert world.loop.run(world.serve(0, order)).version == "v2"
+    world.engines[0].version = "v1"
+    assert world.loop.run(world.serve(0, world.make_order())).version == "v1"
+    world.loop.run_for(5.0)
+    assert not any(store.cells for store in world.stores.values())
+
+
+def test_a_full_store_leaves_its_blocks_to_the_second_choice(world):
+    world.stores["s1"].capacity = 10
+    serve_first(world)
+    assert len(world.stores["s2"].cells) == 4
+    world.loop.run(world.serve(1, world.make_order()))
+    assert world.computed == 4
+
+
+def test_dead_stores_cost_a_run_nothing_but_the_prefill(world):
+    serve_first(world)
+    for store in world.stores.values():
+        store.die()
+    start_s = world.loop.time()
+    world.loop.run(world.serve(1, world.make_order()))
+    assert world.loop.time() - start_s == pytest.approx(4 * BLOCK_S)
+
+
+def test_an_import_over_a_slow_link_ends_when_computing_would_have(world):
+    serve_first(world)
+    for store in world.stores.values():
+        store.delay_s = 3600.0
+    start_s = world.loop.time()
+    world.loop.run(world.serve(1, world.make_order()))
+    assert world.loop.time() - start_s == pytest.approx(2 * 4 * BLOCK_S)
+    again_s = world.loop.time()
+    world.engines[1].cache.clear()
+    world.loop.run(world.serve(1, world.make_order(account="b")))
+    assert world.loop.time() - again_s < 1.5 * 4 * BLOCK_S
+
+
+def test_two_evictors_free_a_full_store_and_spare_a_write_under_way(world):
+    serve_first(world)
+    store = max(world.stores.values(), key=lambda store: len(store.cells))
+    last = sorted(store.cells)[-1]
+    count = len(store.cells)
+    written = store.open_cell(last, store.cells[last].data)
+    store.capacity = world.loop.run(store.read_usage()).used_bytes
+    world.loop.run_for(100.0)
+    assert 0 < len(store.cells) < count
+    assert store.cells[last] is written
+    store.capacity = len(written.data)
+    world.loop.run_for(400.0)
+    assert last not in store.cells
