--- /dev/null
+++ b/packages/adapters/tests/test_store.py
@@ -0,0 +1,136 @@
+import asyncio
+
+import pytest
+from persimmonferry_adapters import HttpStore
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import StoreError
+from persimmonferry_core.interfaces import StoredBlock, StoreUsage
+from persimmonferry_standins import (
+    Control,
+    StoreSettings,
+    StoreStandIn,
+    open_session,
+)
+from persimmonferry_standins.faults import (
+    CutAnswer,
+    Hang,
+    LoseAnswer,
+    Refuse,
+    TearWrite,
+)
+
+TIMEOUT_S = 0.5
+SLOW_LINK = StoreSettings(bytes_per_s=1000.0, latency_s=0.01)
+
+
+def run_scenario(scenario, settings=None):
+    """Run ``scenario(adapter, stand-in, control)`` within a bounded time."""
+
+    async def body():
+        store = StoreStandIn(settings)
+        async with open_session(store) as client:
+            adapter = HttpStore(client, store.url, TIMEOUT_S, TIMEOUT_S)
+            await scenario(adapter, store, Control(client, store.url))
+
+    asyncio.run(asyncio.wait_for(body(), 20))
+
+
+def test_a_block_is_written_committed_read_and_removed():
+    async def scenario(adapter, store, control):
+        generation = await adapter.write("a/1", b"data")
+        assert await adapter.read("a/1") == StoredBlock("a/1", 1, False, b"data")
+        assert await adapter.read_generation("a/1") == 0
+        await adapter.commit("a/1", generation)
+        assert await adapter.read("a/1") == StoredBlock("a/1", 1, True, b"data")
+        assert await adapter.read_generation("a/1") == generation
+        assert await adapter.list_names() == ("a/1",)
+        await adapter.remove("a/1", generation + 1)
+        assert await adapter.read_usage() == StoreUsage(4, 64 * 1024 * 1024)
+        await adapter.remove("a/1", generation)
+        assert await adapter.read_generation("a/1") == 0
+        with pytest.raises(StoreError):
+            await adapter.read("a/1")
+
+    run_scenario(scenario)
+
+
+def test_a_full_store_says_so_and_takes_blocks_again_once_space_is_free():
+    async def scenario(adapter, store, control):
+        first = await adapter.write("a", bytes(6))
+        with pytest.raises(StoreError) as caught:
+            await adapter.write("b", bytes(6))
+        assert caught.value.code is ResultCode.STORE_FULL
+        await adapter.remove("a", first)
+        await adapter.write("b", bytes(6))
+
+    run_scenario(scenario, StoreSettings(capacity_bytes=10))
+
+
+def test_a_commit_of_a_generation_that_is_gone_fails():
+    async def scenario(adapter, store, control):
+        first = await adapter.write("a", b"one")
+        second = await adapter.write("a", b"two")
+        with pytest.raises(StoreError):
+            await adapter.commit("a", first)
+        await adapter.commit("a", second)
+        assert (await adapter.read("a")).data == b"two"
+
+    run_scenario(scenario)
+
+
+def test_a_torn_write_lies_there_without_its_mark():
+    async def scenario(adapter, store, control):
+        await control.set_fault(TearWrite(after_bytes=2, times=1))
+        with pytest.raises(StoreError):
+            await adapter.write("a", b"data")
+        assert await adapter.read("a") == StoredBlock("a", 1, False, b"da\0\0")
+        assert (await control.read_report()).state["uncommitted"] == ["a"]
+
+    run_scenario(scenario)
+
+
+def test_space_that_is_reused_during_a_read_shows_bytes_of_the_other_block():
+    async def scenario(adapter, store, control):
+        generation = await adapter.write("a", b"a" * 100)
+        await adapter.commit("a", generation)
+        reading = asyncio.ensure_future(adapter.read("a"))
+        await asyncio.sleep(0.03)
+        await adapter.remove("a", generation)
+        store.allocate("b", 100).data[:] = b"b" * 100
+        block = await reading
+        assert block == StoredBlock("a", 1, True, b"a" * 50 + b"b" * 50)
+        assert await adapter.read_generation("a") == 0
+
+    run_scenario(scenario, SLOW_LINK)
+
+
+def test_transfers_share_the_link():
+    async def scenario(adapter, store, control):
+        loop = asyncio.get_running_loop()
+        before = loop.time()
+        await asyncio.gather(*(adapter.write(name, bytes(100)) for name in "abc"))
+        assert loop.time() - before >= 0.3
+
+    run_scenario(scenario, SLOW_LINK)
+
+
+@pytest.mark.parametrize(
+    "fault", [Refuse(), Hang(), LoseAnswer(), CutAnswer(after_bytes=2)]
+)
+def test_every_fault_of_a_store_is_a_store_error(fault):
+    async def scenario(adapter, store, control):
+        generation = await adapter.write("a", b"data")
+        await control.set_fault(fault)
+        with pytest.raises(StoreError):
+            await adapter.read("a")
+        with pytest.raises(StoreError):
+            await adapter.write("b", b"data")
+        if not isinstance(fault, CutAnswer):
+            with pytest.raises(StoreError):
+                await adapter.commit("a", generation)
+        await control.clear_faults()
+        await store.stop()
+        with pytest.raises(StoreError):
+            await adapter.read("a")
+
+    run_scenario(scenario)
--- a/packages/standins/src/persimmonferry_standins/server.py
+++ b/packages/standins/src/persimmonferry_standins/server.py
@@ -194,7 +194,7 @@
             await self.flush()
             self.close_connection()
             return
-        self.finish(body)
+        self.finish(body or None)
 
     async def answer_json(self, value: Any, status: int = 200) -> None:
         """Send an answer of JSON."""
