Run prompts from the entry to their whole answer

Cause: the thin path. Change: PromptService queues a prompt, runs attempts, goes on behind the tokens that the caller has when an upstream is lost, and follows a run that an earlier entry began (the agents are asked, no process keeps a copy). PromptRuns owns runs at the agent.

--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/promptruns.py
@@ -0,0 +1,252 @@
+"""Prompts that an agent runs at its engine, and the entries that follow them."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from persimmonferry_core.answers import Answer, AnswerTable
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
+from persimmonferry_core.interfaces import Engine
+from persimmonferry_core.runs import LoadVersion, RunEnd, RunOrder, TokenBatch
+from persimmonferry_wire import decode, encode_frame
+from persimmonferry_wire.generated.runs.ttypes import EndMark, RunFrame, RunRequest
+from tornado.web import RequestHandler
+
+from persimmonferry_daemon.blocks import BlockKeeper
+from persimmonferry_daemon.failures import to_failure
+from persimmonferry_daemon.gate import Gate
+
+__all__ = ["PromptRuns", "RunHandler"]
+
+HEARTBEAT_INTERVAL_S = 0.4
+ORPHAN_TIMEOUT_S = 30.0
+TRIM_INTERVAL_S = 5.0
+VERSION_RETRY_S = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+class PromptRuns:
+    """
+    All runs of one engine.
+
+    A run belongs to the agent and not to the connection that asked for it: an entry
+    follows it, and another entry may go on following it when the first one died.
+
+    :param gate: refuses new runs once the agent is stopping.
+    :param find_held: returns the model and the weight version that the engine holds.
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        gate: Gate,
+        blocks: BlockKeeper,
+        find_held: Callable[[], LoadVersion],
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._engine = engine
+        self._gate = gate
+        self._blocks = blocks
+        self._find_held = find_held
+        self._read_clock = read_clock
+        self._answers = AnswerTable()
+        self._tasks: set[asyncio.Task] = set()
+        self._trim_task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Drop old answers at intervals."""
+        self._trim_task = asyncio.create_task(self._trim_forever())
+
+    async def stop(self) -> None:
+        """End the background work."""
+        if self._trim_task is not None:
+            self._trim_task.cancel()
+
+    def follow(self, request: RunRequest) -> Answer:
+        """
+        Return the running or finished answer of the request's key, or start a run.
+
+        :raises NotRun: the agent is stopping, or the engine has another version.
+        """
+        held = self._answers.find(request.answer_key)
+        if held is not None:
+            return held
+        if self._answers.find_run(request.run_id) is not None:
+            raise OutcomeUnknown(ResultCode.DUPLICATE_RUN, request.run_id)
+        self._check_new_run(request)
+        answer = self._answers.open(
+            request.answer_key, request.run_id, tuple(request.delivered)
+        )
+        task = asyncio.create_task(self._run(_read_order(request), answer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return answer
+
+    def has_answer(self, answer_key: str) -> bool:
+        """Tell whether the answer of a key is held or being generated."""
+        return self._answers.find(answer_key) is not None
+
+    async def cancel(self, run_id: str) -> bool:
+        """Stop a run that nobody wants any more."""
+        answer = self._answers.find_run(run_id)
+        if answer is None or answer.is_over:
+            return False
+        await self._engine.cancel(run_id)
+        return True
+
+    async def abandon(self, answer: Answer) -> None:
+        """
+        End a run whose last follower went away.
+
+        One with a key goes on for a while, since its caller may come back for it.
+        """
+        if answer.key:
+            await asyncio.sleep(ORPHAN_TIMEOUT_S)
+        if not answer.is_followed and not answer.is_over:
+            await self._engine.cancel(answer.run_id)
+
+    async def _run(self, order: RunOrder, answer: Answer) -> None:
+        try:
+            with self._gate.count_work():
+                end = await self._generate(order, answer)
+                answer.finish(end, self._read_clock())
+        except FerryError as error:
+            self._blocks.abandon(order.run_id)
+            answer.fail(error, self._read_clock())
+        except Exception:
+            _log.exception("run failed", extra={"run_id": order.run_id})
+            self._blocks.abandon(order.run_id)
+            failure = OutcomeUnknown(ResultCode.INTERNAL_FAULT)
+            answer.fail(failure, self._read_clock())
+        else:
+            await self._blocks.retain(order, end)
+
+    async def _generate(self, order: RunOrder, answer: Answer) -> RunEnd:
+        await self._blocks.prepare(order, self._read_clock())
+
+        def deliver(batch: TokenBatch) -> None:
+            self._blocks.finish_prefill(order.run_id)
+            _add(answer, batch)
+
+        end = await self._engine.run(order, deliver)
+        _check_end(order, answer, end)
+        return end
+
+    def _check_new_run(self, request: RunRequest) -> None:
+        refusal = self._gate.find_refusal()
+        if refusal is not None:
+            raise refusal
+        held = self._find_held()
+        if held != LoadVersion(request.model, request.version):
+            detail = f"{held.model} {held.version}"
+            raise NotRun(ResultCode.WRONG_VERSION, detail, VERSION_RETRY_S)
+
+    async def _trim_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TRIM_INTERVAL_S)
+            self._answers.trim(self._read_clock())
+
+
+def _read_order(request: RunRequest) -> RunOrder:
+    return RunOrder(
+        run_id=request.run_id,
+        model=request.model,
+        version=request.version,
+        adapter=request.adapter,
+        prompt=request.prompt,
+        max_tokens=request.max_tokens,
+        priority=request.priority,
+        delivered=tuple(request.delivered),
+        block_names=tuple(request.block_names),
+        block_tokens=request.block_tokens,
+    )
+
+
+def _add(answer: Answer, batch: TokenBatch) -> None:
+    # A gap or a foreign batch leaves the answer short, and the end mark then
+    # does not match: the run fails instead of giving a wrong answer.
+    if batch.run_id == answer.run_id:
+        answer.extend(batch.first_index, batch.tokens)
+
+
+def _check_end(order: RunOrder, answer: Answer, end: RunEnd) -> None:
+    if end.run_id != order.run_id:
+        raise OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "another run's end mark")
+    if end.version != order.version:
+        raise OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "another weight version")
+    if end.total_tokens != len(answer.tokens):
+        detail = f"{len(answer.tokens)} of {end.total_tokens} tokens"
+        raise OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, detail)
+
+
+class RunHandler(RequestHandler):
+    """Streams the frames of one answer to an entry."""
+
+    def initialize(self, runs: PromptRuns) -> None:
+        """Take the runs of the agent."""
+        self._runs = runs
+        self._changed = asyncio.Event()
+        self._answer: Answer | None = None
+        self._left = False
+
+    def on_connection_close(self) -> None:
+        """Stop following when the entry goes away."""
+        self._left = True
+        self._changed.set()
+
+    async def post(self) -> None:
+        """Follow or start the run that the body asks for."""
+        request = decode(RunRequest, self.request.body)
+        self.set_header("Content-Type", "application/x-thrift-frames")
+        try:
+            answer = self._runs.follow(request)
+        except FerryError as error:
+            self._send(RunFrame(request.run_id, 0, [], failure=to_failure(error)))
+            return
+        answer.follow(self._changed.set)
+        try:
+            await self._stream(answer, request.run_id, len(request.delivered))
+        finally:
+            answer.unfollow(self._changed.set)
+        if self._left and not answer.is_followed:
+            await self._runs.abandon(answer)
+
+    async def _stream(self, answer: Answer, run_id: str, sent: int) -> None:
+        """Send what the follower lacks; ``run_id`` is the follower's own."""
+        while not self._left:
+            tokens = answer.tokens[sent:]
+            if answer.is_over:
+                self._send(_last_frame(answer, run_id, sent, tokens))
+                return
+            # An empty frame is a heartbeat.
+            self._send(RunFrame(run_id, sent, tokens))
+            sent += len(tokens)
+            self._changed.clear()
+            await self._wait_for_change()
+
+    async def _wait_for_change(self) -> None:
+        try:
+            async with asyncio.timeout(HEARTBEAT_INTERVAL_S):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _send(self, frame: RunFrame) -> None:
+        self.write(encode_frame(frame))
+        self.flush()
+
+
+def _last_frame(answer: Answer, run_id: str, sent: int, tokens: list[str]) -> RunFrame:
+    if answer.failure is not None:
+        return RunFrame(run_id, sent, tokens, failure=to_failure(answer.failure))
+    end = answer.end
+    mark = EndMark(
+        end.version,
+        end.total_tokens,
+        end.prompt_tokens,
+        end.cached_tokens,
+        end.finish_reason,
+    )
+    return RunFrame(run_id, sent, tokens, end=mark)
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/prompts.py
@@ -0,0 +1,352 @@
+"""Prompts from their arrival at the entry to their whole answer."""
+
+import asyncio
+import hashlib
+import logging
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from persimmonferry_core.blocks import BLOCK_TOKENS, name_blocks
+from persimmonferry_core.bodies import PromptBody
+from persimmonferry_core.codes import Ran, ResultCode
+from persimmonferry_core.contracts import ClientAccount, Service, TeamDocument
+from persimmonferry_core.dispatch import Assignment, PromptRequest
+from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
+from persimmonferry_core.membership import Presence
+from persimmonferry_core.runs import RunEnd, split_tokens
+from persimmonferry_wire.generated.runs.ttypes import RunRequest
+
+from persimmonferry_daemon.histograms import Histograms, Measure
+from persimmonferry_daemon.members import Members
+from persimmonferry_daemon.scheduling import Scheduler
+from persimmonferry_daemon.upstreams import AgentClient
+
+__all__ = ["CallerGone", "Prompt", "PromptAnswer", "PromptService"]
+
+_log = logging.getLogger(__name__)
+
+
+class CallerGone(Exception):
+    """The caller closed its connection; nobody waits for the answer."""
+
+
+@dataclass
+class Prompt:
+    """
+    One prompt of a caller.
+
+    :param request_id: that the caller gave, or empty.
+    :param is_retry: whether the caller says that it asked before.
+    :param arrived_at: on the monotonic clock.
+    :param deliver: takes tokens as they come.
+    """
+
+    account: ClientAccount
+    body: PromptBody
+    request_id: str
+    is_retry: bool
+    arrived_at: float
+    deliver: Callable[[list[str]], None]
+    task: asyncio.Task | None = field(default=None, init=False)
+
+    def abandon(self) -> None:
+        """Stop the work since the caller went away."""
+        if self.task is not None:
+            self.task.cancel()
+
+
+@dataclass(frozen=True)
+class PromptAnswer:
+    """The whole answer of a prompt."""
+
+    text: str
+    end: RunEnd
+
+
+class PromptService:
+    """
+    Runs prompts at upstreams until each has its whole answer.
+
+    :param read_document: returns the document in force.
+    """
+
+    def __init__(
+        self,
+        read_document: Callable[[], TeamDocument],
+        scheduler: Scheduler,
+        members: Members,
+        agents: AgentClient,
+        histograms: Histograms,
+    ) -> None:
+        self._read_document = read_document
+        self._scheduler = scheduler
+        self._members = members
+        self._agents = agents
+        self._histograms = histograms
+        self._cancels: set[asyncio.Task] = set()
+
+    async def run(self, prompt: Prompt) -> PromptAnswer:
+        """
+        Return the whole answer.
+
+        :raises FerryError: with the ending of the request.
+        :raises CallerGone: the caller went away.
+        """
+        document = self._read_document()
+        service = document.find_service(prompt.body.service)
+        tier = _find_tier(document, prompt.body.tier)
+        work = _Work(prompt, service, tier)
+        prompt.task = asyncio.ensure_future(self._run(work))
+        try:
+            return await prompt.task
+        except asyncio.CancelledError:
+            self._give_up(work)
+            raise CallerGone from None
+        except FerryError as error:
+            self._record(work, Measure.REFUSAL)
+            _log.info(
+                "prompt not answered",
+                extra={
+                    "request": work.name,
+                    "account": prompt.account.name,
+                    "code": error.code.number,
+                },
+            )
+            raise
+
+    async def _run(self, work: "_Work") -> PromptAnswer:
+        holder = await self._find_holder(work)
+        if holder is not None:
+            end = await self._follow(work, holder)
+            if end is not None:
+                return self._conclude(work, end)
+        assignment = await self._scheduler.admit(work.request)
+        self._record(work, Measure.QUEUE_WAIT)
+        while True:
+            end = await self._attempt(work, assignment)
+            if end is not None:
+                self._scheduler.finish(work.name, end)
+                return self._conclude(work, end)
+            assignment = await self._retry(work)
+
+    async def _attempt(self, work: "_Work", assignment: Assignment) -> RunEnd | None:
+        """Run one attempt; None when it failed and may be tried elsewhere."""
+        presence = self._members.find(assignment.upstream)
+        if presence is None:
+            work.failure = NotRun(ResultCode.NO_UPSTREAM, "", 0.5)
+            return None
+        self._refresh(work)
+        request = work.make_run_request(assignment.priority)
+        work.running_at = presence
+        work.run_id = request.run_id
+        try:
+            end = await self._agents.run(
+                presence.address, request, lambda tokens: self._take(work, tokens)
+            )
+        except FerryError as error:
+            self._note_failure(work, presence, error)
+            return None
+        work.running_at = None
+        return end
+
+    def _refresh(self, work: "_Work") -> None:
+        """
+        Take over a weight version that came into force while the prompt waited.
+
+        One whose caller has tokens stays with the version that generated them.
+        """
+        service = self._read_document().find_service(work.service.name)
+        if service is not None and service != work.service and not work.tokens:
+            work.refresh(service)
+
+    async def _retry(self, work: "_Work") -> Assignment:
+        """
+        Return the next assignment, or raise how the request ended.
+
+        A prompt may run again: what the caller has is sent along, and the next
+        attempt goes on behind it.
+        """
+        ran = work.may_have_run
+        try:
+            return await self._scheduler.retry(work.name, ran=ran)
+        except NotRun as refusal:
+            if not ran:
+                raise
+            last = work.failure
+            raise OutcomeUnknown(
+                last.code, last.detail, refusal.retry_after_s
+            ) from refusal
+
+    def _note_failure(
+        self, work: "_Work", presence: Presence, error: FerryError
+    ) -> None:
+        work.failure = error
+        work.running_at = None
+        if error.code.ran is not Ran.NO:
+            work.may_have_run = True
+            self._cancel_run(presence, work.run_id)
+        if error.code in _SUSPICIOUS:
+            report = presence.report
+            self._members.suspect(report.name, report.incarnation)
+
+    async def _find_holder(self, work: "_Work") -> Presence | None:
+        """
+        Return the upstream that runs, or ran, the same request of this caller.
+
+        The caller's first entry may have died. No process keeps a copy of what it
+        knew: the agents are asked what they run (state reconstruction).
+        """
+        if not work.prompt.is_retry or not work.answer_key:
+            return None
+        presences = self._members.list_service(work.service.name)
+        known = await asyncio.gather(
+            *(
+                self._agents.has_answer(presence.address, work.answer_key)
+                for presence in presences
+            )
+        )
+        holders = (item for item, has in zip(presences, known, strict=True) if has)
+        return next(holders, None)
+
+    async def _follow(self, work: "_Work", holder: Presence) -> RunEnd | None:
+        """Take over a run that an earlier request of this caller began."""
+        request = work.make_run_request(priority=0)
+        try:
+            return await self._agents.run(
+                holder.address, request, lambda tokens: self._take(work, tokens)
+            )
+        except FerryError as error:
+            work.may_have_run = error.code.ran is not Ran.NO
+            work.failure = error
+            return None
+
+    def _take(self, work: "_Work", tokens: list[str]) -> None:
+        first = not work.tokens
+        if first:
+            self._record(work, Measure.FIRST_TOKEN)
+        work.tokens += tokens
+        self._scheduler.note_progress(work.name, len(tokens), first=first)
+        work.prompt.deliver(tokens)
+
+    def _conclude(self, work: "_Work", end: RunEnd) -> PromptAnswer:
+        self._record(work, Measure.WHOLE_ANSWER)
+        return PromptAnswer("".join(work.tokens), end)
+
+    def _give_up(self, work: "_Work") -> None:
+        self._scheduler.cancel(work.name)
+        if work.running_at is not None and not work.answer_key:
+            self._cancel_run(work.running_at, work.run_id)
+
+    def _cancel_run(self, presence: Presence, run_id: str) -> None:
+        task = asyncio.ensure_future(self._agents.cancel(presence.address, run_id))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    def _record(self, work: "_Work", measure: Measure) -> None:
+        elapsed_s = time.monotonic() - work.prompt.arrived_at
+        account = work.prompt.account.name
+        self._histograms.record(account, work.request.tier, measure, elapsed_s)
+
+
+_SUSPICIOUS = frozenset(
+    {
+        ResultCode.NO_UPSTREAM,
+        ResultCode.STOPPING,
+        ResultCode.UPSTREAM_LOST,
+        ResultCode.WRONG_VERSION,
+    }
+)
+
+
+class _Work:
+    """What the entry knows of one prompt under way."""
+
+    def __init__(self, prompt: Prompt, service: Service, tier: str) -> None:
+        self.prompt = prompt
+        self.service = service
+        self.name = uuid.uuid4().hex
+        self.tokens: list[str] = []
+        self.failure: FerryError | None = None
+        self.may_have_run = False
+        self.running_at: Presence | None = None
+        self.run_id = ""
+        self.answer_key = _make_answer_key(prompt)
+        self._attempts = 0
+        self.request = self._make_request(tier)
+
+    def _make_request(self, tier: str) -> PromptRequest:
+        account = self.prompt.account
+        body = self.prompt.body
+        tokens = split_tokens(body.prompt)
+        return PromptRequest(
+            request_id=self.name,
+            account=account.name,
+            tier=tier,
+            service=self.service.name,
+            prompt_tokens=len(tokens),
+            max_tokens=body.max_tokens,
+            arrival_s=self.prompt.arrived_at,
+            block_names=name_blocks(
+                account.cache_secret,
+                self.service.model,
+                self.service.version,
+                self.service.adapter,
+                tokens,
+            ),
+            block_tokens=BLOCK_TOKENS,
+        )
+
+    def refresh(self, service: Service) -> None:
+        """Go on with another definition of the service."""
+        self.service = service
+        self.request = self._make_request(self.request.tier)
+
+    def make_run_request(self, priority: int) -> RunRequest:
+        """Return the next attempt; its run id is its own."""
+        self._attempts += 1
+        return RunRequest(
+            run_id=f"{self.name}-{self._attempts}",
+            service_name=self.service.name,
+            model=self.service.model,
+            version=self.service.version,
+            adapter=self.service.adapter,
+            prompt=self.prompt.body.prompt,
+            max_tokens=self.prompt.body.max_tokens,
+            priority=priority,
+            delivered=list(self.tokens),
+            block_names=list(self.request.block_names),
+            block_tokens=BLOCK_TOKENS,
+            answer_key=self.answer_key,
+        )
+
+
+def _make_answer_key(prompt: Prompt) -> str:
+    """
+    Return the key under which an agent keeps the answer for the caller's retry.
+
+    It covers the account, so that no other account can ask for it.
+    """
+    if not prompt.request_id:
+        return ""
+    body = prompt.body
+    digest = hashlib.blake2b(prompt.account.cache_secret.encode(), digest_size=24)
+    parts = (prompt.request_id, body.service, str(body.max_tokens), body.prompt)
+    for part in parts:
+        data = part.encode()
+        digest.update(len(data).to_bytes(8, "big") + data)
+    return digest.hexdigest()
+
+
+def _find_tier(document: TeamDocument, name: str) -> str:
+    """
+    Return the tier's name; the first one of the document when the caller named none.
+
+    :raises NotRun: there is no such tier.
+    """
+    if not name:
+        return document.tiers[0].name
+    if document.find_tier(name) is None:
+        raise NotRun(ResultCode.UNKNOWN_TIER, repr(name[:64]))
+    return name
--- a/packages/daemon/src/persimmonferry_daemon/servers.py
+++ b/packages/daemon/src/persimmonferry_daemon/servers.py
@@ -1,6 +1,7 @@
 """HTTP servers of a process and the routes that every process has."""
 
 import json
+import logging
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -14,8 +15,11 @@
 
 __all__ = ["ErrorHandler", "Listener", "describe_error", "list_peer_rules"]
 
+_log = logging.getLogger(__name__)
+
 MAX_HEADER_BYTES = 64 * 1024
 IDLE_CONNECTION_TIMEOUT_S = 120
+MAX_PEER_BODY_BYTES = 64 * 1024 * 1024
 
 
 def describe_error(error: FerryError) -> dict[str, Any]:
@@ -43,6 +47,10 @@
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(describe_error(error)))
 
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Log a fault without the request: its path may tell of a caller's call."""
+        _log.error("uncaught exception", exc_info=(typ, value, tb))
+
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Give Tornado's own failures a numbered code too."""
         code = {
@@ -75,37 +83,44 @@
 
 
 class Listener:
-    """One HTTP server on one address."""
+    """
+    One HTTP server on one address; the address is bound at once.
+
+    :param is_ready: what ``/ready`` tells the platform's balancer.
+    """
 
     def __init__(
         self,
         address: Address,
-        rules: Sequence[tuple],
         is_ready: Callable[[], bool],
-        max_body_bytes: int = 64 * 1024 * 1024,
+        max_body_bytes: int = MAX_PEER_BODY_BYTES,
         body_timeout_s: float | None = None,
     ) -> None:
+        self._is_ready = is_ready
+        self._max_body_bytes = max_body_bytes
+        self._body_timeout_s = body_timeout_s
+        self._sockets = bind_sockets(address.port, address.host)
+        self._server: HTTPServer | None = None
+        port = self._sockets[0].getsockname()[1]
+        self.address = Address(address.host, port)
+
+    def start(self, rules: Sequence[tuple]) -> None:
+        """Begin to answer the routes of Tornado's rules."""
         application = Application(
             [
                 ("/health", _Health, {"check": lambda: True}),
-                ("/ready", _Health, {"check": is_ready}),
+                ("/ready", _Health, {"check": self._is_ready}),
                 *rules,
             ],
             default_handler_class=_NotFound,
         )
         self._server = HTTPServer(
             application,
-            max_body_size=max_body_bytes,
+            max_body_size=self._max_body_bytes,
             max_header_size=MAX_HEADER_BYTES,
-            body_timeout=body_timeout_s,
+            body_timeout=self._body_timeout_s,
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
         )
-        sockets = bind_sockets(address.port, address.host)
-        self.address = Address(address.host, sockets[0].getsockname()[1])
-        self._sockets = sockets
-
-    def start(self) -> None:
-        """Begin to accept connections."""
         self._server.add_sockets(self._sockets)
 
     def stop(self) -> None:
--- a/packages/daemon/src/persimmonferry_daemon/upstreams.py
+++ b/packages/daemon/src/persimmonferry_daemon/upstreams.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import pycurl
+from persimmonferry_adapters.exchange import Loss, Request, Reuse, fetch
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.exceptions import NotRun, OutcomeUnknown
 from persimmonferry_core.runs import RunEnd
@@ -14,7 +15,6 @@
     PeerClient,
     PeerLost,
     encode,
-    was_sent,
 )
 from persimmonferry_wire.generated.runs.ttypes import (
     Acknowledgement,
@@ -27,7 +27,7 @@
     RunFrame,
     RunRequest,
 )
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 
 from persimmonferry_daemon.failures import from_failure
 from persimmonferry_daemon.paths import (
@@ -40,10 +40,7 @@
 
 __all__ = ["AgentClient"]
 
-CONNECT_TIMEOUT_S = 0.5
-HTTP_OK = 200
 SILENCE_TIMEOUT_S = 1.2
-ABORT_AFTER_SILENCE_S = 2
 RUN_TIMEOUT_S = 600.0
 CALL_TIMEOUT_S = 30.0
 QUERY_TIMEOUT_S = 0.5
@@ -71,21 +68,21 @@
         :raises NotRun: the agent provably did not start it.
         :raises OutcomeUnknown: the agent fell silent, or the answer broke off.
         """
-        exchange = _Exchange(request, deliver)
-        http_request = HTTPRequest(
+        answer = _RunningAnswer(request, deliver)
+        http_request = _AbortableRequest(
             address.url + RUN_PATH,
             method="POST",
             body=encode(request),
-            connect_timeout=CONNECT_TIMEOUT_S,
-            request_timeout=RUN_TIMEOUT_S,
-            streaming_callback=exchange.feed,
-            prepare_curl_callback=_limit_silence,
+            reuse=Reuse.NEVER,
+            timeout_s=RUN_TIMEOUT_S,
+            streaming_callback=answer.feed,
         )
-        fetch = asyncio.ensure_future(
-            self._client.fetch(http_request, raise_error=False)
-        )
-        fetch.add_done_callback(exchange.close)
-        return await exchange.wait()
+        exchange = asyncio.ensure_future(fetch(self._client, http_request))
+        exchange.add_done_callback(answer.close)
+        try:
+            return await answer.wait()
+        finally:
+            http_request.aborted = True
 
     async def call(self, address: Address, request: CallRequest) -> CallReply:
         """
@@ -148,13 +145,26 @@
             _log.info("run not cancelled", extra={"run_id": run_id})
 
 
-def _limit_silence(curl: pycurl.Curl) -> None:
-    # The exchange gives up earlier by itself; this frees the connection.
-    curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
-    curl.setopt(pycurl.LOW_SPEED_TIME, ABORT_AFTER_SILENCE_S)
+class _AbortableRequest(Request):
+    """
+    A request whose connection can be closed while the answer comes in.
+
+    Tornado's curl client can't abort a request, so libcurl's progress callback does.
+    """
+
+    aborted = False
+
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Have libcurl ask now and then whether to go on."""
+        super().prepare(curl)
+        curl.setopt(pycurl.NOPROGRESS, 0)
+        curl.setopt(pycurl.XFERINFOFUNCTION, self._check_progress)
+
+    def _check_progress(self, *_totals: int) -> int:
+        return 1 if self.aborted else 0
 
 
-class _Exchange:
+class _RunningAnswer:
     """One streamed answer of an agent, checked frame by frame."""
 
     def __init__(
@@ -189,17 +199,17 @@
         except ValueError:
             self._fail(OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "broken frame"))
 
-    def close(self, fetch: asyncio.Future) -> None:
+    def close(self, exchange: asyncio.Future[HTTPResponse | Loss]) -> None:
         """Take the end of the HTTP exchange."""
-        if self._result.done() or fetch.cancelled():
+        if self._result.done() or exchange.cancelled():
             return
-        response = fetch.result()
-        if not was_sent(response):
-            self._fail(NotRun(ResultCode.NO_UPSTREAM, "the agent is gone", 0.5))
-        elif response.code != HTTP_OK:
-            self._fail(OutcomeUnknown(ResultCode.UPSTREAM_LOST, "connection broke"))
-        else:
-            self._fail(OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "no end mark"))
+        match exchange.result():
+            case Loss.NOT_SENT:
+                self._fail(NotRun(ResultCode.NO_UPSTREAM, "the agent is gone", 0.5))
+            case Loss() as loss:
+                self._fail(OutcomeUnknown(ResultCode.UPSTREAM_LOST, loss.value))
+            case _:
+                self._fail(OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "no end mark"))
 
     def _take(self, frame: RunFrame) -> None:
         if self._result.done():
--- a/packages/wire/src/persimmonferry_wire/__init__.py
+++ b/packages/wire/src/persimmonferry_wire/__init__.py
@@ -5,7 +5,6 @@
     PeerHandler,
     PeerLost,
     PeerRoute,
-    was_sent,
 )
 from persimmonferry_wire.codec import FrameReader, decode, encode, encode_frame
 
@@ -18,5 +17,4 @@
     "decode",
     "encode",
     "encode_frame",
-    "was_sent",
 ]
--- a/packages/wire/src/persimmonferry_wire/carrier.py
+++ b/packages/wire/src/persimmonferry_wire/carrier.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-import pycurl
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+from persimmonferry_adapters.exchange import Loss, Request, Reuse, exchange
+from tornado.httpclient import AsyncHTTPClient
 from tornado.web import RequestHandler
 
 from persimmonferry_wire.codec import decode, encode
@@ -17,16 +17,13 @@
     "PeerHandler",
     "PeerLost",
     "PeerRoute",
-    "was_sent",
 ]
 
 Reply = TypeVar("Reply")
 
 CONTENT_TYPE = "application/x-thrift"
-CONNECT_TIMEOUT_S = 0.5
 USER_AGENT = "pf"
 HTTP_OK = 200
-TORNADO_TRANSPORT_ERROR = 599
 
 _log = logging.getLogger(__name__)
 
@@ -66,40 +63,29 @@
             a request twice, and then ``PeerLost.sent`` proves nothing.
         :raises PeerLost: no whole reply in time.
         """
-        request = HTTPRequest(
+        request = Request(
             url,
             method="POST",
             body=encode(message),
-            headers={"Content-Type": CONTENT_TYPE},
+            content_type=CONTENT_TYPE,
+            reuse=Reuse.NEVER if fresh else Reuse.ALLOWED,
+            timeout_s=timeout_s,
             user_agent=USER_AGENT,
-            decompress_response=False,
-            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
-            request_timeout=timeout_s,
-            prepare_curl_callback=_use_fresh_connection if fresh else None,
         )
-        response = await self._client.fetch(request, raise_error=False)
-        if response.code != HTTP_OK:
-            raise PeerLost(f"status {response.code}", sent=was_sent(response))
-        try:
-            return decode(kind, response.body)
-        except ValueError as error:
-            raise PeerLost(str(error), sent=True) from error
-
-
-def _use_fresh_connection(curl: pycurl.Curl) -> None:
-    curl.setopt(pycurl.FRESH_CONNECT, 1)
-    curl.setopt(pycurl.FORBID_REUSE, 1)
-
-
-def was_sent(response: HTTPResponse) -> bool:
-    """
-    Tell whether bytes of a failed request may have reached the other side.
-
-    None did when libcurl never came to the point of sending.
-    """
-    if response.code != TORNADO_TRANSPORT_ERROR:
-        return True
-    return response.time_info.get("pretransfer", 0.0) > 0.0
+        match await exchange(self._client, request):
+            case Loss() as loss:
+                raise PeerLost(loss.value, sent=request.sent)
+            case response if response.code != HTTP_OK:
+                raise PeerLost(f"status {response.code}", sent=True)
+            case response:
+                return _read_reply(kind, response.body)
+
+
+def _read_reply(kind: type[Reply], body: bytes) -> Reply:
+    try:
+        return decode(kind, body)
+    except ValueError as error:
+        raise PeerLost(str(error), sent=True) from error
 
 
 @dataclass(frozen=True)
