Say 'outcome unknown' for a repeated attempt, everywhere

Cause: the adapter turned an engine's refusal of a known run id into NotRun, though the first copy ran: a false 'not run'.

--- a/packages/core/src/persimmonferry_core/exceptions.py
+++ b/packages/core/src/persimmonferry_core/exceptions.py
@@ -13,6 +13,7 @@
     "RanBefore",
     "StoreError",
     "SwapConflict",
+    "make_error",
 ]
 
 
@@ -64,6 +65,21 @@
     """The request ran, or still runs, under an earlier attempt."""
 
 
+def make_error(
+    code: ResultCode, detail: str = "", retry_after_s: float | None = None
+) -> FerryError:
+    """
+    Return the error that says of the run what its code says.
+
+    >>> type(make_error(ResultCode.NO_UPSTREAM)).__name__
+    'NotRun'
+    >>> type(make_error(ResultCode.DUPLICATE_RUN)).__name__
+    'OutcomeUnknown'
+    """
+    kinds = {Ran.NO: NotRun, Ran.UNKNOWN: OutcomeUnknown, Ran.YES: RanBefore}
+    return kinds[code.ran](code, detail, retry_after_s)
+
+
 class ConfigurationFaulty(FerryError):
     """
     A document or a settings file has faults.
