Watch runs by one timer; refuse calls that have no HTTP form

Cause: each chunk of an answer cost a task; a path without a leading slash became part of the host, dot segments were removed on the way (so a path that looks idempotent could reach another one), and a malformed header raised an error outside the tree. Change: one timer for each run; paths go as they are; what can't be sent is NotRun.

--- a/packages/adapters/src/persimmonferry_adapters/engine.py
+++ b/packages/adapters/src/persimmonferry_adapters/engine.py
@@ -53,20 +53,35 @@
 
 class _Transfer:
     """
-    One streamed run on the wire.
+    One streamed run on the wire, watched for silence.
 
     Tornado's curl client can't abort a request, so libcurl's progress callback does.
+
+    :param idle_timeout_s: longest time between two chunks.
     """
 
-    def __init__(self, reader: AnswerReader) -> None:
+    def __init__(self, reader: AnswerReader, idle_timeout_s: float) -> None:
         self._reader = reader
-        self._aborted = False
-        self.activity = asyncio.Event()
+        self._idle_timeout_s = idle_timeout_s
+        self._loop = asyncio.get_running_loop()
+        self._last_chunk_s = self._loop.time()
+        self._ended: asyncio.Future[HTTPResponse | Loss] = self._loop.create_future()
 
-    async def fetch(
+    async def run(
         self, client: AsyncHTTPClient, url: str, order: RunOrder
     ) -> HTTPResponse | Loss:
-        """Send the order and return when the transfer is over."""
+        """Send the order; return at the end of the answer, a fault, or silence."""
+        request = self._make_request(url, order)
+        fetching = asyncio.ensure_future(fetch(client, request))
+        fetching.add_done_callback(self._end_with)
+        watch = self._loop.call_later(self._idle_timeout_s, self._check_silence)
+        try:
+            return await self._ended
+        finally:
+            self._ended.cancel()
+            watch.cancel()
+
+    def _make_request(self, url: str, order: RunOrder) -> Request:
         request = Request(
             url,
             method="POST",
@@ -85,18 +100,34 @@
             curl.setopt(pycurl.XFERINFOFUNCTION, self._check_progress)
 
         request.http.prepare_curl_callback = prepare
-        return await fetch(client, request)
-
-    def abort(self) -> None:
-        self._aborted = True
+        return request
 
     def _receive(self, chunk: bytes) -> None:
-        if not self._aborted:
-            self._reader.feed(chunk)
-            self.activity.set()
+        if self._ended.done():
+            return
+        self._last_chunk_s = self._loop.time()
+        self._reader.feed(chunk)
+        if self._reader.failure is not None:
+            self._end(Loss.LOST)
+
+    def _check_silence(self) -> None:
+        left_s = self._last_chunk_s + self._idle_timeout_s - self._loop.time()
+        if left_s <= 0:
+            self._end(Loss.TIMED_OUT)
+        elif not self._ended.done():
+            self._loop.call_later(left_s, self._check_silence)
 
     def _check_progress(self, *_totals: int) -> int:
-        return 1 if self._aborted else 0
+        """Tell libcurl to abort a transfer that nobody waits for."""
+        return 1 if self._ended.done() else 0
+
+    def _end_with(self, fetching: asyncio.Future[HTTPResponse | Loss]) -> None:
+        if not fetching.cancelled():
+            self._end(fetching.result())
+
+    def _end(self, result: HTTPResponse | Loss) -> None:
+        if not self._ended.done():
+            self._ended.set_result(result)
 
 
 class HttpEngine:
@@ -132,13 +163,8 @@
         :raises OutcomeUnknown: lost, silent, cut short, or another run's answer.
         """
         reader = AnswerReader(order, deliver)
-        transfer = _Transfer(reader)
-        url = f"{self._url}/v1/runs"
-        fetching = asyncio.ensure_future(transfer.fetch(self._client, url, order))
-        try:
-            result = await self._follow(fetching, transfer, reader)
-        finally:
-            transfer.abort()
+        transfer = _Transfer(reader, self._idle_timeout_s)
+        result = await transfer.run(self._client, f"{self._url}/v1/runs", order)
         if reader.failure is not None:
             raise reader.failure
         match result:
@@ -151,30 +177,6 @@
             raise OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "no end mark")
         return reader.end
 
-    async def _follow(
-        self,
-        fetching: asyncio.Future[HTTPResponse | Loss],
-        transfer: _Transfer,
-        reader: AnswerReader,
-    ) -> HTTPResponse | Loss:
-        """Wait for the end of the transfer, a fault in the answer, or silence."""
-        while not fetching.done():
-            transfer.activity.clear()
-            activity = asyncio.ensure_future(transfer.activity.wait())
-            try:
-                done, _ = await asyncio.wait(
-                    {fetching, activity},
-                    timeout=self._idle_timeout_s,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-            finally:
-                activity.cancel()
-            if not done:
-                return Loss.TIMED_OUT
-            if reader.failure is not None:
-                return Loss.LOST
-        return fetching.result()
-
     async def cancel(self, run_id: str) -> None:
         """Stop a run; a run that is not known is no error."""
         body = encode_json({"run_id": run_id})
--- a/packages/adapters/src/persimmonferry_adapters/exchange.py
+++ b/packages/adapters/src/persimmonferry_adapters/exchange.py
@@ -101,6 +101,7 @@
     def prepare(self, curl: pycurl.Curl) -> None:
         """Set the options of libcurl that Tornado does not know."""
         curl.setopt(pycurl.NOPROXY, "*")
+        curl.setopt(pycurl.PATH_AS_IS, 1)
         curl.setopt(pycurl.PREREQFUNCTION, self._allow_sending)
         if self._reuse is Reuse.NEVER:
             curl.setopt(pycurl.FRESH_CONNECT, 1)
@@ -129,11 +130,14 @@
         if not request.sent:
             return Loss.NOT_SENT
         return _LOSSES.get(error.errno, Loss.LOST)
+    except (ValueError, KeyError, pycurl.error):
+        # Tornado could not set the request up.
+        return Loss.LOST if request.sent else Loss.NOT_SENT
 
 
 def is_framed(response: HTTPResponse) -> bool:
     """Return whether the end of the body was marked, so that a cut would show."""
-    if response.code in (204, 304):
+    if response.code in (204, 304) or response.request.method == "HEAD":
         return True
     if response.headers.get("Transfer-Encoding", "").lower() == "chunked":
         return True
--- a/packages/adapters/src/persimmonferry_adapters/plain.py
+++ b/packages/adapters/src/persimmonferry_adapters/plain.py
@@ -49,6 +49,9 @@
         :raises NotRun: no byte of the call reached the service, or it refused.
         :raises OutcomeUnknown: bytes went out and no whole answer came back.
         """
+        if not order.path.startswith("/"):
+            # It would become part of the host.
+            raise NotRun(ResultCode.MALFORMED_REQUEST, "the path has no leading slash")
         request = Request(
             self._url + order.path,
             method=order.method,
--- a/packages/adapters/src/persimmonferry_adapters/platform.py
+++ b/packages/adapters/src/persimmonferry_adapters/platform.py
@@ -23,6 +23,7 @@
 
 CALL_TIMEOUT_S = 2.0
 WATCH_MARGIN_S = 2.0
+_REFUSALS = (413, 503)
 
 
 class HttpPlatform:
@@ -75,8 +76,8 @@
                 raise PlatformUnavailable(loss.value)
             case Loss() as loss:
                 raise PlatformAnswerLost(loss.value)
-            case response if response.code == 503:
-                raise PlatformUnavailable("refused")
+            case response if response.code in _REFUSALS:
+                raise PlatformUnavailable(f"status {response.code}")
             case response if response.code in (200, 409):
                 revision = _read_revision(response)
             case response:
--- a/packages/adapters/tests/test_plain.py
+++ b/packages/adapters/tests/test_plain.py
@@ -178,3 +178,33 @@
         await server.stop()
 
     asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
+@pytest.mark.parametrize(
+    "order",
+    [
+        CallOrder("run", "POST", "@127.0.0.1:1/orders", "text/plain", b"7"),
+        CallOrder("run", "POST", "/a b\n", "text/plain", b"7"),
+        CallOrder("run", "POST", "/orders", "text/plain\r\nX-Run-Id: other", b"7"),
+        CallOrder("run", "GET", "/orders", "text/plain", b"7"),
+        CallOrder("run", "BREW", "/orders", "text/plain\u2026", b"7"),
+    ],
+)
+def test_a_call_that_has_no_http_form_is_not_run(order):
+    async def scenario(adapter, plain, control):
+        with pytest.raises(NotRun):
+            await adapter.call(order)
+        assert plain.runs_by_order == {}
+
+    run_scenario(scenario)
+
+
+def test_no_segment_of_a_path_is_removed_on_the_way():
+    async def scenario(adapter, plain, control):
+        path = "/stock/../orders/%2E?item=9"
+        answer = await adapter.call(CallOrder("run", "GET", path, "", b""))
+        assert answer.body.decode() == f"done {path}"
+        head = await adapter.call(CallOrder("run", "HEAD", "/stock", "", b""))
+        assert head.body == b""
+
+    run_scenario(scenario)
--- a/packages/standins/src/persimmonferry_standins/cache.py
+++ b/packages/standins/src/persimmonferry_standins/cache.py
@@ -2,7 +2,7 @@
 
 import hashlib
 from collections import Counter, OrderedDict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from persimmonferry_core.runs import CacheEvent, CacheEventKind, RunOrder
@@ -21,18 +21,21 @@
     Cache events, readable some time after they happened.
 
     :param lag_s: how long after.
+    :param is_dropping: whether events are left out at present.
     """
 
-    def __init__(self, lag_s: float) -> None:
+    def __init__(
+        self, lag_s: float, is_dropping: Callable[[], bool] = lambda: False
+    ) -> None:
         self._lag_s = lag_s
+        self._is_dropping = is_dropping
         self._sequence = 0
         self._published: list[_Published] = []
-        self.dropping = False
 
     def append(self, kind: CacheEventKind, name: str, now: float) -> None:
         """Publish an event, or leave a gap while events are dropped."""
         self._sequence += 1
-        if not self.dropping:
+        if not self._is_dropping():
             event = CacheEvent(self._sequence, kind, name)
             self._published.append(_Published(event, now + self._lag_s))
 
--- a/packages/standins/src/persimmonferry_standins/plain.py
+++ b/packages/standins/src/persimmonferry_standins/plain.py
@@ -94,6 +94,7 @@
         self.standin.runs_by_id[self._read_run_id()] += 1
         await self._run(number)
 
+    head = get
     put = post
     patch = post
     delete = post
--- a/packages/standins/src/persimmonferry_standins/session.py
+++ b/packages/standins/src/persimmonferry_standins/session.py
@@ -10,7 +10,7 @@
 
 __all__ = ["open_session"]
 
-MAX_CLIENTS = 64
+MAX_CLIENTS = 256
 
 
 @asynccontextmanager
