--- a/packages/adapters/tests/test_plain.py
+++ b/packages/adapters/tests/test_plain.py
@@ -178,3 +178,45 @@
         await server.stop()
 
     asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
+@pytest.mark.parametrize(
+    "order",
+    [
+        CallOrder("run", "POST", "@127.0.0.1:1/orders", "text/plain", b"7"),
+        CallOrder("run", "POST", "/a b\n", "text/plain", b"7"),
+        CallOrder("run", "POST", "/orders", "text/plain\r\nX-Run-Id: other", b"7"),
+        CallOrder("run", "GET", "/orders", "text/plain", b"7"),
+        CallOrder("run", "HEAD", "/orders", "text/plain", b"7"),
+        CallOrder("run", "BREW", "/orders", "text/plain\u2026", b"7"),
+    ],
+)
+def test_a_call_that_has_no_http_form_is_not_run(order):
+    async def scenario(adapter, plain, control):
+        with pytest.raises(NotRun):
+            await adapter.call(order)
+        assert plain.runs_by_order == {}
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    "method", ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+)
+def test_the_method_and_every_segment_of_the_path_go_out_as_given(method):
+    path = "/stock/../orders/%2E?item=9"
+    body = b"" if method in ("GET", "HEAD") else b"7"
+
+    async def scenario():
+        whole = b"HTTP/1.1 200 OK\r\nX-Run-Id: run\r\nContent-Length: 0\r\n\r\n"
+        server = RawServer(lambda _: RawAnswer(whole))
+        await server.start()
+        async with open_session() as client:
+            adapter = HttpPlainService(client, server.url)
+            await adapter.call(CallOrder("run", method, path, "", body))
+        await server.stop()
+        assert server.requests[0].startswith(f"{method} {path} HTTP/1.1".encode())
+        assert server.requests[0].endswith(b"\r\n\r\n" + body)
+        assert b"content-type" not in server.requests[0].lower()
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
