Accept documents by compare-and-swap and hand on changes

Cause: a team's document must be accepted once, whole and forward only, with a platform that loses answers and operators that race. Change: one key holds a small head (the last changes) whose platform revision is the document's; two checkpoint keys in turn hold the whole text and its history; a lost answer is settled by reading back for the change's id; replicas take deltas that are checked by the digest of the whole text.

--- a/packages/core/src/persimmonferry_core/exceptions.py
+++ b/packages/core/src/persimmonferry_core/exceptions.py
@@ -11,6 +11,7 @@
     "PlatformError",
     "PlatformUnavailable",
     "RanBefore",
+    "RevisionConflict",
     "StoreError",
     "SwapConflict",
 ]
@@ -107,5 +108,20 @@
         super().__init__(ResultCode.REVISION_CONFLICT, detail)
 
 
+class RevisionConflict(FerryError):
+    """
+    Another change of the document was accepted since the operator read it.
+
+    :param revision: the revision that the document has now.
+    :param difference: unified diff that shows what the operator has not seen.
+    """
+
+    def __init__(self, expected: int, revision: int, difference: str) -> None:
+        self.revision = revision
+        self.difference = difference
+        detail = f"revision {expected} was read, {revision} is accepted"
+        super().__init__(ResultCode.REVISION_CONFLICT, detail)
+
+
 class StoreError(FerryError):
     """A store VM refused, is full, or holds no readable block of that name."""
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/revisions.py
@@ -0,0 +1,400 @@
+"""
+Revisions of a team's document: deltas, checkpoints, and a replica that moves forward.
+
+The platform keeps a small head (the last few changes) and a checkpoint (a whole text
+with the history before it), so that whoever watches the head is sent only changes.
+"""
+
+import hashlib
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+
+__all__ = [
+    "MAX_TEXT_BYTES",
+    "Advanced",
+    "Change",
+    "ChangesUpdate",
+    "Checkpoint",
+    "Delta",
+    "Gap",
+    "Head",
+    "Outcome",
+    "Patch",
+    "Replacement",
+    "Replica",
+    "SectionChange",
+    "Unchanged",
+    "WholeUpdate",
+    "advance",
+    "apply_delta",
+    "compose_update",
+    "digest_text",
+    "extend_head",
+    "find_change",
+    "is_full",
+    "list_changes",
+    "make_checkpoint",
+    "make_delta",
+    "read_text_at",
+]
+
+MAX_HEAD_BYTES = 2_048
+MAX_RECENT_BYTES = 16_384
+MAX_PAST_BYTES = 400_000
+MAX_PAST_CHANGES = 1_000
+MAX_TEXT_BYTES = 1_000_000
+
+
+@dataclass(frozen=True)
+class SectionChange:
+    """
+    A section that is new or has other text.
+
+    :param header: the section's header; empty for the lines before the first section.
+    :param after: header of the section that a new one follows.
+    :param text: all lines of the section, header included.
+    """
+
+    header: str
+    after: str
+    text: str
+
+
+@dataclass(frozen=True)
+class Patch:
+    """Sections to remove, and sections to write over or to insert, in this order."""
+
+    removed: tuple[str, ...]
+    changed: tuple[SectionChange, ...]
+
+
+@dataclass(frozen=True)
+class Replacement:
+    """The whole other text, for a change that a patch can't express."""
+
+    text: str
+
+
+Delta = Patch | Replacement
+
+
+@dataclass(frozen=True)
+class Change:
+    """
+    One change of a document.
+
+    :param revision: of the text after it; 0 while the platform has not given one.
+    :param change_id: chosen by the process that asks for it; it settles lost answers.
+    :param time_s: when the operator asked for it, in seconds since 1970.
+    :param digest: SHA-256 of the whole text after it, in hex.
+    :param delta: from the text before; in a checkpoint's history it leads back to it.
+    """
+
+    revision: int
+    change_id: str
+    operator: str
+    time_s: float
+    note: str
+    digest: str
+    delta: Delta
+
+
+@dataclass(frozen=True)
+class Head:
+    """
+    Value of the team's document key.
+
+    :param base: revision of the checkpoint; 0 for the empty text.
+    :param slot: in which of the two checkpoint keys it lies.
+    :param changes: behind the checkpoint; the last one is the accepted document.
+    """
+
+    base: int = 0
+    slot: int = 0
+    changes: tuple[Change, ...] = ()
+
+
+@dataclass(frozen=True)
+class Checkpoint:
+    """
+    The text at an accepted revision.
+
+    :param past: changes up to this one, oldest first, each with the delta back.
+    """
+
+    revision: int = 0
+    text: str = ""
+    past: tuple[Change, ...] = ()
+
+
+@dataclass(frozen=True)
+class ChangesUpdate:
+    """Changes behind the text at revision ``base``, oldest first."""
+
+    base: int
+    changes: tuple[Change, ...]
+
+
+@dataclass(frozen=True)
+class WholeUpdate:
+    """A whole text with the change that led to it."""
+
+    last: Change
+    text: str
+
+
+@dataclass(frozen=True)
+class Replica:
+    """
+    What one process holds of the document.
+
+    :param base: revision that the first of ``recent`` follows.
+    :param recent: the last changes, oldest first, kept to be passed on to peers.
+    """
+
+    text: str = ""
+    last: Change | None = None
+    base: int = 0
+    recent: tuple[Change, ...] = ()
+
+    @property
+    def revision(self) -> int:
+        """Revision of the text; 0 before there is one."""
+        return self.last.revision if self.last else 0
+
+
+@dataclass(frozen=True)
+class Advanced:
+    """The update led to a later revision."""
+
+    replica: Replica
+
+
+@dataclass(frozen=True)
+class Unchanged:
+    """The update holds nothing later than the replica."""
+
+
+@dataclass(frozen=True)
+class Gap:
+    """The update doesn't lead on from the replica's text; the whole text is needed."""
+
+
+Outcome = Advanced | Unchanged | Gap
+
+
+def digest_text(text: str) -> str:
+    """Return the SHA-256 digest of a text in hex."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def make_delta(base: str, target: str) -> Delta:
+    """
+    Return the delta from one text to another.
+
+    >>> delta = make_delta("[a]\\nx = 1\\n[b]\\n", "[a]\\nx = 2\\n[b]\\n[c]\\n")
+    >>> [(change.header, change.after) for change in delta.changed]
+    [('[a]', ''), ('[c]', '[b]')]
+    """
+    before = dict(_split_sections(base))
+    pairs = tuple(_split_sections(target))
+    after = dict(pairs)
+    removed = tuple(header for header in before if header not in after)
+    patch = Patch(removed, tuple(_list_section_changes(before, pairs)))
+    # Moved or repeated sections are rare and need the whole text.
+    if apply_delta(base, patch) == target:
+        return patch
+    return Replacement(target)
+
+
+def apply_delta(base: str, delta: Delta) -> str:
+    """Return the text that a delta leads to; its digest tells if the base was right."""
+    match delta:
+        case Replacement(text):
+            return text
+        case Patch(removed, changed):
+            gone = set(removed)
+            kept = [pair for pair in _split_sections(base) if pair[0] not in gone]
+            for change in changed:
+                _write_section(kept, change)
+            return "".join(text for _, text in kept)
+
+
+def advance(replica: Replica, update: ChangesUpdate | WholeUpdate) -> Outcome:
+    """
+    Take an update into a replica.
+
+    :returns: ``Advanced``, ``Unchanged`` or ``Gap``; never an earlier revision.
+    """
+    match update:
+        case WholeUpdate(last, text):
+            if last.revision <= replica.revision:
+                return Unchanged()
+            if digest_text(text) != last.digest:
+                return Gap()
+            return Advanced(Replica(text, last, last.revision))
+        case ChangesUpdate(base, changes):
+            later = [item for item in changes if item.revision > replica.revision]
+            if not later:
+                return Unchanged()
+            if not _joins(replica, base, changes):
+                return Gap()
+            return _follow(replica, later)
+
+
+def compose_update(replica: Replica, known: int) -> ChangesUpdate | WholeUpdate | None:
+    """
+    Return what leads a peer on from the revision that it knows.
+
+    :returns: changes if they are held and shorter than the text, None if it knows all.
+    """
+    if replica.last is None or known >= replica.revision:
+        return None
+    later = tuple(change for change in replica.recent if change.revision > known)
+    starts = {replica.base, *(change.revision for change in replica.recent)}
+    if known in starts and sum(map(_measure, later)) < len(replica.text):
+        return ChangesUpdate(known, later)
+    return WholeUpdate(replica.last, replica.text)
+
+
+def extend_head(
+    head: Head, revision: int, checkpoint_slot: int | None, change: Change
+) -> Head:
+    """
+    Return the head with one more change.
+
+    :param revision: that the platform gave to ``head``.
+    :param checkpoint_slot: where a checkpoint of ``revision`` lies, or None to go on
+        from the checkpoint that the head has.
+    """
+    if checkpoint_slot is not None:
+        return Head(revision, checkpoint_slot, (change,))
+    return replace(head, changes=(*list_changes(head, revision), change))
+
+
+def list_changes(head: Head, revision: int) -> tuple[Change, ...]:
+    """Return the changes of a head, the last one with the revision it was given."""
+    if not head.changes:
+        return ()
+    *earlier, last = head.changes
+    return (*earlier, replace(last, revision=revision))
+
+
+def is_full(head: Head) -> bool:
+    """Tell whether a head should get a new checkpoint before its next change."""
+    return sum(map(_measure, head.changes)) > MAX_HEAD_BYTES
+
+
+def make_checkpoint(checkpoint: Checkpoint, changes: Iterable[Change]) -> Checkpoint:
+    """
+    Return the checkpoint after more changes.
+
+    The result depends on the arguments alone, so that racing writers of the checkpoint
+    of one revision write the same. The oldest history is dropped at the size limit.
+    """
+    text = checkpoint.text
+    past = list(checkpoint.past)
+    revision = checkpoint.revision
+    for change in changes:
+        target = apply_delta(text, change.delta)
+        past.append(replace(change, delta=make_delta(target, text)))
+        text = target
+        revision = change.revision
+    return Checkpoint(revision, text, tuple(_limit_past(past)))
+
+
+def read_text_at(checkpoint: Checkpoint, revision: int) -> str | None:
+    """Return the text of an earlier revision, or None when it is no longer held."""
+    if revision not in {change.revision for change in checkpoint.past}:
+        return None
+    text = checkpoint.text
+    for change in reversed(checkpoint.past):
+        if change.revision == revision:
+            return text if digest_text(text) == change.digest else None
+        text = apply_delta(text, change.delta)
+    return None
+
+
+def find_change(changes: Iterable[Change], change_id: str) -> Change | None:
+    """Return the change of that id, or None."""
+    return next((item for item in changes if item.change_id == change_id), None)
+
+
+def _split_sections(text: str) -> Iterator[tuple[str, str]]:
+    header = ""
+    lines: list[str] = []
+    for line in text.splitlines(keepends=True):
+        if line.startswith("["):
+            if lines:
+                yield header, "".join(lines)
+            header = line.strip()
+            lines = []
+        lines.append(line)
+    if lines:
+        yield header, "".join(lines)
+
+
+def _list_section_changes(
+    before: dict[str, str], pairs: Iterable[tuple[str, str]]
+) -> Iterator[SectionChange]:
+    previous = ""
+    for header, text in pairs:
+        if before.get(header) != text:
+            yield SectionChange(header, previous, text)
+        previous = header
+
+
+def _write_section(sections: list[tuple[str, str]], change: SectionChange) -> None:
+    headers = [header for header, _ in sections]
+    pair = (change.header, change.text)
+    if change.header in headers:
+        sections[headers.index(change.header)] = pair
+    elif change.after in headers:
+        sections.insert(headers.index(change.after) + 1, pair)
+    else:
+        sections.insert(0, pair)
+
+
+def _joins(replica: Replica, base: int, changes: Iterable[Change]) -> bool:
+    starts = {base, *(change.revision for change in changes)}
+    return replica.revision in starts
+
+
+def _follow(replica: Replica, later: Iterable[Change]) -> Advanced | Gap:
+    text = replica.text
+    last = replica.last
+    for change in later:
+        text = apply_delta(text, change.delta)
+        last = change
+    if digest_text(text) != last.digest:
+        return Gap()
+    longer = Replica(text, last, replica.base, (*replica.recent, *later))
+    return Advanced(_limit_recent(longer))
+
+
+def _limit_recent(replica: Replica) -> Replica:
+    base = replica.base
+    recent = replica.recent
+    while len(recent) > 1 and sum(map(_measure, recent)) > MAX_RECENT_BYTES:
+        base = recent[0].revision
+        recent = recent[1:]
+    return replace(replica, base=base, recent=recent)
+
+
+def _limit_past(past: list[Change]) -> list[Change]:
+    past = past[-MAX_PAST_CHANGES:]
+    total = 0
+    for count, change in enumerate(reversed(past)):
+        total += _measure(change)
+        if total > MAX_PAST_BYTES:
+            return past[len(past) - count :]
+    return past
+
+
+def _measure(change: Change) -> int:
+    match change.delta:
+        case Replacement(text):
+            return len(text)
+        case Patch(removed, changed):
+            sizes = [len(item.header) + len(item.text) for item in changed]
+            return sum(sizes) + sum(map(len, removed)) + len(change.note)
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/watchers.py
@@ -0,0 +1,187 @@
+"""
+Which processes watch the platform for a team's document, and whom each one tells.
+
+All of it follows from the VM list that a process sees, by rendezvous hashing. Nothing
+is agreed on; processes with different lists only send a few messages more.
+"""
+
+import hashlib
+import random
+from collections.abc import Iterable, Set as AbstractSet
+from dataclasses import dataclass
+
+from persimmonferry_core.world import VM, FailureDomain, Role, VMState
+
+__all__ = [
+    "DEPUTIES",
+    "FAN_OUT",
+    "WATCHERS",
+    "Branch",
+    "Member",
+    "Members",
+    "Remote",
+    "choose_peer",
+    "count_levels",
+    "rank_members",
+]
+
+WATCHERS = 2
+DEPUTIES = 2
+FAN_OUT = 8
+REMOTE_SHARE = 0.25
+REMOTE_TRIES = 4
+
+
+@dataclass(frozen=True)
+class Member:
+    """
+    A process that holds the document.
+
+    :param url: base URL of its control port.
+    """
+
+    name: str
+    url: str
+    failure_domain: FailureDomain
+
+
+@dataclass(frozen=True)
+class Branch:
+    """
+    A member of the own failure domain that passes a change on to its children.
+
+    :param children: whom to tell in its stead when it can't be reached.
+    """
+
+    member: Member
+    children: tuple["Branch", ...]
+
+
+@dataclass(frozen=True)
+class Remote:
+    """Another failure domain: the first of its members that can be reached is told."""
+
+    members: tuple[Member, ...]
+
+
+@dataclass(frozen=True)
+class Members:
+    """
+    The processes of one team as one of them sees them.
+
+    :param own: the process itself.
+    :param local: members of its own failure domain in order of rank, itself too.
+    :param others: members of each other failure domain in order of rank. The domains
+        follow the own one in a circle that all processes with the same list share.
+    """
+
+    own: Member
+    local: tuple[Member, ...]
+    others: tuple[tuple[Member, ...], ...]
+
+    @property
+    def rank(self) -> int:
+        """Rank of the process within its failure domain, from 0."""
+        return self.local.index(self.own)
+
+    def is_watcher(self, suspected: AbstractSet[str]) -> bool:
+        """
+        Tell whether the process should watch the platform.
+
+        :param suspected: names of members that could not be reached of late.
+        """
+        before = self.local[: self.rank]
+        alive = sum(1 for member in before if member.name not in suspected)
+        return alive < WATCHERS
+
+    def list_children(self) -> tuple[Branch, ...]:
+        """
+        Return whom the process passes each change on to.
+
+        The watchers are the roots of a forest in which each has ``FAN_OUT`` children.
+        """
+        return self._list_branches(self.rank)
+
+    def list_roots(self) -> tuple[Branch, ...]:
+        """Return the other members that have the rank of watchers."""
+        ranks = range(min(WATCHERS, len(self.local)))
+        return tuple(self._make_branch(rank) for rank in ranks if rank != self.rank)
+
+    def list_remotes(self) -> tuple[Remote, ...]:
+        """
+        Return the failure domains that a watcher passes a change on to.
+
+        They lie 1, 2, 4, ... places further, so that a change that is known in one
+        domain reaches n of them in log n steps without any watch of theirs.
+        """
+        count = len(self.others)
+        offsets = [2**power for power in range(count.bit_length())]
+        domains = [self.others[offset - 1] for offset in offsets if offset <= count]
+        return tuple(Remote(domain[:REMOTE_TRIES]) for domain in domains)
+
+    def _list_branches(self, rank: int) -> tuple[Branch, ...]:
+        first = WATCHERS + rank * FAN_OUT
+        last = min(first + FAN_OUT, len(self.local))
+        return tuple(self._make_branch(child) for child in range(first, last))
+
+    def _make_branch(self, rank: int) -> Branch:
+        return Branch(self.local[rank], self._list_branches(rank))
+
+
+def rank_members(own: Member, vms: Iterable[VM], team: str) -> Members:
+    """
+    Order the processes of a VM list.
+
+    :param own: the asking process; it is a member even if the lagging list lacks it.
+    """
+    found = {own.name: own}
+    for vm in vms:
+        if vm.role is not Role.STORE and vm.state is VMState.LIVE:
+            member = Member(vm.name, vm.address.url, vm.failure_domain)
+            found.setdefault(vm.name, member)
+    domains: dict[FailureDomain, list[Member]] = {}
+    for member in sorted(found.values(), key=lambda item: _hash(team, item.name)):
+        domains.setdefault(member.failure_domain, []).append(member)
+    circle = sorted(domains, key=lambda domain: _hash(team, repr(domain)))
+    start = circle.index(own.failure_domain)
+    following = (*circle[start + 1 :], *circle[:start])
+    others = tuple(tuple(domains[domain]) for domain in following)
+    return Members(own, tuple(domains[own.failure_domain]), others)
+
+
+def choose_peer(members: Members, random: random.Random) -> Member | None:
+    """
+    Return the peer to compare revisions with next, or None when there is none.
+
+    Most comparisons stay in the failure domain. The processes next in rank after the
+    watchers often ask a watcher, so that a dead one is noticed and its rank is taken.
+    """
+    others = [item for item in members.local if item.name != members.own.name]
+    if members.others and (not others or random.random() < REMOTE_SHARE):
+        return random.choice(random.choice(members.others))
+    is_deputy = WATCHERS <= members.rank < WATCHERS + DEPUTIES
+    if is_deputy and random.random() < 0.5:
+        return random.choice(members.local[:WATCHERS])
+    return random.choice(others) if others else None
+
+
+def count_levels(size: int) -> int:
+    """
+    Return how many messages in a row reach the last member of a failure domain.
+
+    :param size: members of the domain, watchers included.
+
+    >>> [count_levels(size) for size in (2, 4, 18, 19, 353)]
+    [0, 1, 1, 2, 3]
+    """
+    levels = 0
+    reached = width = WATCHERS
+    while reached < size:
+        width *= FAN_OUT
+        reached += width
+        levels += 1
+    return levels
+
+
+def _hash(team: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{team}\0{name}".encode(), digest_size=16).digest()
