--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, each beside its baseline from the same run."""
--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,136 @@
+"""
+What the path through entry and agent costs: time to first token, processor time.
+
+Baselines of the same run: a caller that asks the engine itself, and a bare Tornado
+relay that passes the same bytes on.
+"""
+
+import asyncio
+import os
+import time
+import uuid
+
+from persimmonferry_adapters import HttpEngine
+from persimmonferry_core.runs import RunOrder
+from persimmonferry_standins.fleet import Fleet
+from persimmonferry_standins.scenarios import make_caller, plan_small, run_with_fleet
+
+from bench.tables import print_table, take_percentile
+
+FAST_ENGINE = (
+    "--model",
+    "route-notes",
+    "--slots",
+    "400",
+    "--tick-s",
+    "0.001",
+    "--decode-tokens-per-s",
+    "2000",
+)
+STREAM_ENGINE = (
+    "--model",
+    "route-notes",
+    "--slots",
+    "400",
+    "--tick-s",
+    "0.05",
+    "--decode-tokens-per-s",
+    "20",
+)
+PROMPT = "which stems go to the shop at the harbour?"
+SEQUENTIAL_REQUESTS = 300
+STREAMS = 100
+STREAM_TOKENS = 100
+MS_PER_S = 1000
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+NODE_TOKENS_PER_S = 18_500
+
+
+def read_cpu_s(process_id: int) -> float:
+    """Return the processor time that a process has used."""
+    with open(f"/proc/{process_id}/stat") as stat:
+        fields = stat.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+async def measure_straight(engine: HttpEngine) -> float:
+    """Return the time to first token of a run given to the engine itself, in ms."""
+    started = time.monotonic()
+    first: list[float] = []
+
+    def deliver(batch) -> None:
+        if not first:
+            first.append(time.monotonic() - started)
+
+    order = RunOrder(
+        run_id=uuid.uuid4().hex,
+        model="route-notes",
+        version="v1",
+        adapter="",
+        prompt=PROMPT,
+        max_tokens=2,
+        priority=0,
+    )
+    await engine.run(order, deliver)
+    return first[0] * MS_PER_S
+
+
+async def measure_first_token(fleet: Fleet) -> None:
+    """Print the time to first token, straight and through the system, in turns."""
+    engine = HttpEngine(fleet.client, fleet.processes["notes-0-upstream"].url)
+    caller = make_caller(fleet)
+    straight, through = [], []
+    for _ in range(SEQUENTIAL_REQUESTS):
+        straight.append(await measure_straight(engine))
+        receipt = await caller.complete("notes", PROMPT, max_tokens=2)
+        through.append(receipt.first_token_s * MS_PER_S)
+    rows = []
+    for percent in (50, 99):
+        base = take_percentile(straight, percent)
+        full = take_percentile(through, percent)
+        rows.append((f"p{percent}", base, full, full - base))
+    header = ("", "straight to the engine, ms", "entry and agent, ms", "added, ms")
+    print_table("Time to first token, one request at a time", header, rows)
+
+
+async def measure_streams(fleet: Fleet) -> None:
+    """Print the processor time of entry and agent for streamed tokens."""
+    caller = make_caller(fleet)
+    names = ("entry-1", "notes-0")
+    before = {name: read_cpu_s(fleet.processes[name].process.pid) for name in names}
+    started = time.monotonic()
+    receipts = await asyncio.gather(
+        *(
+            caller.complete("notes", f"{PROMPT} {n}", max_tokens=STREAM_TOKENS)
+            for n in range(STREAMS)
+        )
+    )
+    elapsed_s = time.monotonic() - started
+    whole = sum(receipt.whole for receipt in receipts)
+    gaps = [gap for receipt in receipts for gap in receipt.gaps_s]
+    tokens = whole * STREAM_TOKENS
+    rows = []
+    for name in names:
+        used_s = read_cpu_s(fleet.processes[name].process.pid) - before[name]
+        per_core = tokens / used_s
+        rows.append((name, tokens, used_s, per_core, NODE_TOKENS_PER_S / per_core))
+    header = (
+        "process",
+        "tokens",
+        "processor s",
+        "tokens/s for each core",
+        f"cores for {NODE_TOKENS_PER_S} tokens/s",
+    )
+    print_table(f"{STREAMS} streams of {STREAM_TOKENS} tokens", header, rows)
+    p95_ms = take_percentile(gaps, 95) * MS_PER_S
+    print(f"\n{whole} whole in {elapsed_s:.1f} s; p95 between events {p95_ms:.0f} ms")
+
+
+def main() -> None:
+    """Run both measurements, each with an engine made for it."""
+    run_with_fleet(plan_small(models=1, engine=FAST_ENGINE), measure_first_token)
+    run_with_fleet(plan_small(models=1, engine=STREAM_ENGINE), measure_streams)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/demo/demo.py
@@ -0,0 +1,174 @@
+"""Starts Kovanci's deployment as real processes and serves a morning's requests."""
+
+import asyncio
+import random
+import sys
+from collections import Counter
+from pathlib import Path
+
+from persimmonferry_adapters import HttpEngine
+from persimmonferry_standins.callers import Caller, PromptReceipt, create_order_key
+from persimmonferry_standins.deployments import plan_kovanci
+from persimmonferry_standins.fleet import Fleet
+from persimmonferry_standins.tokens import answer_tokens
+from tornado.httpclient import AsyncHTTPClient
+
+ROOT = Path(__file__).resolve().parent.parent
+SEED = 7
+HISTORY_TOKENS = 6000
+HISTORIES = 12
+QUESTIONS = 40
+ORDERS = 60
+MAX_CLIENTS = 500
+
+
+def make_history(shop: int, words: int) -> str:
+    """Return the text of a shop's history."""
+    source = random.Random(f"{SEED}-{shop}")
+    stems = ("rose", "tulip", "iris", "fern", "lily", "aster")
+    return " ".join(f"{source.choice(stems)}{index}" for index in range(words))
+
+
+class Demo:
+    """The requests of one morning."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.failures: list[str] = []
+        self._callers = {
+            entry: Caller(fleet.client, fleet.callers_url(entry), "demo-key-drivers")
+            for entry in ("entry-1", "entry-2")
+        }
+
+    def pick(self, number: int) -> Caller:
+        """Return the entry that the balancer would choose."""
+        return self._callers[f"entry-{number % 2 + 1}"]
+
+    async def serve_morning(self) -> None:
+        """Send histories, questions and orders at the same time."""
+        histories = [self._send_history(shop) for shop in range(HISTORIES)]
+        questions = [self._ask_question(number) for number in range(QUESTIONS)]
+        orders = [self._send_order(number) for number in range(ORDERS)]
+        results = await asyncio.gather(*histories, *questions)
+        await asyncio.gather(*orders)
+        self._print_prompts("histories (tier dawn)", results[:HISTORIES])
+        self._print_prompts("questions (tier urgent)", results[HISTORIES:])
+
+    async def return_later(self) -> None:
+        """Send the histories again after the engines have lost their caches."""
+        for plan in self.fleet.plan.models:
+            await self.fleet.control(f"{plan.name}-upstream").evict_blocks()
+        results = [await self._send_history(shop) for shop in range(HISTORIES)]
+        self._print_prompts("the same after eviction", results)
+        cached = sum(receipt.cached_tokens for receipt in results)
+        share = cached / (HISTORIES * HISTORY_TOKENS)
+        print(f"  prompt tokens taken from the store: {share:.0%}")
+
+    async def lose_an_agent(self) -> None:
+        """Kill the agent that generates an answer, in the middle of it."""
+        prompt = make_history(99, 500)
+        task = asyncio.ensure_future(
+            self.pick(0).complete("notes", prompt, tier="urgent", max_tokens=300)
+        )
+        await asyncio.sleep(1.0)
+        busy = await self._find_busy_upstream()
+        await self.fleet.processes[busy].kill()
+        receipt = await task
+        self._expect(receipt.whole, "the answer is whole after the kill")
+        right_text = "".join(answer_tokens(prompt, "v1", 300))
+        self._expect(receipt.text == right_text, "every token came once")
+        print(f"killed {busy} in mid-answer: {receipt.elapsed_s:.1f} s for 300 tokens")
+
+    async def stop_gracefully(self) -> None:
+        """Stop an entry and an agent with answers under way."""
+        tasks = [
+            asyncio.ensure_future(
+                self.pick(0).complete("notes", make_history(n, 50), max_tokens=100)
+            )
+            for n in range(8)
+        ]
+        await asyncio.sleep(0.3)
+        names = ("entry-1", "notes-1", "orders-1")
+        statuses = await asyncio.gather(
+            *(self.fleet.processes[name].stop() for name in names)
+        )
+        receipts = await asyncio.gather(*tasks)
+        self._expect(all(status == 0 for status in statuses), "clean exits")
+        self._expect(all(item.whole for item in receipts), "no answer was cut")
+        print(
+            f"stopped {', '.join(names)} with {len(tasks)} answers under way: none cut"
+        )
+
+    async def check_orders(self) -> None:
+        """Count the runs of each order at the services themselves."""
+        runs: Counter[str] = Counter()
+        for plan in self.fleet.plan.plains:
+            control = self.fleet.control(f"{plan.name}-upstream")
+            runs.update((await control.read_order_runs()).by_order)
+        doubled = [number for number, count in runs.items() if count != 1]
+        self._expect(len(runs) == ORDERS, "every order ran")
+        self._expect(not doubled, "no order ran twice")
+        print(f"orders: {len(runs)} ran, {len(doubled)} doubled")
+
+    def _expect(self, holds: bool, what: str) -> None:
+        if not holds:
+            self.failures.append(what)
+            print(f"FAILED: {what}")
+
+    async def _send_history(self, shop: int) -> PromptReceipt:
+        prompt = make_history(shop, HISTORY_TOKENS)
+        return await self.pick(shop).complete("notes", prompt, tier="dawn")
+
+    async def _ask_question(self, number: int) -> PromptReceipt:
+        await asyncio.sleep(number * 0.05)
+        prompt = f"are the stems of order {number} still fresh?"
+        return await self.pick(number).complete(
+            "notes", prompt, tier="urgent", max_tokens=4
+        )
+
+    async def _send_order(self, number: int) -> None:
+        """Send an order, and send it again through the other entry."""
+        key = create_order_key()
+        body = str(number).encode()
+        first = await self.pick(number).call("orders", "/orders", body, key=key)
+        again = await self.pick(number + 1).call("orders", "/orders", body, key=key)
+        self._expect(first.status == 200, f"order {number} was answered")
+        self._expect(again.body == first.body, f"order {number} got its first answer")
+
+    async def _find_busy_upstream(self) -> str:
+        for plan in self.fleet.plan.models:
+            url = self.fleet.processes[f"{plan.name}-upstream"].url
+            load = await HttpEngine(self.fleet.client, url).read_load()
+            if load.running:
+                return plan.name
+        raise RuntimeError("no upstream is busy")
+
+    def _print_prompts(self, title: str, receipts: list[PromptReceipt]) -> None:
+        whole = [receipt for receipt in receipts if receipt.whole]
+        self._expect(len(whole) == len(receipts), f"all answers whole: {title}")
+        times = sorted(receipt.first_token_s for receipt in whole)
+        median_ms = times[len(times) // 2] * 1000 if times else 0.0
+        print(f"{title}: {len(whole)} of {len(receipts)} whole, ", end="")
+        print(f"first token p50 {median_ms:.0f} ms")
+
+
+async def run() -> int:
+    """Run the demo and return the exit status."""
+    AsyncHTTPClient.configure(
+        "tornado.curl_httpclient.CurlAsyncHTTPClient", max_clients=MAX_CLIENTS
+    )
+    plan = plan_kovanci(ROOT / "examples" / "kovanci.ini")
+    async with Fleet(plan, AsyncHTTPClient()) as fleet:
+        print(f"started {len(fleet.processes)} processes")
+        demo = Demo(fleet)
+        await demo.serve_morning()
+        await demo.return_later()
+        await demo.check_orders()
+        await demo.lose_an_agent()
+        await demo.stop_gracefully()
+    print("demo failed" if demo.failures else "demo passed")
+    return 1 if demo.failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run()))
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -39,6 +39,7 @@
 NO_UPSTREAM_RETRY_S = 1.0
 ANSWER_SMOOTHING = 0.05
 MAX_ATTEMPTS = 3
+RESUMPTION_WAIT_S = 5.0
 
 
 @dataclass(frozen=True)
@@ -251,7 +252,11 @@
             )
         waiting = attempt.waiting
         avoid = waiting.avoid | ({failed_at} if failed_at else set())
-        attempt.waiting = replace(waiting, avoid=avoid)
+        latest_s = waiting.latest_start_s
+        if ran:
+            # The promised wait was for the first start, and it was kept.
+            latest_s = max(latest_s, now + RESUMPTION_WAIT_S)
+        attempt.waiting = replace(waiting, avoid=avoid, latest_start_s=latest_s)
         model = self._models[waiting.request.service]
         weight = self._weights.get(waiting.request.account, 1.0)
         model.queue.push(attempt.waiting, weight)
