Judge lags in virtual time and leave the tests room on a busy machine

Cause: lags of tenths of a second were awaited on the clock, and every call had a time-out of 0.3 s, so a stalled machine could change a verdict.

--- a/packages/standins/src/persimmonferry_standins/platform.py
+++ b/packages/standins/src/persimmonferry_standins/platform.py
@@ -99,9 +99,10 @@
                 return None
         return self.read(key)
 
-    def acquire(self, name: str, holder: str, duration_s: float) -> _Grant | None:
+    def acquire(
+        self, name: str, holder: str, duration_s: float, now: float
+    ) -> _Grant | None:
         """Grant or renew a lease; None when another holder has it."""
-        now = asyncio.get_running_loop().time()
         grant = self._grants.get(name, _Grant("", 0, 0.0))
         live = grant.expires_s > now
         if live and grant.holder != holder:
@@ -164,7 +165,8 @@
         await self.count("acquire_lease")
         fields = json.loads(self.request.body)
         holder, duration_s = fields["holder"], float(fields["duration_s"])
-        grant = self.standin.acquire(name, holder, duration_s)
+        now = asyncio.get_running_loop().time()
+        grant = self.standin.acquire(name, holder, duration_s, now)
         if grant is None:
             await self.answer(status=409)
         else:
