--- a/packages/adapters/src/persimmonferry_adapters/exchange.py
+++ b/packages/adapters/src/persimmonferry_adapters/exchange.py
@@ -46,10 +46,12 @@
 
     libcurl sends a request a second time, unasked, when a reused connection closes
     before the first byte of the answer. A request that must go out at most once, or
-    whose refusal must be true, needs a connection of its own.
+    whose refusal must be true, needs a connection of its own. With ``ONCE`` the second
+    sending is prevented, and such a request counts as lost.
     """
 
     ALLOWED = "allowed"
+    ONCE = "allowed, but the request is not sent a second time"
     NEVER = "never"
 
 
@@ -115,7 +117,7 @@
 
     def _allow_sending(self, *_addresses: Any) -> int:
         """Note that the first byte is about to go out on an open connection."""
-        if self.sent and self._reuse is Reuse.NEVER:
+        if self.sent and self._reuse is not Reuse.ALLOWED:
             return pycurl.PREREQFUNC_ABORT
         self.sent = True
         return pycurl.PREREQFUNC_OK
--- a/packages/core/src/persimmonferry_core/membership.py
+++ b/packages/core/src/persimmonferry_core/membership.py
@@ -53,6 +53,7 @@
 
     def __init__(self) -> None:
         self._rows: dict[str, _Row] = {}
+        self._names: dict[Address, str] = {}
 
     def observe(
         self, report: UpstreamReport, address: Address, now: float
@@ -69,7 +70,10 @@
             return Observation.STALE
         if not self._claim_address(report, address):
             return Observation.STALE
+        if known is not None and known.address != address:
+            self._drop(report.name)
         self._rows[report.name] = _Row(Presence(report, address), now)
+        self._names[address] = report.name
         if known is None or known.report.incarnation != report.incarnation:
             return Observation.NEW
         return Observation.UPDATED
@@ -81,7 +85,7 @@
             name for name, row in self._rows.items() if now - row.heard_at > timeout_s
         ]
         for name in silent:
-            del self._rows[name]
+            self._drop(name)
         return tuple(silent)
 
     def choose_interval(self) -> float:
@@ -130,14 +134,18 @@
 
     def _claim_address(self, report: UpstreamReport, address: Address) -> bool:
         """Drop the former user of an address, unless it is the newer one."""
-        for name, row in list(self._rows.items()):
-            if name == report.name or row.presence.address != address:
-                continue
-            if row.presence.report.incarnation > report.incarnation:
-                return False
-            del self._rows[name]
+        name = self._names.get(address)
+        if name is None or name == report.name:
+            return True
+        if self._rows[name].presence.report.incarnation > report.incarnation:
+            return False
+        self._drop(name)
         return True
 
+    def _drop(self, name: str) -> None:
+        row = self._rows.pop(name)
+        del self._names[row.presence.address]
+
 
 def _order(report: UpstreamReport) -> tuple[int, int]:
     return report.incarnation, report.sequence
--- a/packages/daemon/src/persimmonferry_daemon/histograms.py
+++ b/packages/daemon/src/persimmonferry_daemon/histograms.py
@@ -1,17 +1,19 @@
 """Latency histograms for each client account and tier, by ``hdrhistogram``."""
 
 import enum
+from collections import OrderedDict
 from dataclasses import dataclass
 
 from hdrh.histogram import HdrHistogram
 
 __all__ = ["HistogramRow", "Histograms", "Measure"]
 
-LOWEST_US = 1
-HIGHEST_US = 3_600_000_000
+UNITS_PER_S = 10_000
+MS_PER_UNIT = 0.1
+LOWEST_UNITS = 1
+HIGHEST_UNITS = 3600 * UNITS_PER_S
 SIGNIFICANT_DIGITS = 2
-US_PER_S = 1_000_000
-MS_PER_US = 1 / 1000
+MAX_LIVE = 256
 
 
 class Measure(enum.Enum):
@@ -39,42 +41,74 @@
 
 
 class Histograms:
-    """All histograms of one process."""
+    """
+    All histograms of one process.
 
-    def __init__(self) -> None:
-        self._histograms: dict[tuple[str, str, Measure], HdrHistogram] = {}
+    A histogram takes some 19 KB, and there may be thousands: those that were not
+    recorded in lately are kept encoded, in a few hundred bytes each.
+    """
+
+    def __init__(self, max_live: int = MAX_LIVE) -> None:
+        self._max_live = max_live
+        self._live: OrderedDict[_Series, HdrHistogram] = OrderedDict()
+        self._encoded: dict[_Series, bytes] = {}
 
     def record(
         self, account: str, tier: str, measure: Measure, duration_s: float
     ) -> None:
         """Count one duration."""
-        key = (account, tier, measure)
-        histogram = self._histograms.get(key)
-        if histogram is None:
-            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
-            self._histograms[key] = histogram
-        duration_us = int(duration_s * US_PER_S)
-        histogram.record_value(min(max(duration_us, LOWEST_US), HIGHEST_US))
+        histogram = self._wake(_Series(account, tier, measure.value))
+        units = int(duration_s * UNITS_PER_S)
+        histogram.record_value(min(max(units, LOWEST_UNITS), HIGHEST_UNITS))
 
     def list_rows(self) -> tuple[HistogramRow, ...]:
         """Return all histograms, by account, tier and measure."""
-        keys = sorted(self._histograms, key=lambda key: (key[0], key[1], key[2].value))
-        return tuple(self._summarise(*key) for key in keys)
-
-    def _summarise(self, account: str, tier: str, measure: Measure) -> HistogramRow:
-        histogram = self._histograms[account, tier, measure]
-
-        def read_ms(percentile: float) -> float:
-            value_us = histogram.get_value_at_percentile(percentile)
-            return round(value_us * MS_PER_US, 3)
-
-        return HistogramRow(
-            account=account,
-            tier=tier,
-            measure=measure.value,
-            count=histogram.get_total_count(),
-            p50_ms=read_ms(50),
-            p95_ms=read_ms(95),
-            p99_ms=read_ms(99),
-            max_ms=read_ms(100),
-        )
+        every = sorted((*self._live, *self._encoded))
+        return tuple(_summarise(series, self._read(series)) for series in every)
+
+    def _wake(self, series: "_Series") -> HdrHistogram:
+        histogram = self._live.get(series)
+        if histogram is None:
+            histogram = self._read(series)
+            self._encoded.pop(series, None)
+            self._live[series] = histogram
+            self._encode_oldest()
+        self._live.move_to_end(series)
+        return histogram
+
+    def _read(self, series: "_Series") -> HdrHistogram:
+        live = self._live.get(series)
+        if live is not None:
+            return live
+        encoded = self._encoded.get(series)
+        if encoded is not None:
+            return HdrHistogram.decode(encoded)
+        return HdrHistogram(LOWEST_UNITS, HIGHEST_UNITS, SIGNIFICANT_DIGITS)
+
+    def _encode_oldest(self) -> None:
+        while len(self._live) > self._max_live:
+            series, histogram = self._live.popitem(last=False)
+            self._encoded[series] = histogram.encode()
+
+
+@dataclass(frozen=True, order=True)
+class _Series:
+    account: str
+    tier: str
+    measure: str
+
+
+def _summarise(series: _Series, histogram: HdrHistogram) -> HistogramRow:
+    def read_ms(percentile: float) -> float:
+        return round(histogram.get_value_at_percentile(percentile) * MS_PER_UNIT, 3)
+
+    return HistogramRow(
+        account=series.account,
+        tier=series.tier,
+        measure=series.measure,
+        count=histogram.get_total_count(),
+        p50_ms=read_ms(50),
+        p95_ms=read_ms(95),
+        p99_ms=read_ms(99),
+        max_ms=read_ms(100),
+    )
--- a/packages/daemon/src/persimmonferry_daemon/promptruns.py
+++ b/packages/daemon/src/persimmonferry_daemon/promptruns.py
@@ -199,6 +199,8 @@
     async def post(self) -> None:
         """Follow or start the run that the body asks for."""
         request = decode(RunRequest, self.request.body)
+        # Otherwise small frames wait for the acknowledgement of those before them.
+        self.request.connection.stream.set_nodelay(True)
         self.set_header("Content-Type", "application/x-thrift-frames")
         try:
             answer = self._runs.follow(request)
--- a/packages/daemon/src/persimmonferry_daemon/servers.py
+++ b/packages/daemon/src/persimmonferry_daemon/servers.py
@@ -94,11 +94,9 @@
         address: Address,
         is_ready: Callable[[], bool],
         max_body_bytes: int = MAX_PEER_BODY_BYTES,
-        body_timeout_s: float | None = None,
     ) -> None:
         self._is_ready = is_ready
         self._max_body_bytes = max_body_bytes
-        self._body_timeout_s = body_timeout_s
         self._sockets = bind_sockets(address.port, address.host)
         self._server: HTTPServer | None = None
         port = self._sockets[0].getsockname()[1]
@@ -118,7 +116,6 @@
             application,
             max_body_size=self._max_body_bytes,
             max_header_size=MAX_HEADER_BYTES,
-            body_timeout=self._body_timeout_s,
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
         )
         self._server.add_sockets(self._sockets)
--- a/packages/daemon/src/persimmonferry_daemon/upstreams.py
+++ b/packages/daemon/src/persimmonferry_daemon/upstreams.py
@@ -73,7 +73,7 @@
             address.url + RUN_PATH,
             method="POST",
             body=encode(request),
-            reuse=Reuse.NEVER,
+            reuse=Reuse.ONCE,
             timeout_s=RUN_TIMEOUT_S,
             streaming_callback=answer.feed,
         )
--- a/packages/standins/src/persimmonferry_standins/fleet.py
+++ b/packages/standins/src/persimmonferry_standins/fleet.py
@@ -201,7 +201,7 @@
         """Start an entry and list its VM."""
         settings = self._describe_process("entry", plan.name, plan.failure_domain)
         settings += f"[listen]\ncallers = {LOOPBACK}:0\npeers = {LOOPBACK}:0\n"
-        settings += "[entry]\nreadiness_grace_s = 0.2\n"
+        settings += "[entry]\nreadiness_grace_s = 0.2\nbody_timeout_s = 2\n"
         return await self._start_daemon(
             plan.name, plan.failure_domain, Role.ENTRY, settings
         )
--- a/packages/wire/src/persimmonferry_wire/codec.py
+++ b/packages/wire/src/persimmonferry_wire/codec.py
@@ -1,10 +1,10 @@
-"""Encoding of the generated Thrift structs."""
+"""Encoding of the generated Thrift structs, in Thrift's compact protocol."""
 
 import struct
 from collections.abc import Iterator
 from typing import Any, TypeVar
 
-from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
 __all__ = ["FrameReader", "decode", "encode", "encode_frame"]
@@ -18,7 +18,7 @@
 def encode(message: Any) -> bytes:
     """Return the bytes of a generated struct."""
     buffer = TMemoryBuffer()
-    message.write(TBinaryProtocolAccelerated(buffer))
+    message.write(TCompactProtocolAccelerated(buffer))
     return buffer.getvalue()
 
 
@@ -30,7 +30,7 @@
     """
     message = kind()
     try:
-        message.read(TBinaryProtocolAccelerated(TMemoryBuffer(data)))
+        message.read(TCompactProtocolAccelerated(TMemoryBuffer(data)))
         message.validate()
     except Exception as error:
         # The library raises whatever its C extension meets in the bytes.
