Run non-idempotent calls at most once behind durable claims

Another entry follows an open claim by asking its agent, and fences it once its start deadline is over. Refusals say 'not run' only with a proof.

--- a/packages/daemon/src/persimmonferry_daemon/attempts.py
+++ b/packages/daemon/src/persimmonferry_daemon/attempts.py
@@ -1,11 +1,12 @@
 """
-The agent's side of calls to a plain service.
+The agent's side of calls to a plain service, and the reading of its replies.
 
 :class:`CallGate` lets each attempt through to the service at most once and answers
 what became of it. The agent process registers :meth:`CallGate.call` and
 :meth:`CallGate.query` as peer routes.
 """
 
+import enum
 import logging
 from collections.abc import Callable
 
@@ -24,8 +25,8 @@
     Repeated,
     Running,
 )
-from persimmonferry_core.codes import ResultCode
-from persimmonferry_core.exceptions import FerryError, NotRun
+from persimmonferry_core.codes import Ran, ResultCode
+from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
 from persimmonferry_core.interfaces import PlainService
 from persimmonferry_core.runs import CallAnswer, CallOrder
 from persimmonferry_wire.generated.runs.ttypes import (
@@ -36,15 +37,19 @@
     Failure,
 )
 
-__all__ = ["CallGate"]
+__all__ = ["CallGate", "decode_reply", "decode_state"]
 
 _log = logging.getLogger(__name__)
 
-_STATE_NEVER_SEEN = 0
-_STATE_RUNNING = 1
-_STATE_ANSWERED = 2
-_STATE_NOT_RUN = 3
-_STATE_UNKNOWN = 4
+_CODES = {code.number: code for code in ResultCode}
+
+
+class _State(enum.IntEnum):
+    NEVER_SEEN = 0
+    RUNNING = 1
+    ANSWERED = 2
+    NOT_RUN = 3
+    UNKNOWN = 4
 
 
 class CallGate:
@@ -114,6 +119,45 @@
             self._running -= 1
 
 
+def decode_reply(run_id: str, reply: CallReply) -> Ending:
+    """
+    Return the ending that an agent's reply tells.
+
+    :raises OutcomeUnknown: the reply is another attempt's, or it says that the agent
+        got this attempt twice: then only a query tells what became of it.
+    """
+    if reply.run_id != run_id:
+        raise OutcomeUnknown(ResultCode.ANSWER_MISMATCHED)
+    if reply.failure is None:
+        answer = CallAnswer(run_id, reply.status, reply.content_type, reply.body)
+        return Answered(answer)
+    failure = reply.failure
+    code = _CODES.get(failure.code, ResultCode.INTERNAL_FAULT)
+    if code is ResultCode.DUPLICATE_RUN:
+        raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, "the attempt came twice")
+    if code.ran is Ran.NO:
+        return Refused(code, failure.detail or "", failure.retry_after_s)
+    return Lost(code, failure.detail or "")
+
+
+def decode_state(attempt: Attempt, reply: AttemptReply) -> AttemptState:
+    """
+    Return the state of an attempt that an agent's reply tells.
+
+    :raises OutcomeUnknown: the reply is another attempt's.
+    """
+    match reply.state:
+        case _State.NEVER_SEEN:
+            return NeverSeen()
+        case _State.RUNNING:
+            return Running()
+        case _State.ANSWERED if reply.reply is None:
+            return Finished(Answered(None))
+    if reply.reply is None:
+        return Finished(Lost(ResultCode.UPSTREAM_LOST))
+    return Finished(decode_reply(attempt.run_id, reply.reply))
+
+
 def _build_order(request: CallRequest) -> CallOrder:
     return CallOrder(
         run_id=request.run_id,
@@ -153,17 +197,17 @@
 def _encode_state(run_id: str, state: AttemptState, incarnation: int) -> AttemptReply:
     match state:
         case NeverSeen():
-            return AttemptReply(_STATE_NEVER_SEEN, None, incarnation)
+            return AttemptReply(_State.NEVER_SEEN, None, incarnation)
         case Running():
-            return AttemptReply(_STATE_RUNNING, None, incarnation)
+            return AttemptReply(_State.RUNNING, None, incarnation)
         case Finished(Answered(None)):
-            return AttemptReply(_STATE_ANSWERED, None, incarnation)
+            return AttemptReply(_State.ANSWERED, None, incarnation)
         case Finished(Answered(answer)):
-            return AttemptReply(_STATE_ANSWERED, _encode_answer(answer), incarnation)
+            return AttemptReply(_State.ANSWERED, _encode_answer(answer), incarnation)
         case Finished(Refused() as ending):
             reply = _encode_ending(run_id, ending)
-            return AttemptReply(_STATE_NOT_RUN, reply, incarnation)
+            return AttemptReply(_State.NOT_RUN, reply, incarnation)
         case Finished(Lost() as ending):
             reply = _encode_ending(run_id, ending)
-            return AttemptReply(_STATE_UNKNOWN, reply, incarnation)
+            return AttemptReply(_State.UNKNOWN, reply, incarnation)
     raise ValueError(f"{state} can't be sent")
--- a/packages/daemon/src/persimmonferry_daemon/calls.py
+++ b/packages/daemon/src/persimmonferry_daemon/calls.py
@@ -5,83 +5,100 @@
 budget, and any other call at most once, behind a durable claim.
 """
 
-from dataclasses import dataclass
-from typing import Protocol
-
-from persimmonferry_core.contracts import Service
-from persimmonferry_core.world import Address
-from persimmonferry_wire.generated.runs.ttypes import (
-    AttemptReply,
-    CallReply,
-    CallRequest,
+from collections.abc import Callable
+
+from persimmonferry_core.attempts import Answered, Lost, Refused
+from persimmonferry_core.exceptions import NotRun, OutcomeUnknown
+from persimmonferry_core.idempotency import is_idempotent, parse_key
+from persimmonferry_core.journal import locate
+from persimmonferry_core.retries import RetryBudget
+from persimmonferry_core.runs import CallAnswer
+
+from persimmonferry_daemon.agentlinks import (
+    AgentHandle,
+    Agents,
+    PlainRequest,
+    build_call,
 )
+from persimmonferry_daemon.attempts import decode_reply
+from persimmonferry_daemon.claimed import ClaimedCall
+from persimmonferry_daemon.claims import ClaimKeeper
 
-__all__ = ["AgentHandle", "Agents", "PlainRequest"]
+__all__ = ["AgentHandle", "Agents", "CallDispatcher", "PlainRequest"]
 
+MAX_ATTEMPTS = 3
 
-@dataclass(frozen=True)
-class PlainRequest:
-    """
-    One request of a caller to a plain service.
 
-    :param account: name of the client account that the key belongs to.
-    :param path: with the query string, as the service gets it.
-    :param idempotency_key: as the caller sent it; None when it sent none.
+class CallDispatcher:
     """
+    Runs the calls that callers make to plain services.
 
-    account: str
-    service: Service
-    method: str
-    path: str
-    content_type: str
-    body: bytes
-    idempotency_key: str | None = None
-
-
-@dataclass(frozen=True)
-class AgentHandle:
+    :param read_clock: returns the present time in seconds since 1970.
+    :param create_run_id: returns an id that no attempt of any process has had.
     """
-    One incarnation of an agent.
-
-    :param incarnation: as the agent reported it; a claim is bound to it.
-    """
-
-    name: str
-    incarnation: int
-    address: Address
-
-
-class Agents(Protocol):
-    """The agents that an entry can reach."""
-
-    def choose(
-        self, service: Service, avoided: frozenset[str], now: float
-    ) -> AgentHandle:
-        """
-        Choose the agent for the next attempt.
-
-        :param avoided: names of agents that refused this request before.
-        :raises NotRun: none takes new work.
-        """
-
-    async def call(self, handle: AgentHandle, request: CallRequest) -> CallReply:
-        """
-        Send one attempt and return the agent's whole reply.
-
-        :raises NotRun: no byte of the request left this process. A connection that is
-            kept alive gives no such proof: the HTTP client may have sent the request
-            over it once before it tried to connect anew. Non-idempotent requests
-            need a fresh connection each.
-        :raises OutcomeUnknown: anything else that is no whole reply.
-        """
 
-    async def query(
-        self, handle: AgentHandle, request: CallRequest, fence: bool
-    ) -> AttemptReply:
+    def __init__(
+        self,
+        claims: ClaimKeeper,
+        agents: Agents,
+        read_clock: Callable[[], float],
+        create_run_id: Callable[[], str],
+    ) -> None:
+        self._claims = claims
+        self._agents = agents
+        self._read_clock = read_clock
+        self._create_run_id = create_run_id
+        self._budget = RetryBudget()
+
+    async def call(self, request: PlainRequest, now: float) -> CallAnswer:
         """
-        Ask an agent for the state of an attempt.
+        Run a request and return its whole answer, or the first answer of its key.
 
-        :param request: the attempt; only run id, incarnation and start deadline count.
-        :param fence: refuse the attempt from now on if it was never seen.
-        :raises OutcomeUnknown: no whole reply, within a second at most.
+        :raises NotRun: this call started nothing, and nothing will start for it.
+        :raises OutcomeUnknown: it may have run, now or under an earlier call.
+        :raises RanBefore: it still runs, or it ran and its answer is no longer held.
         """
+        self._budget.deposit()
+        if is_idempotent(request.service, request.method, request.path):
+            return await self._call_idempotent(request)
+        shape = self._claims.shape
+        key = parse_key(
+            request.idempotency_key, now, shape.retention_s, shape.clock_margin_s
+        )
+        key_digest = key.digest(request.account)
+        claimed = ClaimedCall(
+            request=request,
+            place=locate(key_digest, key.issued_s, shape),
+            key_digest=key_digest,
+            claims=self._claims,
+            agents=self._agents,
+            budget=self._budget,
+            read_clock=self._read_clock,
+            create_run_id=self._create_run_id,
+        )
+        return await claimed.run()
+
+    async def _call_idempotent(self, request: PlainRequest) -> CallAnswer:
+        avoided: frozenset[str] = frozenset()
+        for attempts in range(1, MAX_ATTEMPTS + 1):
+            handle = self._agents.choose(request.service, avoided, self._read_clock())
+            avoided |= {handle.name}
+            try:
+                return await self._try_once(request, handle)
+            except (NotRun, OutcomeUnknown):
+                if attempts == MAX_ATTEMPTS or not self._budget.withdraw():
+                    raise
+        raise AssertionError("the last attempt returns or raises")
+
+    async def _try_once(self, request: PlainRequest, handle: AgentHandle) -> CallAnswer:
+        run_id = self._create_run_id()
+        message = build_call(request, handle, run_id, 0.0, idempotent=True)
+        reply = await self._agents.call(handle, message)
+        match decode_reply(run_id, reply):
+            case Answered(CallAnswer() as answer):
+                return answer
+            case Refused(code, detail, retry_after_s):
+                raise NotRun(code, detail, retry_after_s)
+            case Lost(code, detail):
+                raise OutcomeUnknown(code, detail)
+        raise AssertionError("a reply has one of these endings")
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/claimed.py
@@ -0,0 +1,267 @@
+"""
+One non-idempotent call behind its claim.
+
+What permits what: the compare-and-swap that makes a claim the current one of its key
+permits this process to send the claim's attempt once. Only a proof that an attempt
+has not run and never will permits the next claim. A proof is one of these: this
+process holds the claim and has not sent the attempt; no byte of it left the process;
+the agent refused it, or fenced it when it was asked.
+"""
+
+from collections.abc import Callable
+
+from persimmonferry_core.attempts import (
+    Answered,
+    Attempt,
+    AttemptState,
+    Ending,
+    Finished,
+    Lost,
+    NeverSeen,
+    Refused,
+    Running,
+)
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import NotRun, OutcomeUnknown, RanBefore
+from persimmonferry_core.idempotency import digest_body
+from persimmonferry_core.journal import Claim, JournalEntry, Place
+from persimmonferry_core.retries import RetryBudget
+from persimmonferry_core.runs import CallAnswer
+from persimmonferry_wire.generated.runs.ttypes import CallRequest
+
+from persimmonferry_daemon.agentlinks import (
+    AgentHandle,
+    Agents,
+    PlainRequest,
+    build_call,
+)
+from persimmonferry_daemon.attempts import decode_reply, decode_state
+from persimmonferry_daemon.claims import ClaimKeeper
+
+__all__ = ["ClaimedCall"]
+
+START_WINDOW_S = 5.0
+MAX_ATTEMPTS = 3
+RETRY_AFTER_S = 1.0
+
+
+class ClaimedCall:
+    """
+    Runs one request at most once, over as many attempts as provably did not run.
+
+    :param place: where the journal keeps the key.
+    """
+
+    def __init__(
+        self,
+        *,
+        request: PlainRequest,
+        place: Place,
+        key_digest: str,
+        claims: ClaimKeeper,
+        agents: Agents,
+        budget: RetryBudget,
+        read_clock: Callable[[], float],
+        create_run_id: Callable[[], str],
+    ) -> None:
+        self._request = request
+        self._place = place
+        self._key_digest = key_digest
+        self._claims = claims
+        self._agents = agents
+        self._budget = budget
+        self._read_clock = read_clock
+        self._create_run_id = create_run_id
+        self._body_digest = digest_body(
+            request.service.name,
+            request.method,
+            request.path,
+            request.content_type,
+            request.body,
+        )
+        self._avoided: frozenset[str] = frozenset()
+        self._disproved: Claim | None = None
+        self._refusal: Refused | None = None
+
+    async def run(self) -> CallAnswer:
+        """
+        Return the answer of the request's one run.
+
+        :raises NotRun: this call started nothing, and nothing will start for it.
+        :raises OutcomeUnknown: it may have run.
+        :raises RanBefore: it still runs, or its answer is no longer held.
+        """
+        try:
+            return await self._run()
+        except NotRun:
+            if self._disproved is not None and self._refusal is not None:
+                self._claims.record(self._place, self._disproved, self._refusal)
+            raise
+
+    async def _run(self) -> CallAnswer:
+        for attempts in range(1, MAX_ATTEMPTS + 1):
+            answer = await self._claim_and_attempt()
+            if answer is not None:
+                return answer
+            if attempts == MAX_ATTEMPTS or not self._budget.withdraw():
+                break
+        raise self._build_refusal()
+
+    async def _claim_and_attempt(self) -> CallAnswer | None:
+        try:
+            claim = self._build_claim(self._choose())
+            replaces = self._disproved.run_id if self._disproved is not None else ""
+            entry = await self._claims.claim(self._place, claim, replaces)
+        except NotRun as error:
+            return await self._follow_without_claim(error)
+        if entry.claim.run_id == claim.run_id:
+            return await self._attempt(claim)
+        return await self._follow(entry)
+
+    def _choose(self) -> AgentHandle:
+        now = self._read_clock()
+        return self._agents.choose(self._request.service, self._avoided, now)
+
+    def _build_claim(self, handle: AgentHandle) -> Claim:
+        attempt = Attempt(
+            run_id=self._create_run_id(),
+            incarnation=handle.incarnation,
+            start_deadline_s=round(self._read_clock() + START_WINDOW_S, 3),
+        )
+        return Claim(
+            key_digest=self._key_digest,
+            body_digest=self._body_digest,
+            agent=handle.name,
+            address=handle.address,
+            attempt=attempt,
+        )
+
+    async def _follow_without_claim(self, error: NotRun) -> CallAnswer | None:
+        """Look for an earlier call of the key when no claim could be made."""
+        if self._disproved is not None:
+            raise error
+        entry = await self._find_entry()
+        if entry is None:
+            raise error
+        answer = await self._follow(entry)
+        if answer is None:
+            raise error
+        return answer
+
+    async def _find_entry(self) -> JournalEntry | None:
+        try:
+            return await self._claims.find(self._place, self._key_digest)
+        except NotRun:
+            known = self._claims.find_known(self._place, self._key_digest)
+            if known is None:
+                # Its code leaves open whether an earlier call has run.
+                raise
+            return known
+
+    async def _attempt(self, claim: Claim) -> CallAnswer | None:
+        """Send the attempt that the claim permits; this is called once for a claim."""
+        attempt = claim.attempt
+        if self._read_clock() >= attempt.start_deadline_s:
+            refused = Refused(ResultCode.PLATFORM_UNAVAILABLE, "the claim came late")
+            return self._settle(claim, Finished(refused))
+        handle = AgentHandle(claim.agent, attempt.incarnation, claim.address)
+        message = build_call(
+            self._request,
+            handle,
+            attempt.run_id,
+            attempt.start_deadline_s,
+            idempotent=False,
+        )
+        try:
+            ending = await self._send(handle, message)
+        except OutcomeUnknown as error:
+            return await self._recover(claim, error)
+        return self._settle(claim, Finished(ending))
+
+    async def _send(self, handle: AgentHandle, message: CallRequest) -> Ending:
+        try:
+            reply = await self._agents.call(handle, message)
+        except NotRun as error:
+            return Refused(error.code, error.detail, error.retry_after_s)
+        return decode_reply(message.run_id, reply)
+
+    async def _recover(self, claim: Claim, error: OutcomeUnknown) -> CallAnswer | None:
+        """Ask the agent what became of an attempt whose reply did not come whole."""
+        try:
+            state = await self._query(claim, fence=True)
+        except OutcomeUnknown:
+            raise error from None
+        match state:
+            case Running() | NeverSeen():
+                raise error
+        return self._settle(claim, state)
+
+    async def _follow(self, entry: JournalEntry) -> CallAnswer | None:
+        """Give the outcome of an earlier call; None when it provably has not run."""
+        claim = entry.claim
+        if claim.body_digest != self._body_digest:
+            raise NotRun(ResultCode.IDEMPOTENCY_KEY_REUSED)
+        match entry.ending:
+            case Answered(None):
+                return await self._fetch_answer(claim)
+            case None:
+                return await self._follow_open(claim)
+            case ending:
+                return self._settle(claim, Finished(ending), recorded=True)
+
+    async def _fetch_answer(self, claim: Claim) -> CallAnswer:
+        try:
+            state = await self._query(claim, fence=False)
+        except OutcomeUnknown:
+            raise RanBefore(ResultCode.ANSWER_NOT_HELD) from None
+        match state:
+            case Finished(Answered(CallAnswer() as answer)):
+                return answer
+        raise RanBefore(ResultCode.ANSWER_NOT_HELD)
+
+    async def _follow_open(self, claim: Claim) -> CallAnswer | None:
+        # Before the start deadline its holder may be about to send the attempt. Which
+        # clock tells so matters for delay alone: the agent's refusal is what counts.
+        fence = self._read_clock() >= claim.attempt.start_deadline_s
+        return self._settle(claim, await self._query(claim, fence))
+
+    async def _query(self, claim: Claim, fence: bool) -> AttemptState:
+        attempt = claim.attempt
+        handle = AgentHandle(claim.agent, attempt.incarnation, claim.address)
+        message = CallRequest(
+            run_id=attempt.run_id,
+            incarnation=attempt.incarnation,
+            start_deadline_s=attempt.start_deadline_s,
+        )
+        reply = await self._agents.query(handle, message, fence)
+        return decode_state(attempt, reply)
+
+    def _settle(
+        self, claim: Claim, state: AttemptState, *, recorded: bool = False
+    ) -> CallAnswer | None:
+        """Turn a state into the caller's outcome; None when it provably has not run."""
+        match state:
+            case Running() | NeverSeen():
+                raise RanBefore(ResultCode.STILL_RUNNING, "", RETRY_AFTER_S)
+            case Finished(Refused() as refusal):
+                self._disproved = claim
+                self._refusal = refusal
+                self._avoided |= {claim.agent}
+                return None
+        if not recorded:
+            self._claims.record(self._place, claim, state.ending)
+        match state.ending:
+            case Lost(code, detail):
+                raise OutcomeUnknown(code, detail)
+            case Answered(None):
+                raise RanBefore(ResultCode.ANSWER_NOT_HELD)
+            case Answered(answer):
+                return answer
+        raise ValueError(f"{state} is no state of an attempt")
+
+    def _build_refusal(self) -> NotRun:
+        refusal = self._refusal
+        if refusal is None:
+            return NotRun(ResultCode.RETRIES_EXHAUSTED, "", RETRY_AFTER_S)
+        retry_after_s = refusal.retry_after_s or RETRY_AFTER_S
+        return NotRun(refusal.code, refusal.detail, retry_after_s)
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/claims.py
@@ -0,0 +1,191 @@
+"""
+The claims of one entry: what permits each attempt of a non-idempotent request.
+
+:class:`ClaimKeeper` owns the journal's group commits. It answers at once that nothing
+ran when the platform's service is down or when too many claims wait.
+"""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Callable, Sequence
+
+from persimmonferry_core.attempts import Ending
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import FerryError, NotRun, PlatformError
+from persimmonferry_core.interfaces import Platform
+from persimmonferry_core.journal import (
+    Claim,
+    ClaimChange,
+    EndingChange,
+    Expired,
+    JournalEntry,
+    JournalShape,
+    NoRoom,
+    Place,
+    Placed,
+    build_place,
+)
+from persimmonferry_wire import PeerClient, PeerRoute
+from persimmonferry_wire.generated.claims.ttypes import CommitReply, CommitRequest
+
+from persimmonferry_daemon.commits import SegmentCommitter
+from persimmonferry_daemon.forwarding import (
+    COMMIT_PATH,
+    EntryPeer,
+    Forwarder,
+    decode_claims,
+    decode_endings,
+    encode_placement,
+)
+from persimmonferry_daemon.journals import JournalStore
+
+__all__ = ["ClaimKeeper", "EntryPeer"]
+
+MAX_PENDING_CLAIMS = 2000
+MAX_PENDING_ENDINGS = 20_000
+MAX_COMMITTERS = 64
+MAX_CACHED_BYTES = 16 * 1024 * 1024
+CLOSE_TIMEOUT_S = 2.0
+RETRY_AFTER_S = 1.0
+
+
+class ClaimKeeper:
+    """
+    Places claims and records endings; one for each entry process.
+
+    :param identity: of this entry; its address is where ``routes`` are served.
+    :param list_entries: returns the entries that are thought to be live; a wrong list
+        costs time only.
+    :param read_clock: returns the present time in seconds since 1970.
+    """
+
+    def __init__(
+        self,
+        platform: Platform,
+        peers: PeerClient,
+        identity: EntryPeer,
+        list_entries: Callable[[], Sequence[EntryPeer]],
+        read_clock: Callable[[], float],
+        shape: JournalShape | None = None,
+    ) -> None:
+        self.shape = shape or JournalShape()
+        self._store = JournalStore(platform)
+        self._forwarder = Forwarder(peers, identity, list_entries, read_clock)
+        self._read_clock = read_clock
+        self._committers: OrderedDict[Place, SegmentCommitter] = OrderedDict()
+
+    @property
+    def routes(self) -> tuple[PeerRoute, ...]:
+        """The peer messages that the entry process has to serve."""
+        return (PeerRoute(COMMIT_PATH, CommitRequest, self.answer_commit),)
+
+    async def claim(
+        self, place: Place, claim: Claim, replaces: str = ""
+    ) -> JournalEntry:
+        """
+        Make a claim the current one of its key, and return the entry that is.
+
+        Only when the entry's run id is the claim's own may its attempt start, and once.
+
+        :param replaces: run id of an attempt that provably has not run.
+        :raises NotRun: nothing permits the attempt, and it must never start.
+        """
+        self._check_room()
+        committer = self._find_committer(place)
+        try:
+            self._store.check()
+            placement = await committer.claim(ClaimChange(claim, replaces))
+        except PlatformError as error:
+            raise _refuse(error) from error
+        match placement:
+            case Placed(entry):
+                return entry
+            case NoRoom():
+                detail = "the journal segment is full, a key issued later will do"
+                raise NotRun(ResultCode.PLATFORM_UNAVAILABLE, detail, RETRY_AFTER_S)
+            case Expired():
+                detail = "an earlier call with the same key may have run"
+                raise NotRun(ResultCode.IDEMPOTENCY_KEY_EXPIRED, detail)
+        raise ValueError(f"{placement} is no placement")
+
+    def record(self, place: Place, claim: Claim, ending: Ending) -> None:
+        """Record how an attempt ended, in a later write; dropped under overload."""
+        waiting = sum(item.pending_endings for item in self._committers.values())
+        if waiting >= MAX_PENDING_ENDINGS:
+            return
+        change = EndingChange(claim.key_digest, claim.run_id, ending)
+        self._find_committer(place).record(change)
+
+    async def find(self, place: Place, key_digest: str) -> JournalEntry | None:
+        """
+        Return the entry of a key, read now.
+
+        :raises NotRun: the platform's service is down.
+        """
+        try:
+            return await self._find_committer(place).find(key_digest)
+        except PlatformError as error:
+            raise _refuse(error) from error
+
+    def find_known(self, place: Place, key_digest: str) -> JournalEntry | None:
+        """Return the entry of a key as far as this process knows; it may be late."""
+        return self._find_committer(place).find_known(key_digest)
+
+    async def answer_commit(self, request: CommitRequest) -> CommitReply:
+        """Write the changes of another entry."""
+        place = build_place(request.partition, request.bucket, self.shape)
+        committer = self._find_committer(place)
+        try:
+            self._store.check()
+            self._check_room()
+            claims = decode_claims(request)
+            for change in decode_endings(request):
+                committer.record(change)
+            waiting = (committer.claim(change, forwarded=True) for change in claims)
+            placements = await asyncio.gather(*waiting)
+        except (FerryError, ValueError):
+            return CommitReply([], True, RETRY_AFTER_S)
+        lines = [encode_placement(placement) for placement in placements]
+        return CommitReply(lines, False, 0.0)
+
+    async def close(self) -> None:
+        """Write the endings that wait, if the platform's service answers in time."""
+        flushes = [item.flush() for item in self._committers.values()]
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await asyncio.gather(*flushes)
+        except TimeoutError:
+            return
+
+    def _check_room(self) -> None:
+        waiting = sum(item.pending_claims for item in self._committers.values())
+        if waiting >= MAX_PENDING_CLAIMS:
+            detail = "too many claims wait"
+            raise NotRun(ResultCode.PLATFORM_UNAVAILABLE, detail, RETRY_AFTER_S)
+
+    def _find_committer(self, place: Place) -> SegmentCommitter:
+        committer = self._committers.get(place)
+        if committer is None:
+            self._drop_idle_committers()
+            committer = SegmentCommitter(
+                place, self._store, self._forwarder, self.shape, self._read_clock
+            )
+            self._committers[place] = committer
+        self._committers.move_to_end(place)
+        return committer
+
+    def _drop_idle_committers(self) -> None:
+        cached_bytes = sum(item.cached_bytes for item in self._committers.values())
+        for place, committer in list(self._committers.items()):
+            fits = cached_bytes <= MAX_CACHED_BYTES
+            if fits and len(self._committers) < MAX_COMMITTERS:
+                break
+            if committer.idle:
+                cached_bytes -= committer.cached_bytes
+                del self._committers[place]
+
+
+def _refuse(error: PlatformError) -> NotRun:
+    retry_after_s = error.retry_after_s or RETRY_AFTER_S
+    detail = "an earlier call with the same key may have run"
+    return NotRun(ResultCode.PLATFORM_UNAVAILABLE, detail, retry_after_s)
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/commits.py
@@ -0,0 +1,245 @@
+"""
+Group commit: many claims and endings in one write of a segment.
+
+A claim may be started by its asker only after a placement of this module shows the
+asker's own run id. A placement comes from a segment that was written or read in the
+same commit, or from a copy in which the key has an ending; both can't become untrue.
+A write whose answer was lost is settled by reading the segment again: applying the
+changes a second time finds the claims that the write placed.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from persimmonferry_core.exceptions import (
+    FerryError,
+    PlatformAnswerLost,
+    PlatformUnavailable,
+    SwapConflict,
+)
+from persimmonferry_core.journal import (
+    ClaimChange,
+    EndingChange,
+    JournalEntry,
+    JournalShape,
+    Place,
+    Placed,
+    Placement,
+    Segment,
+)
+
+from persimmonferry_daemon.forwarding import Forwarder
+from persimmonferry_daemon.journals import JournalStore, StoredSegment
+
+__all__ = ["SegmentCommitter"]
+
+COMMIT_INTERVAL_S = 0.1
+COMMIT_TIMEOUT_S = 2.0
+CONFLICT_DELAY_S = 0.01
+ENDING_DELAY_S = 1.0
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class _PendingClaim:
+    change: ClaimChange
+    placed: asyncio.Future[Placement]
+    forwarded: bool
+
+
+class SegmentCommitter:
+    """
+    Writes the changes of one segment, one write at a time.
+
+    A claim that finds the committer idle is written at once; later ones share a write
+    with all that come within the commit interval. Endings wait for a claim to share a
+    write with, but not for long.
+
+    :param forwarder: knows which entry had best write this partition.
+    """
+
+    def __init__(
+        self,
+        place: Place,
+        store: JournalStore,
+        forwarder: Forwarder,
+        shape: JournalShape,
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._place = place
+        self._store = store
+        self._forwarder = forwarder
+        self._shape = shape
+        self._read_clock = read_clock
+        self._claims: list[_PendingClaim] = []
+        self._endings: list[EndingChange] = []
+        self._claimed = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._stored: StoredSegment | None = None
+        self._base: Segment | None = None
+        self._next_commit_s = 0.0
+        self._flushing = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits to be written."""
+        return self._task is None
+
+    @property
+    def pending_claims(self) -> int:
+        """Claims that wait for the next write."""
+        return len(self._claims)
+
+    @property
+    def pending_endings(self) -> int:
+        """Endings that wait for the next write."""
+        return len(self._endings)
+
+    @property
+    def cached_bytes(self) -> int:
+        """Size of the copy that is kept."""
+        return len(self._base.value) if self._base is not None else 0
+
+    async def claim(self, change: ClaimChange, forwarded: bool = False) -> Placement:
+        """
+        Place a claim.
+
+        :param forwarded: it came from another entry, and is written here.
+        :raises PlatformUnavailable: the claim may have been written, so its attempt
+            has to stay unstarted for good.
+        """
+        placed = asyncio.get_running_loop().create_future()
+        self._claims.append(_PendingClaim(change, placed, forwarded))
+        self._claimed.set()
+        self._start()
+        return await placed
+
+    def record(self, change: EndingChange) -> None:
+        """Queue an ending for a later write."""
+        self._endings.append(change)
+        self._start()
+
+    def find_known(self, key_digest: str) -> JournalEntry | None:
+        """Return the entry of a key from the copy that is kept; it may be late."""
+        if self._base is None or self._base.bucket != self._place.bucket:
+            return None
+        return self._base.entries.get(key_digest)
+
+    async def find(self, key_digest: str) -> JournalEntry | None:
+        """
+        Return the entry of a key as the platform's service holds it now.
+
+        :raises PlatformUnavailable: no answer.
+        """
+        stored = await self._store.read(self._place, self._base)
+        if stored.segment.bucket != self._place.bucket:
+            return None
+        return stored.segment.entries.get(key_digest)
+
+    async def flush(self) -> None:
+        """Write what waits, without delay, and return when it was tried."""
+        self._flushing = True
+        self._claimed.set()
+        while self._claims or self._endings:
+            await asyncio.sleep(CONFLICT_DELAY_S)
+
+    def _start(self) -> None:
+        if self._task is None:
+            self._task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        while self._claims or self._endings:
+            await self._wait_for_turn()
+            await self._commit_pending()
+        self._task = None
+
+    async def _wait_for_turn(self) -> None:
+        if not self._claims and not self._flushing:
+            await self._wait_for_claim()
+        delay_s = self._next_commit_s - self._read_clock()
+        if delay_s > 0:
+            await asyncio.sleep(min(delay_s, COMMIT_INTERVAL_S))
+
+    async def _wait_for_claim(self) -> None:
+        self._claimed.clear()
+        try:
+            async with asyncio.timeout(ENDING_DELAY_S):
+                await self._claimed.wait()
+        except TimeoutError:
+            return
+
+    async def _commit_pending(self) -> None:
+        claims, self._claims = self._claims, []
+        endings, self._endings = self._endings, []
+        self._next_commit_s = self._read_clock() + COMMIT_INTERVAL_S
+        try:
+            placements = await self._commit(claims, endings)
+        except FerryError as error:
+            self._endings = [*endings, *self._endings]
+            _fail(claims, error)
+            return
+        except Exception:
+            _log.exception("commit failed", extra={"key": self._place.platform_key})
+            _fail(claims, PlatformUnavailable("the commit failed"))
+            return
+        for claim, placement in zip(claims, placements, strict=True):
+            if not claim.placed.done():
+                claim.placed.set_result(placement)
+
+    async def _commit(
+        self, claims: list[_PendingClaim], endings: list[EndingChange]
+    ) -> Sequence[Placement]:
+        changes = [claim.change for claim in claims]
+        if not any(claim.forwarded for claim in claims):
+            placements = await self._forwarder.commit(self._place, changes, endings)
+            if placements is not None:
+                return placements
+        deadline_s = self._read_clock() + COMMIT_TIMEOUT_S
+        while self._read_clock() < deadline_s:
+            placements = await self._try_commit(changes, endings)
+            if placements is not None:
+                return placements
+            await asyncio.sleep(CONFLICT_DELAY_S)
+        raise PlatformUnavailable("too many writers")
+
+    async def _try_commit(
+        self, changes: list[ClaimChange], endings: list[EndingChange]
+    ) -> Sequence[Placement] | None:
+        fresh = self._stored is None
+        if self._stored is None:
+            self._keep(await self._store.read(self._place, self._base))
+        stored = self._stored
+        applied = stored.segment.apply(
+            self._place.bucket, changes, endings, self._shape
+        )
+        if applied.changed:
+            try:
+                self._keep(await self._store.swap(stored, applied.segment))
+            except (SwapConflict, PlatformAnswerLost):
+                self._stored = None
+                return None
+            return applied.placements
+        if not fresh and any(map(_may_be_late, applied.placements)):
+            self._stored = None
+            return None
+        return applied.placements
+
+    def _keep(self, stored: StoredSegment) -> None:
+        self._stored = stored
+        self._base = stored.segment
+
+
+def _may_be_late(placement: Placement) -> bool:
+    match placement:
+        case Placed(JournalEntry(ending=ending)):
+            return ending is None
+    return True
+
+
+def _fail(claims: list[_PendingClaim], error: FerryError) -> None:
+    for claim in claims:
+        if not claim.placed.done():
+            claim.placed.set_exception(error)
