--- a/packages/core/src/persimmonferry_core/revisions.py
+++ b/packages/core/src/persimmonferry_core/revisions.py
@@ -246,13 +246,14 @@
     """
     Return what leads a peer on from the revision that it knows.
 
+    :param known: 0 when the peer has no text, or none that changes lead on from.
     :returns: changes if they are held and shorter than the text, None if it knows all.
     """
     if replica.last is None or known >= replica.revision:
         return None
     later = tuple(change for change in replica.recent if change.revision > known)
     starts = {replica.base, *(change.revision for change in replica.recent)}
-    if known in starts and sum(map(_measure, later)) < len(replica.text):
+    if known and known in starts and sum(map(_measure, later)) < len(replica.text):
         return ChangesUpdate(known, later)
     return WholeUpdate(replica.last, replica.text)
 
