--- a/demo/demo.py
+++ b/demo/demo.py
@@ -145,7 +145,8 @@
 
     def _print_prompts(self, title: str, receipts: list[PromptReceipt]) -> None:
         whole = [receipt for receipt in receipts if receipt.whole]
-        self._expect(len(whole) == len(receipts), f"all answers whole: {title}")
+        codes = sorted({receipt.code for receipt in receipts if not receipt.whole})
+        self._expect(not codes, f"{title}: all answers whole, got codes {codes}")
         times = sorted(receipt.first_token_s for receipt in whole)
         median_ms = times[len(times) // 2] * 1000 if times else 0.0
         print(f"{title}: {len(whole)} of {len(receipts)} whole, ", end="")
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/agent.py
@@ -0,0 +1,145 @@
+"""The agent: one process beside each upstream, the only one that gives it work."""
+
+import asyncio
+import logging
+import time
+
+from persimmonferry_adapters import HttpPlatform, HttpVMList
+from persimmonferry_core.contracts import ServiceKind
+from persimmonferry_core.settings import AgentSettings, ProcessSettings
+from persimmonferry_core.watchers import Member
+from persimmonferry_wire import PeerClient
+from persimmonferry_wire.generated.membership.ttypes import AgentReport
+from tornado.httpclient import AsyncHTTPClient
+
+from persimmonferry_daemon.configuration import ConfigurationKeeper
+from persimmonferry_daemon.gate import CloseReason, Gate
+from persimmonferry_daemon.modelwork import ModelWork
+from persimmonferry_daemon.plainwork import PlainWork
+from persimmonferry_daemon.reports import Reporter
+from persimmonferry_daemon.servers import Listener, list_peer_rules
+from persimmonferry_daemon.vms import VMWatch
+
+__all__ = ["Agent"]
+
+LINGER_AFTER_STOP_S = 1.0
+MS_PER_S = 1000
+
+_log = logging.getLogger(__name__)
+
+
+class Agent:
+    """
+    The agent of one upstream; owns the upstream's adapter and all work given to it.
+
+    :param settings: with the role of an agent.
+    :param client: HTTP client for all calls of this process.
+    """
+
+    def __init__(self, settings: ProcessSettings, client: AsyncHTTPClient) -> None:
+        self._settings = settings
+        self._role: AgentSettings = settings.role
+        self._incarnation = int(time.time() * MS_PER_S)
+        self._sequence = 0
+        self._gate = Gate(settings.name)
+        peers = PeerClient(client)
+        platform = HttpPlatform(client, settings.platform_url)
+        # The listener comes before what has to know its address.
+        self._listener = Listener(settings.peers, lambda: not self._gate.closed)
+        self.address = self._listener.address
+        self._vms = VMWatch(HttpVMList(client, settings.vm_list_url))
+        self._configuration = ConfigurationKeeper(
+            platform,
+            peers,
+            Member(settings.name, self.address.url, settings.failure_domain),
+            settings.team,
+            self._vms.list_vms,
+        )
+        self._reporter = Reporter(peers, self._vms, self._describe)
+        self._work = self._build_work(client, platform)
+
+    async def start(self) -> None:
+        """Begin to serve, and tell the entries."""
+        await self._vms.start()
+        self._configuration.start()
+        await self._work.start()
+        self._listener.start(self._list_rules())
+        self._reporter.start()
+        _log.info("agent started", extra={"address": str(self.address)})
+
+    async def drain(self) -> None:
+        """Refuse new work at an operator's wish, and tell the entries at once."""
+        self._gate.close(CloseReason.DRAINED)
+        await self._reporter.report_now()
+
+    async def undrain(self) -> None:
+        """Take new work again."""
+        self._gate.open(CloseReason.DRAINED)
+        await self._reporter.report_now()
+
+    def describe_addresses(self) -> str:
+        """Return the line that tells where the process listens."""
+        return f"listening peers={self.address}"
+
+    async def stop(self) -> None:
+        """
+        Stop gracefully: no run or call under way is cut.
+
+        The process goes on for a moment after the last one, so that entries get the
+        end of every answer and can ask about attempts.
+        """
+        _log.info("agent stopping", extra={"under_way": self._gate.count})
+        self._gate.close(CloseReason.STOPPING)
+        await self._reporter.report_now()
+        await self._gate.wait_idle()
+        await self._work.stop()
+        await asyncio.sleep(LINGER_AFTER_STOP_S)
+        await self._reporter.stop()
+        await self._configuration.stop()
+        await self._vms.stop()
+        self._listener.stop()
+        await self._listener.close()
+        _log.info("agent stopped")
+
+    def _list_rules(self) -> list[tuple]:
+        routes = (
+            *self._configuration.routes,
+            *self._reporter.routes,
+            *self._work.routes,
+        )
+        return [*list_peer_rules(routes), *self._work.rules]
+
+    def _build_work(
+        self, client: AsyncHTTPClient, platform: HttpPlatform
+    ) -> ModelWork | PlainWork:
+        match self._role.kind:
+            case ServiceKind.MODEL:
+                return ModelWork(
+                    client,
+                    platform,
+                    self._settings,
+                    self._gate,
+                    self._vms,
+                    self._configuration,
+                )
+            case ServiceKind.PLAIN:
+                return PlainWork(client, self._role, self._gate, self._incarnation)
+
+    def _describe(self, *, whole: bool) -> AgentReport:
+        self._sequence += 1
+        return AgentReport(
+            name=self._settings.name,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            host=self.address.host,
+            port=self.address.port,
+            failure_domain=self._settings.failure_domain.name,
+            service_name=self._role.service,
+            is_model=self._role.kind is ServiceKind.MODEL,
+            model=self._work.model,
+            version=self._work.version,
+            leaving=self._gate.closed or not self._work.is_ready,
+            load=self._work.describe_load(),
+            configuration_revision=self._configuration.revision,
+            cache=self._work.describe_cache(whole=whole),
+        )
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/agents.py
@@ -0,0 +1,93 @@
+"""The agents of plain services, as the dispatcher of calls sees them."""
+
+import time
+from collections.abc import Callable
+
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.contracts import Service
+from persimmonferry_core.dispatch import Dispatcher
+from persimmonferry_core.exceptions import NotRun
+from persimmonferry_wire.generated.runs.ttypes import (
+    AttemptQuery,
+    AttemptReply,
+    CallReply,
+    CallRequest,
+)
+
+from persimmonferry_daemon.agentlinks import AgentHandle
+from persimmonferry_daemon.members import Members
+from persimmonferry_daemon.upstreams import AgentClient
+
+__all__ = ["PlainAgents"]
+
+NO_UPSTREAM_RETRY_S = 0.5
+
+
+class PlainAgents:
+    """
+    Chooses and asks the agents of plain services.
+
+    :param read_clock: the clock of the dispatcher, monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        members: Members,
+        client: AgentClient,
+        read_clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._members = members
+        self._client = client
+        self._read_clock = read_clock
+
+    def choose(
+        self, service: Service, avoided: frozenset[str], now: float
+    ) -> AgentHandle:
+        """
+        Return the agent whose service is expected to answer first.
+
+        :raises NotRun: none takes new work.
+        """
+        name = self._dispatcher.choose_plain(service.name, self._read_clock(), avoided)
+        presence = self._members.find(name) if name else None
+        if presence is None:
+            detail = f"service {service.name}"
+            raise NotRun(ResultCode.NO_UPSTREAM, detail, NO_UPSTREAM_RETRY_S)
+        report = presence.report
+        return AgentHandle(report.name, report.incarnation, presence.address)
+
+    async def call(self, handle: AgentHandle, request: CallRequest) -> CallReply:
+        """
+        Send one attempt.
+
+        :raises NotRun: no byte of it left this process.
+        :raises OutcomeUnknown: no whole reply came.
+        """
+        self._dispatcher.plain_started(request.run_id, handle.name, self._read_clock())
+        whole = False
+        try:
+            reply = await self._client.call(handle.address, request)
+            whole = True
+            return reply
+        finally:
+            self._dispatcher.plain_finished(request.run_id, self._read_clock(), whole)
+            if not whole:
+                self._members.suspect(handle.name, handle.incarnation)
+
+    async def query(
+        self, handle: AgentHandle, request: CallRequest, fence: bool
+    ) -> AttemptReply:
+        """
+        Ask for the state of an attempt.
+
+        :raises OutcomeUnknown: no whole reply came.
+        """
+        query = AttemptQuery(
+            run_id=request.run_id,
+            incarnation=request.incarnation,
+            start_deadline_s=request.start_deadline_s,
+            fence=fence,
+        )
+        return await self._client.query_attempt(handle.address, query)
--- a/packages/daemon/src/persimmonferry_daemon/attempts.py
+++ b/packages/daemon/src/persimmonferry_daemon/attempts.py
@@ -89,7 +89,7 @@
                 self._table.finish(request.run_id, ending)
                 return _encode_ending(request.run_id, ending)
             case Repeated():
-                duplicate = NotRun(ResultCode.DUPLICATE_RUN)
+                duplicate = OutcomeUnknown(ResultCode.DUPLICATE_RUN)
                 return _encode_error(request.run_id, duplicate)
             case Denied(error):
                 return _encode_error(request.run_id, error)
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/edge.py
@@ -0,0 +1,405 @@
+"""Callers' HTTP requests: completions, chat and plain services."""
+
+import asyncio
+import json
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+from persimmonferry_core.accounts import hash_key
+from persimmonferry_core.bodies import PromptBody, parse_chat, parse_completion
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.contracts import (
+    ClientAccount,
+    Service,
+    ServiceKind,
+    TeamDocument,
+)
+from persimmonferry_core.exceptions import FerryError, NotRun
+from persimmonferry_core.runs import CallAnswer
+from persimmonferry_core.settings import EntrySettings
+from tornado.web import stream_request_body
+
+from persimmonferry_daemon.agentlinks import PlainRequest
+from persimmonferry_daemon.calls import CallDispatcher
+from persimmonferry_daemon.gate import Gate
+from persimmonferry_daemon.histograms import Histograms, Measure
+from persimmonferry_daemon.prompts import (
+    CallerGone,
+    Prompt,
+    PromptAnswer,
+    PromptService,
+)
+from persimmonferry_daemon.servers import ErrorHandler, describe_error
+
+__all__ = ["CallHandler", "Edge", "ModelsHandler", "PromptHandler"]
+
+MAX_REQUEST_ID_CHARACTERS = 200
+MAX_UNSENT_BYTES = 1024 * 1024
+CONFIGURATION_RETRY_AFTER_S = 1.0
+
+
+class Edge:
+    """
+    What the handlers share.
+
+    :param read_document: returns the document in force, None before the first.
+    """
+
+    def __init__(
+        self,
+        read_document: Callable[[], TeamDocument | None],
+        gate: Gate,
+        prompts: PromptService,
+        calls: CallDispatcher,
+        histograms: Histograms,
+        limits: EntrySettings,
+    ) -> None:
+        self._read_document = read_document
+        self.gate = gate
+        self.prompts = prompts
+        self.calls = calls
+        self.histograms = histograms
+        self.limits = limits
+        shared = {"edge": self}
+        chat = {"parse": parse_chat, "form": _ChatForm()}
+        completion = {"parse": parse_completion, "form": _CompletionForm()}
+        self.rules = [
+            ("/v1/chat/completions", PromptHandler, shared | chat),
+            ("/v1/completions", PromptHandler, shared | completion),
+            ("/v1/models", ModelsHandler, shared),
+            ("/services/([^/]+)(/.*)", CallHandler, shared),
+        ]
+
+    def read_document(self) -> TeamDocument:
+        """
+        Return the document in force.
+
+        :raises NotRun: this process has none yet.
+        """
+        document = self._read_document()
+        if document is None:
+            raise NotRun(ResultCode.NO_CONFIGURATION, "", CONFIGURATION_RETRY_AFTER_S)
+        return document
+
+
+class _CallerHandler(ErrorHandler):
+    """Base of the handlers of callers' requests."""
+
+    def initialize(self, edge: Edge, **_: Any) -> None:
+        self._edge = edge
+
+    def authenticate(self) -> ClientAccount:
+        """
+        Return the client account of the request's key.
+
+        :raises NotRun: the key is missing or not valid.
+        """
+        scheme, _, key = self.request.headers.get("Authorization", "").partition(" ")
+        if scheme.lower() != "bearer" or not key:
+            raise NotRun(ResultCode.INVALID_KEY, "send 'Authorization: Bearer KEY'")
+        account = self._edge.read_document().find_account(hash_key(key.strip()))
+        if account is None:
+            raise NotRun(ResultCode.INVALID_KEY)
+        return account
+
+    def find_service(
+        self, account: ClientAccount, name: str, kind: ServiceKind
+    ) -> Service:
+        """
+        Return a service that exists and that the account may use.
+
+        :raises NotRun: it may not, or the service is of another kind.
+        """
+        service = self._edge.read_document().find_service(name)
+        if service is None or service.kind is not kind:
+            raise NotRun(ResultCode.UNKNOWN_SERVICE, repr(name[:64]))
+        if name not in account.services:
+            raise NotRun(ResultCode.ACCESS_DENIED, f"service {name}")
+        return service
+
+    def read_request_id(self) -> str:
+        """
+        Return the id that the caller gave, empty when there is none.
+
+        :raises NotRun: it is too long.
+        """
+        request_id = self.request.headers.get("Idempotency-Key", "").strip()
+        if len(request_id) > MAX_REQUEST_ID_CHARACTERS:
+            raise NotRun(ResultCode.MALFORMED_REQUEST, "Idempotency-Key is too long")
+        return request_id
+
+
+@stream_request_body
+class _BodyHandler(_CallerHandler):
+    """Base of the handlers that read a body: not too long, and not too slowly."""
+
+    def prepare(self) -> None:
+        """Check the length that the caller states, and begin to wait for the body."""
+        self.body = bytearray()
+        self._timer: asyncio.TimerHandle | None = None
+        # The check is made here, where it can be answered with a numbered code.
+        self.request.connection.set_max_body_size(sys.maxsize)
+        length = self.request.headers.get("Content-Length", "0")
+        if length.isdecimal() and int(length) > self._edge.limits.max_body_bytes:
+            self._refuse(ResultCode.BODY_TOO_LARGE)
+            return
+        timeout_s = self._edge.limits.body_timeout_s
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(
+            timeout_s, self._refuse, ResultCode.CALLER_TOO_SLOW
+        )
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+        if self._finished:
+            return
+        self.body += chunk
+        if len(self.body) > self._edge.limits.max_body_bytes:
+            self._refuse(ResultCode.BODY_TOO_LARGE)
+
+    def end_body(self) -> bytes:
+        """Return the whole body."""
+        self._cancel_timer()
+        return bytes(self.body)
+
+    def on_connection_close(self) -> None:
+        """Wait no more for the body of a caller that went away."""
+        self._cancel_timer()
+
+    def _refuse(self, code: ResultCode) -> None:
+        self._cancel_timer()
+        if not self._finished:
+            self.send_failure(NotRun(code))
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+
+class PromptHandler(_BodyHandler):
+    """Answers a prompt, whole or as server-sent events."""
+
+    def initialize(
+        self,
+        edge: Edge,
+        parse: Callable[[bytes], PromptBody],
+        form: "_CompletionForm",
+    ) -> None:
+        """Take the shared parts, and how bodies are read and answers written."""
+        super().initialize(edge)
+        self._parse = parse
+        self._form = form
+        self._prompt: Prompt | None = None
+        self._stream_begun = False
+
+    def on_connection_close(self) -> None:
+        """Stop the work for a caller that went away."""
+        super().on_connection_close()
+        if self._prompt is not None:
+            self._prompt.abandon()
+
+    async def post(self) -> None:
+        """Run the prompt of the body."""
+        try:
+            with self._edge.gate.hold():
+                await self._answer()
+        except FerryError as error:
+            self._send_error(error)
+        except CallerGone:
+            return
+
+    async def _answer(self) -> None:
+        account = self.authenticate()
+        body = self._parse(self.end_body())
+        self.find_service(account, body.service, ServiceKind.MODEL)
+        self._prompt = Prompt(
+            account=account,
+            body=body,
+            request_id=self.read_request_id(),
+            is_retry=_is_retry(self.request.headers.get("X-Retry-Count", "")),
+            arrived_at=time.monotonic(),
+            deliver=self._stream_tokens if body.stream else _ignore,
+        )
+        answer = await self._edge.prompts.run(self._prompt)
+        if body.stream:
+            self._end_stream(answer)
+        else:
+            self._send_whole(answer)
+
+    def _send_whole(self, answer: PromptAnswer) -> None:
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(self._form.describe_whole(answer)))
+
+    def _stream_tokens(self, tokens: list[str]) -> None:
+        if not self._stream_begun:
+            self._begin_stream()
+        self._send_event(self._form.describe_part("".join(tokens)))
+
+    def _begin_stream(self) -> None:
+        self._stream_begun = True
+        # Otherwise small events wait for the acknowledgement of those before them.
+        self.request.connection.stream.set_nodelay(True)
+        self.set_header("Content-Type", "text/event-stream")
+        self.set_header("Cache-Control", "no-store")
+
+    def _end_stream(self, answer: PromptAnswer) -> None:
+        if not self._stream_begun:
+            self._begin_stream()
+        self._send_event(self._form.describe_last(answer))
+        self.finish("data: [DONE]\n\n")
+
+    def _send_event(self, event: dict[str, Any]) -> None:
+        if self.request.connection.stream.closed():
+            return
+        self.write(f"data: {json.dumps(event, ensure_ascii=False)}\n\n")
+        self.flush()
+        self._check_backlog()
+
+    def _check_backlog(self) -> None:
+        stream = self.request.connection.stream
+        if len(stream._write_buffer) > MAX_UNSENT_BYTES:
+            # A caller that does not read must not fill this process's memory.
+            stream.close()
+
+    def _send_error(self, error: FerryError) -> None:
+        if self.request.connection.stream.closed():
+            return
+        if not self._stream_begun:
+            self.send_failure(error)
+            return
+        # No [DONE] follows: a stream that broke off must not look whole.
+        self.write(f"event: error\ndata: {json.dumps(describe_error(error))}\n\n")
+        self.finish()
+
+
+class CallHandler(_BodyHandler):
+    """Passes a call to a plain service."""
+
+    def initialize(self, edge: Edge) -> None:
+        """Take the shared parts."""
+        super().initialize(edge)
+        self._account: ClientAccount | None = None
+        self._service_name = ""
+
+    async def _handle(self, service: str, path: str) -> None:
+        self._service_name = service
+        try:
+            with self._edge.gate.hold():
+                answer = await self._call(service, path)
+        except FerryError as error:
+            self._record(Measure.REFUSAL)
+            self.send_failure(error)
+            return
+        self._record(Measure.WHOLE_ANSWER)
+        self.set_status(answer.status)
+        self.set_header("Content-Type", answer.content_type)
+        self.set_header("X-Result-Code", str(ResultCode.ANSWERED.number))
+        self.finish(answer.body)
+
+    def _record(self, measure: Measure) -> None:
+        if self._account is not None:
+            elapsed_s = self.request.request_time()
+            self._edge.histograms.record(
+                self._account.name, self._service_name, measure, elapsed_s
+            )
+
+    async def _call(self, service: str, path: str) -> CallAnswer:
+        account = self.authenticate()
+        self._account = account
+        request = PlainRequest(
+            account=account.name,
+            service=self.find_service(account, service, ServiceKind.PLAIN),
+            method=self.request.method,
+            path=f"{path}?{self.request.query}" if self.request.query else path,
+            content_type=self.request.headers.get("Content-Type", ""),
+            body=self.end_body(),
+            idempotency_key=self.read_request_id() or None,
+        )
+        return await self._edge.calls.call(request, time.time())
+
+    get = post = put = patch = delete = _handle
+
+
+class ModelsHandler(_CallerHandler):
+    """Lists the model services that the caller's account may use."""
+
+    def get(self) -> None:
+        """Send the list in the form that callers of language models know."""
+        try:
+            account = self.authenticate()
+            document = self._edge.read_document()
+        except FerryError as error:
+            self.send_failure(error)
+            return
+        names = [
+            service.name
+            for service in document.services
+            if service.kind is ServiceKind.MODEL and service.name in account.services
+        ]
+        data = [{"id": name, "object": "model"} for name in names]
+        self.finish({"object": "list", "data": data})
+
+
+class _CompletionForm:
+    """JSON of completions."""
+
+    def describe_whole(self, answer: PromptAnswer) -> dict[str, Any]:
+        choice = {
+            "index": 0,
+            "text": answer.text,
+            "finish_reason": answer.end.finish_reason,
+        }
+        return _describe("text_completion", choice) | {"usage": _describe_usage(answer)}
+
+    def describe_part(self, text: str) -> dict[str, Any]:
+        choice = {"index": 0, "text": text, "finish_reason": None}
+        return _describe("text_completion", choice)
+
+    def describe_last(self, answer: PromptAnswer) -> dict[str, Any]:
+        choice = {"index": 0, "text": "", "finish_reason": answer.end.finish_reason}
+        return _describe("text_completion", choice) | {"usage": _describe_usage(answer)}
+
+
+class _ChatForm(_CompletionForm):
+    """JSON of chat completions."""
+
+    def describe_whole(self, answer: PromptAnswer) -> dict[str, Any]:
+        choice = {
+            "index": 0,
+            "message": {"role": "assistant", "content": answer.text},
+            "finish_reason": answer.end.finish_reason,
+        }
+        return _describe("chat.completion", choice) | {"usage": _describe_usage(answer)}
+
+    def describe_part(self, text: str) -> dict[str, Any]:
+        choice = {"index": 0, "delta": {"content": text}, "finish_reason": None}
+        return _describe("chat.completion.chunk", choice)
+
+    def describe_last(self, answer: PromptAnswer) -> dict[str, Any]:
+        choice = {"index": 0, "delta": {}, "finish_reason": answer.end.finish_reason}
+        usage = {"usage": _describe_usage(answer)}
+        return _describe("chat.completion.chunk", choice) | usage
+
+
+def _describe(kind: str, choice: dict[str, Any]) -> dict[str, Any]:
+    return {"object": kind, "choices": [choice]}
+
+
+def _describe_usage(answer: PromptAnswer) -> dict[str, Any]:
+    end = answer.end
+    return {
+        "prompt_tokens": end.prompt_tokens,
+        "completion_tokens": end.total_tokens,
+        "total_tokens": end.prompt_tokens + end.total_tokens,
+        "prompt_tokens_details": {"cached_tokens": end.cached_tokens},
+    }
+
+
+def _ignore(tokens: list[str]) -> None:
+    pass
+
+
+def _is_retry(count: str) -> bool:
+    return count.isdecimal() and int(count) > 0
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/entry.py
@@ -0,0 +1,207 @@
+"""The entry: takes callers' requests, decides where each runs, and answers."""
+
+import asyncio
+import logging
+import time
+import uuid
+
+from persimmonferry_adapters import HttpPlatform, HttpVMList
+from persimmonferry_core.contracts import TeamDocument
+from persimmonferry_core.dispatch import Dispatcher
+from persimmonferry_core.settings import EntrySettings, ProcessSettings
+from persimmonferry_core.watchers import Member
+from persimmonferry_core.world import Role
+from persimmonferry_wire import PeerClient
+from tornado.httpclient import AsyncHTTPClient
+
+from persimmonferry_daemon.agents import PlainAgents
+from persimmonferry_daemon.calls import CallDispatcher
+from persimmonferry_daemon.claims import ClaimKeeper, EntryPeer
+from persimmonferry_daemon.configuration import ConfigurationKeeper
+from persimmonferry_daemon.edge import Edge
+from persimmonferry_daemon.gate import CloseReason, Gate
+from persimmonferry_daemon.histograms import Histograms
+from persimmonferry_daemon.members import Members
+from persimmonferry_daemon.prompts import PromptService
+from persimmonferry_daemon.scheduling import Scheduler
+from persimmonferry_daemon.servers import Listener, list_peer_rules
+from persimmonferry_daemon.upstreams import AgentClient
+from persimmonferry_daemon.vms import VMWatch
+
+__all__ = ["Entry"]
+
+REFRESH_INTERVAL_S = 1.0
+FIRST_REPORTS_TIMEOUT_S = 3.0
+
+_log = logging.getLogger(__name__)
+
+
+class Entry:
+    """
+    One entry process; owns all of its parts.
+
+    :param settings: with the role of an entry.
+    :param client: HTTP client for all calls of this process.
+    """
+
+    def __init__(self, settings: ProcessSettings, client: AsyncHTTPClient) -> None:
+        self._settings = settings
+        self._role: EntrySettings = settings.role
+        self._gate = Gate(settings.name)
+        self._is_leaving = False
+        self._started_at = time.monotonic()
+        self._histograms = Histograms()
+        self._peers = PeerClient(client)
+        self._vms = VMWatch(HttpVMList(client, settings.vm_list_url))
+        platform = HttpPlatform(client, settings.platform_url)
+        # The listener comes before what has to know its address.
+        self._peer_listener = Listener(settings.peers, lambda: self.is_ready)
+        self._identity = EntryPeer(settings.name, self._peer_listener.address)
+        self._configuration = ConfigurationKeeper(
+            platform,
+            self._peers,
+            Member(settings.name, self._identity.address.url, settings.failure_domain),
+            settings.team,
+            self._vms.list_vms,
+        )
+        self._scheduler = Scheduler(Dispatcher(_make_empty(settings)), time.monotonic)
+        self._configuration.on_change.append(self._scheduler.dispatcher.configure)
+        self._members = Members(
+            self._scheduler,
+            self._peers,
+            self._vms,
+            time.monotonic,
+            lambda: self._configuration.revision,
+        )
+        agents = AgentClient(client, self._peers)
+        self._claims = ClaimKeeper(
+            platform, self._peers, self._identity, self._list_entries, time.time
+        )
+        self._edge = self._build_edge(agents)
+        self._caller_listener = Listener(
+            self._role.callers,
+            lambda: self.is_ready,
+            self._role.max_body_bytes,
+        )
+        self._refresh_task: asyncio.Task | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """
+        Whether the platform's balancer should send callers here.
+
+        A new entry waits until it knows upstreams of every service, but not for long:
+        when there are none, callers are better served by a numbered refusal.
+        """
+        document = self._configuration.document
+        if self._gate.closed or self._is_leaving or document is None:
+            return False
+        if time.monotonic() - self._started_at > FIRST_REPORTS_TIMEOUT_S:
+            return True
+        known = {item.report.service for item in self._members.list_all()}
+        return known >= {service.name for service in document.services}
+
+    def describe_addresses(self) -> str:
+        """Return the line that tells where the process listens."""
+        peers = self._peer_listener.address
+        callers = self._caller_listener.address
+        return f"listening peers={peers} callers={callers}"
+
+    async def start(self) -> None:
+        """Learn what is needed from the platform and the agents, and serve."""
+        await self._vms.start()
+        self._peer_listener.start(self._list_peer_rules())
+        self._configuration.start()
+        await self._members.start(self._peer_listener.address)
+        self._refresh_task = asyncio.create_task(self._refresh_forever())
+        self._caller_listener.start(self._edge.rules)
+        _log.info(
+            "entry started", extra={"callers": str(self._caller_listener.address)}
+        )
+
+    async def drain(self) -> None:
+        """Lose readiness at an operator's wish; what is under way goes on."""
+        self._gate.close(CloseReason.DRAINED)
+
+    async def undrain(self) -> None:
+        """Become ready again."""
+        self._gate.open(CloseReason.DRAINED)
+
+    async def stop(self) -> None:
+        """
+        Stop gracefully: readiness goes first, and no request under way is cut.
+
+        New requests are still taken for a moment, since the balancer learns late.
+        """
+        _log.info("entry stopping", extra={"under_way": self._gate.count})
+        self._is_leaving = True
+        await asyncio.sleep(self._role.readiness_grace_s)
+        self._caller_listener.stop()
+        self._gate.close(CloseReason.STOPPING)
+        await self._gate.wait_idle()
+        await self._claims.close()
+        await self._stop_parts()
+        _log.info("entry stopped")
+
+    async def _stop_parts(self) -> None:
+        self._refresh_task.cancel()
+        await self._members.stop()
+        await self._configuration.stop()
+        await self._vms.stop()
+        self._peer_listener.stop()
+        await self._caller_listener.close()
+        await self._peer_listener.close()
+
+    def _build_edge(self, agents: AgentClient) -> Edge:
+        prompts = PromptService(
+            self._read_document,
+            self._scheduler,
+            self._members,
+            agents,
+            self._histograms,
+        )
+        plain_agents = PlainAgents(self._scheduler.dispatcher, self._members, agents)
+        calls = CallDispatcher(
+            self._claims, plain_agents, time.time, lambda: uuid.uuid4().hex
+        )
+        return Edge(
+            self._read_document,
+            self._gate,
+            prompts,
+            calls,
+            self._histograms,
+            self._role,
+        )
+
+    def _list_peer_rules(self) -> list[tuple]:
+        routes = (
+            *self._configuration.routes,
+            *self._members.routes,
+            *self._claims.routes,
+        )
+        return list_peer_rules(routes)
+
+    def _read_document(self) -> TeamDocument | None:
+        return self._configuration.document
+
+    def _list_entries(self) -> tuple[EntryPeer, ...]:
+        """Return the entries of the VM list, this one always among them."""
+        listed = {
+            EntryPeer(vm.name, vm.address) for vm in self._vms.list_role(Role.ENTRY)
+        }
+        return tuple(listed | {self._identity})
+
+    async def _refresh_forever(self) -> None:
+        """Tell the dispatcher what the VM list says."""
+        while True:
+            dispatcher = self._scheduler.dispatcher
+            dispatcher.set_entries(len(self._list_entries()))
+            stores = self._vms.list_role(Role.STORE)
+            domains = frozenset(vm.failure_domain.name for vm in stores)
+            dispatcher.set_store_domains(domains)
+            await asyncio.sleep(REFRESH_INTERVAL_S)
+
+
+def _make_empty(settings: ProcessSettings) -> TeamDocument:
+    """Return a document without services, for the time before the first one."""
+    return TeamDocument(settings.team, 0, (), (), (), ())
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/modelwork.py
@@ -0,0 +1,172 @@
+"""What an agent does beside a model engine."""
+
+import time
+import uuid
+from collections.abc import Mapping
+
+from persimmonferry_adapters import HttpEngine, HttpStore
+from persimmonferry_core.contracts import RoutingWeights, Service
+from persimmonferry_core.interfaces import Platform, Store
+from persimmonferry_core.runs import EngineLoad, LoadVersion
+from persimmonferry_core.settings import AgentSettings, ProcessSettings
+from persimmonferry_core.world import Role, VMState
+from persimmonferry_wire import PeerRoute
+from persimmonferry_wire.generated.membership.ttypes import CacheReport, LoadReport
+from persimmonferry_wire.generated.runs.ttypes import (
+    Acknowledgement,
+    AnswerQuery,
+    CancelRequest,
+)
+from tornado.httpclient import AsyncHTTPClient
+
+from persimmonferry_daemon.blocks import BlockKeeper
+from persimmonferry_daemon.configuration import ConfigurationKeeper
+from persimmonferry_daemon.gate import Gate, LoadingGate
+from persimmonferry_daemon.loads import LoadPoller
+from persimmonferry_daemon.paths import ANSWER_PATH, CANCEL_PATH, RUN_PATH
+from persimmonferry_daemon.promptruns import PromptRuns, RunHandler
+from persimmonferry_daemon.vms import VMWatch
+from persimmonferry_daemon.weights import WeightKeeper
+
+__all__ = ["ModelWork"]
+
+EXPORT_GRACE_S = 5.0
+
+
+class ModelWork:
+    """
+    The runs of one engine, its cache blocks, its weights and its load.
+
+    :param configuration: says which model and version the service wants.
+    """
+
+    def __init__(
+        self,
+        client: AsyncHTTPClient,
+        platform: Platform,
+        settings: ProcessSettings,
+        gate: Gate,
+        vms: VMWatch,
+        configuration: ConfigurationKeeper,
+    ) -> None:
+        role: AgentSettings = settings.role
+        self._client = client
+        self._service_name = role.service
+        self._failure_domain = settings.failure_domain
+        self._vms = vms
+        self._configuration = configuration
+        self._stores: dict[str, Store] = {}
+        self._reported: frozenset[str] = frozenset()
+        holder = f"{settings.name}-{uuid.uuid4().hex}"
+        engine = HttpEngine(client, role.upstream_url)
+        self._load: LoadPoller[EngineLoad] = LoadPoller(engine.read_load)
+        self._blocks = BlockKeeper(
+            engine,
+            self._find_stores,
+            platform,
+            holder,
+            f"{settings.team}/{settings.failure_domain.name}",
+            self._find_weights,
+            time.time,
+        )
+        self._weights = WeightKeeper(
+            engine,
+            platform,
+            LoadingGate(gate),
+            holder,
+            settings.name,
+            settings.team,
+            self._find_service,
+            time.monotonic,
+        )
+        self._runs = PromptRuns(engine, gate, self._blocks, self._find_held, time.time)
+        self.rules = [(RUN_PATH, RunHandler, {"runs": self._runs})]
+        self.routes = (
+            PeerRoute(ANSWER_PATH, AnswerQuery, self._answer_query),
+            PeerRoute(CANCEL_PATH, CancelRequest, self._answer_cancel),
+        )
+
+    @property
+    def model(self) -> str:
+        """The model that the engine holds, empty when it does not answer."""
+        load = self._load.latest
+        return load.model if load else ""
+
+    @property
+    def version(self) -> str:
+        """The weight version that new runs get, empty while none can start."""
+        load = self._load.latest
+        return load.version if load and not load.loading else ""
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the engine answers and can start runs."""
+        return bool(self.version)
+
+    async def start(self) -> None:
+        """Start the background work."""
+        await self._load.start()
+        self._blocks.start()
+        self._weights.start()
+        self._runs.start()
+
+    async def stop(self) -> None:
+        """Stop the background work; exports that wait go out first."""
+        await self._runs.stop()
+        await self._weights.close()
+        await self._blocks.close(EXPORT_GRACE_S)
+        await self._load.stop()
+
+    def describe_load(self) -> LoadReport:
+        """Return the newest load as it is reported to entries."""
+        load = self._load.latest
+        if load is None:
+            return LoadReport(0, 0, 0, 0, 0.0, 0.0)
+        return LoadReport(
+            load.running,
+            load.waiting,
+            load.waiting_prefill_tokens,
+            load.slots,
+            load.prefill_tokens_per_s,
+            load.decode_tokens_per_s,
+        )
+
+    def describe_cache(self, *, whole: bool) -> CacheReport:
+        """Return what the engine holds: all, or the changes since the last call."""
+        held = self._blocks.holdings.list_names()
+        if whole:
+            return CacheReport(sorted(held), [], True)
+        stored = held - self._reported
+        removed = self._reported - held
+        self._reported = held
+        return CacheReport(sorted(stored), sorted(removed), False)
+
+    def _find_service(self) -> Service | None:
+        document = self._configuration.document
+        return document.find_service(self._service_name) if document else None
+
+    def _find_weights(self) -> RoutingWeights:
+        service = self._find_service()
+        return service.weights if service else RoutingWeights()
+
+    def _find_held(self) -> LoadVersion:
+        return LoadVersion(self.model, self.version)
+
+    def _find_stores(self) -> Mapping[str, Store]:
+        """Return the stores of this failure domain; each keeps its adapter."""
+        listed = {
+            vm.name: vm.address.url
+            for vm in self._vms.list_role(Role.STORE)
+            if vm.state is VMState.LIVE and vm.failure_domain == self._failure_domain
+        }
+        self._stores = {
+            name: self._stores.get(name) or HttpStore(self._client, url)
+            for name, url in listed.items()
+        }
+        return self._stores
+
+    async def _answer_query(self, query: AnswerQuery) -> Acknowledgement:
+        return Acknowledgement(self._runs.has_answer(query.answer_key))
+
+    async def _answer_cancel(self, request: CancelRequest) -> Acknowledgement:
+        return Acknowledgement(await self._runs.cancel(request.run_id))
--- /dev/null
+++ b/packages/daemon/tests/test_prompts.py
@@ -0,0 +1,128 @@
+"""Prompts through real processes, some of which are killed, frozen or stopped."""
+
+import asyncio
+import signal
+
+import pytest
+from persimmonferry_standins.scenarios import (
+    count_started,
+    find_busy,
+    make_caller,
+    plan_small,
+    run_with_fleet,
+)
+from persimmonferry_standins.tokens import answer_tokens
+
+PROMPT = "which stems go to the shop at the harbour?"
+LONG = 300
+
+
+def right_text(tokens=LONG, prompt=PROMPT):
+    return "".join(answer_tokens(prompt, "v1", tokens))
+
+
+@pytest.mark.parametrize("fault", [signal.SIGKILL, signal.SIGSTOP])
+def test_an_answer_goes_on_elsewhere_when_its_agent_dies_or_freezes(fault):
+    async def scenario(fleet):
+        started = await count_started(fleet)
+        caller = make_caller(fleet)
+        answer = asyncio.ensure_future(
+            caller.complete("notes", PROMPT, max_tokens=LONG, tier="urgent")
+        )
+        busy = await find_busy(fleet)
+        fleet.processes[busy].send(fault)
+        receipt = await answer
+        assert receipt.whole
+        assert receipt.text == right_text()
+        assert await count_started(fleet) == started + 2
+        assert max(receipt.gaps_s) < 2.0
+
+    run_with_fleet(plan_small(), scenario)
+
+
+def test_a_retry_through_another_entry_finds_the_running_answer():
+    async def scenario(fleet):
+        started = await count_started(fleet)
+        first = asyncio.ensure_future(
+            make_caller(fleet).complete(
+                "notes", PROMPT, max_tokens=LONG, request_id="route-17"
+            )
+        )
+        await find_busy(fleet)
+        await fleet.processes["entry-1"].kill()
+        assert not (await first).whole
+        receipt = await make_caller(fleet, "entry-2").complete(
+            "notes", PROMPT, max_tokens=LONG, request_id="route-17", is_retry=True
+        )
+        assert receipt.whole
+        assert receipt.text == right_text()
+        assert await count_started(fleet) == started + 1
+
+    run_with_fleet(plan_small(), scenario)
+
+
+def test_another_account_with_the_same_request_id_gets_no_foreign_answer():
+    async def scenario(fleet):
+        started = await count_started(fleet)
+        for account, expected in (("drivers", 1), ("konak-market", 2)):
+            receipt = await make_caller(fleet, account=account).complete(
+                "notes", PROMPT, request_id="route-17", is_retry=True
+            )
+            assert receipt.whole
+            assert await count_started(fleet) == started + expected
+
+    run_with_fleet(plan_small(models=1), scenario)
+
+
+def test_planned_stops_cut_no_answer():
+    async def scenario(fleet):
+        callers = [make_caller(fleet), make_caller(fleet, "entry-2")]
+        answers = [
+            asyncio.ensure_future(
+                callers[number % 2].complete(
+                    "notes",
+                    PROMPT,
+                    tier="dawn",
+                    max_tokens=LONG,
+                    stream=number % 4 < 2,
+                )
+            )
+            for number in range(24)
+        ]
+        await find_busy(fleet)
+        names = ("entry-1", "notes-0")
+        stops = [asyncio.ensure_future(fleet.processes[n].stop()) for n in names]
+        await asyncio.sleep(0.2)
+        for name in names:
+            # A second request to stop must not end what the first one waits for.
+            fleet.processes[name].send(signal.SIGTERM)
+        receipts = await asyncio.gather(*answers)
+        assert [receipt.code for receipt in receipts] == [0] * len(receipts)
+        assert all(receipt.whole for receipt in receipts)
+        assert all(receipt.text == right_text() for receipt in receipts)
+        assert await asyncio.gather(*stops) == [0, 0]
+
+    run_with_fleet(plan_small(), scenario)
+
+
+def test_a_leaving_upstream_gets_no_new_work_though_an_entry_missed_the_news():
+    async def scenario(fleet):
+        fleet.processes["entry-2"].freeze()
+        long = asyncio.ensure_future(
+            make_caller(fleet).complete("notes", PROMPT, max_tokens=LONG)
+        )
+        busy = await find_busy(fleet)
+        stop = asyncio.ensure_future(fleet.processes[busy].stop())
+        await asyncio.sleep(0.3)
+        fleet.processes["entry-2"].thaw()
+        control = fleet.control(f"{busy}-upstream")
+        before = (await control.read_report()).counters["runs_started"]
+        for entry in ("entry-1", "entry-2"):
+            receipt = await make_caller(fleet, entry).complete("notes", PROMPT)
+            assert receipt.whole
+        after = (await control.read_report()).counters["runs_started"]
+        assert after == before
+        assert (await long).whole
+        assert await stop == 0
+
+    run_with_fleet(plan_small(), scenario)
