--- a/packages/core/src/persimmonferry_core/codes.py
+++ b/packages/core/src/persimmonferry_core/codes.py
@@ -25,6 +25,7 @@
     http_status: int
     ran: Ran
     text: str
+    earlier_unknown: bool = False
 
 
 class ResultCode(enum.Enum):
@@ -48,13 +49,23 @@
     LIMIT_EXCEEDED = _Meaning(2009, 429, Ran.NO, "the account's limit is used up")
     NO_UPSTREAM = _Meaning(2010, 503, Ran.NO, "no upstream takes new work")
     STOPPING = _Meaning(2011, 503, Ran.NO, "this process is stopping")
-    PLATFORM_UNAVAILABLE = _Meaning(2012, 503, Ran.NO, "the claim can't be recorded")
+    PLATFORM_UNAVAILABLE = _Meaning(
+        2012, 503, Ran.NO, "the claim can't be recorded", earlier_unknown=True
+    )
     UPSTREAM_REFUSED = _Meaning(2013, 503, Ran.NO, "the upstream refused")
     IDEMPOTENCY_KEY_EXPIRED = _Meaning(
-        2014, 409, Ran.NO, "the idempotency key is older than the retention"
+        2014,
+        409,
+        Ran.NO,
+        "the idempotency key is older than the retention",
+        earlier_unknown=True,
     )
     IDEMPOTENCY_KEY_REUSED = _Meaning(
-        2015, 422, Ran.NO, "the idempotency key came with another body before"
+        2015,
+        422,
+        Ran.NO,
+        "the idempotency key came with another body before",
+        earlier_unknown=True,
     )
     RETRIES_EXHAUSTED = _Meaning(2016, 503, Ran.NO, "the retry budget is used up")
     CALLER_TOO_SLOW = _Meaning(2017, 408, Ran.NO, "the body came too slowly")
@@ -97,9 +108,14 @@
 
     @property
     def ran(self) -> Ran:
-        """Whether the request ran."""
+        """Whether the request ran, under this call."""
         return self.value.ran
 
+    @property
+    def earlier_unknown(self) -> bool:
+        """Whether an earlier call with the same idempotency key may have run."""
+        return self.value.earlier_unknown
+
     @property
     def text(self) -> str:
         """One sentence for the caller."""
--- a/packages/daemon/src/persimmonferry_daemon/servers.py
+++ b/packages/daemon/src/persimmonferry_daemon/servers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.codes import Ran, ResultCode
 from persimmonferry_core.exceptions import FerryError
 from persimmonferry_core.world import Address
 from persimmonferry_wire import PeerHandler, PeerRoute
@@ -23,16 +23,22 @@
 
 
 def describe_error(error: FerryError) -> dict[str, Any]:
-    """Return the JSON body that callers and operators get for an error."""
-    return {
-        "error": {
-            "code": error.code.number,
-            "message": str(error),
-            "type": error.code.name.lower(),
-            "ran": error.code.ran.value,
-            "retry_after_s": error.retry_after_s,
-        }
+    """
+    Return the JSON body that callers and operators get for an error.
+
+    ``ran`` speaks of this call; ``earlier`` is there when nothing is known of earlier
+    calls with the same idempotency key.
+    """
+    fields = {
+        "code": error.code.number,
+        "message": str(error),
+        "type": error.code.name.lower(),
+        "ran": error.code.ran.value,
+        "retry_after_s": error.retry_after_s,
     }
+    if error.code.earlier_unknown:
+        fields["earlier"] = Ran.UNKNOWN.value
+    return {"error": fields}
 
 
 class ErrorHandler(RequestHandler):
--- a/packages/standins/src/persimmonferry_standins/callers.py
+++ b/packages/standins/src/persimmonferry_standins/callers.py
@@ -49,7 +49,8 @@
 
     :param status: HTTP status; 0 when the connection was lost.
     :param code: numbered result code; 0 when the connection was lost.
-    :param ran: what the entry says of the run: yes, no or unknown.
+    :param ran: what the entry says of this call's run: yes, no or unknown.
+    :param earlier_known: whether that holds for earlier calls of the same key too.
     """
 
     status: int
@@ -57,6 +58,7 @@
     ran: str
     body: bytes
     elapsed_s: float
+    earlier_known: bool = True
 
 
 class Caller:
@@ -202,6 +204,7 @@
 def _read_call(status: int, body: bytes, elapsed_s: float) -> CallReceipt:
     try:
         error = json.loads(body)["error"]
-        return CallReceipt(status, error["code"], error["ran"], body, elapsed_s)
+        known = "earlier" not in error
+        return CallReceipt(status, error["code"], error["ran"], body, elapsed_s, known)
     except (ValueError, KeyError, TypeError):
         return CallReceipt(status, 1000, "yes", body, elapsed_s)
--- a/packages/standins/src/persimmonferry_standins/fleet.py
+++ b/packages/standins/src/persimmonferry_standins/fleet.py
@@ -151,6 +151,7 @@
     client: AsyncHTTPClient
     processes: dict[str, FleetProcess] = field(default_factory=dict)
     vms: dict[str, VM] = field(default_factory=dict)
+    _started: list[asyncio.subprocess.Process] = field(default_factory=list)
 
     async def __aenter__(self) -> "Fleet":
         self._folder = tempfile.TemporaryDirectory()
@@ -166,11 +167,11 @@
 
     async def end(self) -> None:
         """End every process that is left."""
-        for process in self.processes.values():
-            process.thaw()
-            process.send(signal.SIGKILL)
-        for process in self.processes.values():
-            await process.process.wait()
+        for process in self._started:
+            if process.returncode is None:
+                process.kill()
+        for process in self._started:
+            await process.wait()
         self._folder.cleanup()
 
     @property
@@ -309,14 +310,14 @@
                 stderr=errors,
                 env=environment,
             )
-        fleet_process = FleetProcess(name, process, {}, log)
         # Before the wait, so that a start that fails is ended too.
-        self.processes[name] = fleet_process
+        self._started.append(process)
         line = await asyncio.wait_for(process.stdout.readline(), START_TIMEOUT_S)
         if not line:
             raise RuntimeError(f"{name} did not start: {log.read_text()[-2000:]}")
-        fleet_process.addresses |= _read_addresses(line.decode())
-        return fleet_process
+        addresses = _read_addresses(line.decode())
+        self.processes[name] = FleetProcess(name, process, addresses, log)
+        return self.processes[name]
 
 
 def _read_addresses(line: str) -> dict[str, Address]:
