Keep libcurl's speed check from cutting runs that stream

Cause: 1 of 3 parallel test runs and 4 of 25 single ones failed: a run that streamed without a pause (largest gap 18 ms) ended after one second with libcurl's "Less than 1 bytes/sec transferred the last 1 seconds". Its first check can come before its first measurement of the speed. Ruled out: a lost flush of the stand-in, the adapter's own idle timer. Change: the speed check only makes libcurl call the progress callback each second; the adapter's timer alone decides that a run is silent.

--- a/packages/adapters/src/persimmonferry_adapters/engine.py
+++ b/packages/adapters/src/persimmonferry_adapters/engine.py
@@ -47,6 +47,7 @@
 __all__ = ["HttpEngine"]
 
 RUN_IDLE_TIMEOUT_S = 2.0
+LOW_SPEED_TIMEOUT_S = 60
 ORDER_TIMEOUT_S = 120.0
 BLOCK_TIMEOUT_S = 30.0
 
@@ -94,8 +95,9 @@
 
         def prepare(curl: pycurl.Curl) -> None:
             request.prepare(curl)
+            # Makes libcurl call the progress callback each second, also in silence.
             curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
-            curl.setopt(pycurl.LOW_SPEED_TIME, 1)
+            curl.setopt(pycurl.LOW_SPEED_TIME, LOW_SPEED_TIMEOUT_S)
             curl.setopt(pycurl.NOPROGRESS, 0)
             curl.setopt(pycurl.XFERINFOFUNCTION, self._check_progress)
 
--- a/packages/adapters/tests/test_engine.py
+++ b/packages/adapters/tests/test_engine.py
@@ -408,3 +408,21 @@
         await server.stop()
 
     asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
+def test_the_connection_of_a_run_that_was_given_up_is_closed():
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+
+    async def scenario():
+        server = RawServer(lambda _: RawAnswer(head, close=False))
+        await server.start()
+        async with open_session() as client:
+            adapter = HttpEngine(client, server.url, SHORT_TIMEOUT_S)
+            with pytest.raises(OutcomeUnknown) as caught:
+                await adapter.run(ORDER, lambda batch: None)
+            assert caught.value.code is ResultCode.UPSTREAM_TIMEOUT
+            while server.connections:
+                await asyncio.sleep(0.05)
+        await server.stop()
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
--- a/packages/standins/src/persimmonferry_standins/raw.py
+++ b/packages/standins/src/persimmonferry_standins/raw.py
@@ -45,6 +45,11 @@
         """The base URL, once started."""
         return f"http://{LOOPBACK}:{self.port}"
 
+    @property
+    def connections(self) -> int:
+        """How many connections are open."""
+        return len(self._writers)
+
     async def start(self) -> None:
         """Listen on a port that the system chooses."""
         self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
