--- a/packages/adapters/tests/test_answer.py
+++ b/packages/adapters/tests/test_answer.py
@@ -81,6 +81,12 @@
     assert reader.end.total_tokens == len(TOKENS)
 
 
+def test_bytes_behind_the_end_mark_keep_the_answer_from_being_whole():
+    reader, delivered = read(b"".join(LINES) + b"{")
+    assert delivered == TOKENS
+    assert reader.end is None
+
+
 @settings(derandomize=True, max_examples=1000)
 @given(data=st.data())
 def test_only_the_whole_answer_in_order_has_an_end(data):
--- a/packages/adapters/tests/test_engine.py
+++ b/packages/adapters/tests/test_engine.py
@@ -410,6 +410,22 @@
     asyncio.run(asyncio.wait_for(scenario(), 60))
 
 
+def test_an_end_mark_under_another_status_than_200_is_no_answer():
+    whole = make_answer(chunked=False).replace(b"200 OK", b"500 Fault")
+
+    async def scenario():
+        server = RawServer(lambda _: RawAnswer(whole))
+        await server.start()
+        async with open_session() as client:
+            adapter = HttpEngine(client, server.url)
+            with pytest.raises(OutcomeUnknown) as caught:
+                await adapter.run(replace(ORDER, max_tokens=3), lambda batch: None)
+            assert caught.value.code is ResultCode.UPSTREAM_LOST
+        await server.stop()
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
 def test_the_connection_of_a_run_that_was_given_up_is_closed():
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
 
--- a/packages/adapters/tests/test_plain.py
+++ b/packages/adapters/tests/test_plain.py
@@ -150,6 +150,8 @@
     "no content": b"HTTP/1.1 204 Gone\r\nX-Run-Id: run\r\n\r\n",
     "mark": b"HTTP/1.1 503 Busy\r\nX-Not-Run: run-2\r\nX-Run-Id: run\r\n"
     b"Content-Length: 0\r\n\r\n",
+    "interim": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Run-Id: run\r\n"
+    b"Content-Length: 0\r\n\r\n",
     "unframed": b"HTTP/1.0 200 OK\r\nX-Run-Id: run\r\n\r\nreservation!",
 }
 
