--- a/packages/adapters/tests/test_engine.py
+++ b/packages/adapters/tests/test_engine.py
@@ -87,6 +87,21 @@
     run_scenario(scenario)
 
 
+def test_many_runs_at_once_get_their_own_answers():
+    async def scenario(adapter, engine, control):
+        async def run_one(number):
+            prompt = f"{ORDER.prompt} {number}"
+            order = replace(ORDER, run_id=str(number), prompt=prompt, block_names=())
+            batches = []
+            end = await adapter.run(order, batches.append)
+            assert end.run_id == order.run_id
+            assert join(batches) == answer_tokens(prompt, "v1", 20)
+
+        await asyncio.gather(*(run_one(number) for number in range(200)))
+
+    run_scenario(scenario, slots=150)
+
+
 def test_a_resumed_run_goes_on_behind_the_delivered_tokens():
     async def scenario(adapter, engine, control):
         batches = []
--- a/packages/adapters/tests/test_store.py
+++ b/packages/adapters/tests/test_store.py
@@ -86,6 +86,8 @@
             await adapter.write("a", b"data")
         assert await adapter.read("a") == StoredBlock("a", 1, False, b"da\0\0")
         assert (await control.read_report()).state["uncommitted"] == ["a"]
+        await adapter.write("a", b"data")
+        assert (await adapter.read("a")).data == b"data"
 
     run_scenario(scenario)
 
--- a/packages/standins/src/persimmonferry_standins/server.py
+++ b/packages/standins/src/persimmonferry_standins/server.py
@@ -25,6 +25,7 @@
 __all__ = ["LOOPBACK", "Handler", "Route", "StandIn"]
 
 LOOPBACK = "127.0.0.1"
+BACKLOG = 1024
 CLOSE_TIMEOUT_S = 1.0
 DRAIN_POLL_S = 0.02
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -75,7 +76,7 @@
             (r"/control/state", _StateHandler, options),
             *self.make_routes(),
         ]
-        sockets = bind_sockets(self.port, self.host)
+        sockets = bind_sockets(self.port, self.host, backlog=BACKLOG)
         self.port = sockets[0].getsockname()[1]
         application = Application(routes, log_function=_log_nothing)
         self._server = HTTPServer(application, max_buffer_size=MAX_BODY_BYTES)
