Turn strange answers into the errors that the interfaces name

Cause: an answer of another shape raised KeyError, TypeError or ValueError out of the adapters, and a value without a revision raised the error of a lost write. Change: one function decodes JSON bodies; each adapter names its own error.

--- a/packages/adapters/src/persimmonferry_adapters/answer.py
+++ b/packages/adapters/src/persimmonferry_adapters/answer.py
@@ -5,10 +5,10 @@
 from typing import Any
 
 from persimmonferry_core.codes import ResultCode
-from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
+from persimmonferry_core.exceptions import FerryError, OutcomeUnknown
 from persimmonferry_core.runs import RunEnd, RunOrder, TokenBatch
 
-from persimmonferry_adapters.forms import decode_run_end, find_refusal_code
+from persimmonferry_adapters.forms import decode_refusal, decode_run_end
 
 __all__ = ["AnswerReader"]
 
@@ -55,7 +55,7 @@
         if fields.get("run_id") != self._order.run_id:
             raise self._mismatch("another run's id")
         if "refused" in fields:
-            raise self._read_refusal(fields["refused"])
+            raise self._read_refusal(fields)
         if "tokens" in fields:
             self._read_tokens(int(fields["first"]), fields["tokens"])
         if "end" in fields:
@@ -64,8 +64,7 @@
     def _read_refusal(self, fields: dict[str, Any]) -> FerryError:
         if self._next_index > len(self._order.delivered):
             return OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "stopped by the engine")
-        code = find_refusal_code(fields["code"])
-        return NotRun(code, str(fields["reason"]), fields.get("retry_after_s"))
+        return decode_refusal(fields)
 
     def _read_tokens(self, first: int, tokens: list[str]) -> None:
         if self._end is not None or first != self._next_index:
--- a/packages/adapters/src/persimmonferry_adapters/engine.py
+++ b/packages/adapters/src/persimmonferry_adapters/engine.py
@@ -1,15 +1,13 @@
 """HTTP adapter to a model engine."""
 
 import asyncio
-import json
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import pycurl
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.exceptions import (
     FerryError,
-    NotRun,
     OutcomeUnknown,
     StoreError,
 )
@@ -37,15 +35,18 @@
     BLOCK_NAME_HEADER,
     JSON_TYPE,
     OCTETS_TYPE,
+    decode_json,
+    decode_refusal,
     encode_engine_order,
     encode_json,
     encode_run_order,
-    find_refusal_code,
     quote_segment,
 )
 
 __all__ = ["HttpEngine"]
 
+Built = TypeVar("Built")
+
 RUN_IDLE_TIMEOUT_S = 2.0
 LOW_SPEED_TIMEOUT_S = 60
 ORDER_TIMEOUT_S = 120.0
@@ -182,19 +183,15 @@
     async def cancel(self, run_id: str) -> None:
         """Stop a run; a run that is not known is no error."""
         body = encode_json({"run_id": run_id})
-        await self._ask("/v1/cancel", method="POST", body=body)
+        await self._ask("/v1/cancel", bool, method="POST", body=body)
 
     async def read_load(self) -> EngineLoad:
         """Return the reported load."""
-        return EngineLoad(**await self._ask("/v1/load"))
+        return await self._ask("/v1/load", lambda fields: EngineLoad(**fields))
 
     async def read_cache_events(self, after: int) -> tuple[CacheEvent, ...]:
         """Return the events behind a sequence number that are published so far."""
-        fields = await self._ask(f"/v1/cache_events?after={after}")
-        return tuple(
-            CacheEvent(event["sequence"], CacheEventKind(event["kind"]), event["block"])
-            for event in fields["events"]
-        )
+        return await self._ask(f"/v1/cache_events?after={after}", _decode_cache_events)
 
     async def export_block(self, name: str) -> bytes:
         """
@@ -247,15 +244,23 @@
             raise _read_refusal(response)
 
     async def _ask(
-        self, path: str, *, method: str = "GET", body: bytes | None = None
-    ) -> dict[str, Any]:
+        self,
+        path: str,
+        build: Callable[[Any], Built],
+        *,
+        method: str = "GET",
+        body: bytes | None = None,
+    ) -> Built:
         request = Request(
             self._url + path, method=method, body=body, content_type=JSON_TYPE
         )
         response = await self._exchange(request)
         if response.code != 200:
             raise _read_refusal(response)
-        return json.loads(response.body)
+        try:
+            return decode_json(response.body, build)
+        except ValueError as error:
+            raise OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, str(error)) from error
 
     async def _exchange(self, request: Request) -> HTTPResponse:
         match await exchange(self._client, request):
@@ -265,11 +270,16 @@
                 return response
 
 
+def _decode_cache_events(fields: Any) -> tuple[CacheEvent, ...]:
+    return tuple(
+        CacheEvent(event["sequence"], CacheEventKind(event["kind"]), event["block"])
+        for event in fields["events"]
+    )
+
+
 def _read_refusal(response: HTTPResponse) -> FerryError:
     """Return the error that an answer other than 200 stands for."""
     try:
-        refused = json.loads(response.body)["refused"]
-        code = find_refusal_code(refused["code"])
-        return NotRun(code, str(refused["reason"]), refused.get("retry_after_s"))
-    except (ValueError, KeyError, TypeError):
+        return decode_json(response.body, decode_refusal)
+    except ValueError:
         return OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {response.code}")
--- a/packages/adapters/src/persimmonferry_adapters/forms.py
+++ b/packages/adapters/src/persimmonferry_adapters/forms.py
@@ -1,12 +1,13 @@
 """HTTP forms that the adapters and the stand-ins share: headers, paths, JSON bodies."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import asdict
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import quote
 
 from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import NotRun
 from persimmonferry_core.runs import (
     EngineOrder,
     LoadAdapter,
@@ -25,15 +26,18 @@
     "REVISION_HEADER",
     "RUN_ID_HEADER",
     "decode_engine_order",
+    "decode_json",
+    "decode_refusal",
     "decode_run_end",
     "decode_run_order",
     "encode_engine_order",
     "encode_json",
     "encode_run_order",
-    "find_refusal_code",
     "quote_segment",
 ]
 
+Built = TypeVar("Built")
+
 JSON_TYPE = "application/json"
 OCTETS_TYPE = "application/octet-stream"
 RUN_ID_HEADER = "X-Run-Id"
@@ -70,14 +74,33 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
-def find_refusal_code(number: int) -> ResultCode:
+def decode_json(body: bytes, build: Callable[[Any], Built]) -> Built:
     """
-    Return the code of an upstream's refusal.
+    Build a typed value of a JSON body.
+
+    :raises ValueError: when the body is not JSON or has another shape.
+
+    >>> decode_json(b'{"generation": 3}', lambda fields: int(fields["generation"]))
+    3
+    """
+    try:
+        return build(json.loads(body))
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError("a malformed body") from error
+
+
+def decode_refusal(fields: Any) -> NotRun:
+    """
+    Read the refusal in a JSON value of an engine.
+
+    An unknown code is taken for a plain refusal.
 
-    >>> find_refusal_code(2019).name, find_refusal_code(9999).name
-    ('WRONG_VERSION', 'UPSTREAM_REFUSED')
+    >>> decode_refusal({"refused": {"code": 2019, "reason": "v1"}}).code.name
+    'WRONG_VERSION'
     """
-    return _REFUSAL_CODES.get(number, ResultCode.UPSTREAM_REFUSED)
+    refused = fields["refused"]
+    code = _REFUSAL_CODES.get(refused["code"], ResultCode.UPSTREAM_REFUSED)
+    return NotRun(code, str(refused["reason"]), refused.get("retry_after_s"))
 
 
 def encode_run_order(order: RunOrder) -> bytes:
--- a/packages/adapters/src/persimmonferry_adapters/plain.py
+++ b/packages/adapters/src/persimmonferry_adapters/plain.py
@@ -1,7 +1,5 @@
 """HTTP adapter to a plain service."""
 
-import json
-
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.exceptions import NotRun, OutcomeUnknown
 from persimmonferry_core.runs import CallAnswer, CallOrder, PlainLoad
@@ -14,7 +12,7 @@
     exchange,
     raise_upstream_loss,
 )
-from persimmonferry_adapters.forms import NOT_RUN_HEADER, RUN_ID_HEADER
+from persimmonferry_adapters.forms import NOT_RUN_HEADER, RUN_ID_HEADER, decode_json
 
 __all__ = ["HttpPlainService"]
 
@@ -83,12 +81,19 @@
             case Loss() as loss:
                 raise_upstream_loss(loss, "plain service")
             case response if response.code == 200:
-                return PlainLoad(**json.loads(response.body))
+                return _decode_load(response.body)
             case response:
                 detail = f"status {response.code}"
                 raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, detail)
 
 
+def _decode_load(body: bytes) -> PlainLoad:
+    try:
+        return decode_json(body, lambda fields: PlainLoad(**fields))
+    except ValueError as error:
+        raise OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, str(error)) from error
+
+
 def _check_form(order: CallOrder) -> None:
     """
     Check what libcurl would take for something else.
--- a/packages/adapters/src/persimmonferry_adapters/platform.py
+++ b/packages/adapters/src/persimmonferry_adapters/platform.py
@@ -1,7 +1,5 @@
 """HTTP adapter to the platform's key-value service."""
 
-import json
-
 from persimmonferry_core.exceptions import (
     PlatformAnswerLost,
     PlatformUnavailable,
@@ -15,6 +13,7 @@
     JSON_TYPE,
     OCTETS_TYPE,
     REVISION_HEADER,
+    decode_json,
     encode_json,
     quote_segment,
 )
@@ -52,8 +51,7 @@
         """
         url = self._value_url(key)
         request = Request(url, timeout_s=self._call_timeout_s)
-        response = await self._ask(request)
-        return Versioned(key, response.body, _read_revision(response))
+        return _decode_value(key, await self._ask(request))
 
     async def swap(self, key: str, value: bytes, expected: int) -> Versioned:
         """
@@ -82,6 +80,8 @@
                 revision = _read_revision(response)
             case response:
                 raise PlatformAnswerLost(f"status {response.code}")
+        if revision is None:
+            raise PlatformAnswerLost("an answer without a revision")
         if response.code == 409:
             raise SwapConflict(key, revision)
         return Versioned(key, value, revision)
@@ -99,7 +99,7 @@
         response = await self._ask(request, 200, 204)
         if response.code == 204:
             return None
-        return Versioned(key, response.body, _read_revision(response))
+        return _decode_value(key, response)
 
     async def acquire_lease(
         self, name: str, holder: str, duration_s: float, now: float
@@ -122,7 +122,10 @@
         response = await self._ask(request, 200, 409)
         if response.code == 409:
             return None
-        fencing = json.loads(response.body)["fencing"]
+        try:
+            fencing = decode_json(response.body, lambda fields: int(fields["fencing"]))
+        except ValueError as error:
+            raise PlatformUnavailable(str(error)) from error
         return Lease(name, holder, fencing, now + duration_s)
 
     async def release_lease(self, lease: Lease) -> None:
@@ -152,8 +155,13 @@
                 raise PlatformUnavailable(f"status {response.code}")
 
 
-def _read_revision(response: HTTPResponse) -> int:
+def _decode_value(key: str, response: HTTPResponse) -> Versioned:
+    revision = _read_revision(response)
+    if revision is None:
+        raise PlatformUnavailable("an answer without a revision")
+    return Versioned(key, response.body, revision)
+
+
+def _read_revision(response: HTTPResponse) -> int | None:
     revision = response.headers.get(REVISION_HEADER, "")
-    if not revision.isdigit():
-        raise PlatformAnswerLost("an answer without a revision")
-    return int(revision)
+    return int(revision) if revision.isdecimal() else None
--- a/packages/adapters/src/persimmonferry_adapters/store.py
+++ b/packages/adapters/src/persimmonferry_adapters/store.py
@@ -1,6 +1,7 @@
 """HTTP adapter to a store VM."""
 
-import json
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.exceptions import StoreError
@@ -14,12 +15,15 @@
     GENERATION_HEADER,
     JSON_TYPE,
     OCTETS_TYPE,
+    decode_json,
     encode_json,
     quote_segment,
 )
 
 __all__ = ["HttpStore"]
 
+Built = TypeVar("Built")
+
 TRANSFER_TIMEOUT_S = 30.0
 CALL_TIMEOUT_S = 2.0
 
@@ -60,7 +64,7 @@
             timeout_s=self._transfer_timeout_s,
         )
         response = await self._ask(request)
-        return int(json.loads(response.body)["generation"])
+        return _decode(response, lambda fields: int(fields["generation"]))
 
     async def commit(self, name: str, generation: int) -> None:
         """
@@ -99,7 +103,7 @@
         url = f"{self._block_url(name)}/generation"
         request = Request(url, timeout_s=self._call_timeout_s)
         response = await self._ask(request)
-        return int(json.loads(response.body)["generation"])
+        return _decode(response, lambda fields: int(fields["generation"]))
 
     async def remove(self, name: str, generation: int) -> None:
         """Free a block if it still has that generation."""
@@ -115,14 +119,14 @@
         url = f"{self._url}/v1/blocks"
         request = Request(url, timeout_s=self._call_timeout_s)
         response = await self._ask(request)
-        return tuple(json.loads(response.body)["names"])
+        return _decode(response, lambda fields: tuple(map(str, fields["names"])))
 
     async def read_usage(self) -> StoreUsage:
         """Return how full the store is."""
         url = f"{self._url}/v1/usage"
         request = Request(url, timeout_s=self._call_timeout_s)
         response = await self._ask(request)
-        return StoreUsage(**json.loads(response.body))
+        return _decode(response, lambda fields: StoreUsage(**fields))
 
     def _block_url(self, name: str) -> str:
         return f"{self._url}/v1/blocks/{quote_segment(name)}"
@@ -138,3 +142,10 @@
             case response:
                 detail = f"store VM: status {response.code}"
                 raise StoreError(ResultCode.BLOCK_INVALID, detail)
+
+
+def _decode(response: HTTPResponse, build: Callable[[Any], Built]) -> Built:
+    try:
+        return decode_json(response.body, build)
+    except ValueError as error:
+        raise StoreError(ResultCode.BLOCK_INVALID, f"store VM: {error}") from error
--- a/packages/adapters/src/persimmonferry_adapters/vms.py
+++ b/packages/adapters/src/persimmonferry_adapters/vms.py
@@ -1,6 +1,5 @@
 """HTTP adapter to the platform's list of VMs."""
 
-import json
 from typing import Any
 
 from persimmonferry_core.exceptions import PlatformUnavailable
@@ -8,6 +7,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from persimmonferry_adapters.exchange import Loss, Request, exchange
+from persimmonferry_adapters.forms import decode_json
 
 __all__ = ["HttpVMList"]
 
@@ -43,8 +43,8 @@
 
 def _decode_vms(body: bytes) -> tuple[VM, ...]:
     try:
-        return tuple(_decode_vm(fields) for fields in json.loads(body)["vms"])
-    except (ValueError, KeyError, TypeError) as error:
+        return decode_json(body, lambda fields: tuple(map(_decode_vm, fields["vms"])))
+    except ValueError as error:
         raise PlatformUnavailable("a malformed list of VMs") from error
 
 
