--- a/packages/adapters/src/persimmonferry_adapters/forms.py
+++ b/packages/adapters/src/persimmonferry_adapters/forms.py
@@ -7,7 +7,7 @@
 from urllib.parse import quote
 
 from persimmonferry_core.codes import ResultCode
-from persimmonferry_core.exceptions import NotRun
+from persimmonferry_core.exceptions import FerryError, make_error
 from persimmonferry_core.runs import (
     EngineOrder,
     LoadAdapter,
@@ -89,7 +89,7 @@
         raise ValueError("a malformed body") from error
 
 
-def decode_refusal(fields: Any) -> NotRun:
+def decode_refusal(fields: Any) -> FerryError:
     """
     Read the refusal in a JSON value of an engine.
 
@@ -100,7 +100,10 @@
     """
     refused = fields["refused"]
     code = _REFUSAL_CODES.get(refused["code"], ResultCode.UPSTREAM_REFUSED)
-    return NotRun(code, str(refused["reason"]), refused.get("retry_after_s"))
+    retry_after_s = refused.get("retry_after_s")
+    if retry_after_s is not None:
+        retry_after_s = float(retry_after_s)
+    return make_error(code, str(refused["reason"]), retry_after_s)
 
 
 def encode_run_order(order: RunOrder) -> bytes:
--- a/packages/adapters/tests/test_strange_answers.py
+++ b/packages/adapters/tests/test_strange_answers.py
@@ -34,6 +34,8 @@
     b"<html></html>\n",
     b'{"run_id":"run","refused":{}}\n',
     b'{"refused":3}',
+    b'{"run_id":"run","refused":{"code":2013,"reason":"","retry_after_s":"x"}}\n',
+    b'{"run_id":"run","refused":{"code":[],"reason":""}}\n',
     b'{"generation":"x","names":3,"fencing":[],"vms":[{}],"events":[1]}',
     b'{"surprise":1}',
 )
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/membership.py
@@ -0,0 +1,151 @@
+"""Which upstreams an entry may use, by the reports of their agents."""
+
+import enum
+from dataclasses import dataclass, replace
+
+from persimmonferry_core.routing import UpstreamReport
+from persimmonferry_core.world import Address
+
+__all__ = [
+    "MIN_REPORT_TIMEOUT_S",
+    "REPORT_INTERVAL_S",
+    "Observation",
+    "Presence",
+    "UpstreamTable",
+]
+
+REPORT_INTERVAL_S = 0.25
+MIN_REPORT_TIMEOUT_S = 1.0
+MISSED_REPORTS = 3
+REPORT_BYTES = 350
+REPORT_BYTES_PER_S = 3000
+
+
+@dataclass(frozen=True)
+class Presence:
+    """
+    An upstream as its agent last reported it.
+
+    :param address: of the agent, for runs and calls.
+    """
+
+    report: UpstreamReport
+    address: Address
+
+
+class Observation(enum.Enum):
+    """What a report did to the table."""
+
+    NEW = "new"
+    UPDATED = "updated"
+    STALE = "stale"
+
+
+@dataclass(frozen=True)
+class _Row:
+    presence: Presence
+    heard_at: float
+    suspected: bool = False
+
+
+class UpstreamTable:
+    """The upstreams of one entry, by name; the newest incarnation of each counts."""
+
+    def __init__(self) -> None:
+        self._rows: dict[str, _Row] = {}
+        self._names: dict[Address, str] = {}
+
+    def observe(
+        self, report: UpstreamReport, address: Address, now: float
+    ) -> Observation:
+        """
+        Take a report.
+
+        A report of an older incarnation, or out of order, changes nothing: a process
+        that wakes up after its VM was replaced must not bring its old state back.
+        An address that another upstream had belongs to the newer incarnation.
+        """
+        known = self.find(report.name)
+        if known is not None and _order(report) <= _order(known.report):
+            return Observation.STALE
+        if not self._claim_address(report, address):
+            return Observation.STALE
+        if known is not None and known.address != address:
+            self._drop(report.name)
+        self._rows[report.name] = _Row(Presence(report, address), now)
+        self._names[address] = report.name
+        if known is None or known.report.incarnation != report.incarnation:
+            return Observation.NEW
+        return Observation.UPDATED
+
+    def expire(self, now: float) -> tuple[str, ...]:
+        """Remove upstreams that have been silent for too long; return their names."""
+        timeout_s = max(MIN_REPORT_TIMEOUT_S, MISSED_REPORTS * self.choose_interval())
+        silent = [
+            name for name, row in self._rows.items() if now - row.heard_at > timeout_s
+        ]
+        for name in silent:
+            self._drop(name)
+        return tuple(silent)
+
+    def choose_interval(self) -> float:
+        """
+        Return how often agents should report, in seconds.
+
+        The more upstreams an entry hears, the less often each reports, so that the
+        bytes a second stay within the entry's share for control traffic.
+        """
+        return max(
+            REPORT_INTERVAL_S, len(self._rows) * REPORT_BYTES / REPORT_BYTES_PER_S
+        )
+
+    def suspect(self, name: str, incarnation: int) -> bool:
+        """
+        Avoid an upstream whose connection broke until its next report.
+
+        :returns: whether the table changed.
+        """
+        row = self._rows.get(name)
+        if row is None or row.suspected:
+            return False
+        if row.presence.report.incarnation != incarnation:
+            return False
+        self._rows[name] = replace(row, suspected=True)
+        return True
+
+    def find(self, name: str) -> Presence | None:
+        """Return an upstream as last reported, or None."""
+        row = self._rows.get(name)
+        return None if row is None else row.presence
+
+    def list_usable(self, service: str) -> tuple[Presence, ...]:
+        """Return the upstreams of a service that take new work."""
+        return tuple(
+            row.presence
+            for row in self._rows.values()
+            if row.presence.report.service == service
+            and not row.presence.report.leaving
+            and not row.suspected
+        )
+
+    def list_all(self) -> tuple[Presence, ...]:
+        """Return every upstream as last reported."""
+        return tuple(row.presence for row in self._rows.values())
+
+    def _claim_address(self, report: UpstreamReport, address: Address) -> bool:
+        """Drop the former user of an address, unless it is the newer one."""
+        name = self._names.get(address)
+        if name is None or name == report.name:
+            return True
+        if self._rows[name].presence.report.incarnation > report.incarnation:
+            return False
+        self._drop(name)
+        return True
+
+    def _drop(self, name: str) -> None:
+        row = self._rows.pop(name)
+        del self._names[row.presence.address]
+
+
+def _order(report: UpstreamReport) -> tuple[int, int]:
+    return report.incarnation, report.sequence
--- a/packages/wire/src/persimmonferry_wire/carrier.py
+++ b/packages/wire/src/persimmonferry_wire/carrier.py
@@ -5,17 +5,25 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from persimmonferry_adapters.exchange import Loss, Request, Reuse, exchange
+from tornado.httpclient import AsyncHTTPClient
 from tornado.web import RequestHandler
 
 from persimmonferry_wire.codec import decode, encode
 
-__all__ = ["CONTENT_TYPE", "PeerClient", "PeerHandler", "PeerLost", "PeerRoute"]
+__all__ = [
+    "CONTENT_TYPE",
+    "PeerClient",
+    "PeerHandler",
+    "PeerLost",
+    "PeerRoute",
+]
 
 Reply = TypeVar("Reply")
 
 CONTENT_TYPE = "application/x-thrift"
-CONNECT_TIMEOUT_S = 0.5
+USER_AGENT = "pf"
+HTTP_OK = 200
 
 _log = logging.getLogger(__name__)
 
@@ -39,28 +47,45 @@
         self._client = client
 
     async def ask(
-        self, url: str, message: Any, kind: type[Reply], timeout_s: float
+        self,
+        url: str,
+        message: Any,
+        kind: type[Reply],
+        timeout_s: float,
+        *,
+        fresh: bool = False,
     ) -> Reply:
         """
         Send a struct and return the peer's reply.
 
         :param url: base URL of the peer and the route's path.
+        :param fresh: use a new connection. On one that was kept alive libcurl may send
+            a request twice, and then ``PeerLost.sent`` proves nothing.
         :raises PeerLost: no whole reply in time.
         """
-        request = HTTPRequest(
+        request = Request(
             url,
             method="POST",
             body=encode(message),
-            headers={"Content-Type": CONTENT_TYPE},
-            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
-            request_timeout=timeout_s,
+            content_type=CONTENT_TYPE,
+            reuse=Reuse.NEVER if fresh else Reuse.ALLOWED,
+            timeout_s=timeout_s,
+            user_agent=USER_AGENT,
         )
-        try:
-            response = await self._client.fetch(request)
-            return decode(kind, response.body)
-        except (HTTPClientError, OSError, ValueError) as error:
-            refused = "Failed to connect" in str(error)
-            raise PeerLost(str(error), sent=not refused) from error
+        match await exchange(self._client, request):
+            case Loss() as loss:
+                raise PeerLost(loss.value, sent=request.sent)
+            case response if response.code != HTTP_OK:
+                raise PeerLost(f"status {response.code}", sent=True)
+            case response:
+                return _read_reply(kind, response.body)
+
+
+def _read_reply(kind: type[Reply], body: bytes) -> Reply:
+    try:
+        return decode(kind, body)
+    except ValueError as error:
+        raise PeerLost(str(error), sent=True) from error
 
 
 @dataclass(frozen=True)
@@ -84,6 +109,11 @@
         """Take the route that the URL stands for."""
         self._route = route
 
+    def set_default_headers(self) -> None:
+        """Leave out what no peer reads: control traffic has few bytes a second."""
+        self.clear_header("Server")
+        self.clear_header("Date")
+
     async def post(self) -> None:
         """Decode the struct, have it answered, and send the reply."""
         try:
