--- a/packages/core/tests/test_revisions.py
+++ b/packages/core/tests/test_revisions.py
@@ -11,7 +11,10 @@
     make_delta,
 )
 
-TEXTS = [f"[team]\nname = {number}\n" + "# rose\n" * 99 for number in range(4)]
+TEXTS = [
+    f"[team]\nname = {number}\n" + "[link a b]\n" + "# rose\n" * 99
+    for number in range(4)
+]
 
 
 def make_change(revision):
@@ -23,7 +26,7 @@
 def test_changes_that_do_not_lead_on_from_the_text_are_a_gap():
     outcome = advance(Replica(), WholeUpdate(make_change(1), TEXTS[1]))
     assert isinstance(outcome, Advanced)
-    # The one section is written over, so that the digest alone would not tell.
+    # The section is written over, so that the digest alone would not tell.
     skipping = ChangesUpdate(2, (make_change(3),))
     assert isinstance(advance(outcome.replica, skipping), Gap)
 
