--- a/packages/daemon/src/persimmonferry_daemon/configuration.py
+++ b/packages/daemon/src/persimmonferry_daemon/configuration.py
@@ -371,7 +371,7 @@
 
     def _find_members(self) -> Members:
         vms = self._list_peers()
-        if self._members is None or vms is not self._vms:
+        if self._members is None or vms != self._vms:
             self._vms = vms
             self._members = rank_members(self.own, vms, self.team)
         return self._members
