Add the command line of operators and callers

Cause: operators and callers had only raw HTTP. What show prints keeps its revision in the first line, so that apply can't lose another's change; an unknown outcome is settled by the same change id.

--- /dev/null
+++ b/packages/cli/src/persimmonferry_cli/documents.py
@@ -0,0 +1,156 @@
+"""Commands on a team's document."""
+
+import re
+import sys
+import time
+import uuid
+from pathlib import Path
+
+from persimmonferry_core.document import parse_document
+from persimmonferry_core.exceptions import ConfigurationFaulty
+
+from persimmonferry_cli.client import (
+    EXIT_REFUSED,
+    EXIT_UNKNOWN,
+    CommandFailed,
+    Request,
+    ask,
+)
+from persimmonferry_cli.endpoints import find_endpoint
+from persimmonferry_cli.tables import format_table
+
+__all__ = ["apply", "check", "history", "rollback", "show"]
+
+TRIES = 3
+PAUSE_S = 1.0
+DIGEST_CHARACTERS = 12
+
+_STAMP = re.compile(r"# persimmonferry revision (\d+)\n")
+
+
+def check(file: Path) -> None:
+    """
+    Check a document without a connection and list every fault.
+
+    :param file: the INI document.
+    """
+    _, text = _read_file(file)
+    try:
+        document = parse_document(text)
+    except ConfigurationFaulty as error:
+        lines = (f"error {error.code.number} {error.code.text}", *error.faults)
+        raise CommandFailed(EXIT_REFUSED, lines) from None
+    print(f"{file}: no faults, team {document.team}")
+
+
+def show(*, revision: int = 0, admin: str = "", key: str = "") -> None:
+    """
+    Print the accepted document; its first line keeps the revision for apply.
+
+    :param revision: an earlier revision; 0 for the accepted one.
+    :param admin: base URL of a process's control port, or PERSIMMONFERRY_ADMIN.
+    :param key: of the operator, or PERSIMMONFERRY_KEY.
+    """
+    endpoint = find_endpoint(admin, key)
+    query = f"?revision={revision}" if revision else ""
+    answer = ask(Request(endpoint.name_path(f"document{query}"), endpoint.key)).read()
+    print(f"# persimmonferry revision {answer['revision']}")
+    sys.stdout.write(answer["text"])
+
+
+def apply(
+    file: Path,
+    *,
+    revision: int | None = None,
+    note: str = "",
+    admin: str = "",
+    key: str = "",
+) -> None:
+    """
+    Have a changed document accepted.
+
+    :param file: the INI document, as show printed it and you changed it.
+    :param revision: that you read; without it, the one in the file's first line.
+    :param note: why it was changed; it is kept in the history.
+    :param admin: base URL of a process's control port, or PERSIMMONFERRY_ADMIN.
+    :param key: of the operator, or PERSIMMONFERRY_KEY.
+    """
+    stamped, text = _read_file(file)
+    expected = stamped if revision is None else revision
+    if expected is None:
+        raise CommandFailed(
+            EXIT_REFUSED,
+            ("error: say --revision, or keep the first line that show printed",),
+        )
+    endpoint = find_endpoint(admin, key)
+    request = Request(
+        endpoint.name_path("document"),
+        endpoint.key,
+        method="PUT",
+        body=text.encode(),
+        headers=_make_headers(expected) | ({"Change-Note": note} if note else {}),
+    )
+    print(f"accepted as revision {_ask_until_settled(request)}")
+
+
+def history(*, admin: str = "", key: str = "") -> None:
+    """
+    List the accepted revisions, the newest first.
+
+    :param admin: base URL of a process's control port, or PERSIMMONFERRY_ADMIN.
+    :param key: of the operator, or PERSIMMONFERRY_KEY.
+    """
+    endpoint = find_endpoint(admin, key)
+    rows = ask(Request(endpoint.name_path("history"), endpoint.key)).read()
+    for row in rows:
+        row["time"] = time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(row["time_s"]))
+        row["digest"] = row["digest"][:DIGEST_CHARACTERS]
+    print(format_table(rows, ["revision", "time", "operator", "digest", "note"]))
+
+
+def rollback(to: int, *, revision: int, admin: str = "", key: str = "") -> None:
+    """
+    Have the text of an earlier revision accepted as a new one.
+
+    :param to: the earlier revision.
+    :param revision: the accepted one that you read.
+    :param admin: base URL of a process's control port, or PERSIMMONFERRY_ADMIN.
+    :param key: of the operator, or PERSIMMONFERRY_KEY.
+    """
+    endpoint = find_endpoint(admin, key)
+    request = Request(
+        endpoint.name_path(f"rollback?to={to}"),
+        endpoint.key,
+        method="POST",
+        body=b"",
+        headers=_make_headers(revision),
+    )
+    print(f"accepted as revision {_ask_until_settled(request)}")
+
+
+def _make_headers(expected: int) -> dict[str, str]:
+    return {"If-Match": str(expected), "Change-Id": uuid.uuid4().hex}
+
+
+def _ask_until_settled(request: Request) -> int:
+    # The change id makes a repeated request the same change, so that it settles an
+    # outcome that is not known.
+    for left in reversed(range(TRIES)):
+        try:
+            return ask(request).read()["revision"]
+        except CommandFailed as error:
+            if error.exit_status != EXIT_UNKNOWN or not left:
+                raise
+        time.sleep(PAUSE_S)
+    raise AssertionError("the last try returns or raises")
+
+
+def _read_file(file: Path) -> tuple[int | None, str]:
+    try:
+        text = file.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise CommandFailed(EXIT_REFUSED, (f"error: {file}: {error}",)) from None
+    stamp = _STAMP.match(text)
+    if stamp is None:
+        return None, text
+    return int(stamp[1]), text[stamp.end() :]
--- /dev/null
+++ b/packages/cli/src/persimmonferry_cli/endpoints.py
@@ -0,0 +1,43 @@
+"""Where a command goes, and whose key it takes along."""
+
+import os
+from dataclasses import dataclass
+
+from persimmonferry_cli.client import EXIT_REFUSED, CommandFailed
+
+__all__ = ["Endpoint", "find_caller_endpoint", "find_endpoint"]
+
+
+@dataclass(frozen=True)
+class Endpoint:
+    """A process and the key to ask it with."""
+
+    url: str
+    key: str
+
+    def name_path(self, name: str) -> str:
+        """Return the URL of an act of the administration API."""
+        return f"{self.url}/admin/v1/{name}"
+
+
+def find_endpoint(admin: str, key: str) -> Endpoint:
+    """Return where operators' commands go."""
+    return Endpoint(
+        _find(admin, "PERSIMMONFERRY_ADMIN", "--admin").rstrip("/"),
+        _find(key, "PERSIMMONFERRY_KEY", "--key"),
+    )
+
+
+def find_caller_endpoint(entry: str, key: str) -> Endpoint:
+    """Return where callers' commands go."""
+    return Endpoint(
+        _find(entry, "PERSIMMONFERRY_ENTRY", "--entry").rstrip("/"),
+        _find(key, "PERSIMMONFERRY_ACCOUNT_KEY", "--key"),
+    )
+
+
+def _find(given: str, variable: str, option: str) -> str:
+    value = given or os.environ.get(variable, "")
+    if not value:
+        raise CommandFailed(EXIT_REFUSED, (f"error: say {option} or set {variable}",))
+    return value
