Keep urgent work ahead of other entries' patient work

Traces showed door requests held behind other entries' reported patient prefill, behind 16 scanned requests of other tiers, and at engines whose slots patient runs of three entries had filled. Ruled out: faster reports (they cost control bytes). Change: scan each tier; split the reported prefill by the own mix of priorities; give each entry home upstreams for patient work and spill only where reports show them idle; keep slots for the mean number of urgent runs; rotate equal choices.

--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,457 @@
+"""Model engines, links and entries in virtual time, at the interface of the policy."""
+
+import heapq
+import itertools
+import random
+from collections import OrderedDict, defaultdict
+from dataclasses import dataclass, field
+
+from persimmonferry_core.dispatch import (
+    Assignment,
+    Dispatcher,
+    PromptRequest,
+    Queued,
+    UpstreamReport,
+)
+from persimmonferry_core.runs import RunEnd
+from persimmonferry_core.world import Link
+
+CHUNK_TOKENS = 256
+HOP_S = 0.002
+REPORT_INTERVAL_S = 0.5
+REPORT_LAG_S = 0.1
+EVENT_LAG_S = 0.3
+EVENT_LOSS = 0.05
+EXPORT_LAG_S = 0.5
+
+
+@dataclass
+class Call:
+    """One request with what became of it."""
+
+    request: PromptRequest
+    answer_tokens: int
+    refused: bool = False
+    first_token_s: float | None = None
+    end_s: float | None = None
+    computed_tokens: int = 0
+    again_tokens: int = 0
+
+
+class Clock:
+    """The event queue."""
+
+    def __init__(self):
+        self.now = 0.0
+        self._events = []
+        self._order = itertools.count()
+
+    def at(self, moment, action, *arguments):
+        event = (max(moment, self.now), next(self._order), action, arguments)
+        heapq.heappush(self._events, event)
+
+    def after(self, delay, action, *arguments):
+        self.at(self.now + delay, action, *arguments)
+
+    def run(self, until):
+        while self._events and self._events[0][0] <= until:
+            self.now, _, action, arguments = heapq.heappop(self._events)
+            action(*arguments)
+        self.now = until
+
+
+class Wire:
+    """A link between failure domains; transfers follow one another."""
+
+    def __init__(self, link, slowdown=1.0):
+        self.link = link
+        self.slowdown = slowdown
+        self.free_at = 0.0
+        self.total_bytes = 0
+
+    def transfer(self, size, now):
+        """Return when the bytes have arrived."""
+        rate = self.link.bytes_per_s * (1.0 - self.link.loss) / self.slowdown
+        start = max(now, self.free_at)
+        self.free_at = start + size / rate
+        self.total_bytes += size
+        return self.free_at + 2 * self.link.latency_s
+
+
+@dataclass
+class EngineRun:
+    """A run at an engine."""
+
+    call: Call
+    entry: object
+    priority: int
+    order: int
+    arrived_s: float = 0.0
+    left_tokens: float = 0.0
+    cached_tokens: int = 0
+    lane_started: bool = False
+
+    def __lt__(self, other):
+        return (self.priority, self.order) < (other.priority, other.order)
+
+
+@dataclass
+class EngineKind:
+    """Figures of an engine."""
+
+    slots: int = 8
+    prefill_tokens_per_s: float = 10_000.0
+    decode_tokens_per_s: float = 40.0
+    cache_blocks: int = 100
+    preemptive: bool = True
+
+
+class Engine:
+    """Continuous batching: prefill in chunks by priority, decode at a fixed rate."""
+
+    def __init__(self, fleet, name, domain, kind):
+        self.fleet = fleet
+        self.clock = fleet.clock
+        self.name = name
+        self.domain = domain
+        self.kind = kind
+        self.slowdown = 1.0
+        self.cache = OrderedDict()
+        self.waiting = []
+        self.batch = 0
+        self.lane = []
+        self.current = None
+        self.current_since = 0.0
+        self.token = 0
+        self.sequence = 0
+        self.order = itertools.count()
+
+    def submit(self, assignment, call, entry):
+        run = EngineRun(call, entry, assignment.priority, next(self.order))
+        ready = self.clock.now
+        if assignment.plan is not None:
+            ready = self.fleet.import_blocks(self, assignment.plan)
+        self.clock.at(ready, self._enqueue, run)
+
+    def _enqueue(self, run):
+        run.arrived_s = self.clock.now
+        heapq.heappush(self.waiting, run)
+        self._admit()
+
+    def _admit(self):
+        while self.waiting and self.batch < self.kind.slots:
+            run = heapq.heappop(self.waiting)
+            self.batch += 1
+            run.left_tokens = run.call.request.prompt_tokens
+            heapq.heappush(self.lane, run)
+        self._drive_lane()
+
+    def _drive_lane(self):
+        if not self.lane:
+            return
+        if self.current is None:
+            self._run_lane(heapq.heappop(self.lane))
+        elif self.kind.preemptive and self.lane[0].priority < self.current.priority:
+            chunk_s = CHUNK_TOKENS / self._prefill_rate()
+            chunks = int((self.clock.now - self.current_since) / chunk_s) + 1
+            boundary = self.current_since + chunks * chunk_s
+            self.clock.at(boundary, self._switch, self.token)
+
+    def _switch(self, token):
+        if token != self.token or not self.lane or self.current is None:
+            return
+        if self.lane[0].priority >= self.current.priority:
+            return
+        done = (self.clock.now - self.current_since) * self._prefill_rate()
+        self.current.left_tokens = max(1.0, self.current.left_tokens - done)
+        heapq.heappush(self.lane, self.current)
+        self._run_lane(heapq.heappop(self.lane))
+
+    def _run_lane(self, run):
+        if not run.lane_started:
+            run.lane_started = True
+            self._look_up(run)
+        self.current = run
+        self.current_since = self.clock.now
+        self.token += 1
+        self.clock.after(
+            run.left_tokens / self._prefill_rate(), self._end_prefill, self.token
+        )
+
+    def _look_up(self, run):
+        request = run.call.request
+        depth = 0
+        for name in request.block_names:
+            if name not in self.cache:
+                break
+            self.cache.move_to_end(name)
+            depth += 1
+        run.cached_tokens = min(depth * request.block_tokens, request.prompt_tokens - 1)
+        run.left_tokens = request.prompt_tokens - run.cached_tokens
+        run.call.computed_tokens += run.left_tokens
+        computed_names = request.block_names[depth:]
+        again = sum(1 for name in computed_names if name in self.fleet.ever)
+        run.call.again_tokens += again * request.block_tokens
+
+    def _end_prefill(self, token):
+        if token != self.token:
+            return
+        run = self.current
+        self.current = None
+        self.token += 1
+        self.keep(run.call.request.block_names, export=True)
+        self.fleet.ever.update(run.call.request.block_names)
+        step_s = 1.0 / self.kind.decode_tokens_per_s
+        self.clock.after(step_s, self._give_first_token, run)
+        self.clock.after(run.call.answer_tokens * step_s, self._end_run, run)
+        self._drive_lane()
+
+    def _give_first_token(self, run):
+        self.clock.after(HOP_S, run.entry.first_token, run.call)
+
+    def _end_run(self, run):
+        self.batch -= 1
+        self.clock.after(HOP_S, run.entry.end, run.call, run.cached_tokens)
+        self._admit()
+
+    def keep(self, names, export):
+        new = [name for name in names if name not in self.cache]
+        for name in names:
+            self.cache[name] = True
+            self.cache.move_to_end(name)
+        evicted = []
+        while len(self.cache) > self.kind.cache_blocks:
+            evicted.append(self.cache.popitem(last=False)[0])
+        self.fleet.publish(self, tuple(new), tuple(evicted))
+        if export and new:
+            self.clock.after(EXPORT_LAG_S, self.fleet.export, self.domain, new)
+
+    def report(self):
+        self.sequence += 1
+        tokens = sum(run.left_tokens for run in self.lane)
+        tokens += sum(run.call.request.prompt_tokens for run in self.waiting)
+        if self.current is not None:
+            done = (self.clock.now - self.current_since) * self._prefill_rate()
+            tokens += max(0.0, self.current.left_tokens - done)
+        return UpstreamReport(
+            self.name,
+            1,
+            self.sequence,
+            self.domain,
+            "notes",
+            "m",
+            "v1",
+            self.batch,
+            len(self.waiting),
+            int(tokens),
+            self.kind.slots,
+            self.kind.prefill_tokens_per_s,
+            self.kind.decode_tokens_per_s,
+        )
+
+    def _prefill_rate(self):
+        return self.kind.prefill_tokens_per_s / self.slowdown
+
+
+class Fleet:
+    """Engines, stores, links and entries."""
+
+    def __init__(self, seed, engines, domains, kind, links=(), stores=True, slow=1.0):
+        self.random = random.Random(seed)
+        self.clock = Clock()
+        self.engines = {
+            f"u{index}": Engine(self, f"u{index}", f"d{index % domains}", kind)
+            for index in range(engines)
+        }
+        self.wires = {(link.source, link.target): Wire(link, slow) for link in links}
+        self.stored = defaultdict(set)
+        self.stores = stores
+        self.ever = set()
+        self.entries = []
+        for engine in self.engines.values():
+            self.clock.at(self.random.random() * 0.5, self._report, engine)
+
+    def _report(self, engine):
+        report = engine.report()
+        for entry in self.entries:
+            self.clock.after(REPORT_LAG_S, entry.report, report)
+        self.clock.after(REPORT_INTERVAL_S, self._report, engine)
+
+    def publish(self, engine, new, evicted):
+        for entry in self.entries:
+            heard = [name for name in new if self.random.random() > EVENT_LOSS]
+            gone = [name for name in evicted if self.random.random() > EVENT_LOSS]
+            self.clock.after(EVENT_LAG_S, entry.events, engine.name, heard, gone)
+
+    def export(self, domain, names):
+        if self.stores:
+            self.stored[domain].update(names)
+
+    def import_blocks(self, engine, plan):
+        held = []
+        for name in plan.block_names:
+            if name not in self.stored[plan.source_domain]:
+                break
+            held.append(name)
+        if not held:
+            return self.clock.now + 2 * HOP_S
+        size = plan.total_bytes * len(held) / len(plan.block_names)
+        wire = self.wires[plan.source_domain, engine.domain]
+        started = self.clock.now
+        ready = wire.transfer(size, started)
+        self.clock.at(ready, engine.keep, tuple(held), False)
+        for entry in self.entries:
+            measured = (plan.source_domain, engine.domain, size, ready - started)
+            self.clock.at(ready, entry.imported, *measured)
+        return ready
+
+
+@dataclass
+class Entry:
+    """An entry process around a policy."""
+
+    fleet: Fleet
+    policy: object
+    calls: dict = field(default_factory=dict)
+    wake_at: float = float("inf")
+
+    def arrive(self, call):
+        now = self.fleet.clock.now
+        self.calls[call.request.request_id] = call
+        if not isinstance(self.policy.offer(call.request, now), Queued):
+            call.refused = True
+        self._go_on()
+
+    def report(self, report):
+        self.policy.report(report, self.fleet.clock.now)
+        self._go_on()
+
+    def events(self, name, heard, gone):
+        self.policy.record_held(name, tuple(heard))
+        self.policy.record_removed(name, tuple(gone))
+
+    def imported(self, source, target, size, seconds):
+        now = self.fleet.clock.now
+        self.policy.record_import(source, target, size, seconds, now)
+
+    def first_token(self, call):
+        call.first_token_s = self.fleet.clock.now
+        self.policy.started(call.request.request_id, self.fleet.clock.now)
+        self._go_on()
+
+    def end(self, call, cached_tokens):
+        call.end_s = self.fleet.clock.now
+        request = call.request
+        end = RunEnd(
+            request.request_id,
+            "v1",
+            call.answer_tokens,
+            request.prompt_tokens,
+            cached_tokens,
+            "stop",
+        )
+        self.policy.finished(request.request_id, end, self.fleet.clock.now)
+        self._go_on()
+
+    def _wake(self):
+        self.wake_at = float("inf")
+        self._go_on()
+
+    def _go_on(self):
+        now = self.fleet.clock.now
+        for refused in self.policy.expire(now):
+            self.calls[refused.request_id].refused = True
+        for assignment in self.policy.assign(now):
+            engine = self.fleet.engines[assignment.upstream]
+            call = self.calls[assignment.request.request_id]
+            self.fleet.clock.after(HOP_S, engine.submit, assignment, call, self)
+        event = self.policy.next_event(now)
+        if event is not None and event < self.wake_at - 1e-9:
+            self.wake_at = event
+            self.fleet.clock.at(event, self._wake)
+
+
+class Baseline:
+    """First come, first served; each request goes out by a simple choice."""
+
+    def __init__(self, seed, random_choice=False, hold=False):
+        self._random = random.Random(seed)
+        self._random_choice = random_choice
+        self._hold = hold
+        self._reports = {}
+        self._own = defaultdict(set)
+        self._sent_since = defaultdict(int)
+        self._queue = []
+        self._where = {}
+
+    def offer(self, request, now):
+        self._queue.append(request)
+        return Queued(request.request_id, now, 0.0)
+
+    def report(self, report, now):
+        self._reports[report.name] = report
+        self._sent_since[report.name] = 0
+
+    def record_held(self, upstream, names): ...
+
+    def record_removed(self, upstream, names): ...
+
+    def record_import(self, source, target, size, seconds, now): ...
+
+    def expire(self, now):
+        return ()
+
+    def started(self, request_id, now): ...
+
+    def finished(self, request_id, end, now):
+        name = self._where.pop(request_id)
+        self._own[name].discard(request_id)
+        self._sent_since[name] -= 1
+
+    def assign(self, now):
+        made = []
+        while self._queue and self._reports:
+            name = self._choose()
+            if self._hold and self._load(name) >= self._reports[name].slots:
+                break
+            request = self._queue.pop(0)
+            self._where[request.request_id] = name
+            self._own[name].add(request.request_id)
+            self._sent_since[name] += 1
+            made.append(Assignment(request, name, None, 0, 1))
+        return made
+
+    def next_event(self, now):
+        return None
+
+    def _choose(self):
+        names = list(self._reports)
+        if self._random_choice:
+            return self._random.choice(names)
+        self._random.shuffle(names)
+        return min(names, key=self._load)
+
+    def _load(self, name):
+        report = self._reports[name]
+        reported = report.running + report.waiting + self._sent_since[name]
+        return max(reported, len(self._own[name]))
+
+
+def make_links(domains, cross_bytes_per_s, price, latency_s=0.005, loss=0.001):
+    """Return a full mesh; a failure domain's own link is fast and free."""
+    names = [f"d{index}" for index in range(domains)]
+    return tuple(
+        Link(a, b, 0.0002, 1.25e9, 0.0)
+        if a == b
+        else Link(a, b, latency_s, cross_bytes_per_s, price, loss)
+        for a in names
+        for b in names
+    )
+
+
+def make_dispatcher(document, seed, index=0, count=1, stores=frozenset()):
+    """Return the policy under measurement, for one of several entries."""
+    dispatcher = Dispatcher(document, stores, seed + index)
+    entries = tuple(f"e{number}" for number in range(count))
+    dispatcher.set_entries(f"e{index}", entries)
+    return dispatcher
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -2,7 +2,6 @@
 
 import random
 from dataclasses import dataclass, replace
-from itertools import islice
 
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.contracts import Service, ServiceKind, TeamDocument, Tier
@@ -34,11 +33,12 @@
     "UpstreamReport",
 ]
 
-SCANNED_REQUESTS = 16
+SCANNED_REQUESTS = 8
 POLL_INTERVAL_S = 0.02
 NO_UPSTREAM_RETRY_S = 1.0
 ANSWER_SMOOTHING = 0.05
 MAX_ATTEMPTS = 3
+URGENT_WAIT_S = 2.0
 
 
 @dataclass(frozen=True)
@@ -111,8 +111,10 @@
     ) -> None:
         self._random = random.Random(seed)
         self._index = BlockIndex()
+        self._links = LinkTable()
         self._store_domains = store_domains
-        self._entries = 1
+        self._entry = ""
+        self._entries: tuple[str, ...] = ("",)
         self._models: dict[str, _ModelService] = {}
         self._plain: dict[str, dict[str, Upstream]] = {}
         self._attempts: dict[str, _Attempt] = {}
@@ -124,11 +126,11 @@
         """Take over a document; what waits or runs is not disturbed."""
         self._document = document
         self._weights = {item.name: item.weight for item in document.accounts}
-        links = LinkTable(document.links)
+        self._links.configure(document.links)
         for service in document.services:
             match service.kind:
                 case ServiceKind.MODEL:
-                    self._configure_model(service, document.tiers, links)
+                    self._configure_model(service, document.tiers)
                 case ServiceKind.PLAIN:
                     self._plain.setdefault(service.name, {})
 
@@ -136,9 +138,15 @@
         """Take over the failure domains that have store VMs now."""
         self._store_domains = failure_domains
 
-    def set_entries(self, count: int) -> None:
-        """Take over how many entries share the upstreams."""
-        self._entries = max(1, count)
+    def set_entries(self, entry: str, entries: tuple[str, ...]) -> None:
+        """
+        Take over which entries share the upstreams.
+
+        :param entry: the name of this entry, one of them.
+        """
+        self._entry = entry
+        self._entries = entries
+        self._set_homes()
 
     def report(self, report: UpstreamReport, now: float) -> None:
         """Take an agent's report; one older than the last is ignored."""
@@ -152,6 +160,7 @@
         upstream = upstreams.get(report.name)
         if upstream is None:
             upstreams[report.name] = Upstream(report)
+            self._set_homes()
         else:
             if report.incarnation > upstream.report.incarnation:
                 self._index.remove_upstream(report.name)
@@ -178,13 +187,19 @@
         """Note blocks that the stores of a failure domain were found not to hold."""
         self._index.remove_stored(domain, block_names)
 
+    def record_import(
+        self, source: str, target: str, total_bytes: int, seconds: float, now: float
+    ) -> None:
+        """Learn from an import between two failure domains that ended."""
+        self._links.record(source, target, total_bytes, seconds, now)
+
     def offer(self, request: PromptRequest, now: float) -> Queued | Refused:
         """Admit a request to the queue, or refuse it with when to come back."""
         refusal = self._refuse_unknown(request)
         if refusal is not None:
             return refusal
         model = self._models[request.service]
-        capacity = len(model.usable()) / self._entries
+        capacity = len(model.usable()) / max(1, len(self._entries))
         if capacity <= 0:
             return Refused(
                 request.request_id, ResultCode.NO_UPSTREAM, NO_UPSTREAM_RETRY_S
@@ -200,11 +215,10 @@
         """Return the attempts that are to start now."""
         assignments: list[Assignment] = []
         for model in self._models.values():
-            while len(model.queue):
-                made = self._assign_scanned(model, now)
+            made = self._assign_scanned(model, now)
+            while made:
                 assignments += made
-                if len(made) < SCANNED_REQUESTS:
-                    break
+                made = self._assign_scanned(model, now)
         return tuple(assignments)
 
     def started(self, request_id: str, now: float) -> None:
@@ -313,19 +327,23 @@
         if found is not None:
             found.end_run(call_id, now, whole)
 
-    def _configure_model(
-        self, service: Service, tiers: tuple[Tier, ...], links: LinkTable
-    ) -> None:
+    def _configure_model(self, service: Service, tiers: tuple[Tier, ...]) -> None:
         model = self._models.get(service.name)
+        urgent = sum(1 for tier in tiers if tier.promised_wait_s <= URGENT_WAIT_S)
         if model is None:
-            router = Router(service, links, self._index, self._random)
+            router = Router(service, self._links, self._index, self._random)
+            router.urgent_ranks = urgent
             queue = PatienceQueue(tiers)
             self._models[service.name] = _ModelService(queue, router)
             return
         model.router.service = service
-        model.router.links = links
+        model.router.urgent_ranks = urgent
         model.queue.configure(tiers)
 
+    def _set_homes(self) -> None:
+        for model in self._models.values():
+            model.router.set_homes(self._entry, self._entries)
+
     def _refuse_unknown(self, request: PromptRequest) -> Refused | None:
         model = self._models.get(request.service)
         if model is None:
@@ -347,9 +365,15 @@
         return WaitingRequest(request, latest, cost_s, priority)
 
     def _assign_scanned(self, model: _ModelService, now: float) -> list[Assignment]:
+        router = model.router
+        priorities = frozenset(
+            priority
+            for priority in model.queue.find_priorities()
+            if router.has_room(priority, now)
+        )
         made = []
-        for waiting in list(islice(model.queue.iterate(), SCANNED_REQUESTS)):
-            route = model.router.choose(waiting, now)
+        for waiting in model.queue.iterate(priorities, SCANNED_REQUESTS):
+            route = router.choose(waiting, now)
             if route is not None and route.startable:
                 made.append(self._start_attempt(model, waiting, route, now))
         return made
@@ -362,25 +386,15 @@
         attempt = self._attempts[request.request_id]
         attempt.upstream = route.upstream
         attempt.number += 1
-        upstream = model.router.upstreams[route.upstream]
-        import_s = route.plan.estimated_s if route.plan else 0.0
-        upstream.add_run(
-            request.request_id, waiting.priority, route.prefill_s, import_s, now
-        )
-        if route.plan is not None:
-            target = upstream.report.failure_domain
-            plan = route.plan
-            model.router.links.reserve(
-                plan.source_domain, target, plan.total_bytes, now
-            )
+        model.router.add_run(waiting, route, now)
         return Assignment(
             request, route.upstream, route.plan, waiting.priority, attempt.number
         )
 
     def _end_attempt(self, attempt: _Attempt, now: float, whole: bool) -> None:
-        upstream = self._upstream_of(attempt)
-        if upstream is not None:
-            upstream.end_run(attempt.waiting.request.request_id, now, whole)
+        if attempt.upstream is not None:
+            router = self._models[attempt.waiting.request.service].router
+            router.end_run(attempt.waiting, attempt.upstream, whole, now)
         attempt.upstream = None
 
     def _upstreams_of(self, service: str) -> dict[str, Upstream] | None:
@@ -401,6 +415,7 @@
         upstreams = self._upstreams_of(self._services_of.pop(name, ""))
         if upstreams is not None:
             upstreams.pop(name, None)
+            self._set_homes()
         self._index.remove_upstream(name)
 
 
--- a/packages/core/src/persimmonferry_core/patience.py
+++ b/packages/core/src/persimmonferry_core/patience.py
@@ -1,8 +1,8 @@
 """Requests that wait for an upstream: promised waits, tiers and admission."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 from heapq import merge
+from itertools import islice
 
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.contracts import Tier
@@ -197,10 +197,24 @@
             weight,
         )
 
-    def iterate(self) -> Iterator[WaitingRequest]:
-        """Return the waiting requests in the order in which they should start."""
-        streams = (queue.iterate() for queue in self._queues.values() if len(queue))
-        return (entry.item for entry in merge(*streams, key=_start_order))
+    def iterate(self, priorities: frozenset[int], limit: int) -> list[WaitingRequest]:
+        """
+        Return waiting requests in the order in which they should start.
+
+        :param priorities: ranks of the tiers that are looked at.
+        :param limit: requests of one tier.
+        """
+        streams = (
+            islice(queue.iterate(), limit)
+            for tier, queue in self._queues.items()
+            if len(queue) and self.rank(tier) in priorities
+        )
+        return [entry.item for entry in merge(*streams, key=_start_order)]
+
+    def find_priorities(self) -> list[int]:
+        """Return the ranks of the tiers that have waiting requests, urgent first."""
+        ranks = (self.rank(tier) for tier, queue in self._queues.items() if len(queue))
+        return sorted(ranks)
 
     def take(self, waiting: WaitingRequest) -> None:
         """Remove a request that was assigned and charge its account's fair share."""
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -26,8 +26,12 @@
 IMPORT_AHEAD_S = 1.0
 DEFAULT_RUN_S = 2.0
 RUN_SMOOTHING = 0.1
-TCP_SEGMENT_BYTES = 1460
-TCP_LOSS_FACTOR = 1.22
+LINK_SMOOTHING = 0.2
+MIX_RETENTION = 0.99
+NEGLIGIBLE_OCCUPANCY = 0.01
+OCCUPANCY_WINDOW_S = 10.0
+MAX_RESERVED_SHARE = 0.25
+SPILL_SHARE = 0.5
 MAX_INDEXED_BLOCKS = 100_000
 LOCAL_LATENCY_S = 0.0005
 LOCAL_BYTES_PER_S = 1.25e9
@@ -120,9 +124,11 @@
         self.report = report
         self.runs: dict[str, _OwnRun] = {}
         self.slot_limit = report.slots
+        self.is_home = True
         self.others = report.running + report.waiting
         self._others_prefill_s = _prefill_s(report, report.waiting_prefill_tokens)
         self._peak_runs = 0
+        self._unreported_runs = 0
         self._run_s = DEFAULT_RUN_S
         self._lane_event_s = 0.0
 
@@ -137,10 +143,22 @@
         return len(self.runs) + self.others
 
     @property
-    def has_free_slot(self) -> bool:
-        """Whether one more run is known to fit."""
+    def free_slots(self) -> int:
+        """Runs more that are known to fit."""
         limit = min(self.slot_limit, self.report.slots)
-        return not self.report.leaving and self.in_flight < limit
+        return 0 if self.report.leaving else limit - self.in_flight
+
+    @property
+    def takes_spill(self) -> bool:
+        """
+        Whether this entry may send patient work there although it is another's home.
+
+        Other entries may do the same before the next report, so each sends one run.
+        """
+        report = self.report
+        idle = report.waiting_prefill_tokens == 0 and report.waiting == 0
+        half = report.running <= SPILL_SHARE * report.slots
+        return idle and half and self._unreported_runs == 0
 
     def apply(self, report: UpstreamReport, now: float) -> bool:
         """Take over a report unless it is older than the last one."""
@@ -160,8 +178,14 @@
             self._others_prefill_s = 0.0
         self.report = report
         self._peak_runs = len(self.runs)
+        self._unreported_runs = 0
         return True
 
+    def count_patient(self, urgent_ranks: int) -> int:
+        """Return the runs there that are not of an urgent priority, as known."""
+        own = sum(1 for run in self.runs.values() if run.priority >= urgent_ranks)
+        return own + self.others
+
     def add_run(
         self, run_id: str, priority: int, prefill_s: float, import_s: float, now: float
     ) -> None:
@@ -170,6 +194,7 @@
             self._lane_event_s = now
         self.runs[run_id] = _OwnRun(priority, prefill_s, now, now + import_s)
         self._peak_runs = max(self._peak_runs, len(self.runs))
+        self._unreported_runs += 1
 
     def start_run(self, run_id: str, now: float) -> None:
         """Note that a run gave its first token."""
@@ -188,15 +213,19 @@
         if whole:
             self._run_s += RUN_SMOOTHING * (now - run.dispatched_s - self._run_s)
 
-    def estimate_backlog(self, priority: int, now: float) -> float:
-        """Return the seconds of prefill to be done before one of that priority."""
+    def estimate_backlog(self, priority: int, others_share: float, now: float) -> float:
+        """
+        Return the seconds of prefill to be done before one of that priority.
+
+        :param others_share: part of other entries' work that goes first.
+        """
         ahead = 0.0
         for run in self.runs.values():
             if not run.started and run.priority <= priority and run.ready_s <= now:
                 ahead += run.prefill_s
         if ahead:
             ahead = max(0.0, ahead - (now - self._lane_event_s))
-        return ahead + self._others_prefill_s
+        return ahead + others_share * self._others_prefill_s
 
     def estimate_slot_wait(self) -> float:
         """Return the seconds until a slot is expected to be free."""
@@ -208,6 +237,52 @@
         return any(not run.started for run in self.runs.values())
 
 
+class _Occupancy:
+    """Time average of a count."""
+
+    def __init__(self) -> None:
+        self.mean = 0.0
+        self._count = 0
+        self._updated_s = 0.0
+
+    def change(self, difference: int, now: float) -> None:
+        """Note that the count changed."""
+        self._advance(now)
+        self._count = max(0, self._count + difference)
+
+    def _advance(self, now: float) -> None:
+        elapsed = max(0.0, now - self._updated_s)
+        share = 1.0 - math.exp(-elapsed / OCCUPANCY_WINDOW_S)
+        self.mean += share * (self._count - self.mean)
+        self._updated_s = now
+
+
+class PriorityMix:
+    """
+    The recent prefill work of this entry by priority.
+
+    Reports don't tell the priority of other entries' work. All entries get their
+    requests from the same balancer, so its own mix stands for theirs.
+    """
+
+    def __init__(self) -> None:
+        self._prefill_s: dict[int, float] = {}
+
+    def add(self, priority: int, prefill_s: float) -> None:
+        """Count a run that was dispatched."""
+        for known in self._prefill_s:
+            self._prefill_s[known] *= MIX_RETENTION
+        self._prefill_s[priority] = self._prefill_s.get(priority, 0.0) + prefill_s
+
+    def share_ahead(self, priority: int) -> float:
+        """Return the part of the work that has this priority or a more urgent one."""
+        total = sum(self._prefill_s.values())
+        if total <= 0:
+            return 1.0
+        ahead = sum(s for known, s in self._prefill_s.items() if known <= priority)
+        return ahead / total
+
+
 class BlockIndex:
     """
     Hints of which upstreams and which failure domains' stores hold a cache block.
@@ -260,37 +335,108 @@
         return _find_depths(self._stored, names)
 
 
+class _LinkState:
+    """A link with the rate that transfers met and when the planned ones end."""
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+        self.bytes_per_s = max(1.0, link.bytes_per_s * (1.0 - link.loss))
+        self.busy_until_s = 0.0
+        self.last_end_s = 0.0
+
+
 class LinkTable:
     """The links between failure domains, with the rates that imports have met."""
 
-    def __init__(self, links: tuple[Link, ...]) -> None:
-        self._links = {(link.source, link.target): link for link in links}
-        self._busy_until: dict[tuple[str, str], float] = {}
+    def __init__(self, links: tuple[Link, ...] = ()) -> None:
+        self._states: dict[tuple[str, str], _LinkState] = {}
+        self.configure(links)
+
+    def configure(self, links: tuple[Link, ...]) -> None:
+        """Take over the links of a new document; unchanged ones keep their state."""
+        for link in links:
+            state = self._states.get((link.source, link.target))
+            if state is None or state.link != link:
+                self._states[link.source, link.target] = _LinkState(link)
 
     def estimate_transfer(
         self, source: str, target: str, total_bytes: int, now: float
     ) -> float:
         """Return the seconds that a transfer takes behind those planned before."""
-        link = self._find(source, target)
-        waiting = max(0.0, self._busy_until.get((source, target), 0.0) - now)
-        return waiting + 2 * link.latency_s + total_bytes / _goodput(link)
+        state = self._find(source, target)
+        waiting = max(0.0, state.busy_until_s - now)
+        duration = total_bytes / state.bytes_per_s
+        return waiting + 2 * state.link.latency_s + duration
 
     def price(self, source: str, target: str, total_bytes: int) -> float:
         """Return the price of a transfer, in the team's currency."""
-        return self._find(source, target).price_per_gb * total_bytes / 1e9
+        return self._find(source, target).link.price_per_gb * total_bytes / 1e9
 
     def reserve(self, source: str, target: str, total_bytes: int, now: float) -> None:
         """Count a transfer that was planned."""
-        start = max(now, self._busy_until.get((source, target), 0.0))
-        duration = total_bytes / _goodput(self._find(source, target))
-        self._busy_until[source, target] = start + duration
+        state = self._find(source, target)
+        duration = total_bytes / state.bytes_per_s
+        state.busy_until_s = max(now, state.busy_until_s) + duration
 
-    def _find(self, source: str, target: str) -> Link:
-        link = self._links.get((source, target))
-        if link is None:
+    def record(
+        self, source: str, target: str, total_bytes: int, seconds: float, now: float
+    ) -> None:
+        """Learn the rate of the link from a transfer that ended."""
+        state = self._find(source, target)
+        # Transfers share the link, so the time since the last one ended is its own.
+        start = max(now - seconds, state.last_end_s)
+        state.last_end_s = max(now, state.last_end_s)
+        duration = now - start - 2 * state.link.latency_s
+        capacity = max(1.0, state.link.bytes_per_s)
+        rate = total_bytes / duration if duration > 0 else capacity
+        rate = min(rate, capacity)
+        state.bytes_per_s += LINK_SMOOTHING * (rate - state.bytes_per_s)
+        state.bytes_per_s = max(1.0, state.bytes_per_s)
+
+    def _find(self, source: str, target: str) -> _LinkState:
+        state = self._states.get((source, target))
+        if state is None:
             link = Link(source, target, LOCAL_LATENCY_S, LOCAL_BYTES_PER_S, 0.0)
-            self._links[source, target] = link
-        return link
+            state = self._states[source, target] = _LinkState(link)
+        return state
+
+
+@dataclass(slots=True)
+class _Option:
+    """
+    One way to run a request at an upstream.
+
+    :param depth: leading blocks that the upstream holds.
+    :param cached: leading blocks that need no computing, after the import.
+    :param source: failure domain of the import, empty for none.
+    """
+
+    upstream: Upstream
+    depth: int
+    cached: int
+    source: str
+    first_token_s: float
+    prefill_s: float
+    score: float
+    startable: bool
+
+
+@dataclass(slots=True)
+class _Context:
+    """
+    What is the same for all options of a request.
+
+    :param known_depth: leading blocks that are held anywhere.
+    :param others_share: part of other entries' work that goes first.
+    :param reserved: slots of each upstream that are kept for urgent runs.
+    """
+
+    waiting: WaitingRequest
+    now: float
+    stored: dict[str, int]
+    known_depth: int
+    others_share: float
+    reserved: int
 
 
 class Router:
@@ -314,6 +460,10 @@
         self.links = links
         self._index = index
         self._random = generator
+        self.mix = PriorityMix()
+        self.urgent_ranks = 0
+        self._urgent = _Occupancy()
+        self._entries = 1
         self.upstreams: dict[str, Upstream] = {}
 
     def is_usable(self, upstream: Upstream) -> bool:
@@ -322,6 +472,35 @@
         wanted = (self.service.model, self.service.version)
         return not report.leaving and (report.model, report.version) == wanted
 
+    def set_homes(self, entry: str, entries: tuple[str, ...]) -> None:
+        """
+        Divide the upstreams among the entries.
+
+        Every entry may use every upstream, but keeps its own busy with patient work
+        and sends such work elsewhere only as reports show room. So entries that don't
+        hear each other's dispatches don't pile patient runs up at one upstream.
+        """
+        ordered = sorted(entries)
+        self._entries = max(1, len(ordered))
+        index = ordered.index(entry) if entry in ordered else 0
+        upstreams = sorted(self.upstreams.values(), key=_place_of)
+        for place, upstream in enumerate(upstreams):
+            if len(upstreams) >= len(ordered):
+                upstream.is_home = place % self._entries == index
+            else:
+                upstream.is_home = index % len(upstreams) == place
+
+    def has_room(self, priority: int, now: float) -> bool:
+        """Whether any upstream could start a run of that priority about now."""
+        share = self.mix.share_ahead(priority)
+        ahead_s = START_AHEAD_S + IMPORT_AHEAD_S
+        return any(
+            upstream.free_slots > 0
+            and self.is_usable(upstream)
+            and upstream.estimate_backlog(priority, share, now) <= ahead_s
+            for upstream in self.upstreams.values()
+        )
+
     def choose(self, waiting: WaitingRequest, now: float) -> Route | None:
         """
         Return the best route, or None when no upstream takes the request.
@@ -333,17 +512,28 @@
         request = waiting.request
         held = self._index.find_holders(request.block_names)
         stored = self._index.find_stored(request.block_names)
-        known = max((*held.values(), *stored.values()), default=0)
-        routes = [
-            self._estimate(upstream, waiting, held, stored, known, now)
-            for upstream in self._candidates(waiting, held)
+        candidates = self._candidates(waiting, held)
+        context = _Context(
+            waiting,
+            now,
+            stored,
+            max((*held.values(), *stored.values()), default=0),
+            self.mix.share_ahead(waiting.priority),
+            self._count_reserved(),
+        )
+        options = [
+            self._estimate(upstream, held.get(upstream.name, 0), context)
+            for upstream in candidates
         ]
-        best = min(routes, key=_score, default=None)
-        if best is None or best.startable:
-            return best
-        if now + best.first_token_s - best.prefill_s <= waiting.latest_start_s:
-            return best
-        return min((r for r in routes if r.startable), key=_score, default=best)
+        best = min(options, key=_score, default=None)
+        if best is None:
+            return None
+        if not best.startable:
+            start_s = now + best.first_token_s - best.prefill_s
+            if start_s > waiting.latest_start_s:
+                startable = (option for option in options if option.startable)
+                best = min(startable, key=_score, default=best)
+        return self._make_route(best, context)
 
     def estimate_prefill(self, request: PromptRequest) -> float:
         """Return the prefill seconds at an average upstream without any cache."""
@@ -364,6 +554,9 @@
         if len(names) > ALL_CANDIDATES:
             holders = sorted(held, key=held.get, reverse=True)[:HOLDER_CANDIDATES]
             names = [*self._random.sample(names, SAMPLED_CANDIDATES), *holders]
+        # Equal choices must not lead all entries to the same upstream.
+        offset = self._random.randrange(len(names)) if names else 0
+        names = names[offset:] + names[:offset]
         found = (self.upstreams.get(name) for name in dict.fromkeys(names))
         return [
             upstream
@@ -373,75 +566,123 @@
             and upstream.name not in waiting.avoid
         ]
 
-    def _estimate(
-        self,
-        upstream: Upstream,
-        waiting: WaitingRequest,
-        held: dict[str, int],
-        stored: dict[str, int],
-        known: int,
-        now: float,
-    ) -> Route:
+    def add_run(self, waiting: WaitingRequest, route: Route, now: float) -> None:
+        """Count a run that was dispatched."""
+        import_s = 0.0
+        upstream = self.upstreams[route.upstream]
+        if route.plan is not None:
+            plan = route.plan
+            import_s = plan.estimated_s
+            target = upstream.report.failure_domain
+            self.links.reserve(plan.source_domain, target, plan.total_bytes, now)
+        run_id = waiting.request.request_id
+        upstream.add_run(run_id, waiting.priority, route.prefill_s, import_s, now)
+        self.mix.add(waiting.priority, route.prefill_s)
+        if waiting.priority < self.urgent_ranks:
+            self._urgent.change(1, now)
+
+    def end_run(
+        self, waiting: WaitingRequest, name: str, whole: bool, now: float
+    ) -> None:
+        """Forget a run that ended or failed."""
+        if waiting.priority < self.urgent_ranks:
+            self._urgent.change(-1, now)
+        upstream = self.upstreams.get(name)
+        if upstream is not None:
+            upstream.end_run(waiting.request.request_id, now, whole)
+
+    def _count_reserved(self) -> int:
+        """Return the slots of each upstream that are kept for urgent runs."""
+        mean = self._urgent.mean * self._entries / max(1, len(self.upstreams))
+        return math.ceil(mean) if mean > NEGLIGIBLE_OCCUPANCY else 0
+
+    def _estimate(self, upstream: Upstream, depth: int, context: _Context) -> _Option:
         """Return the cheaper of computing the missing blocks and importing them."""
-        depth = held.get(upstream.name, 0)
-        best = self._score(upstream, waiting, depth, None, known, now)
-        target = upstream.report.failure_domain
-        for source, stored_depth in stored.items():
+        backlog_s = upstream.estimate_backlog(
+            context.waiting.priority, context.others_share, context.now
+        )
+        best = self._rate(upstream, depth, depth, "", backlog_s, context)
+        for source, stored_depth in context.stored.items():
             if stored_depth > depth:
-                plan = self._plan_import(
-                    waiting.request, source, target, depth, stored_depth, now
+                option = self._rate(
+                    upstream, depth, stored_depth, source, backlog_s, context
                 )
-                route = self._score(upstream, waiting, stored_depth, plan, known, now)
-                best = min(best, route, key=_score)
+                best = min(best, option, key=_score)
         return best
 
-    def _plan_import(
-        self,
-        request: PromptRequest,
-        source: str,
-        target: str,
-        depth: int,
-        stored_depth: int,
-        now: float,
-    ) -> ImportPlan:
-        total_bytes = (stored_depth - depth) * request.block_bytes
-        return ImportPlan(
-            source,
-            request.block_names[depth:stored_depth],
-            total_bytes,
-            self.links.estimate_transfer(source, target, total_bytes, now),
-            self.links.price(source, target, total_bytes),
-        )
-
-    def _score(
+    def _rate(
         self,
         upstream: Upstream,
-        waiting: WaitingRequest,
-        cached_blocks: int,
-        plan: ImportPlan | None,
-        known_blocks: int,
-        now: float,
-    ) -> Route:
-        request = waiting.request
-        cached_tokens = cached_blocks * request.block_tokens
-        rate = max(1.0, upstream.report.prefill_tokens_per_s)
-        prefill_s = max(1, request.prompt_tokens - cached_tokens) / rate
-        import_s = plan.estimated_s if plan else 0.0
-        backlog_s = upstream.estimate_backlog(waiting.priority, now)
-        slot_s = upstream.estimate_slot_wait()
-        first_token_s = slot_s + max(import_s, backlog_s) + prefill_s
-        again_tokens = (known_blocks - cached_blocks) * request.block_tokens
+        depth: int,
+        cached: int,
+        source: str,
+        backlog_s: float,
+        context: _Context,
+    ) -> _Option:
+        request = context.waiting.request
+        report = upstream.report
+        import_s = price = 0.0
+        if source:
+            size = (cached - depth) * request.block_bytes
+            target = report.failure_domain
+            import_s = self.links.estimate_transfer(source, target, size, context.now)
+            price = self.links.price(source, target, size)
+        rate = max(1.0, report.prefill_tokens_per_s)
+        prefill_s = max(1, request.prompt_tokens - cached * request.block_tokens) / rate
+        first_token_s = max(import_s, backlog_s) + prefill_s
+        free = upstream.free_slots
+        if free <= 0:
+            first_token_s += upstream.estimate_slot_wait()
+        again_tokens = (context.known_depth - cached) * request.block_tokens
         weights = self.service.weights
         score = weights.first_token * first_token_s
         score += weights.recomputed * again_tokens / rate
-        score += weights.link * (plan.price if plan else 0.0)
+        score += weights.link * price
         ahead_s = START_AHEAD_S + min(import_s, IMPORT_AHEAD_S)
-        startable = upstream.has_free_slot and backlog_s <= ahead_s
-        return Route(upstream.name, plan, first_token_s, prefill_s, score, startable)
+        startable = free > 0 and backlog_s <= ahead_s
+        if startable and context.waiting.priority >= self.urgent_ranks:
+            startable = self._fits_patient(upstream, context.reserved)
+        return _Option(
+            upstream, depth, cached, source, first_token_s, prefill_s, score, startable
+        )
+
+    def _fits_patient(self, upstream: Upstream, reserved: int) -> bool:
+        """Whether a run that is not urgent leaves the reserved slots free."""
+        if not (upstream.is_home or upstream.takes_spill):
+            return False
+        slots = upstream.report.slots
+        reserved = min(reserved, int(MAX_RESERVED_SHARE * slots))
+        return upstream.count_patient(self.urgent_ranks) < slots - reserved
+
+    def _make_route(self, option: _Option, context: _Context) -> Route:
+        plan = None
+        request = context.waiting.request
+        if option.source:
+            size = (option.cached - option.depth) * request.block_bytes
+            target = option.upstream.report.failure_domain
+            plan = ImportPlan(
+                option.source,
+                request.block_names[option.depth : option.cached],
+                size,
+                self.links.estimate_transfer(option.source, target, size, context.now),
+                self.links.price(option.source, target, size),
+            )
+        return Route(
+            option.upstream.name,
+            plan,
+            option.first_token_s,
+            option.prefill_s,
+            option.score,
+            option.startable,
+        )
 
 
-def _score(route: Route) -> float:
-    return route.score
+def _score(option: _Option) -> float:
+    return option.score
+
+
+def _place_of(upstream: Upstream) -> tuple[str, str]:
+    return upstream.report.failure_domain, upstream.name
 
 
 def _prefill_s(report: UpstreamReport, tokens: int) -> float:
@@ -450,17 +691,6 @@
     return tokens / report.prefill_tokens_per_s
 
 
-def _goodput(link: Link) -> float:
-    """Return the bytes per second that get through a lossy link."""
-    sent = link.bytes_per_s * (1.0 - link.loss)
-    if link.loss <= 0 or link.latency_s <= 0:
-        return max(1.0, sent)
-    # The steady rate of one TCP connection under random loss (Mathis et al. 1997).
-    round_trip_s = 2 * link.latency_s
-    single = TCP_LOSS_FACTOR * TCP_SEGMENT_BYTES / (round_trip_s * math.sqrt(link.loss))
-    return max(1.0, min(sent, single))
-
-
 def _discard(index: dict[str, set[str]], name: str, member: str) -> None:
     members = index.get(name)
     if members is None:
