Add limits, ejection, retry budget and usage to the dispatcher

Cause: limits shared by entries, slow upstreams, retry storms and charging were missing. Ruled out: sharing by broadcast demand (each entry may believe that it is alone, so the overrun is a factor of the number of entries until all have heard). Conclusion: limits hold with any loss, delay or doubling of messages.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -451,7 +451,6 @@
 
 def make_dispatcher(document, seed, index=0, count=1, stores=frozenset()):
     """Return the policy under measurement, for one of several entries."""
-    dispatcher = Dispatcher(document, stores, seed + index)
-    entries = tuple(f"e{number}" for number in range(count))
-    dispatcher.set_entries(f"e{index}", entries)
+    dispatcher = Dispatcher(document, stores, seed + index, f"e{index}")
+    dispatcher.set_entries(tuple(f"e{number}" for number in range(count)))
     return dispatcher
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -1,10 +1,13 @@
 """The entry's decisions: what is admitted, what starts next, and where it runs."""
 
+import math
 import random
 from dataclasses import dataclass, replace
+from heapq import heappop, heappush
 
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.contracts import Service, ServiceKind, TeamDocument, Tier
+from persimmonferry_core.limits import LimitBook
 from persimmonferry_core.patience import (
     PatienceQueue,
     PromptRequest,
@@ -12,6 +15,7 @@
     Refused,
     WaitingRequest,
 )
+from persimmonferry_core.retries import RetryBudget
 from persimmonferry_core.routing import (
     BlockIndex,
     ImportPlan,
@@ -22,6 +26,7 @@
     UpstreamReport,
 )
 from persimmonferry_core.runs import RunEnd
+from persimmonferry_core.usage import UsageMeter
 
 __all__ = [
     "Assignment",
@@ -37,8 +42,12 @@
 POLL_INTERVAL_S = 0.02
 NO_UPSTREAM_RETRY_S = 1.0
 ANSWER_SMOOTHING = 0.05
-MAX_ATTEMPTS = 3
 URGENT_WAIT_S = 2.0
+RESUMPTION_WAIT_S = 5.0
+MIN_INTERVAL_S = 0.001
+PACE_WINDOW_S = 10.0
+PACE_PRIOR_S = 2.0
+EXCESS_INTERVAL_S = 0.25
 
 
 @dataclass(frozen=True)
@@ -64,9 +73,43 @@
     """A request from its admission to its end."""
 
     waiting: WaitingRequest
+    tier: Tier
     upstream: str | None = None
     number: int = 0
     delivered_tokens: int = 0
+    is_delayed: bool = False
+
+
+class _Pace:
+    """
+    The work that is really started each second while requests wait.
+
+    It takes in what nobody reports: cache hits, slow upstreams, other entries' work.
+    """
+
+    def __init__(self) -> None:
+        self._work = 0.0
+        self._time_s = 0.0
+        self._updated_s = 0.0
+        self._is_backlogged = False
+
+    def record(self, cost_s: float, is_backlogged: bool, now: float) -> None:
+        """
+        Count started work.
+
+        :param is_backlogged: whether requests wait after it.
+        """
+        elapsed = max(0.0, now - self._updated_s)
+        self._updated_s = now
+        if self._is_backlogged:
+            kept = math.exp(-elapsed / PACE_WINDOW_S)
+            self._work = self._work * kept + cost_s
+            self._time_s = self._time_s * kept + elapsed
+        self._is_backlogged = is_backlogged
+
+    def estimate(self, nominal: float) -> float:
+        """Return the pace; the less is known, the nearer to the nominal one."""
+        return (self._work + nominal * PACE_PRIOR_S) / (self._time_s + PACE_PRIOR_S)
 
 
 class _ModelService:
@@ -76,6 +119,12 @@
         self.queue = queue
         self.router = router
         self.answer_share = 1.0
+        self.pace = _Pace()
+
+    def estimate_capacity(self, entries: int) -> float:
+        """Return the upstream seconds that this entry can start each second."""
+        nominal = len(self.usable()) / max(1, entries)
+        return self.pace.estimate(nominal) if nominal else 0.0
 
     def usable(self) -> list[Upstream]:
         """Return the upstreams that may take new runs."""
@@ -98,9 +147,14 @@
     """
     All decisions of one entry process. It does no I/O and has no clock.
 
+    Its parts ``limits`` and ``usage`` exchange messages of their own, which the
+    process carries.
+
     :param document: the team's document in force.
     :param store_domains: failure domains that have store VMs.
     :param seed: of the choices that are made at random.
+    :param entry: name of this entry.
+    :param incarnation: grows with each start of an entry of that name.
     """
 
     def __init__(
@@ -108,23 +162,32 @@
         document: TeamDocument,
         store_domains: frozenset[str] = frozenset(),
         seed: int = 0,
+        entry: str = "",
+        incarnation: int = 0,
     ) -> None:
+        self.limits = LimitBook(entry, incarnation << 32)
+        self.usage = UsageMeter(f"{entry}-{incarnation}")
         self._random = random.Random(seed)
+        self._retries = RetryBudget(seed=seed)
         self._index = BlockIndex()
         self._links = LinkTable()
         self._store_domains = store_domains
-        self._entry = ""
-        self._entries: tuple[str, ...] = ("",)
+        self._entry = entry
+        self._entries: tuple[str, ...] = (entry,)
         self._models: dict[str, _ModelService] = {}
         self._plain: dict[str, dict[str, Upstream]] = {}
         self._attempts: dict[str, _Attempt] = {}
+        self._excess_checked_s = 0.0
+        self._delayed: list[tuple[float, str]] = []
         self._plain_runs: dict[str, str] = {}
         self._services_of: dict[str, str] = {}
-        self.configure(document)
+        self.configure(document, 0.0)
 
-    def configure(self, document: TeamDocument) -> None:
+    def configure(self, document: TeamDocument, now: float) -> None:
         """Take over a document; what waits or runs is not disturbed."""
         self._document = document
+        for account in document.accounts:
+            self.limits.set_limits(account.name, account.limits, now)
         self._weights = {item.name: item.weight for item in document.accounts}
         self._links.configure(document.links)
         for service in document.services:
@@ -138,14 +201,10 @@
         """Take over the failure domains that have store VMs now."""
         self._store_domains = failure_domains
 
-    def set_entries(self, entry: str, entries: tuple[str, ...]) -> None:
-        """
-        Take over which entries share the upstreams.
-
-        :param entry: the name of this entry, one of them.
-        """
-        self._entry = entry
-        self._entries = entries
+    def set_entries(self, entries: tuple[str, ...]) -> None:
+        """Take over the names of all entries that share the upstreams."""
+        self._entries = tuple(sorted({*entries, self._entry}))
+        self.limits.set_entries(self._entries)
         self._set_homes()
 
     def report(self, report: UpstreamReport, now: float) -> None:
@@ -157,14 +216,13 @@
         if upstreams is None:
             return
         self._services_of[report.name] = report.service
-        upstream = upstreams.get(report.name)
-        if upstream is None:
-            upstreams[report.name] = Upstream(report)
-            self._set_homes()
-        else:
-            if report.incarnation > upstream.report.incarnation:
-                self._index.remove_upstream(report.name)
-            upstream.apply(report, now)
+        known = upstreams.get(report.name)
+        if known is None:
+            self._add_upstream(report)
+            return
+        if report.incarnation > known.report.incarnation:
+            self._index.remove_upstream(report.name)
+        known.apply(report, now)
 
     def remove(self, upstream: str) -> None:
         """Forget an upstream: the lists say that it is gone."""
@@ -199,34 +257,48 @@
         if refusal is not None:
             return refusal
         model = self._models[request.service]
-        capacity = len(model.usable()) / max(1, len(self._entries))
+        capacity = model.estimate_capacity(len(self._entries))
         if capacity <= 0:
             return Refused(
                 request.request_id, ResultCode.NO_UPSTREAM, NO_UPSTREAM_RETRY_S
             )
+        tokens = request.prompt_tokens + request.max_tokens
+        wait_s = self.limits.admit(request.account, tokens, now)
+        if wait_s is not None:
+            return Refused(request.request_id, ResultCode.LIMIT_EXCEEDED, wait_s)
         waiting = self._make_waiting(request, model)
         weight = self._weights.get(request.account, 1.0)
         answer = model.queue.offer(waiting, weight, capacity, now)
-        if isinstance(answer, Queued):
-            self._attempts[request.request_id] = _Attempt(waiting)
+        if isinstance(answer, Refused):
+            self.limits.give_back(request.account, tokens)
+            return answer
+        self._attempts[request.request_id] = _Attempt(
+            waiting, model.queue.find_tier(request.tier)
+        )
+        self._retries.record_request(now)
         return answer
 
     def assign(self, now: float) -> tuple[Assignment, ...]:
         """Return the attempts that are to start now."""
         assignments: list[Assignment] = []
+        self._release_delayed(now)
         for model in self._models.values():
+            model.router.refresh(now)
+            cost_s = 0.0
             made = self._assign_scanned(model, now)
             while made:
                 assignments += made
+                cost_s += sum(self._cost_of(item) for item in made)
                 made = self._assign_scanned(model, now)
+            model.pace.record(cost_s, len(model.queue) > 0, now)
         return tuple(assignments)
 
     def started(self, request_id: str, now: float) -> None:
         """Note the first token of a request."""
         attempt = self._attempts.get(request_id)
-        upstream = self._upstream_of(attempt)
-        if upstream is not None:
-            upstream.start_run(request_id, now)
+        if attempt is not None and attempt.upstream is not None:
+            router = self._models[attempt.waiting.request.service].router
+            router.start_run(attempt.waiting, attempt.upstream, now)
 
     def progressed(self, request_id: str, tokens: int, now: float) -> None:
         """Note tokens of the answer that were delivered to the caller."""
@@ -235,7 +307,7 @@
             attempt.delivered_tokens += tokens
 
     def finished(self, request_id: str, end: RunEnd, now: float) -> None:
-        """Note the whole answer of a request."""
+        """Note the whole answer of a request, and charge it."""
         attempt = self._attempts.get(request_id)
         if attempt is None:
             return
@@ -244,61 +316,88 @@
         share = min(1.0, end.total_tokens / max(1, request.max_tokens))
         model.answer_share += ANSWER_SMOOTHING * (share - model.answer_share)
         self._end_attempt(attempt, now, whole=True)
-        del self._attempts[request_id]
+        self._close(attempt, request.max_tokens - end.total_tokens)
+        self._charge(attempt, end.cached_tokens, end.total_tokens)
 
     def failed(self, request_id: str, ran: bool, now: float) -> Queued | Refused:
         """
         Note that an attempt failed, and say whether it is tried elsewhere.
 
-        :param ran: whether it may have run. A prompt may go on elsewhere behind the
-            tokens that were delivered, so both are tried again.
+        Attempts that did not run are tried again, and so are answers that were cut
+        short, which go on behind the delivered tokens; both use the retry budget.
+
+        :param ran: whether it may have run.
         """
         attempt = self._attempts.get(request_id)
         if attempt is None:
             return Refused(request_id, ResultCode.RETRIES_EXHAUSTED, None)
         failed_at = attempt.upstream
-        self._end_attempt(attempt, now, whole=False)
-        if attempt.number >= MAX_ATTEMPTS:
-            del self._attempts[request_id]
-            return Refused(
-                request_id, ResultCode.RETRIES_EXHAUSTED, NO_UPSTREAM_RETRY_S
-            )
+        if failed_at is not None:
+            router = self._models[attempt.waiting.request.service].router
+            router.fail_run(attempt.waiting, failed_at, now)
+            attempt.upstream = None
         waiting = attempt.waiting
-        avoid = waiting.avoid | ({failed_at} if failed_at else set())
-        attempt.waiting = replace(waiting, avoid=avoid)
-        model = self._models[waiting.request.service]
-        weight = self._weights.get(waiting.request.account, 1.0)
-        model.queue.push(attempt.waiting, weight)
-        return Queued(request_id, waiting.latest_start_s, 0.0)
+        latest_s = waiting.latest_start_s
+        if ran and attempt.delivered_tokens:
+            # The promised wait was kept; the caller is in the middle of the answer.
+            latest_s = max(latest_s, now + RESUMPTION_WAIT_S)
+        delay_s = self._retries.allow(attempt.number, now)
+        if delay_s is None or now + delay_s > latest_s:
+            self._close(attempt, waiting.request.max_tokens)
+            code = ResultCode.RETRIES_EXHAUSTED
+            return Refused(request_id, code, NO_UPSTREAM_RETRY_S)
+        avoid = waiting.avoid | ({failed_at} if failed_at else frozenset())
+        attempt.waiting = replace(waiting, avoid=avoid, latest_start_s=latest_s)
+        attempt.is_delayed = True
+        heappush(self._delayed, (now + delay_s, request_id))
+        return Queued(request_id, latest_s, delay_s)
 
     def cancel(self, request_id: str, now: float) -> str | None:
-        """Forget a request; returns the upstream that runs it, if one does."""
-        attempt = self._attempts.pop(request_id, None)
+        """
+        Forget a request; what was delivered of its answer is charged.
+
+        :returns: the upstream that runs it, if one does.
+        """
+        attempt = self._attempts.get(request_id)
         if attempt is None:
             return None
         upstream = attempt.upstream
-        if upstream is None:
-            self._models[attempt.waiting.request.service].queue.remove(attempt.waiting)
-        else:
+        request = attempt.waiting.request
+        if upstream is not None:
             self._end_attempt(attempt, now, whole=False)
+        elif not attempt.is_delayed:
+            self._models[request.service].queue.remove(attempt.waiting)
+        self._close(attempt, request.max_tokens - attempt.delivered_tokens)
+        if attempt.delivered_tokens:
+            self._charge(attempt, 0, attempt.delivered_tokens)
         return upstream
 
     def expire(self, now: float) -> tuple[Refused, ...]:
         """Give up the waiting requests whose promised wait can't be kept any more."""
+        self._release_delayed(now)
+        is_excess_due = now >= self._excess_checked_s + EXCESS_INTERVAL_S
+        if is_excess_due:
+            self._excess_checked_s = now
         refused = []
         for model in self._models.values():
-            for waiting in model.queue.expire(now):
-                request_id = waiting.request.request_id
-                del self._attempts[request_id]
-                refused.append(
-                    Refused(request_id, ResultCode.WAIT_NOT_KEPT, NO_UPSTREAM_RETRY_S)
-                )
+            late = model.queue.expire(now)
+            if is_excess_due:
+                capacity = model.estimate_capacity(len(self._entries))
+                late += model.queue.drop_excess(capacity, now) if capacity else ()
+            for waiting in late:
+                request = waiting.request
+                self._close(self._attempts[request.request_id], request.max_tokens)
+                code = ResultCode.WAIT_NOT_KEPT
+                refused.append(Refused(request.request_id, code, NO_UPSTREAM_RETRY_S))
         return tuple(refused)
 
     def next_event(self, now: float) -> float | None:
         """Return when to call ``expire`` and ``assign`` again, None when idle."""
-        waiting = any(len(model.queue) for model in self._models.values())
-        return now + POLL_INTERVAL_S if waiting else None
+        if any(len(model.queue) for model in self._models.values()):
+            return now + POLL_INTERVAL_S
+        if self._delayed:
+            return max(self._delayed[0][0], now + MIN_INTERVAL_S)
+        return None
 
     def choose_plain(
         self, service: str, now: float, avoid: frozenset[str] = frozenset()
@@ -318,7 +417,7 @@
         found = self._find_upstream(upstream)
         if found is not None:
             self._plain_runs[call_id] = upstream
-            found.add_run(call_id, 0, 0.0, 0.0, now)
+            found.add_run(call_id, 0, None, now)
 
     def plain_finished(self, call_id: str, now: float, whole: bool = True) -> None:
         """Note the end of a call to a plain service."""
@@ -397,6 +496,38 @@
             router.end_run(attempt.waiting, attempt.upstream, whole, now)
         attempt.upstream = None
 
+    def _cost_of(self, assignment: Assignment) -> float:
+        return self._attempts[assignment.request.request_id].waiting.cost_s
+
+    def _close(self, attempt: _Attempt, unused_tokens: int) -> None:
+        """Forget a request and give back what it didn't use of the limits."""
+        request = attempt.waiting.request
+        del self._attempts[request.request_id]
+        self.limits.settle(request.account, max(0, unused_tokens))
+
+    def _charge(self, attempt: _Attempt, cached: int, generated: int) -> None:
+        request = attempt.waiting.request
+        self.usage.charge(
+            request.request_id,
+            request.account,
+            attempt.tier,
+            request.prompt_tokens,
+            cached,
+            generated,
+        )
+
+    def _release_delayed(self, now: float) -> None:
+        """Put the requests back into the queue whose retry delay has passed."""
+        while self._delayed and self._delayed[0][0] <= now:
+            _, request_id = heappop(self._delayed)
+            attempt = self._attempts.get(request_id)
+            if attempt is None or not attempt.is_delayed:
+                continue
+            attempt.is_delayed = False
+            request = attempt.waiting.request
+            weight = self._weights.get(request.account, 1.0)
+            self._models[request.service].queue.push(attempt.waiting, weight)
+
     def _upstreams_of(self, service: str) -> dict[str, Upstream] | None:
         if service in self._models:
             return self._models[service].router.upstreams
@@ -406,16 +537,21 @@
         upstreams = self._upstreams_of(self._services_of.get(name, ""))
         return upstreams.get(name) if upstreams else None
 
-    def _upstream_of(self, attempt: _Attempt | None) -> Upstream | None:
-        if attempt is None or attempt.upstream is None:
-            return None
-        return self._find_upstream(attempt.upstream)
+    def _add_upstream(self, report: UpstreamReport) -> None:
+        model = self._models.get(report.service)
+        if model is None:
+            self._plain[report.service][report.name] = Upstream(report)
+        else:
+            model.router.add(report)
+            self._set_homes()
 
     def _drop_upstream(self, name: str) -> None:
-        upstreams = self._upstreams_of(self._services_of.pop(name, ""))
-        if upstreams is not None:
-            upstreams.pop(name, None)
+        service = self._services_of.pop(name, "")
+        if service in self._models:
+            self._models[service].router.remove(name)
             self._set_homes()
+        elif service in self._plain:
+            self._plain[service].pop(name, None)
         self._index.remove_upstream(name)
 
 
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/ejection.py
@@ -0,0 +1,194 @@
+"""Ejection of upstreams that are slow or fail, with half-open return and slow start."""
+
+import math
+from dataclasses import dataclass
+from statistics import median
+
+__all__ = ["Closed", "EjectionPolicy", "Ejector", "HalfOpen", "Opened", "Warming"]
+
+
+@dataclass(frozen=True)
+class EjectionPolicy:
+    """
+    When an upstream is ejected and how it comes back.
+
+    :param slow_factor: smoothed slowness, as a multiple of the median of all.
+    :param failures: failures in a row.
+    :param max_share: of the upstreams of a service that may be out at a time.
+    """
+
+    slow_factor: float = 3.0
+    min_samples: int = 5
+    failures: int = 3
+    max_share: float = 0.34
+    base_s: float = 5.0
+    max_s: float = 120.0
+    warming_s: float = 10.0
+    probe_timeout_s: float = 30.0
+
+
+@dataclass(frozen=True)
+class Closed:
+    """Takes work as usual."""
+
+
+@dataclass(frozen=True)
+class Opened:
+    """Takes no work until a time."""
+
+    until_s: float
+
+
+@dataclass(frozen=True)
+class HalfOpen:
+    """Takes one run as a probe; ``probe_s`` is when it was sent, None before."""
+
+    probe_s: float | None
+
+
+@dataclass(frozen=True)
+class Warming:
+    """Takes a growing part of its slots."""
+
+    since_s: float
+
+
+State = Closed | Opened | HalfOpen | Warming
+
+SLOWNESS_SMOOTHING = 0.2
+
+
+class _Health:
+    def __init__(self) -> None:
+        self.state: State = Closed()
+        self.slowness = 1.0
+        self.samples = 0
+        self.failures = 0
+        self.ejections = 0
+
+
+class Ejector:
+    """
+    The health of the upstreams of one service.
+
+    Slowness is the observed time to first token over the estimated one, so that long
+    prompts and queues don't count against an upstream.
+    """
+
+    def __init__(self, policy: EjectionPolicy | None = None) -> None:
+        self.policy = policy or EjectionPolicy()
+        self._healths: dict[str, _Health] = {}
+
+    def add(self, upstream: str) -> None:
+        """Begin to look after an upstream."""
+        self._healths.setdefault(upstream, _Health())
+
+    def remove(self, upstream: str) -> None:
+        """Forget an upstream."""
+        self._healths.pop(upstream, None)
+
+    def find_limited(self, now: float) -> tuple[str, ...]:
+        """Return the upstreams that may not use all their slots now."""
+        return tuple(
+            name
+            for name, health in self._healths.items()
+            if not isinstance(health.state, Closed)
+            and not isinstance(self.find_state(name, now), Closed)
+        )
+
+    def find_state(self, upstream: str, now: float) -> State:
+        """Return the state, moved on to the present time."""
+        health = self._healths.get(upstream)
+        if health is None:
+            return Closed()
+        policy = self.policy
+        match health.state:
+            case Opened(until_s) if now >= until_s:
+                health.state = HalfOpen(None)
+            case HalfOpen(float() as sent_s) if now >= sent_s + policy.probe_timeout_s:
+                health.state = HalfOpen(None)
+            case Warming(since_s) if now >= since_s + policy.warming_s:
+                health.state = Closed()
+        return health.state
+
+    def limit_slots(self, upstream: str, slots: int, now: float) -> int:
+        """Return how many of its slots an upstream may use now."""
+        match self.find_state(upstream, now):
+            case Opened():
+                return 0
+            case HalfOpen(probe_s):
+                return 1 if probe_s is None else 0
+            case Warming(since_s):
+                share = (now - since_s) / self.policy.warming_s
+                return max(1, min(slots, math.ceil(share * slots)))
+        return slots
+
+    def record_dispatch(self, upstream: str, now: float) -> None:
+        """Note a run that was sent; at a half-open upstream it is the probe."""
+        health = self._healths.get(upstream)
+        if health and self.find_state(upstream, now) == HalfOpen(None):
+            health.state = HalfOpen(now)
+
+    def record_success(self, upstream: str, slowness: float, now: float) -> None:
+        """
+        Note a first token or a whole answer.
+
+        :param slowness: the time that it took over the estimated time.
+        """
+        health = self._healths.get(upstream)
+        if health is None:
+            return
+        health.failures = 0
+        health.samples += 1
+        health.slowness += SLOWNESS_SMOOTHING * (slowness - health.slowness)
+        match self.find_state(upstream, now):
+            case HalfOpen(float()) if slowness <= self._slow_limit():
+                self._readmit(health, now)
+            case HalfOpen(float()):
+                self._eject(health, now)
+            case Closed() if self._is_slow(health):
+                self._try_eject(health, now)
+
+    def record_failure(self, upstream: str, now: float) -> None:
+        """Note a run that the upstream refused or lost."""
+        health = self._healths.get(upstream)
+        if health is None:
+            return
+        health.failures += 1
+        match self.find_state(upstream, now):
+            case HalfOpen(float()):
+                self._eject(health, now)
+            case Closed() | Warming() if health.failures >= self.policy.failures:
+                self._try_eject(health, now)
+
+    def count_out(self, now: float) -> int:
+        """Return how many upstreams are ejected or not yet proved again."""
+        return sum(1 for name in self._healths if self._is_out(name, now))
+
+    def _is_out(self, upstream: str, now: float) -> bool:
+        return isinstance(self.find_state(upstream, now), Opened | HalfOpen)
+
+    def _is_slow(self, health: _Health) -> bool:
+        enough = health.samples >= self.policy.min_samples
+        return enough and health.slowness > self._slow_limit()
+
+    def _slow_limit(self) -> float:
+        typical = median(health.slowness for health in self._healths.values())
+        return self.policy.slow_factor * max(1.0, typical)
+
+    def _try_eject(self, health: _Health, now: float) -> None:
+        allowed = math.floor(self.policy.max_share * len(self._healths))
+        if self.count_out(now) + 1 <= allowed:
+            self._eject(health, now)
+
+    def _eject(self, health: _Health, now: float) -> None:
+        duration = self.policy.base_s * 2**health.ejections
+        health.ejections = min(health.ejections + 1, 10)
+        health.state = Opened(now + min(duration, self.policy.max_s))
+
+    def _readmit(self, health: _Health, now: float) -> None:
+        health.state = Warming(now)
+        health.slowness = 1.0
+        health.samples = 0
+        health.failures = 0
+        health.ejections = max(0, health.ejections - 1)
--- a/packages/core/src/persimmonferry_core/patience.py
+++ b/packages/core/src/persimmonferry_core/patience.py
@@ -13,6 +13,7 @@
 ADMISSION_MARGIN = 0.8
 DEMAND_WINDOW_S = 10.0
 MIN_RETRY_AFTER_S = 0.1
+MIN_FREE_SHARE = 0.05
 
 
 @dataclass(frozen=True)
@@ -160,7 +161,7 @@
                 ahead += queue.total_cost
         own = self._queues[request.tier]
         ahead += own.estimate_work_ahead(request.account, weight, waiting.cost_s)
-        free = max(capacity - urgent_rate, 0.05 * capacity)
+        free = max(capacity - urgent_rate, MIN_FREE_SHARE * capacity)
         return ahead / free if free > 0 else float("inf")
 
     def offer(
@@ -233,6 +234,25 @@
             self.remove(waiting)
         return tuple(late)
 
+    def drop_excess(self, capacity: float, now: float) -> tuple[WaitingRequest, ...]:
+        """
+        Remove and return requests that are not expected to start in time.
+
+        An account that comes back to its fair share delays what another account was
+        admitted beyond its own; the newest requests of that account go first.
+        """
+        dropped: list[WaitingRequest] = []
+        ahead = 0.0
+        urgent_rate = 0.0
+        for tier in self._tiers:
+            queue = self._queues[tier]
+            free = max(capacity - urgent_rate, MIN_FREE_SHARE * capacity)
+            for entry in queue.find_excess(ahead, free, now):
+                dropped.append(entry.item)
+            ahead += queue.total_cost
+            urgent_rate += self._demands[tier].rate(now)
+        return tuple(dropped)
+
 
 def _start_order(entry: QueueEntry[WaitingRequest]) -> float:
     return entry.latest_start_s
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from persimmonferry_core.contracts import Service
+from persimmonferry_core.ejection import Ejector
 from persimmonferry_core.patience import PromptRequest, WaitingRequest
 from persimmonferry_core.world import Link
 
@@ -20,12 +21,14 @@
 ]
 
 ALL_CANDIDATES = 16
+NO_SLOT_LIMIT = 1_000_000
 SAMPLED_CANDIDATES = 8
 HOLDER_CANDIDATES = 8
 START_AHEAD_S = 0.1
 IMPORT_AHEAD_S = 1.0
 DEFAULT_RUN_S = 2.0
 RUN_SMOOTHING = 0.1
+FIRST_STEP_S = 0.1
 LINK_SMOOTHING = 0.2
 MIX_RETENTION = 0.99
 NEGLIGIBLE_OCCUPANCY = 0.01
@@ -102,13 +105,24 @@
 
 @dataclass
 class _OwnRun:
-    """A run of this entry at an upstream; ready when its import has ended."""
+    """
+    A run of this entry at an upstream.
+
+    :param expected_s: estimated time to first token when it was dispatched.
+    :param ready_s: when its import has ended.
+    """
 
     priority: int
     prefill_s: float
+    expected_s: float
     dispatched_s: float
     ready_s: float
-    started: bool = False
+    started_s: float | None = None
+
+    @property
+    def started(self) -> bool:
+        """Whether it gave its first token."""
+        return self.started_s is not None
 
 
 class Upstream:
@@ -123,7 +137,7 @@
     def __init__(self, report: UpstreamReport) -> None:
         self.report = report
         self.runs: dict[str, _OwnRun] = {}
-        self.slot_limit = report.slots
+        self.slot_limit = NO_SLOT_LIMIT
         self.is_home = True
         self.others = report.running + report.waiting
         self._others_prefill_s = _prefill_s(report, report.waiting_prefill_tokens)
@@ -145,8 +159,10 @@
     @property
     def free_slots(self) -> int:
         """Runs more that are known to fit."""
-        limit = min(self.slot_limit, self.report.slots)
-        return 0 if self.report.leaving else limit - self.in_flight
+        if self.report.leaving:
+            return 0
+        own_limit = self.slot_limit - len(self.runs)
+        return min(own_limit, self.report.slots - self.in_flight)
 
     @property
     def takes_spill(self) -> bool:
@@ -167,7 +183,6 @@
             return False
         if report.incarnation != self.report.incarnation:
             self._peak_runs = 0
-        self.slot_limit = report.slots
         self.others = max(0, report.running + report.waiting - self._peak_runs)
         own_prefill_s = sum(
             run.prefill_s for run in self.runs.values() if not run.started
@@ -187,21 +202,36 @@
         return own + self.others
 
     def add_run(
-        self, run_id: str, priority: int, prefill_s: float, import_s: float, now: float
+        self, run_id: str, priority: int, route: Route | None, now: float
     ) -> None:
-        """Count a run that was dispatched there."""
+        """
+        Count a run that was dispatched there.
+
+        :param route: None for a call to a plain service.
+        """
         if not self._computing():
             self._lane_event_s = now
-        self.runs[run_id] = _OwnRun(priority, prefill_s, now, now + import_s)
+        import_s = route.plan.estimated_s if route and route.plan else 0.0
+        prefill_s = route.prefill_s if route else 0.0
+        expected_s = route.first_token_s if route else 0.0
+        run = _OwnRun(priority, prefill_s, expected_s, now, now + import_s)
+        self.runs[run_id] = run
         self._peak_runs = max(self._peak_runs, len(self.runs))
         self._unreported_runs += 1
 
-    def start_run(self, run_id: str, now: float) -> None:
-        """Note that a run gave its first token."""
+    def start_run(self, run_id: str, now: float) -> float | None:
+        """
+        Note that a run gave its first token.
+
+        :returns: how slow it was: the time that it took over the expected time.
+        """
         run = self.runs.get(run_id)
-        if run is not None and not run.started:
-            run.started = True
-            self._lane_event_s = now
+        if run is None or run.started:
+            return None
+        run.started_s = now
+        self._lane_event_s = now
+        expected_s = run.expected_s + FIRST_STEP_S
+        return (now - run.dispatched_s) / expected_s
 
     def end_run(self, run_id: str, now: float, whole: bool) -> None:
         """Forget a run; a whole one tells how long runs take."""
@@ -229,7 +259,7 @@
 
     def estimate_slot_wait(self) -> float:
         """Return the seconds until a slot is expected to be free."""
-        limit = max(1, min(self.slot_limit, self.report.slots))
+        limit = max(1, self.report.slots)
         excess = self.in_flight + 1 - limit
         return max(0.0, excess * self._run_s / limit)
 
@@ -462,6 +492,8 @@
         self._random = generator
         self.mix = PriorityMix()
         self.urgent_ranks = 0
+        self.ejector = Ejector()
+        self._limited: tuple[str, ...] = ()
         self._urgent = _Occupancy()
         self._entries = 1
         self.upstreams: dict[str, Upstream] = {}
@@ -490,6 +522,26 @@
             else:
                 upstream.is_home = index % len(upstreams) == place
 
+    def add(self, report: UpstreamReport) -> None:
+        """Begin to use an upstream."""
+        self.upstreams[report.name] = Upstream(report)
+        self.ejector.add(report.name)
+
+    def remove(self, name: str) -> None:
+        """Forget an upstream."""
+        self.upstreams.pop(name, None)
+        self.ejector.remove(name)
+
+    def refresh(self, now: float) -> None:
+        """Bring the slots up to date that ejected and returning upstreams may use."""
+        limited = self.ejector.find_limited(now)
+        for name in {*limited, *self._limited} & self.upstreams.keys():
+            upstream = self.upstreams[name]
+            slots = upstream.report.slots
+            limit = self.ejector.limit_slots(name, slots, now)
+            upstream.slot_limit = limit if name in limited else NO_SLOT_LIMIT
+        self._limited = limited
+
     def has_room(self, priority: int, now: float) -> bool:
         """Whether any upstream could start a run of that priority about now."""
         share = self.mix.share_ahead(priority)
@@ -558,39 +610,48 @@
         offset = self._random.randrange(len(names)) if names else 0
         names = names[offset:] + names[:offset]
         found = (self.upstreams.get(name) for name in dict.fromkeys(names))
-        return [
-            upstream
-            for upstream in found
-            if upstream is not None
-            and self.is_usable(upstream)
-            and upstream.name not in waiting.avoid
-        ]
+        usable = [up for up in found if up is not None and self.is_usable(up)]
+        if not waiting.avoid:
+            return usable
+        return [up for up in usable if up.name not in waiting.avoid] or usable
 
     def add_run(self, waiting: WaitingRequest, route: Route, now: float) -> None:
         """Count a run that was dispatched."""
-        import_s = 0.0
         upstream = self.upstreams[route.upstream]
         if route.plan is not None:
             plan = route.plan
-            import_s = plan.estimated_s
             target = upstream.report.failure_domain
             self.links.reserve(plan.source_domain, target, plan.total_bytes, now)
-        run_id = waiting.request.request_id
-        upstream.add_run(run_id, waiting.priority, route.prefill_s, import_s, now)
+        upstream.add_run(waiting.request.request_id, waiting.priority, route, now)
+        self.ejector.record_dispatch(upstream.name, now)
         self.mix.add(waiting.priority, route.prefill_s)
         if waiting.priority < self.urgent_ranks:
             self._urgent.change(1, now)
 
+    def start_run(self, waiting: WaitingRequest, name: str, now: float) -> None:
+        """Note the first token of a run."""
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            return
+        slowness = upstream.start_run(waiting.request.request_id, now)
+        if slowness is not None:
+            self.ejector.record_success(name, slowness, now)
+
     def end_run(
         self, waiting: WaitingRequest, name: str, whole: bool, now: float
     ) -> None:
-        """Forget a run that ended or failed."""
+        """Forget a run that ended or was cancelled."""
         if waiting.priority < self.urgent_ranks:
             self._urgent.change(-1, now)
         upstream = self.upstreams.get(name)
         if upstream is not None:
             upstream.end_run(waiting.request.request_id, now, whole)
 
+    def fail_run(self, waiting: WaitingRequest, name: str, now: float) -> None:
+        """Forget a run that its upstream refused or lost."""
+        self.end_run(waiting, name, False, now)
+        self.ejector.record_failure(name, now)
+
     def _count_reserved(self) -> int:
         """Return the slots of each upstream that are kept for urgent runs."""
         mean = self._urgent.mean * self._entries / max(1, len(self.upstreams))
--- a/packages/core/src/persimmonferry_core/shares.py
+++ b/packages/core/src/persimmonferry_core/shares.py
@@ -116,6 +116,26 @@
                 late.append(entry)
         return tuple(late)
 
+    def find_excess(
+        self, ahead: float, pace: float, now: float
+    ) -> tuple[QueueEntry[Item], ...]:
+        """
+        Remove and return the newest entries that can't be served in time.
+
+        :param ahead: work that is served before all entries of this queue.
+        :param pace: work that is served each second.
+        """
+        excess = []
+        for name, flow in list(self._flows.items()):
+            while flow.entries:
+                entry = flow.entries[-1]
+                work = ahead + self.estimate_work_ahead(name, flow.weight, 0.0)
+                if now + (work - entry.cost) / pace <= entry.latest_start_s:
+                    break
+                self.remove(entry.entry_id)
+                excess.append(entry)
+        return tuple(excess)
+
     def estimate_work_ahead(self, account: str, weight: float, cost: float) -> float:
         """
         Return the work served before the last entry of an account would start.
--- /dev/null
+++ b/packages/core/tests/test_ejection.py
@@ -0,0 +1,109 @@
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from persimmonferry_core.ejection import Closed, EjectionPolicy, Ejector, Warming
+
+NAMES = tuple(f"u{index}" for index in range(7))
+
+
+class EjectorMachine(RuleBasedStateMachine):
+    """Whatever is reported, most upstreams stay in use and a probe goes alone."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.ejector = Ejector()
+        self.known = set(NAMES)
+        self.probing = {}
+        for name in NAMES:
+            self.ejector.add(name)
+
+    @rule(seconds=st.floats(0.01, 60.0))
+    def advance(self, seconds):
+        self.now += seconds
+
+    @rule(name=st.sampled_from(NAMES), slowness=st.sampled_from((0.5, 1.0, 9.0, 50.0)))
+    def succeed(self, name, slowness):
+        for _ in range(5):
+            self.ejector.record_success(name, slowness, self.now)
+        self.probing.pop(name, None)
+
+    @rule(name=st.sampled_from(NAMES))
+    def fail(self, name):
+        for _ in range(3):
+            self.ejector.record_failure(name, self.now)
+        self.probing.pop(name, None)
+
+    @rule(name=st.sampled_from(NAMES))
+    def dispatch(self, name):
+        limit = self.ejector.limit_slots(name, 8, self.now)
+        is_probe = limit == 1 and not isinstance(
+            self.ejector.find_state(name, self.now), Warming
+        )
+        if limit > 0:
+            self.ejector.record_dispatch(name, self.now)
+        if is_probe:
+            sent_s = self.probing.get(name)
+            timeout_s = self.ejector.policy.probe_timeout_s
+            assert sent_s is None or self.now >= sent_s + timeout_s
+            self.probing[name] = self.now
+
+    @invariant()
+    def the_ejected_part_is_bounded(self):
+        out = self.ejector.count_out(self.now)
+        assert out <= self.ejector.policy.max_share * len(self.known)
+
+    @invariant()
+    def slots_stay_within_the_real_ones(self):
+        for name in NAMES:
+            assert 0 <= self.ejector.limit_slots(name, 8, self.now) <= 8
+
+
+EjectorMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=80, stateful_step_count=50, deadline=None
+)
+TestEjector = EjectorMachine.TestCase
+
+
+def make_ejector(**changes):
+    ejector = Ejector(EjectionPolicy(**changes))
+    for name in NAMES:
+        ejector.add(name)
+    return ejector
+
+
+def test_a_slow_upstream_goes_out_is_probed_and_comes_back_slowly():
+    ejector = make_ejector()
+    for step in range(10):
+        for name in NAMES:
+            ejector.record_success(name, 10.0 if name == "u0" else 1.0, step * 0.1)
+    assert ejector.limit_slots("u0", 8, 1.0) == 0
+    assert ejector.limit_slots("u1", 8, 1.0) == 8
+    assert ejector.limit_slots("u0", 8, 7.0) == 1
+    ejector.record_dispatch("u0", 7.0)
+    assert ejector.limit_slots("u0", 8, 7.0) == 0
+    ejector.record_success("u0", 1.0, 8.0)
+    slots = [ejector.limit_slots("u0", 8, 8.0 + step) for step in range(11)]
+    assert slots == sorted(slots)
+    assert slots[0] == 1
+    assert slots[-1] == 8
+    assert ejector.find_state("u0", 18.0) == Closed()
+
+
+def test_a_probe_that_fails_doubles_the_time_outside():
+    ejector = make_ejector(base_s=5.0)
+    for _ in range(3):
+        ejector.record_failure("u0", 0.0)
+    ejector.limit_slots("u0", 8, 5.0)
+    ejector.record_dispatch("u0", 5.0)
+    ejector.record_failure("u0", 5.5)
+    assert ejector.limit_slots("u0", 8, 15.0) == 0
+    assert ejector.limit_slots("u0", 8, 15.6) == 1
+
+
+def test_all_slow_together_means_none_is_ejected():
+    ejector = make_ejector()
+    for step in range(20):
+        for name in NAMES:
+            ejector.record_success(name, 10.0, step * 0.1)
+    assert ejector.count_out(2.0) == 0
--- /dev/null
+++ b/packages/core/tests/test_limits.py
@@ -0,0 +1,133 @@
+import random
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from persimmonferry_core.contracts import Limits
+from persimmonferry_core.limits import BURST_S, LEASE_S, LimitBook
+
+ENTRIES = ("e0", "e1", "e2")
+RATE = 10.0
+CONCURRENCY = 6
+
+
+class LimitMachine(RuleBasedStateMachine):
+    """Messages are delayed, lost, doubled and reordered; entries are cut off."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.books = {name: LimitBook(name) for name in ENTRIES}
+        for book in self.books.values():
+            book.set_entries(ENTRIES)
+            book.set_limits("a", Limits(requests_per_s=RATE), self.now)
+        self.mail = []
+        self.admitted = []
+
+    @rule(seconds=st.floats(0.01, 3.0))
+    def advance(self, seconds):
+        self.now += seconds
+
+    @rule(name=st.sampled_from(ENTRIES), count=st.integers(1, 30))
+    def demand(self, name, count):
+        for _ in range(count):
+            if self.books[name].admit("a", 1, self.now) is None:
+                self.admitted.append(self.now)
+
+    @rule(name=st.sampled_from(ENTRIES))
+    def ask(self, name):
+        self.mail += self.books[name].make_asks(self.now)
+
+    @precondition(lambda self: self.mail)
+    @rule(data=st.data(), again=st.booleans())
+    def deliver(self, data, again):
+        index = data.draw(st.integers(0, len(self.mail) - 1))
+        target, message = self.mail[index] if again else self.mail.pop(index)
+        if hasattr(message, "asker"):
+            answer = self.books[target].answer(message, self.now)
+            if answer is not None:
+                self.mail.append((message.asker, answer))
+        else:
+            self.books[target].take_answer(message, self.now)
+
+    @precondition(lambda self: self.mail)
+    @rule()
+    def lose(self):
+        self.mail.clear()
+
+    @invariant()
+    def shares_never_exceed_the_limit(self):
+        shares = [book.find_share("a", self.now) for book in self.books.values()]
+        assert sum(shares) <= 1.0 + 1e-9
+
+    @invariant()
+    def overrun_stays_in_the_stated_bound(self):
+        extra = RATE * BURST_S + len(ENTRIES)
+        for index, start in enumerate(self.admitted):
+            count = len(self.admitted) - index
+            assert count <= RATE * (self.now - start) + extra + 1e-6
+
+
+LimitMachine.TestCase.settings = settings(
+    derandomize=True, max_examples=80, stateful_step_count=50, deadline=None
+)
+TestLimits = LimitMachine.TestCase
+
+
+def make_books(limits):
+    books = {name: LimitBook(name) for name in ENTRIES}
+    for book in books.values():
+        book.set_entries(ENTRIES)
+        book.set_limits("a", limits, 0.0)
+    return books
+
+
+def exchange(books, now, names=ENTRIES):
+    for name in names:
+        for peer, ask in books[name].make_asks(now):
+            if peer in names:
+                answer = books[peer].answer(ask, now)
+                if answer is not None:
+                    books[name].take_answer(answer, now)
+
+
+def test_one_busy_entry_gets_nearly_the_whole_limit_and_loses_it_when_cut_off():
+    books = make_books(Limits(requests_per_s=RATE))
+    generator = random.Random(1)
+    admitted = {"joined": 0, "cut": 0}
+    for step in range(2000):
+        now = step * 0.02
+        cut = now >= 20.0
+        exchange(books, now, ("e0",) if cut else ENTRIES)
+        if generator.random() < 0.8 and books["e0"].admit("a", 1, now) is None:
+            if 10.0 <= now < 20.0:
+                admitted["joined"] += 1
+            if now >= 20.0 + LEASE_S + BURST_S:
+                admitted["cut"] += 1
+    assert admitted["joined"] >= 0.9 * RATE * 10.0
+    assert admitted["cut"] <= RATE / 3 * (20.0 - LEASE_S - BURST_S) + 1
+
+
+def test_concurrency_is_kept_among_entries_and_moves_to_the_busy_one():
+    books = make_books(Limits(concurrency=CONCURRENCY))
+    running = 0
+    for step in range(100):
+        exchange(books, step * 0.1)
+        if books["e1"].admit("a", 100, step * 0.1) is None:
+            running += 1
+        assert running <= CONCURRENCY
+    assert running >= CONCURRENCY - 1
+
+
+def test_asks_of_an_earlier_incarnation_are_not_answered():
+    books = make_books(Limits(requests_per_s=RATE))
+    restarted = LimitBook("e0", first_sequence=1 << 32)
+    restarted.set_entries(ENTRIES)
+    restarted.set_limits("a", Limits(requests_per_s=RATE), 0.0)
+    for book in (books["e0"], restarted):
+        for _ in range(40):
+            book.admit("a", 1, 0.0)
+    old = dict(books["e0"].make_asks(1.0))["e1"]
+    new = dict(restarted.make_asks(1.0))["e1"]
+    assert books["e1"].answer(new, 1.0) is not None
+    assert books["e1"].answer(old, 1.0) is None
--- /dev/null
+++ b/packages/core/tests/test_retries.py
@@ -0,0 +1,36 @@
+import random
+
+from persimmonferry_core.retries import RetryBudget, RetryPolicy
+
+
+def test_retries_stay_under_their_share_when_everything_fails():
+    policy = RetryPolicy(share=0.1, floor=3, window_s=10.0)
+    budget = RetryBudget(policy, seed=1)
+    generator = random.Random(2)
+    requests = retries = 0
+    now = 0.0
+    while now < 300.0:
+        now += generator.expovariate(20.0)
+        requests += 1
+        budget.record_request(now)
+        if budget.allow(1, now) is not None:
+            retries += 1
+    windows = 300.0 / policy.window_s * 2
+    assert 0.05 * requests <= retries <= policy.share * requests + windows * 3
+
+
+def test_backoff_grows_is_jittered_and_repeats_with_the_seed():
+    first = RetryBudget(RetryPolicy(floor=100), seed=7)
+    second = RetryBudget(RetryPolicy(floor=100), seed=7)
+    delays = [first.allow(1 + index % 2, 0.0) for index in range(40)]
+    assert delays == [second.allow(1 + index % 2, 0.0) for index in range(40)]
+    assert all(delay <= 0.02 for delay in delays[::2])
+    assert all(delay <= 0.04 for delay in delays[1::2])
+    assert max(delays[1::2]) > 0.02
+    assert len(set(delays)) == len(delays)
+
+
+def test_attempts_of_one_request_are_bounded():
+    budget = RetryBudget(RetryPolicy(floor=100, attempts=3))
+    assert budget.allow(2, 0.0) is not None
+    assert budget.allow(3, 0.0) is None
