--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -374,10 +374,11 @@
 class Baseline:
     """First come, first served; each request goes out by a simple choice."""
 
-    def __init__(self, seed, random_choice=False, hold=False):
+    def __init__(self, seed, random_choice=False, hold=False, promises=None):
         self._random = random.Random(seed)
         self._random_choice = random_choice
         self._hold = hold
+        self._promises = promises
         self._reports = {}
         self._own = defaultdict(set)
         self._sent_since = defaultdict(int)
@@ -399,7 +400,12 @@
     def record_import(self, source, target, size, seconds, now): ...
 
     def expire(self, now):
-        return ()
+        if self._promises is None:
+            return ()
+        late = [r for r in self._queue if now > r.arrival_s + self._promises[r.tier]]
+        for request in late:
+            self._queue.remove(request)
+        return late
 
     def started(self, request_id, now): ...
 
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -7,6 +7,7 @@
 
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.contracts import Service, ServiceKind, TeamDocument, Tier
+from persimmonferry_core.ejection import EjectionPolicy
 from persimmonferry_core.limits import LimitBook
 from persimmonferry_core.patience import (
     PatienceQueue,
@@ -207,6 +208,11 @@
         self.limits.set_entries(self._entries)
         self._set_homes()
 
+    def set_ejection(self, policy: EjectionPolicy) -> None:
+        """Take over when slow and failing upstreams are ejected."""
+        for model in self._models.values():
+            model.router.ejector.policy = policy
+
     def report(self, report: UpstreamReport, now: float) -> None:
         """Take an agent's report; one older than the last is ignored."""
         former = self._services_of.get(report.name)
