--- a/packages/core/src/persimmonferry_core/patience.py
+++ b/packages/core/src/persimmonferry_core/patience.py
@@ -1,8 +1,8 @@
 """Requests that wait for an upstream: promised waits, tiers and admission."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 from heapq import merge
+from itertools import islice
 
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.contracts import Tier
@@ -13,6 +13,7 @@
 ADMISSION_MARGIN = 0.8
 DEMAND_WINDOW_S = 10.0
 MIN_RETRY_AFTER_S = 0.1
+MIN_FREE_SHARE = 0.05
 
 
 @dataclass(frozen=True)
@@ -160,7 +161,7 @@
                 ahead += queue.total_cost
         own = self._queues[request.tier]
         ahead += own.estimate_work_ahead(request.account, weight, waiting.cost_s)
-        free = max(capacity - urgent_rate, 0.05 * capacity)
+        free = max(capacity - urgent_rate, MIN_FREE_SHARE * capacity)
         return ahead / free if free > 0 else float("inf")
 
     def offer(
@@ -197,10 +198,24 @@
             weight,
         )
 
-    def iterate(self) -> Iterator[WaitingRequest]:
-        """Return the waiting requests in the order in which they should start."""
-        streams = (queue.iterate() for queue in self._queues.values() if len(queue))
-        return (entry.item for entry in merge(*streams, key=_start_order))
+    def iterate(self, priorities: frozenset[int], limit: int) -> list[WaitingRequest]:
+        """
+        Return waiting requests in the order in which they should start.
+
+        :param priorities: ranks of the tiers that are looked at.
+        :param limit: requests of one tier.
+        """
+        streams = (
+            islice(queue.iterate(), limit)
+            for tier, queue in self._queues.items()
+            if len(queue) and self.rank(tier) in priorities
+        )
+        return [entry.item for entry in merge(*streams, key=_start_order)]
+
+    def find_priorities(self) -> list[int]:
+        """Return the ranks of the tiers that have waiting requests, urgent first."""
+        ranks = (self.rank(tier) for tier, queue in self._queues.items() if len(queue))
+        return sorted(ranks)
 
     def take(self, waiting: WaitingRequest) -> None:
         """Remove a request that was assigned and charge its account's fair share."""
@@ -219,6 +234,25 @@
             self.remove(waiting)
         return tuple(late)
 
+    def drop_excess(self, capacity: float, now: float) -> tuple[WaitingRequest, ...]:
+        """
+        Remove and return requests that are not expected to start in time.
+
+        An account that comes back to its fair share delays what another account was
+        admitted beyond its own; the newest requests of that account go first.
+        """
+        dropped: list[WaitingRequest] = []
+        ahead = 0.0
+        urgent_rate = 0.0
+        for tier in self._tiers:
+            queue = self._queues[tier]
+            free = max(capacity - urgent_rate, MIN_FREE_SHARE * capacity)
+            for entry in queue.find_excess(ahead, free, now):
+                dropped.append(entry.item)
+            ahead += queue.total_cost
+            urgent_rate += self._demands[tier].rate(now)
+        return tuple(dropped)
+
 
 def _start_order(entry: QueueEntry[WaitingRequest]) -> float:
     return entry.latest_start_s
--- a/packages/core/src/persimmonferry_core/retries.py
+++ b/packages/core/src/persimmonferry_core/retries.py
@@ -1,36 +1,81 @@
-"""A budget that keeps retries a small share of the requests."""
+"""Retries: a budget as a share of recent requests, and backoff with seeded jitter."""
 
-__all__ = ["RetryBudget"]
+import random
+from dataclasses import dataclass
+
+__all__ = ["RetryBudget", "RetryPolicy"]
+
+
+@dataclass(frozen=True)
+class RetryPolicy:
+    """
+    How much may be tried again.
+
+    :param share: retries as a share of the requests in the window.
+    :param floor: retries that are allowed in a window without any requests; enough
+        for the runs of two upstreams that fail at once.
+    :param attempts: of one request, the first included.
+    """
+
+    share: float = 0.1
+    floor: int = 16
+    window_s: float = 10.0
+    attempts: int = 3
+    base_delay_s: float = 0.02
+    max_delay_s: float = 1.0
 
 
 class RetryBudget:
     """
-    Grants retries as a share of the requests seen.
-
-    :param share: retries for each request.
-    :param reserve: retries granted at first, and the most that can be saved up.
-
-    >>> budget = RetryBudget(share=0.5, reserve=1.0)
-    >>> budget.withdraw(), budget.withdraw()
-    (True, False)
-    >>> budget.deposit(), budget.deposit()
-    (None, None)
-    >>> budget.withdraw()
-    True
+    Keeps retries and resumptions under a share of the recent requests.
+
+    The window is cut into two halves; the older half counts until the newer is full,
+    so the budget covers between one half and one whole window.
+
+    :param seed: of the jitter.
     """
 
-    def __init__(self, share: float = 0.1, reserve: float = 10.0) -> None:
-        self._share = share
-        self._reserve = reserve
-        self._balance = reserve
-
-    def deposit(self) -> None:
-        """Count one request."""
-        self._balance = min(self._reserve, self._balance + self._share)
-
-    def withdraw(self) -> bool:
-        """Take one retry if there is one left."""
-        if self._balance < 1.0:
-            return False
-        self._balance -= 1.0
-        return True
+    def __init__(self, policy: RetryPolicy | None = None, seed: int = 0) -> None:
+        self.policy = policy or RetryPolicy()
+        self._random = random.Random(seed)
+        self._half_start_s = 0.0
+        self._requests = [0, 0]
+        self._retries = [0, 0]
+
+    def record_request(self, now: float) -> None:
+        """Count a request that was admitted."""
+        self._advance(now)
+        self._requests[0] += 1
+
+    def allow(self, attempts: int, now: float, *, ran: bool) -> float | None:
+        """
+        Take one retry from the budget.
+
+        An attempt that did not run put no load on an upstream: trying elsewhere is
+        bounded by the number of attempts alone, so that an upstream that stops or is
+        gone costs no request its answer.
+
+        :param attempts: attempts of the request so far.
+        :param ran: whether the failed attempt may have run.
+        :returns: the delay before the retry in seconds, None when it is not allowed.
+        """
+        self._advance(now)
+        policy = self.policy
+        if attempts >= policy.attempts:
+            return None
+        if ran:
+            allowed = policy.floor + policy.share * sum(self._requests)
+            if sum(self._retries) + 1 > allowed:
+                return None
+            self._retries[0] += 1
+        ceiling = min(policy.max_delay_s, policy.base_delay_s * 2 ** (attempts - 1))
+        return ceiling * self._random.random()
+
+    def _advance(self, now: float) -> None:
+        half_s = self.policy.window_s / 2
+        halves = int((now - self._half_start_s) / half_s)
+        if halves <= 0:
+            return
+        self._half_start_s += halves * half_s
+        self._requests = [0, self._requests[0] if halves == 1 else 0]
+        self._retries = [0, self._retries[0] if halves == 1 else 0]
