Test a freed block under reading, lost ends and slow loads

With the second look at the generation, the taint of a run without end, or the renewal during a load removed, all tests had stayed green; each now has a test that fails without it. A load that outlasts its timeout no longer ends the comparison with an error and a slot left to lapse.

--- a/packages/core/tests/test_holdings.py
+++ b/packages/core/tests/test_holdings.py
@@ -71,6 +71,7 @@
         self.published = len(self.events)
         for _ in range(4):
             self.poll(GAP_PATIENCE_S)
+            self.hints_are_as_true_as_the_events_up_to_the_cursor()
         seen = [e.sequence for e in self.events if e.sequence not in self.lost]
         assert self.holdings.cursor == max(seen, default=0)
 
--- a/packages/daemon/src/persimmonferry_daemon/weights.py
+++ b/packages/daemon/src/persimmonferry_daemon/weights.py
@@ -189,8 +189,9 @@
         except NotRun as error:
             _log.warning("the engine refused the order: %s", error)
             return False
-        finally:
-            await self._wait_loaded(slot_name)
+        except TimeoutError:
+            _log.warning("the load takes longer than %g s", LOAD_TIMEOUT_S)
+        await self._wait_loaded(slot_name)
         await self._note_loaded(order)
         await self._release(engine_lease)
         return True
--- a/packages/daemon/tests/test_blocks.py
+++ b/packages/daemon/tests/test_blocks.py
@@ -417,6 +417,21 @@
     assert await world.keepers[1].prepare(order, world.loop.time()) == 0
 
 
+@pytest.mark.parametrize("reused", [False, True])
+def test_a_block_freed_while_it_is_read_is_not_imported(world, reused):
+    serve_first(world)
+    order = world.make_order()
+    preparing = world.loop.create_task(world.keepers[1].prepare(order, 0.0))
+    world.loop.run_for(0.005)
+    for store in world.stores.values():
+        cell = store.cells.get(order.block_names[1])
+        store.free(order.block_names[1])
+        if cell and reused:
+            store.open_cell(order.block_names[1], cell.data)
+    world.loop.run(preparing)
+    assert world.engines[1].imported == [order.block_names[0]]
+
+
 def test_a_resumed_run_that_crosses_a_swap_exports_nothing(world):
     order = world.make_order()
 
@@ -441,6 +456,20 @@
     assert not any(store.cells for store in world.stores.values())
 
 
+@pytest.mark.parametrize("lost", [False, True])
+def test_a_run_under_another_version_without_end_taints_its_names(world, lost):
+    engine = world.engines[0]
+    engine.version, engine.ends = "v2", not lost
+    order = world.make_order(version="v1", blocks=8)
+    serving = world.loop.create_task(world.serve(0, order))
+    world.loop.run_for((10 if lost else 3) * BLOCK_S)
+    engine.version, engine.ends = "v1", True
+    world.loop.run(world.serve(0, world.make_order(blocks=2)))
+    world.loop.run_for(BLOCK_S)
+    assert serving.done() is lost
+    assert not any(store.cells for store in world.stores.values())
+
+
 def test_a_full_store_leaves_its_blocks_to_the_second_choice(world):
     world.stores["s1"].capacity = 10
     serve_first(world)
--- a/packages/daemon/tests/test_weights.py
+++ b/packages/daemon/tests/test_weights.py
@@ -1,4 +1,5 @@
 import asyncio
+import random
 from dataclasses import dataclass, field
 
 import pytest
@@ -13,7 +14,7 @@
     PlatformUnavailable,
 )
 from persimmonferry_core.interfaces import Lease
-from persimmonferry_core.rollout import LEASE_S
+from persimmonferry_core.rollout import LEASE_S, LOAD_TIMEOUT_S
 from persimmonferry_core.runs import EngineLoad, LoadAdapter, LoadVersion
 from persimmonferry_daemon.weights import DRAIN_TIMEOUT_S, WeightKeeper
 from persimmonferry_standins.virtualtime import VirtualLoop
@@ -62,6 +63,7 @@
     adapter: str = ""
     loading: int = 0
     highest: int = 0
+    load_s: float = LOAD_S
     orders: list = field(default_factory=list)
 
     async def read_load(self):
@@ -79,7 +81,7 @@
         await asyncio.shield(asyncio.ensure_future(self._load(numbered.order)))
 
     async def _load(self, order):
-        await asyncio.sleep(LOAD_S)
+        await asyncio.sleep(self.load_s)
         self.loading -= 1
         match order:
             case LoadVersion(model, version):
@@ -126,6 +128,7 @@
 
 class Fleet:
     def __init__(self, loading_slots, fenced=False):
+        random.seed(0)
         self.loop = VirtualLoop()
         self.platform = FakePlatform(self.loop)
         self.loading_slots = loading_slots
@@ -238,6 +241,19 @@
     fleet.loop.stop_all()
 
 
+def test_a_slot_stays_taken_while_a_load_outlasts_its_timeout():
+    fleet = Fleet(loading_slots=1)
+    fleet.want("v2")
+    fleet.engines[0].load_s = LOAD_TIMEOUT_S + 2 * LEASE_S
+    task = fleet.loop.create_task(fleet.keepers[0].compare())
+    fleet.loop.run_for(LOAD_TIMEOUT_S + LEASE_S + 1.0)
+    assert fleet.loop.run(fleet.keepers[1].compare()) is False
+    assert fleet.engines[1].orders == []
+    fleet.loop.run_for(LEASE_S)
+    assert fleet.loop.run(task) is True
+    fleet.loop.stop_all()
+
+
 def test_a_fenced_engine_refuses_the_process_that_was_replaced():
     fleet = Fleet(loading_slots=2, fenced=True)
     fleet.want("v2")
