--- /dev/null
+++ b/packages/adapters/src/persimmonferry_adapters/engine.py
@@ -0,0 +1,273 @@
+"""HTTP adapter to a model engine."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+import pycurl
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import (
+    FerryError,
+    OutcomeUnknown,
+    StoreError,
+    make_error,
+)
+from persimmonferry_core.runs import (
+    CacheEvent,
+    CacheEventKind,
+    EngineLoad,
+    EngineOrder,
+    RunEnd,
+    RunOrder,
+    TokenBatch,
+)
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+
+from persimmonferry_adapters.answer import AnswerReader
+from persimmonferry_adapters.exchange import (
+    Loss,
+    Request,
+    Reuse,
+    exchange,
+    fetch,
+    raise_upstream_loss,
+)
+from persimmonferry_adapters.forms import (
+    BLOCK_NAME_HEADER,
+    JSON_TYPE,
+    OCTETS_TYPE,
+    encode_engine_order,
+    encode_json,
+    encode_run_order,
+    find_refusal_code,
+    quote_segment,
+)
+
+__all__ = ["HttpEngine"]
+
+RUN_IDLE_TIMEOUT_S = 2.0
+ORDER_TIMEOUT_S = 120.0
+BLOCK_TIMEOUT_S = 30.0
+
+
+class _Transfer:
+    """
+    One streamed run on the wire, watched for silence.
+
+    Tornado's curl client can't abort a request, so libcurl's progress callback does.
+
+    :param idle_timeout_s: longest time between two chunks.
+    """
+
+    def __init__(self, reader: AnswerReader, idle_timeout_s: float) -> None:
+        self._reader = reader
+        self._idle_timeout_s = idle_timeout_s
+        self._loop = asyncio.get_running_loop()
+        self._last_chunk_s = self._loop.time()
+        self._ended: asyncio.Future[HTTPResponse | Loss] = self._loop.create_future()
+
+    async def run(
+        self, client: AsyncHTTPClient, url: str, order: RunOrder
+    ) -> HTTPResponse | Loss:
+        """Send the order; return at the end of the answer, a fault, or silence."""
+        request = self._make_request(url, order)
+        fetching = asyncio.ensure_future(fetch(client, request))
+        fetching.add_done_callback(self._end_with)
+        watch = self._loop.call_later(self._idle_timeout_s, self._check_silence)
+        try:
+            return await self._ended
+        finally:
+            self._ended.cancel()
+            watch.cancel()
+
+    def _make_request(self, url: str, order: RunOrder) -> Request:
+        request = Request(
+            url,
+            method="POST",
+            body=encode_run_order(order),
+            content_type=JSON_TYPE,
+            reuse=Reuse.NEVER,
+            timeout_s=0,
+            streaming_callback=self._receive,
+        )
+
+        def prepare(curl: pycurl.Curl) -> None:
+            request.prepare(curl)
+            curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
+            curl.setopt(pycurl.LOW_SPEED_TIME, 1)
+            curl.setopt(pycurl.NOPROGRESS, 0)
+            curl.setopt(pycurl.XFERINFOFUNCTION, self._check_progress)
+
+        request.http.prepare_curl_callback = prepare
+        return request
+
+    def _receive(self, chunk: bytes) -> None:
+        if self._ended.done():
+            return
+        self._last_chunk_s = self._loop.time()
+        self._reader.feed(chunk)
+        if self._reader.failure is not None:
+            self._end(Loss.LOST)
+
+    def _check_silence(self) -> None:
+        left_s = self._last_chunk_s + self._idle_timeout_s - self._loop.time()
+        if left_s <= 0:
+            self._end(Loss.TIMED_OUT)
+        elif not self._ended.done():
+            self._loop.call_later(left_s, self._check_silence)
+
+    def _check_progress(self, *_totals: int) -> int:
+        """Tell libcurl to abort a transfer that nobody waits for."""
+        return 1 if self._ended.done() else 0
+
+    def _end_with(self, fetching: asyncio.Future[HTTPResponse | Loss]) -> None:
+        if not fetching.cancelled():
+            self._end(fetching.result())
+
+    def _end(self, result: HTTPResponse | Loss) -> None:
+        if not self._ended.done():
+            self._ended.set_result(result)
+
+
+class HttpEngine:
+    """
+    A model engine that speaks HTTP.
+
+    Every method raises NotRun when no connection could be made, and OutcomeUnknown
+    when the request may have arrived but no whole answer came back.
+
+    :param url: base URL without a slash at the end.
+    :param idle_timeout_s: longest silence of a running answer, heartbeats included.
+    """
+
+    def __init__(
+        self,
+        client: AsyncHTTPClient,
+        url: str,
+        idle_timeout_s: float = RUN_IDLE_TIMEOUT_S,
+    ) -> None:
+        self._client = client
+        self._url = url
+        self._idle_timeout_s = idle_timeout_s
+
+    async def run(
+        self, order: RunOrder, deliver: Callable[[TokenBatch], None]
+    ) -> RunEnd:
+        """
+        Run a prompt and return the end mark; see ``Engine.run``.
+
+        Cancelling the coroutine closes the connection; ``cancel`` frees the slot.
+
+        :raises NotRun: the engine refused the run or could not be reached.
+        :raises OutcomeUnknown: lost, silent, cut short, or another run's answer.
+        """
+        reader = AnswerReader(order, deliver)
+        transfer = _Transfer(reader, self._idle_timeout_s)
+        result = await transfer.run(self._client, f"{self._url}/v1/runs", order)
+        if reader.failure is not None:
+            raise reader.failure
+        match result:
+            case Loss() as loss:
+                raise_upstream_loss(loss, "engine")
+            case response if response.code != 200:
+                detail = f"status {response.code}"
+                raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, detail)
+        if reader.end is None:
+            raise OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "no end mark")
+        return reader.end
+
+    async def cancel(self, run_id: str) -> None:
+        """Stop a run; a run that is not known is no error."""
+        body = encode_json({"run_id": run_id})
+        await self._ask("/v1/cancel", method="POST", body=body)
+
+    async def read_load(self) -> EngineLoad:
+        """Return the reported load."""
+        return EngineLoad(**await self._ask("/v1/load"))
+
+    async def read_cache_events(self, after: int) -> tuple[CacheEvent, ...]:
+        """Return the events behind a sequence number that are published so far."""
+        fields = await self._ask(f"/v1/cache_events?after={after}")
+        return tuple(
+            CacheEvent(event["sequence"], CacheEventKind(event["kind"]), event["block"])
+            for event in fields["events"]
+        )
+
+    async def export_block(self, name: str) -> bytes:
+        """
+        Return the bytes of a cached block.
+
+        :raises StoreError: the engine holds no such block.
+        """
+        request = Request(
+            f"{self._url}/v1/blocks/{quote_segment(name)}", timeout_s=BLOCK_TIMEOUT_S
+        )
+        response = await self._exchange(request)
+        if response.code != 200 or response.headers.get(BLOCK_NAME_HEADER) != name:
+            raise StoreError(ResultCode.BLOCK_INVALID, "the engine holds no such block")
+        return response.body
+
+    async def import_block(self, name: str, data: bytes) -> None:
+        """
+        Put a block into the engine's cache.
+
+        :raises StoreError: the engine refused it.
+        """
+        request = Request(
+            f"{self._url}/v1/blocks/{quote_segment(name)}",
+            method="PUT",
+            body=data,
+            content_type=OCTETS_TYPE,
+            timeout_s=BLOCK_TIMEOUT_S,
+        )
+        response = await self._exchange(request)
+        if response.code != 200:
+            raise StoreError(ResultCode.BLOCK_INVALID, f"status {response.code}")
+
+    async def give_order(self, order: EngineOrder) -> None:
+        """
+        Give an order; returns when it is done.
+
+        :raises NotRun: with FENCING_REFUSED when the engine refuses the number.
+        :raises OutcomeUnknown: the order may have been carried out.
+        """
+        request = Request(
+            f"{self._url}/v1/orders",
+            method="POST",
+            body=encode_engine_order(order),
+            content_type=JSON_TYPE,
+            reuse=Reuse.NEVER,
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+        response = await self._exchange(request)
+        if response.code != 200:
+            raise _read_refusal(response)
+
+    async def _ask(
+        self, path: str, *, method: str = "GET", body: bytes | None = None
+    ) -> dict[str, Any]:
+        request = Request(
+            self._url + path, method=method, body=body, content_type=JSON_TYPE
+        )
+        response = await self._exchange(request)
+        if response.code != 200:
+            raise _read_refusal(response)
+        return json.loads(response.body)
+
+    async def _exchange(self, request: Request) -> HTTPResponse:
+        match await exchange(self._client, request):
+            case Loss() as loss:
+                raise_upstream_loss(loss, "engine")
+            case response:
+                return response
+
+
+def _read_refusal(response: HTTPResponse) -> FerryError:
+    """Return the error that an answer other than 200 stands for."""
+    try:
+        refused = json.loads(response.body)["refused"]
+        code = find_refusal_code(refused["code"])
+        return make_error(code, str(refused["reason"]), refused.get("retry_after_s"))
+    except (ValueError, KeyError, TypeError):
+        return OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {response.code}")
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/reports.py
@@ -0,0 +1,114 @@
+"""An agent's reports to the entries that use its upstream."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from persimmonferry_core.membership import REPORT_INTERVAL_S
+from persimmonferry_core.world import Address, Role
+from persimmonferry_wire import PeerClient, PeerLost, PeerRoute
+from persimmonferry_wire.generated.membership.ttypes import (
+    AgentReport,
+    Introduction,
+    ReportReply,
+)
+
+from persimmonferry_daemon.paths import INTRODUCTION_PATH, REPORT_PATH
+from persimmonferry_daemon.vms import VMWatch
+
+__all__ = ["Reporter"]
+
+REPORT_TIMEOUT_S = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+class Reporter:
+    """
+    Sends the upstream's state to every entry, at intervals and when it changes.
+
+    Entries come from the VM list, and from entries that introduce themselves: the
+    list lags, and an entry that has just started must not wait for it.
+
+    :param describe: returns the report to send, with a new sequence number; with
+        ``whole`` it tells all cache blocks and not only the changes.
+    """
+
+    def __init__(
+        self, peers: PeerClient, vms: VMWatch, describe: Callable[..., AgentReport]
+    ) -> None:
+        self._peers = peers
+        self._vms = vms
+        self._describe = describe
+        self._introduced: set[Address] = set()
+        self._told: set[Address] = set()
+        self._intervals: dict[Address, float] = {}
+        self._sending: set[Address] = set()
+        self._task: asyncio.Task | None = None
+        self.routes = (PeerRoute(INTRODUCTION_PATH, Introduction, self._introduce),)
+
+    def start(self) -> None:
+        """Report at intervals."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Report no more."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def report_now(self) -> None:
+        """Send one report to every entry and wait for the replies."""
+        entries = self._list_entries()
+        self._told &= entries
+        newcomers = entries - self._told
+        changes = self._describe(whole=False)
+        whole = self._describe(whole=True) if newcomers else changes
+        await asyncio.gather(
+            *(
+                self._send(entry, whole if entry in newcomers else changes)
+                for entry in entries
+                # One that has not answered yet must not be sent more and more.
+                if entry not in self._sending
+            )
+        )
+
+    def _list_entries(self) -> set[Address]:
+        listed = {vm.address for vm in self._vms.list_role(Role.ENTRY)}
+        self._introduced -= listed
+        return listed | self._introduced
+
+    def _find_interval(self) -> float:
+        asked = (self._intervals.get(entry, 0.0) for entry in self._told)
+        return max(REPORT_INTERVAL_S, *asked, 0.0)
+
+    async def _run(self) -> None:
+        while True:
+            # Not awaited: an entry that does not answer must not delay the others.
+            task = asyncio.create_task(self.report_now())
+            task.add_done_callback(_log_failure)
+            await asyncio.sleep(self._find_interval())
+
+    async def _send(self, entry: Address, report: AgentReport) -> None:
+        self._sending.add(entry)
+        try:
+            reply = await self._peers.ask(
+                entry.url + REPORT_PATH, report, ReportReply, REPORT_TIMEOUT_S
+            )
+        except PeerLost:
+            # What it missed is told whole when it answers again.
+            self._told.discard(entry)
+            self._introduced.discard(entry)
+        else:
+            self._told.add(entry)
+            self._intervals[entry] = reply.interval_s
+        finally:
+            self._sending.discard(entry)
+
+    async def _introduce(self, introduction: Introduction) -> AgentReport:
+        self._introduced.add(Address(introduction.host, introduction.port))
+        return self._describe(whole=True)
+
+
+def _log_failure(task: asyncio.Task) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        _log.error("report failed", exc_info=task.exception())
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/servers.py
@@ -0,0 +1,129 @@
+"""HTTP servers of a process and the routes that every process has."""
+
+import json
+import logging
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import FerryError
+from persimmonferry_core.world import Address
+from persimmonferry_wire import PeerHandler, PeerRoute
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+__all__ = ["ErrorHandler", "Listener", "describe_error", "list_peer_rules"]
+
+_log = logging.getLogger(__name__)
+
+MAX_HEADER_BYTES = 64 * 1024
+IDLE_CONNECTION_TIMEOUT_S = 120
+MAX_PEER_BODY_BYTES = 64 * 1024 * 1024
+
+
+def describe_error(error: FerryError) -> dict[str, Any]:
+    """Return the JSON body that callers and operators get for an error."""
+    return {
+        "error": {
+            "code": error.code.number,
+            "message": str(error),
+            "type": error.code.name.lower(),
+            "ran": error.code.ran.value,
+            "retry_after_s": error.retry_after_s,
+        }
+    }
+
+
+class ErrorHandler(RequestHandler):
+    """Base of the handlers that answer errors as JSON with a numbered code."""
+
+    def send_failure(self, error: FerryError) -> None:
+        """Answer with the error's code, whether it ran, and when to come back."""
+        self.set_status(error.code.http_status)
+        if error.retry_after_s is not None:
+            # The header takes whole seconds; the body has the exact time.
+            self.set_header("Retry-After", str(max(1, round(error.retry_after_s))))
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(describe_error(error)))
+
+    def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
+        """Log a fault without the request: its path may tell of a caller's call."""
+        _log.error("uncaught exception", exc_info=(typ, value, tb))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Give Tornado's own failures a numbered code too."""
+        code = {
+            400: ResultCode.MALFORMED_REQUEST,
+            404: ResultCode.NOT_FOUND,
+            405: ResultCode.NOT_FOUND,
+            413: ResultCode.BODY_TOO_LARGE,
+        }.get(status_code, ResultCode.INTERNAL_FAULT)
+        self.send_failure(FerryError(code))
+
+
+class _NotFound(ErrorHandler):
+    def prepare(self) -> None:
+        self.send_failure(FerryError(ResultCode.NOT_FOUND))
+
+
+class _Health(RequestHandler):
+    def initialize(self, check: Callable[[], bool]) -> None:
+        self._check = check
+
+    def get(self) -> None:
+        healthy = self._check()
+        self.set_status(200 if healthy else 503)
+        self.finish("ok\n" if healthy else "not ready\n")
+
+
+def list_peer_rules(routes: Sequence[PeerRoute]) -> list[tuple]:
+    """Return Tornado's rules for the routes."""
+    return [(route.path, PeerHandler, {"route": route}) for route in routes]
+
+
+class Listener:
+    """
+    One HTTP server on one address; the address is bound at once.
+
+    :param is_ready: what ``/ready`` tells the platform's balancer.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        is_ready: Callable[[], bool],
+        max_body_bytes: int = MAX_PEER_BODY_BYTES,
+    ) -> None:
+        self._is_ready = is_ready
+        self._max_body_bytes = max_body_bytes
+        self._sockets = bind_sockets(address.port, address.host)
+        self._server: HTTPServer | None = None
+        port = self._sockets[0].getsockname()[1]
+        self.address = Address(address.host, port)
+
+    def start(self, rules: Sequence[tuple]) -> None:
+        """Begin to answer the routes of Tornado's rules."""
+        application = Application(
+            [
+                ("/health", _Health, {"check": lambda: True}),
+                ("/ready", _Health, {"check": self._is_ready}),
+                *rules,
+            ],
+            default_handler_class=_NotFound,
+        )
+        self._server = HTTPServer(
+            application,
+            max_body_size=self._max_body_bytes,
+            max_header_size=MAX_HEADER_BYTES,
+            idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
+        )
+        self._server.add_sockets(self._sockets)
+
+    def stop(self) -> None:
+        """Accept no more connections; those open go on."""
+        self._server.stop()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._server.close_all_connections()
