Correct an engine's late reports by the orders given to it

Engines report their load with a lag. A trial with reports 4 s late gave the same LoadVersion twice, since the old version still showed after the load.

--- a/packages/daemon/src/persimmonferry_daemon/blocks.py
+++ b/packages/daemon/src/persimmonferry_daemon/blocks.py
@@ -83,6 +83,7 @@
     """
     Keeps an engine's cache blocks in the store VMs and brings them back.
 
+    :param engine: the ``TrackedEngine`` that weights are loaded through, if any.
     :param find_stores: returns the stores of the failure domain by VM name.
     :param holder: identity of this process in leases.
     :param scope: names the stores' team and failure domain in the platform's keys.
--- a/packages/daemon/src/persimmonferry_daemon/blockstores.py
+++ b/packages/daemon/src/persimmonferry_daemon/blockstores.py
@@ -12,6 +12,7 @@
 
 DEAD_PAUSE_S = 5.0
 FULL_PAUSE_S = 10.0
+SLOW_FAULT_S = 0.25
 
 OUTSIDE_FAULTS = (FerryError, OSError, ValueError)
 
@@ -39,32 +40,35 @@
         :raises StoreError: no store returned a block that may be read.
         """
         for store_name, store in self._choose(name, self._dead):
+            start_s = self._clock()
             try:
                 return await _read_checked(store, name)
             except OUTSIDE_FAULTS as error:
-                self._note_fault(store_name, error)
+                self._note_fault(store_name, error, start_s)
         raise StoreError(ResultCode.BLOCK_INVALID, "no store holds it")
 
     async def holds(self, name: str) -> bool:
         """Whether a store has the block with its commit mark."""
         for store_name, store in self._choose(name, self._dead):
+            start_s = self._clock()
             try:
                 if await store.read_generation(name):
                     return True
             except OUTSIDE_FAULTS as error:
-                self._note_fault(store_name, error)
+                self._note_fault(store_name, error, start_s)
         return False
 
     async def put(self, name: str, data: bytes) -> bool:
         """Write and commit a block; return False when no store took it."""
         sealed = seal(name, data)
         for store_name, store in self._choose(name, self._dead, self._full):
+            start_s = self._clock()
             try:
                 generation = await store.write(name, sealed)
                 await store.commit(name, generation)
                 return True
             except OUTSIDE_FAULTS as error:
-                self._note_fault(store_name, error)
+                self._note_fault(store_name, error, start_s)
         return False
 
     def _choose(self, name: str, *pauses: PauseList) -> Iterator[tuple[str, Store]]:
@@ -74,14 +78,16 @@
             open_names = pause.keep_open(open_names, self._clock())
         return ((choice, stores[choice]) for choice in rank_stores(name, open_names))
 
-    def _note_fault(self, store_name: str, error: Exception) -> None:
+    def _note_fault(self, store_name: str, error: Exception, start_s: float) -> None:
+        now = self._clock()
         match getattr(error, "code", ResultCode.STORE_UNAVAILABLE):
-            case ResultCode.BLOCK_INVALID:
+            case ResultCode.BLOCK_INVALID if now - start_s < SLOW_FAULT_S:
                 pass
             case ResultCode.STORE_FULL:
-                self._full.pause(store_name, self._clock())
+                self._full.pause(store_name, now)
             case _:
-                self._dead.pause(store_name, self._clock())
+                # A store that takes long to say no may be about to die.
+                self._dead.pause(store_name, now)
 
 
 async def _read_checked(store: Store, name: str) -> bytes:
--- a/packages/daemon/src/persimmonferry_daemon/weights.py
+++ b/packages/daemon/src/persimmonferry_daemon/weights.py
@@ -8,7 +8,7 @@
 
 from persimmonferry_core.contracts import Service
 from persimmonferry_core.exceptions import NotRun, PlatformError
-from persimmonferry_core.interfaces import Engine, Lease, Platform
+from persimmonferry_core.interfaces import Lease, Platform
 from persimmonferry_core.rollout import (
     LEASE_S,
     LOAD_TIMEOUT_S,
@@ -26,6 +26,7 @@
 )
 
 from persimmonferry_daemon.blockstores import OUTSIDE_FAULTS
+from persimmonferry_daemon.trackedengine import TrackedEngine
 
 __all__ = ["WeightKeeper", "WorkGate"]
 
@@ -58,6 +59,7 @@
     out only while its lease can't have lapsed by this process's clock, which protects
     engines that ignore fencing numbers too.
 
+    :param engine: a ``TrackedEngine``, since plain reports lag behind the orders.
     :param holder: identity of this process, another one after each restart.
     :param engine_name: of the engine's VM, equal for all processes beside it.
     :param find_service: returns what the document in force wants, None when unknown.
@@ -66,7 +68,7 @@
 
     def __init__(
         self,
-        engine: Engine,
+        engine: TrackedEngine,
         platform: Platform,
         gate: WorkGate,
         holder: str,
--- a/packages/daemon/tests/test_weights.py
+++ b/packages/daemon/tests/test_weights.py
@@ -16,6 +16,7 @@
 from persimmonferry_core.interfaces import Lease
 from persimmonferry_core.rollout import LEASE_S, LOAD_TIMEOUT_S
 from persimmonferry_core.runs import EngineLoad, LoadAdapter, LoadVersion
+from persimmonferry_daemon.trackedengine import REPORT_LAG_S, TrackedEngine
 from persimmonferry_daemon.weights import DRAIN_TIMEOUT_S, WeightKeeper
 from persimmonferry_standins.virtualtime import VirtualLoop
 
@@ -65,11 +66,18 @@
     highest: int = 0
     load_s: float = LOAD_S
     orders: list = field(default_factory=list)
+    reports: list = field(default_factory=list)
 
     async def read_load(self):
-        version = "" if self.loading else self.version
-        loading = bool(self.loading)
-        return EngineLoad(self.model, version, 0, 0, 0, 8, 1e4, 50.0, loading)
+        seen_s = self.loop.time() - REPORT_LAG_S + 1.0
+        reports = [report for time_s, report in self.reports if time_s <= seen_s]
+        return reports[-1] if reports else EngineLoad("m", "v1", 0, 0, 0, 8, 1e4, 50.0)
+
+    def report(self):
+        load = EngineLoad(
+            self.model, self.version, 0, 0, 0, 8, 1e4, 50.0, bool(self.loading)
+        )
+        self.reports.append((self.loop.time(), load))
 
     async def give_order(self, numbered):
         if self.fenced and numbered.fencing < self.highest:
@@ -77,6 +85,7 @@
         self.highest = max(self.highest, numbered.fencing)
         self.orders.append(numbered.order)
         self.loading += 1
+        self.report()
         # The load goes on in the engine when the order's call is given up.
         await asyncio.shield(asyncio.ensure_future(self._load(numbered.order)))
 
@@ -88,6 +97,7 @@
                 self.model, self.version, self.adapter = model, version, ""
             case LoadAdapter(_, adapter):
                 self.adapter = adapter
+        self.report()
 
 
 class FakeGate:
@@ -145,7 +155,7 @@
 
     def make_keeper(self, index, incarnation):
         return WeightKeeper(
-            self.engines[index],
+            TrackedEngine(self.engines[index], self.loop.time),
             self.ways[index],
             self.gates[index],
             f"vm{index}/{incarnation}",
@@ -254,6 +264,16 @@
     fleet.loop.stop_all()
 
 
+def test_a_load_is_ordered_once_while_reports_still_show_the_old_version():
+    fleet = Fleet(loading_slots=1)
+    fleet.want("v2")
+    for _ in range(20):
+        fleet.loop.run(fleet.keepers[0].compare())
+        fleet.loop.run_for(0.5)
+    assert fleet.engines[0].orders == [LoadVersion("m", "v2")]
+    fleet.loop.stop_all()
+
+
 def test_a_fenced_engine_refuses_the_process_that_was_replaced():
     fleet = Fleet(loading_slots=2, fenced=True)
     fleet.want("v2")
