Share in-memory outside systems between the proofs of blocks and weights

Three tests had fakes of the platform of their own and one a store; they stand once now, with the stand-ins, and run in virtual time.

--- a/packages/core/src/persimmonferry_core/holdings.py
+++ b/packages/core/src/persimmonferry_core/holdings.py
@@ -96,10 +96,6 @@
         """Return the names of all blocks that seem to be held."""
         return frozenset(self._names)
 
-    def list_names(self) -> frozenset[str]:
-        """Return the blocks that the engine seems to hold."""
-        return frozenset(self._names)
-
     def count_prefix(self, names: Sequence[str]) -> int:
         """Return how many blocks, from the first without a break, seem to be held."""
         for index, name in enumerate(names):
--- a/packages/daemon/tests/test_blocks.py
+++ b/packages/daemon/tests/test_blocks.py
@@ -1,6 +1,5 @@
 import asyncio
 import random
-from dataclasses import dataclass
 
 import pytest
 from hypothesis import settings, strategies as st
@@ -9,7 +8,6 @@
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.contracts import RoutingWeights
 from persimmonferry_core.exceptions import OutcomeUnknown, StoreError
-from persimmonferry_core.interfaces import Lease, StoredBlock, StoreUsage
 from persimmonferry_core.runs import (
     CacheEvent,
     CacheEventKind,
@@ -18,6 +16,12 @@
     RunOrder,
 )
 from persimmonferry_daemon.blocks import BlockKeeper, BlockSettings
+from persimmonferry_daemon.blockstores import (
+    DEAD_PAUSE_S,
+    SLOW_FAULT_S,
+    BlockStores,
+)
+from persimmonferry_standins.memory import MemoryPlatform, MemoryStore
 from persimmonferry_standins.virtualtime import VirtualLoop
 
 BLOCK_S = 0.2
@@ -25,102 +29,6 @@
 VERSIONS = ["v1", "v2"]
 
 
-@dataclass
-class Cell:
-    generation: int
-    data: bytes
-    committed: bool = False
-
-
-class FakeStore:
-    """Space that can be freed and written anew while it is read or written."""
-
-    def __init__(self, loop, delay_s=0.01, capacity=10**6):
-        self.loop = loop
-        self.delay_s = delay_s
-        self.capacity = capacity
-        self.alive = True
-        self.cells = {}
-        self.generations = 0
-        self.freed_s = {}
-        self.reads = {}
-
-    def check(self):
-        if not self.alive:
-            raise StoreError(ResultCode.STORE_UNAVAILABLE)
-
-    def free(self, name):
-        cell = self.cells.pop(name, None)
-        if cell:
-            self.freed_s[cell.generation] = self.loop.time()
-
-    def die(self):
-        self.alive = False
-        for name in list(self.cells):
-            self.free(name)
-
-    def open_cell(self, name, data):
-        self.free(name)
-        self.generations += 1
-        self.cells[name] = Cell(self.generations, data)
-        return self.cells[name]
-
-    async def write(self, name, data):
-        self.check()
-        used = sum(len(cell.data) for cell in self.cells.values())
-        if used + len(data) > self.capacity:
-            raise StoreError(ResultCode.STORE_FULL)
-        cell = self.open_cell(name, data[: len(data) // 2])
-        await asyncio.sleep(self.delay_s)
-        self.check()
-        cell.data = data
-        return cell.generation
-
-    async def commit(self, name, generation):
-        self.check()
-        if await self.read_any_generation(name) != generation:
-            raise StoreError(ResultCode.BLOCK_INVALID)
-        self.cells[name].committed = True
-
-    async def read(self, name):
-        self.check()
-        cell = self.cells.get(name)
-        if cell is None:
-            raise StoreError(ResultCode.BLOCK_INVALID)
-        head, committed = cell.data[:40], cell.committed
-        await asyncio.sleep(self.delay_s)
-        self.check()
-        tail = self.cells.get(name, cell).data[40:]
-        ended_s = self.loop.time()
-        freed_s = self.freed_s.get(cell.generation, ended_s + 1)
-        self.reads[name] = committed and freed_s > ended_s
-        return StoredBlock(name, cell.generation, committed, head + tail)
-
-    async def read_any_generation(self, name):
-        return self.cells[name].generation if name in self.cells else 0
-
-    async def read_generation(self, name):
-        self.check()
-        await asyncio.sleep(self.delay_s / 2)
-        self.check()
-        cell = self.cells.get(name)
-        return cell.generation if cell and cell.committed else 0
-
-    async def remove(self, name, generation):
-        self.check()
-        if await self.read_any_generation(name) == generation:
-            self.free(name)
-
-    async def list_names(self):
-        self.check()
-        return tuple(self.cells)
-
-    async def read_usage(self):
-        self.check()
-        used = sum(len(cell.data) for cell in self.cells.values())
-        return StoreUsage(used, self.capacity)
-
-
 class FakeEngine:
     """Computes blocks with the version it has, whatever version the names are of."""
 
@@ -191,21 +99,13 @@
         self.version = version
 
 
-class FakePlatform:
-    async def acquire_lease(self, name, holder, duration_s, now):
-        return Lease(name, holder, 1, now + duration_s)
-
-    async def release_lease(self, lease):
-        pass
-
-
 class World:
     """Two engines with their keepers, and two stores; the oracle of imports."""
 
     def __init__(self):
         random.seed(0)
         self.loop = VirtualLoop()
-        self.stores = {name: FakeStore(self.loop) for name in ("s1", "s2")}
+        self.stores = {name: MemoryStore(self.loop.time) for name in ("s1", "s2")}
         self.owners = {}
         self.computed = 0
         self.runs = 0
@@ -216,7 +116,7 @@
         return BlockKeeper(
             engine,
             lambda: self.stores,
-            FakePlatform(),
+            MemoryPlatform(self.loop.time),
             "holder",
             "team/domain",
             RoutingWeights,
@@ -228,7 +128,7 @@
         account, version, index = self.owners[name]
         assert data.decode().startswith(f"{(account, version, index)} {version} ")
         assert engine.version == version
-        reads = [store.reads.pop(name, False) for store in self.stores.values()]
+        reads = [store.good_reads.pop(name, False) for store in self.stores.values()]
         assert any(reads), "uncommitted or freed"
 
     def make_order(self, account="a", word="rose", blocks=4, version="v1"):
@@ -335,7 +235,7 @@
             case "start":
                 store.alive = True
             case "fill":
-                store.capacity = 150 * pick
+                store.capacity_bytes = 150 * pick
             case "slow":
                 store.delay_s = 20.0
             case "fast":
@@ -471,7 +371,7 @@
 
 
 def test_a_full_store_leaves_its_blocks_to_the_second_choice(world):
-    world.stores["s1"].capacity = 10
+    world.stores["s1"].capacity_bytes = 10
     serve_first(world)
     assert len(world.stores["s2"].cells) == 4
     world.loop.run(world.serve(1, world.make_order()))
@@ -487,6 +387,19 @@
     assert world.loop.time() - start_s == pytest.approx(4 * BLOCK_S)
 
 
+def test_a_store_that_takes_long_to_fail_is_left_alone_for_a_while():
+    loop = VirtualLoop()
+    store = MemoryStore(loop.time, delay_s=SLOW_FAULT_S)
+    store.open_cell("name", b"torn").committed = True
+    stores = BlockStores(lambda: {"s1": store}, loop.time)
+    for now_s in (0.0, DEAD_PAUSE_S / 2, DEAD_PAUSE_S + SLOW_FAULT_S):
+        loop.run_for(now_s - loop.time() if now_s > loop.time() else 0.0)
+        with pytest.raises(StoreError):
+            loop.run(stores.fetch("name"))
+    assert store.calls == 4
+    loop.stop_all()
+
+
 def test_an_import_over_a_slow_link_ends_when_computing_would_have(world):
     serve_first(world)
     for store in world.stores.values():
@@ -507,10 +420,10 @@
     last = sorted(store.cells)[-1]
     count = len(store.cells)
     written = store.open_cell(last, store.cells[last].data)
-    store.capacity = world.loop.run(store.read_usage()).used_bytes
+    store.capacity_bytes = store.used_bytes
     world.loop.run_for(100.0)
     assert 0 < len(store.cells) < count
     assert store.cells[last] is written
-    store.capacity = len(written.data)
+    store.capacity_bytes = len(written.data)
     world.loop.run_for(400.0)
     assert last not in store.cells
--- a/packages/daemon/tests/test_eviction.py
+++ b/packages/daemon/tests/test_eviction.py
@@ -2,94 +2,62 @@
 
 from persimmonferry_core.blocks import name_blocks
 from persimmonferry_core.eviction import UseHistory
-from persimmonferry_core.exceptions import PlatformUnavailable, SwapConflict
-from persimmonferry_core.interfaces import Lease, StoredBlock, StoreUsage, Versioned
 from persimmonferry_daemon.eviction import WRITE_GRACE_S, StoreEvictor
+from persimmonferry_standins.memory import MemoryPlatform, MemoryStore
 
 NAME = name_blocks("secret", "m", "v", "", ["a"], block_tokens=1)[0]
 
 
-class FullStore:
-    """Holds one block whose write goes on."""
+class World:
+    """A full store, a platform and evictors at a time that the test sets."""
 
-    generation = 1
-    removed = ()
-
-    async def read_usage(self):
-        return StoreUsage(100, 100)
-
-    async def list_names(self):
-        return (NAME,)
-
-    async def read_generation(self, name):
-        return 0
-
-    async def read(self, name):
-        return StoredBlock(name, self.generation, False, b"")
-
-    async def remove(self, name, generation):
-        self.removed = (*self.removed, generation)
-
-
-class FakePlatform:
     def __init__(self):
-        self.value = Versioned("uses/scope", b"", 0)
-        self.holder = None
-
-    async def read(self, key):
-        return self.value
-
-    async def swap(self, key, value, expected):
-        if expected != self.value.revision:
-            raise SwapConflict(key, self.value.revision)
-        self.value = Versioned(key, value, expected + 1)
-
-    async def acquire_lease(self, name, holder, duration_s, now):
-        return None if self.holder else Lease(name, holder, 1, now + duration_s)
+        self.now = 0.0
+        self.platform = MemoryPlatform(self.read_time, delay_s=0.0)
+        self.store = MemoryStore(self.read_time, delay_s=0.0, capacity_bytes=100)
 
-    async def release_lease(self, lease):
-        raise PlatformUnavailable()
+    def read_time(self):
+        return self.now
 
+    def evict(self, holder="a"):
+        return asyncio.run(self.make_evictor(holder, UseHistory()).evict())
 
-def make_evictor(platform, store, times, history=None):
-    return StoreEvictor(
-        lambda: {"s1": store},
-        platform,
-        "holder",
-        "scope",
-        history or UseHistory(),
-        lambda: times[0],
-    )
+    def make_evictor(self, holder, history):
+        stores = {"s1": self.store}
+        return StoreEvictor(
+            lambda: stores, self.platform, holder, "scope", history, self.read_time
+        )
 
 
 def test_only_a_write_that_stays_open_without_change_is_removed():
-    store, times = FullStore(), [0.0]
-    evictor = make_evictor(FakePlatform(), store, times)
-    for times[0], store.generation in (
-        (0.0, 1),
-        (WRITE_GRACE_S - 1, 1),
-        (WRITE_GRACE_S + 1, 2),
-        (2 * WRITE_GRACE_S, 2),
+    world = World()
+    evictor = world.make_evictor("a", UseHistory())
+    for world.now, rewrite in (
+        (0.0, True),
+        (WRITE_GRACE_S - 1, False),
+        (WRITE_GRACE_S + 1, True),
+        (2 * WRITE_GRACE_S, False),
     ):
+        if rewrite:
+            world.store.open_cell(NAME, b"x" * 100)
         assert asyncio.run(evictor.evict()) == 0
-    times[0] = 2 * WRITE_GRACE_S + 1
+    world.now = 2 * WRITE_GRACE_S + 1
     assert asyncio.run(evictor.evict()) == 1
-    assert store.removed == (2,)
+    assert not world.store.cells
 
 
 def test_without_the_lease_nothing_is_removed():
-    platform, store, times = FakePlatform(), FullStore(), [0.0]
-    evictor = make_evictor(platform, store, times)
-    asyncio.run(evictor.evict())
-    platform.holder, times[0] = "another", 2 * WRITE_GRACE_S
-    assert asyncio.run(evictor.evict()) == 0
-    assert store.removed == ()
+    world = World()
+    world.store.open_cell(NAME, b"x" * 100).committed = True
+    taken = world.platform.acquire_lease("evict/scope/s1", "b", 60.0, 0.0)
+    asyncio.run(taken)
+    assert world.evict("a") == 0
+    assert world.evict("b") == 1
 
 
 def test_processes_learn_of_each_others_uses():
-    platform, histories = FakePlatform(), [UseHistory(), UseHistory()]
+    world, histories = World(), [UseHistory(), UseHistory()]
     histories[0].note(NAME, 7.0)
     for history in histories:
-        evictor = make_evictor(platform, FullStore(), [0.0], history)
-        asyncio.run(evictor.share_history())
+        asyncio.run(world.make_evictor("a", history).share_history())
     assert histories[1].find(NAME).last_used_s == 7.0
--- a/packages/daemon/tests/test_weights.py
+++ b/packages/daemon/tests/test_weights.py
@@ -13,48 +13,17 @@
     PlatformAnswerLost,
     PlatformUnavailable,
 )
-from persimmonferry_core.interfaces import Lease
 from persimmonferry_core.rollout import LEASE_S, LOAD_TIMEOUT_S
 from persimmonferry_core.runs import EngineLoad, LoadAdapter, LoadVersion
 from persimmonferry_daemon.trackedengine import REPORT_LAG_S, TrackedEngine
 from persimmonferry_daemon.weights import DRAIN_TIMEOUT_S, WeightKeeper
+from persimmonferry_standins.memory import MemoryPlatform
 from persimmonferry_standins.virtualtime import VirtualLoop
 
 LOAD_S = 2.0
 AGENTS = 4
 
 
-class FakePlatform:
-    """Leases in virtual time; calls can fail before or after they take effect."""
-
-    def __init__(self, loop):
-        self.loop = loop
-        self.granted = {}
-        self.fencing = {}
-        self.fault = None
-
-    async def acquire_lease(self, name, holder, duration_s, now):
-        await asyncio.sleep(0.01)
-        if self.fault is PlatformUnavailable:
-            raise PlatformUnavailable()
-        held_by, until_s = self.granted.get(name, ("", 0.0))
-        present_s = self.loop.time()
-        if held_by != holder and until_s > present_s:
-            return None
-        if held_by != holder or until_s <= present_s:
-            self.fencing[name] = self.fencing.get(name, 0) + 1
-        self.granted[name] = (holder, present_s + duration_s)
-        if self.fault is PlatformAnswerLost:
-            raise PlatformAnswerLost()
-        return Lease(name, holder, self.fencing[name], now + duration_s)
-
-    async def release_lease(self, lease):
-        if self.fault is not None:
-            raise self.fault()
-        if self.granted.get(lease.name, ("",))[0] == lease.holder:
-            del self.granted[lease.name]
-
-
 @dataclass
 class FakeEngine:
     loop: VirtualLoop
@@ -140,7 +109,7 @@
     def __init__(self, loading_slots, fenced=False):
         random.seed(0)
         self.loop = VirtualLoop()
-        self.platform = FakePlatform(self.loop)
+        self.platform = MemoryPlatform(self.loop.time)
         self.loading_slots = loading_slots
         self.want("v1")
         self.engines = [FakeEngine(self.loop, fenced) for _ in range(AGENTS)]
