--- a/packages/daemon/tests/test_calls.py
+++ b/packages/daemon/tests/test_calls.py
@@ -10,8 +10,14 @@
 import itertools
 from collections import Counter
 
+import pytest
 from hypothesis import settings, strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
 from persimmonferry_core.attempts import AttemptTable
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.contracts import Service, ServiceKind
@@ -42,6 +48,20 @@
 from persimmonferry_wire import PeerLost
 from persimmonferry_wire.generated.runs.ttypes import AttemptQuery
 
+FAULTS = ("", "refuse", "cut", "lose answer", "copy", "hold")
+DISTURBANCES = (
+    "platform down",
+    "platform up",
+    "platform up",
+    "freeze entry",
+    "freeze agent",
+    "thaw",
+    "thaw",
+    "replace entry",
+    "kill agent",
+    "restart agent",
+    "restart agent",
+)
 ORDERS = Service("orders", ServiceKind.PLAIN)
 SHAPE = JournalShape(partitions=1, segment_s=1000.0)
 START_S = 1_800_000_000.0
@@ -84,8 +104,9 @@
 class Message:
     """One message; ``serve`` takes effect at the receiver and replies in time."""
 
-    def __init__(self, world, future, serve, lost, refused):
+    def __init__(self, world, kind, future, serve, lost, refused):
         self.world = world
+        self.kind = kind
         self.future = future
         self.serve = serve
         self.lost = lost
@@ -115,6 +136,9 @@
                 self.serve(self)
             case "copy":
                 self.serve(self)
+            case "hold":
+                pending.remove(self)
+                pending.append(self)
             case _:
                 pending.remove(self)
                 self.serve(self)
@@ -129,12 +153,11 @@
         self.platform_up = True
         self.processes = []
         self.runs = Counter()
-        self.run_ids = set()
         self.run_numbers = itertools.count()
 
-    async def send(self, serve, lost, refused):
+    async def send(self, kind, serve, lost, refused):
         future = asyncio.get_running_loop().create_future()
-        self.messages.append(Message(self, future, serve, lost, refused))
+        self.messages.append(Message(self, kind, future, serve, lost, refused))
         return await future
 
     def step(self):
@@ -145,10 +168,10 @@
             for process in self.processes:
                 process.step()
 
-    def spawn(self, process, coroutine, message):
+    def spawn(self, process, function, argument, message):
         async def answer():
             try:
-                message.reply(await coroutine)
+                message.reply(await function(argument))
             except FerryError as error:
                 message.reply(error)
 
@@ -164,7 +187,7 @@
             message.reply(self.find(key) if self.world.platform_up else down)
 
         down = PlatformUnavailable()
-        return await self.world.send(serve, PlatformUnavailable(), down)
+        return await self.world.send("read", serve, PlatformUnavailable(), down)
 
     async def swap(self, key, value, expected):
         def serve(message):
@@ -178,7 +201,8 @@
                 self.world.values[key] = written
                 message.reply(written)
 
-        return await self.world.send(serve, PlatformAnswerLost(), PlatformUnavailable())
+        lost, refused = PlatformAnswerLost(), PlatformUnavailable()
+        return await self.world.send("swap", serve, lost, refused)
 
     def find(self, key):
         return self.world.values.get(key, Versioned(key, b"", 0))
@@ -236,9 +260,9 @@
             agent = self.world.agents[handle.name]
             if not agent.alive:
                 return message.reply(refused if not message.cut else lost)
-            self.world.spawn(agent, agent.gate.call(request), message)
+            self.world.spawn(agent, agent.gate.call, request, message)
 
-        return await self.world.send(serve, lost, refused)
+        return await self.world.send("call", serve, lost, refused)
 
     async def query(self, handle, request, fence):
         lost = OutcomeUnknown(ResultCode.UPSTREAM_LOST)
@@ -250,9 +274,9 @@
             agent = self.world.agents[handle.name]
             if not agent.alive:
                 return message.reply(lost)
-            self.world.spawn(agent, agent.gate.query(query), message)
+            self.world.spawn(agent, agent.gate.query, query, message)
 
-        return await self.world.send(serve, lost, lost)
+        return await self.world.send("query", serve, lost, lost)
 
     async def ask(self, url, message, kind, timeout_s):
         lost = PeerLost("lost", sent=True)
@@ -261,11 +285,11 @@
         def serve(sent):
             if not target.alive:
                 return sent.reply(lost)
-            self.world.spawn(target, target.keeper.answer_commit(message), sent)
+            self.world.spawn(target, target.keeper.answer_commit, message, sent)
 
         try:
             async with asyncio.timeout(timeout_s):
-                return await self.world.send(serve, lost, lost)
+                return await self.world.send("commit", serve, lost, lost)
         except TimeoutError:
             raise lost from None
 
@@ -273,7 +297,7 @@
 class Call:
     """One call of a caller, with the run ids that were created for it."""
 
-    def __init__(self, world, entry, key, body):
+    def __init__(self, world, entry, key, body, account="kovanci", method="POST"):
         self.world = world
         self.key = key
         self.body = body
@@ -284,7 +308,7 @@
             entry.keeper, entry, entry.read_clock, self.create_run_id
         )
         request = PlainRequest(
-            "kovanci", ORDERS, "POST", "/orders", "text/plain", body, key
+            account, ORDERS, method, "/orders", "text/plain", body, key
         )
         call = dispatcher.call(request, entry.read_clock())
         self.task = entry.loop.create_task(call)
@@ -309,7 +333,9 @@
         end = UnknownCall()
         match self.error:
             case None:
-                end = AnsweredCall(self.task.result().body)
+                answer = self.task.result().body
+                assert answer.endswith(self.body), "another request's answer"
+                end = AnsweredCall(answer)
             case NotRun(code=code) if code not in WEAK_REFUSALS:
                 end = NotRunCall()
             case RanBefore(code=ResultCode.ANSWER_NOT_HELD):
@@ -317,6 +343,18 @@
         return CallRecord(self.started, self.ended, end)
 
 
+def _end_service_call(order, future, outcome):
+    match outcome:
+        case "answer":
+            body = order.run_id.encode() + b" " + order.body
+            answer = CallAnswer(order.run_id, 200, "text/plain", body)
+            future.set_result(answer)
+        case "lose":
+            future.set_exception(OutcomeUnknown(ResultCode.UPSTREAM_LOST))
+        case "refuse":
+            future.set_exception(NotRun(ResultCode.UPSTREAM_REFUSED))
+
+
 class OrderMachine(RuleBasedStateMachine):
     def __init__(self):
         super().__init__()
@@ -326,28 +364,60 @@
         world.agents = {f"agent{i}": Agent(world, f"agent{i}", 1) for i in range(2)}
         world.processes = [*world.entries, *world.agents.values()]
         self.calls = []
-        self.restarts = 0
+        self.newest_key = 0
 
-    @rule(entry=st.integers(0, 1), key=st.integers(0, 1), other=st.integers(0, 5))
-    def start_call(self, entry, key, other):
+    @rule(
+        entry=st.integers(0, 1),
+        age=st.sampled_from([0, 0, 0, 1, 2]),
+        body=st.sampled_from([b"one vise", b"one vise", b"one vise", b"two vises"]),
+    )
+    def start_call(self, entry, age, body):
         process = self.world.entries[entry]
-        if process.alive:
-            body = b"two vises" if other == 0 else b"one vise"
-            text = f"{START_S:.0f}-order-{key}"
-            self.calls.append(Call(self.world, process, text, body))
-            self.world.step()
+        text = f"{START_S:.0f}-order-{self.newest_key - age}"
+        self.calls.append(Call(self.world, process, text, body))
+        self.world.step()
+
+    @rule(entry=st.integers(0, 1), twice=st.booleans())
+    def start_order(self, entry, twice):
+        """Start an order with a new key, perhaps at both entries at once."""
+        self.newest_key += 1
+        self.start_call(entry, 0, b"one vise")
+        if twice:
+            self.start_call(1 - entry, 0, b"one vise")
 
-    @precondition(lambda self: self.world.messages)
     @rule(
-        index=st.integers(0, 9),
-        fault=st.sampled_from(["", "", "", "refuse", "cut", "lose answer", "copy"]),
+        skipped=st.integers(0, 6),
+        fault=st.sampled_from(FAULTS),
+        disturbance=st.sampled_from(["", "", "", "", *DISTURBANCES]),
+        index=st.integers(0, 1),
     )
-    def deliver(self, index, fault):
-        messages = self.world.messages
-        messages[index % len(messages)].deliver(fault)
+    def bring_about_fault(self, skipped, fault, disturbance, index):
+        """Let some messages pass and bring about faults at the next one."""
+        for _ in range(skipped):
+            self.advance_any(index)
+        self.disturb(disturbance, index)
+        if self.world.messages:
+            self.world.messages[-1].deliver(fault)
+        self.world.step()
+
+    def advance_any(self, index):
+        if self.world.messages:
+            self.world.messages[0].deliver("")
+        elif self.world.service_calls:
+            self.run_service(0, "answer")
+        else:
+            self.end_faults()
+            self.advance(1.5)
+            self.start_order(index, True)
         self.world.step()
 
     @precondition(lambda self: self.world.messages)
+    @rule(index=st.integers(0, 9))
+    def deliver(self, index):
+        messages = self.world.messages
+        messages[index % len(messages)].deliver("")
+        self.world.step()
+
     @rule(count=st.integers(1, 8))
     def deliver_in_order(self, count):
         for _ in range(count):
@@ -367,20 +437,9 @@
             return
         order, future = calls.pop(index % len(calls))
         if outcome != "refuse":
-            self.world.runs[order.body] += 1
-            self.world.run_ids.add(order.run_id)
+            self.world.runs[order.run_id] += 1
         if not future.done() and not future.get_loop().is_closed():
-            match outcome:
-                case "answer":
-                    body = order.run_id.encode()
-                    answer = CallAnswer(order.run_id, 200, "text/plain", body)
-                    future.set_result(answer)
-                case "lose":
-                    lost = OutcomeUnknown(ResultCode.UPSTREAM_LOST)
-                    future.set_exception(lost)
-                case "refuse":
-                    refused = NotRun(ResultCode.UPSTREAM_REFUSED)
-                    future.set_exception(refused)
+            _end_service_call(order, future, outcome)
         self.world.step()
 
     @rule(step_s=st.sampled_from([0.05, 0.2, 0.6, 1.5, 6.0]))
@@ -388,35 +447,32 @@
         self.world.now += step_s
         self.world.step()
 
-    @rule(up=st.booleans())
-    def switch_platform(self, up):
-        self.world.platform_up = up
-
-    @rule(entry=st.integers(0, 1), frozen=st.booleans())
-    def freeze_entry(self, entry, frozen):
-        self.world.entries[entry].frozen = frozen
-        self.world.step()
-
-    @rule(agent=st.integers(0, 1), frozen=st.booleans())
-    def freeze_agent(self, agent, frozen):
-        self.world.agents[f"agent{agent}"].frozen = frozen
+    @rule(disturbance=st.sampled_from(DISTURBANCES), index=st.integers(0, 1))
+    def disturb(self, disturbance, index):
+        entry = self.world.entries[index]
+        agent = self.world.agents[f"agent{index}"]
+        match disturbance:
+            case "platform down":
+                self.world.platform_up = False
+            case "platform up":
+                self.world.platform_up = True
+            case "freeze entry":
+                entry.frozen = True
+            case "freeze agent":
+                agent.frozen = True
+            case "thaw":
+                entry.frozen = agent.frozen = False
+            case "replace entry":
+                entry.alive = False
+                self.world.entries[index] = Entry(self.world, entry.name, index * 0.5)
+                self.world.processes.append(self.world.entries[index])
+            case "kill agent":
+                agent.alive = False
+            case "restart agent":
+                agent.alive = False
+                self.restart_agent(agent)
         self.world.step()
 
-    @rule(entry=st.integers(0, 1))
-    def replace_entry(self, entry):
-        old = self.world.entries[entry]
-        old.alive = False
-        self.world.entries[entry] = Entry(self.world, old.name, entry * 0.5)
-        self.world.processes.append(self.world.entries[entry])
-
-    @rule(agent=st.integers(0, 1), restart=st.booleans())
-    def kill_agent(self, agent, restart):
-        old = self.world.agents[f"agent{agent}"]
-        old.alive = False
-        self.restarts += 1
-        if restart:
-            self.restart_agent(old)
-
     def restart_agent(self, old):
         new = Agent(self.world, old.handle.name, old.handle.incarnation + 1)
         self.world.agents[old.handle.name] = new
@@ -426,15 +482,14 @@
     def each_order_runs_at_most_once(self):
         runs = Counter()
         for call in self.calls:
-            ran = [run_id for run_id in call.run_ids if run_id in self.world.run_ids]
-            runs[call.key] += len(ran)
-        assert max(runs.values(), default=0) <= 1, f"an order ran {runs}"
+            runs[call.key] += sum(self.world.runs[run_id] for run_id in call.run_ids)
+        assert max(runs.values(), default=0) <= 1, f"an order ran twice: {runs}"
 
     @invariant()
     def a_refusal_is_true(self):
         for call in self.calls:
             if isinstance(call.error, NotRun):
-                ran = self.world.run_ids.intersection(call.run_ids)
+                ran = any(self.world.runs[run_id] for run_id in call.run_ids)
                 assert not ran, f"{call.error} was said of a call that ran"
 
     @invariant()
@@ -451,19 +506,21 @@
             for process in self.world.processes:
                 process.close()
 
-    def check_recovery(self):
-        """After all faults are over, each key has a final outcome again."""
-        world = self.world
-        world.platform_up = True
-        for process in world.processes:
+    def end_faults(self):
+        self.world.platform_up = True
+        for process in self.world.processes:
             process.frozen = False
-        for agent in list(world.agents.values()):
+        for agent in list(self.world.agents.values()):
             if not agent.alive:
                 self.restart_agent(agent)
+
+    def check_recovery(self):
+        """After all faults are over, each key has a final outcome again."""
+        self.end_faults()
         self.settle(rounds=30)
         keys = {call.key: call.body for call in reversed(self.calls)}
         retries = [
-            Call(world, world.entries[index], key, keys[key])
+            Call(self.world, self.world.entries[index], key, keys[key])
             for index in range(2)
             for key in sorted(keys)
         ]
@@ -496,3 +553,94 @@
     derandomize=True, max_examples=150, stateful_step_count=50, deadline=None
 )
 TestOrders = OrderMachine.TestCase
+
+
+class Scene:
+    """A world in which a test says what happens."""
+
+    def __init__(self):
+        self.machine = OrderMachine()
+        self.world = self.machine.world
+        self.entries = self.world.entries
+
+    def call(self, entry, **changes):
+        changes = {"key": f"{START_S:.0f}-order", "body": b"one vise"} | changes
+        call = Call(self.world, entry, **changes)
+        self.world.step()
+        return call
+
+    def finish(self, call, rounds=6):
+        self.machine.settle(rounds)
+        assert call.ended is not None
+        return call
+
+
+@pytest.fixture
+def scene():
+    scene = Scene()
+    yield scene
+    scene.machine.teardown()
+
+
+def test_an_outage_refuses_at_once_and_ends_by_itself(scene):
+    scene.world.platform_up = False
+    scene.finish(scene.call(scene.entries[0]))
+    refused = scene.call(scene.entries[0], key=f"{START_S:.0f}-another")
+    assert refused.error.code is ResultCode.PLATFORM_UNAVAILABLE
+    assert refused.error.retry_after_s > 0
+    scene.world.platform_up = True
+    scene.machine.settle(rounds=4)
+    assert scene.finish(scene.call(scene.entries[0])).error is None
+
+
+def test_a_retry_without_upstreams_in_an_outage_is_not_told_that_nothing_ran(scene):
+    for entry in scene.entries:
+        scene.finish(scene.call(entry))
+    scene.world.platform_up = False
+    for agent in scene.world.agents.values():
+        agent.alive = False
+    for entry in scene.entries:
+        retry = scene.finish(scene.call(entry))
+        if retry.error is not None:
+            assert retry.error.code is ResultCode.PLATFORM_UNAVAILABLE
+
+
+def test_a_copy_of_a_refused_attempt_does_not_start(scene):
+    call = scene.call(scene.entries[0])
+    while not scene.world.service_calls:
+        message = scene.world.messages[0]
+        message.deliver("copy" if "Entry.call" in repr(message.serve) else "")
+        scene.world.step()
+    scene.machine.run_service(0, "refuse")
+    scene.machine.deliver(0)
+    assert not scene.world.service_calls
+    assert scene.finish(call).error is None
+
+
+def test_two_accounts_may_use_the_same_key(scene):
+    calls = [scene.call(scene.entries[0], account=name) for name in "ab"]
+    answers = {scene.finish(call).task.result().body for call in calls}
+    assert len(answers) == 2
+
+
+@pytest.mark.parametrize(
+    ("key", "code"),
+    [
+        (None, ResultCode.IDEMPOTENCY_KEY_MISSING),
+        ("order-17", ResultCode.MALFORMED_REQUEST),
+        (f"{START_S + 3600:.0f}-order", ResultCode.MALFORMED_REQUEST),
+        (f"{START_S - 1e6:.0f}-order", ResultCode.IDEMPOTENCY_KEY_EXPIRED),
+    ],
+)
+def test_keys_that_cannot_be_kept_are_refused(scene, key, code):
+    call = scene.call(scene.entries[0], key=key)
+    assert call.error.code is code
+    scene.machine.calls.clear()
+
+
+def test_an_idempotent_call_is_repeated_elsewhere_without_a_claim(scene):
+    call = scene.call(scene.entries[0], key=None, method="GET")
+    scene.world.messages[0].deliver("cut")
+    scene.finish(call)
+    assert call.error is None
+    assert not scene.world.values
