--- a/packages/daemon/src/persimmonferry_daemon/administration.py
+++ b/packages/daemon/src/persimmonferry_daemon/administration.py
@@ -35,7 +35,7 @@
 @dataclass(frozen=True)
 class UsageRow:
     """
-    What one client account used of one tier since the process started.
+    What one client account used of one tier today, over all entries.
 
     :param charge: in the team's currency.
     """
@@ -67,7 +67,7 @@
     undrain: Callable[[], Awaitable[None]]
     is_draining: Callable[[], bool]
     list_histograms: Callable[[], Iterable[HistogramRow]]
-    list_usage: Callable[[], Iterable[UsageRow]]
+    list_usage: Callable[[], Awaitable[Iterable[UsageRow]]]
     read_clock: Callable[[], float]
 
 
@@ -303,7 +303,7 @@
     """Usage of each client account and tier."""
 
     async def show(self, operator: Operator) -> Any:
-        rows = self._administration.list_usage()
+        rows = await self._administration.list_usage()
         return [dataclasses.asdict(row) for row in rows]
 
 
--- a/packages/daemon/src/persimmonferry_daemon/agent.py
+++ b/packages/daemon/src/persimmonferry_daemon/agent.py
@@ -12,6 +12,11 @@
 from persimmonferry_wire.generated.membership.ttypes import AgentReport
 from tornado.httpclient import AsyncHTTPClient
 
+from persimmonferry_daemon.administration import (
+    Administration,
+    UsageRow,
+    administration_routes,
+)
 from persimmonferry_daemon.configuration import ConfigurationKeeper
 from persimmonferry_daemon.gate import CloseReason, Gate
 from persimmonferry_daemon.modelwork import ModelWork
@@ -107,7 +112,27 @@
             *self._reporter.routes,
             *self._work.routes,
         )
-        return [*list_peer_rules(routes), *self._work.rules]
+        return [
+            *list_peer_rules(routes),
+            *self._work.rules,
+            *administration_routes(self._describe_administration()),
+        ]
+
+    def _describe_administration(self) -> Administration:
+        return Administration(
+            keeper=self._configuration,
+            role="agent",
+            drain=self.drain,
+            undrain=self.undrain,
+            is_draining=lambda: self._gate.closed,
+            list_histograms=lambda: (),
+            list_usage=self._list_usage,
+            read_clock=time.time,
+        )
+
+    async def _list_usage(self) -> tuple[UsageRow, ...]:
+        """Return nothing: usage is counted by the entries."""
+        return ()
 
     def _build_work(
         self, client: AsyncHTTPClient, platform: HttpPlatform
--- a/packages/daemon/src/persimmonferry_daemon/entry.py
+++ b/packages/daemon/src/persimmonferry_daemon/entry.py
@@ -2,18 +2,26 @@
 
 import asyncio
 import logging
+import random
 import time
 import uuid
 
 from persimmonferry_adapters import HttpPlatform, HttpVMList
 from persimmonferry_core.contracts import TeamDocument
 from persimmonferry_core.dispatch import Dispatcher
+from persimmonferry_core.exceptions import PlatformError
 from persimmonferry_core.settings import EntrySettings, ProcessSettings
+from persimmonferry_core.usage import UsageLine
 from persimmonferry_core.watchers import Member
 from persimmonferry_core.world import Role
 from persimmonferry_wire import PeerClient
 from tornado.httpclient import AsyncHTTPClient
 
+from persimmonferry_daemon.administration import (
+    Administration,
+    UsageRow,
+    administration_routes,
+)
 from persimmonferry_daemon.agents import PlainAgents
 from persimmonferry_daemon.calls import CallDispatcher
 from persimmonferry_daemon.claims import ClaimKeeper, EntryPeer
@@ -21,6 +29,8 @@
 from persimmonferry_daemon.edge import Edge
 from persimmonferry_daemon.gate import CloseReason, Gate
 from persimmonferry_daemon.histograms import Histograms
+from persimmonferry_daemon.ledgers import LedgerWriter
+from persimmonferry_daemon.limitshares import LimitShares
 from persimmonferry_daemon.members import Members
 from persimmonferry_daemon.prompts import PromptService
 from persimmonferry_daemon.scheduling import Scheduler
@@ -64,8 +74,14 @@
             settings.team,
             self._vms.list_vms,
         )
-        self._scheduler = Scheduler(Dispatcher(_make_empty(settings)), time.monotonic)
-        self._configuration.on_change.append(self._scheduler.dispatcher.configure)
+        self._dispatcher = Dispatcher(
+            _make_empty(settings),
+            seed=random.getrandbits(32),
+            entry=settings.name,
+            incarnation=int(time.time()),
+        )
+        self._scheduler = Scheduler(self._dispatcher, time.monotonic)
+        self._configuration.on_change.append(self._configure)
         self._members = Members(
             self._scheduler,
             self._peers,
@@ -77,6 +93,13 @@
         self._claims = ClaimKeeper(
             platform, self._peers, self._identity, self._list_entries, time.time
         )
+        self._limit_shares = LimitShares(
+            self._dispatcher.limits, self._peers, self._list_entries, time.monotonic
+        )
+        self._usage_lines: tuple[UsageLine, ...] = ()
+        self._ledger = LedgerWriter(
+            self._dispatcher.usage, platform, settings.team, settings.name
+        )
         self._edge = self._build_edge(agents)
         self._caller_listener = Listener(
             self._role.callers,
@@ -114,6 +137,8 @@
         self._configuration.start()
         await self._members.start(self._peer_listener.address)
         self._refresh_task = asyncio.create_task(self._refresh_forever())
+        self._limit_shares.start()
+        self._ledger.start()
         self._caller_listener.start(self._edge.rules)
         _log.info(
             "entry started", extra={"callers": str(self._caller_listener.address)}
@@ -140,6 +165,8 @@
         self._gate.close(CloseReason.STOPPING)
         await self._gate.wait_idle()
         await self._claims.close()
+        await self._limit_shares.stop()
+        await self._ledger.stop()
         await self._stop_parts()
         _log.info("entry stopped")
 
@@ -160,7 +187,7 @@
             agents,
             self._histograms,
         )
-        plain_agents = PlainAgents(self._scheduler.dispatcher, self._members, agents)
+        plain_agents = PlainAgents(self._dispatcher, self._members, agents)
         calls = CallDispatcher(
             self._claims, plain_agents, time.time, lambda: uuid.uuid4().hex
         )
@@ -178,8 +205,48 @@
             *self._configuration.routes,
             *self._members.routes,
             *self._claims.routes,
+            *self._limit_shares.routes,
         )
-        return list_peer_rules(routes)
+        return [
+            *list_peer_rules(routes),
+            *administration_routes(self._describe_administration()),
+        ]
+
+    def _describe_administration(self) -> Administration:
+        return Administration(
+            keeper=self._configuration,
+            role="entry",
+            drain=self.drain,
+            undrain=self.undrain,
+            is_draining=lambda: self._gate.closed,
+            list_histograms=self._histograms.list_rows,
+            list_usage=self._list_usage,
+            read_clock=time.time,
+        )
+
+    async def _list_usage(self) -> list[UsageRow]:
+        """Return the day's usage over all entries, as last read in an outage."""
+        try:
+            await self._ledger.write()
+            self._usage_lines = await self._ledger.read_day()
+        except PlatformError as error:
+            _log.warning("usage not read", extra={"why": str(error)})
+        return [
+            UsageRow(
+                line.account,
+                line.tier,
+                line.requests,
+                line.computed_tokens + line.cached_tokens,
+                line.cached_tokens,
+                line.generated_tokens,
+                round(line.price, 6),
+            )
+            for line in self._usage_lines
+        ]
+
+    def _configure(self, document: TeamDocument) -> None:
+        self._dispatcher.configure(document, time.monotonic())
+        self._scheduler.plan_pump()
 
     def _read_document(self) -> TeamDocument | None:
         return self._configuration.document
@@ -194,11 +261,11 @@
     async def _refresh_forever(self) -> None:
         """Tell the dispatcher what the VM list says."""
         while True:
-            dispatcher = self._scheduler.dispatcher
-            dispatcher.set_entries(len(self._list_entries()))
+            names = tuple(entry.name for entry in self._list_entries())
+            self._dispatcher.set_entries(names)
             stores = self._vms.list_role(Role.STORE)
             domains = frozenset(vm.failure_domain.name for vm in stores)
-            dispatcher.set_store_domains(domains)
+            self._dispatcher.set_store_domains(domains)
             await asyncio.sleep(REFRESH_INTERVAL_S)
 
 
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/ledgers.py
@@ -0,0 +1,133 @@
+"""Writes the usage of client accounts to the platform's service, each batch once."""
+
+import asyncio
+import logging
+import random
+import time
+import zlib
+from collections.abc import Callable
+
+from persimmonferry_core.exceptions import (
+    PlatformAnswerLost,
+    PlatformError,
+    SwapConflict,
+)
+from persimmonferry_core.interfaces import Platform
+from persimmonferry_core.ledger import (
+    Ledger,
+    add_batch,
+    decode_ledger,
+    encode_ledger,
+)
+from persimmonferry_core.usage import UsageBatch, UsageLine, UsageMeter
+
+__all__ = ["LedgerWriter"]
+
+SHARDS = 8
+WRITE_INTERVAL_S = 30.0
+MAX_TRIES = 5
+STOP_TIMEOUT_S = 3.0
+S_PER_DAY = 86_400
+
+_log = logging.getLogger(__name__)
+
+
+class LedgerWriter:
+    """
+    Moves charges from the meter to the day's ledger of the team.
+
+    Each writer uses one shard, so that few race for a value. A batch carries an id:
+    one whose write's answer was lost is written again and added once.
+
+    :param writer: name of this process.
+    :param read_clock: seconds since 1970.
+    """
+
+    def __init__(
+        self,
+        meter: UsageMeter,
+        platform: Platform,
+        team: str,
+        writer: str,
+        read_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._meter = meter
+        self._platform = platform
+        self._team = team
+        self._shard = zlib.crc32(writer.encode()) % SHARDS
+        self._read_clock = read_clock
+        self._task: asyncio.Task | None = None
+        self._open_id = ""
+        self._open_key = ""
+
+    def start(self) -> None:
+        """Write at intervals."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Write what is left, if the platform's service answers in time."""
+        if self._task is not None:
+            self._task.cancel()
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                while await self.write():
+                    continue
+        except (TimeoutError, PlatformError) as error:
+            _log.error("usage not written", extra={"why": str(error)})
+
+    async def write(self) -> bool:
+        """
+        Write one batch; returns False when there is none.
+
+        :raises PlatformError: it may not have been written, and stays open.
+        """
+        batch = self._meter.open_batch()
+        if batch is None:
+            return False
+        if batch.batch_id != self._open_id:
+            # Written again, also after midnight, a batch must meet its own id.
+            self._open_id = batch.batch_id
+            self._open_key = self._name_key(self._shard)
+        await self._add(batch, self._open_key)
+        self._meter.confirm(batch.batch_id)
+        return True
+
+    async def read_day(self) -> tuple[UsageLine, ...]:
+        """
+        Return the usage of all accounts today, as far as it was written.
+
+        :raises PlatformError: no answer.
+        """
+        merged = Ledger()
+        for shard in range(SHARDS):
+            value = await self._platform.read(self._name_key(shard))
+            lines = decode_ledger(value.value).lines
+            merged = add_batch(merged, UsageBatch(f"shard-{shard}", lines))
+        return merged.lines
+
+    def _name_key(self, shard: int) -> str:
+        day = int(self._read_clock() // S_PER_DAY)
+        return f"teams/{self._team}/usage/{day}/{shard}"
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(WRITE_INTERVAL_S * random.uniform(0.5, 1.5))
+            try:
+                await self.write()
+            except PlatformError as error:
+                _log.warning("usage not written yet", extra={"why": str(error)})
+
+    async def _add(self, batch: UsageBatch, key: str) -> None:
+        for _ in range(MAX_TRIES):
+            value = await self._platform.read(key)
+            ledger = decode_ledger(value.value)
+            added = add_batch(ledger, batch)
+            if added == ledger:
+                return
+            try:
+                await self._platform.swap(key, encode_ledger(added), value.revision)
+                return
+            except (SwapConflict, PlatformAnswerLost):
+                # Reading again shows whether the batch is there.
+                continue
+        raise PlatformAnswerLost(f"usage {batch.batch_id}")
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/limitshares.py
@@ -0,0 +1,108 @@
+"""Exchanges parts of the accounts' limits with the other entries."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Sequence
+
+from persimmonferry_core.limits import LimitBook, ShareAnswer, ShareAsk, SharePart
+from persimmonferry_wire import PeerClient, PeerLost, PeerRoute
+from persimmonferry_wire.generated.limits.ttypes import (
+    LimitAnswer,
+    LimitAsk,
+    LimitPart,
+)
+
+from persimmonferry_daemon.forwarding import EntryPeer
+from persimmonferry_daemon.paths import LIMIT_PATH
+
+__all__ = ["LimitShares"]
+
+CHECK_INTERVAL_S = 0.25
+ASK_TIMEOUT_S = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+class LimitShares:
+    """
+    Carries the asks and answers of a limit book.
+
+    :param list_entries: returns the entries that are thought to be live.
+    :param read_clock: the clock that the book is used with.
+    """
+
+    def __init__(
+        self,
+        book: LimitBook,
+        peers: PeerClient,
+        list_entries: Callable[[], Sequence[EntryPeer]],
+        read_clock: Callable[[], float],
+    ) -> None:
+        self._book = book
+        self._peers = peers
+        self._list_entries = list_entries
+        self._read_clock = read_clock
+        self._task: asyncio.Task | None = None
+        self._asking: set[asyncio.Task] = set()
+        self.routes = (PeerRoute(LIMIT_PATH, LimitAsk, self._answer),)
+
+    def start(self) -> None:
+        """Ask peers at intervals for what is short here."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Ask no more."""
+        for task in (self._task, *self._asking):
+            if task is not None:
+                task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            for peer, ask in self._book.make_asks(self._read_clock()):
+                task = asyncio.create_task(self._ask(peer, ask))
+                self._asking.add(task)
+                task.add_done_callback(self._asking.discard)
+
+    async def _ask(self, peer: str, ask: ShareAsk) -> None:
+        entry = next((item for item in self._list_entries() if item.name == peer), None)
+        if entry is None:
+            return
+        message = LimitAsk(
+            ask.asker, ask.sequence, ask.asked_s, _write_parts(ask.wanted)
+        )
+        try:
+            reply = await self._peers.ask(
+                entry.address.url + LIMIT_PATH, message, LimitAnswer, ASK_TIMEOUT_S
+            )
+        except PeerLost as error:
+            _log.info(
+                "no part of a limit lent", extra={"peer": peer, "why": str(error)}
+            )
+            return
+        answer = ShareAnswer(
+            reply.lender, reply.sequence, reply.asked_s, _read_parts(reply.lent)
+        )
+        self._book.take_answer(answer, self._read_clock())
+
+    async def _answer(self, message: LimitAsk) -> LimitAnswer:
+        ask = ShareAsk(
+            message.asker,
+            message.sequence,
+            message.asked_s,
+            _read_parts(message.wanted),
+        )
+        answer = self._book.answer(ask, self._read_clock())
+        if answer is None:
+            return LimitAnswer(self._book.entry, -1, ask.asked_s, [])
+        return LimitAnswer(
+            answer.lender, answer.sequence, answer.asked_s, _write_parts(answer.lent)
+        )
+
+
+def _write_parts(parts: Sequence[SharePart]) -> list[LimitPart]:
+    return [LimitPart(part.account, part.part) for part in parts]
+
+
+def _read_parts(parts: Sequence[LimitPart]) -> tuple[SharePart, ...]:
+    return tuple(SharePart(part.account, part.part) for part in parts)
--- a/packages/daemon/src/persimmonferry_daemon/paths.py
+++ b/packages/daemon/src/persimmonferry_daemon/paths.py
@@ -6,6 +6,7 @@
     "CALL_PATH",
     "CANCEL_PATH",
     "INTRODUCTION_PATH",
+    "LIMIT_PATH",
     "REPORT_PATH",
     "RUN_PATH",
 ]
@@ -15,5 +16,6 @@
 CALL_PATH = "/peer/call"
 CANCEL_PATH = "/peer/cancel"
 INTRODUCTION_PATH = "/peer/introduction"
+LIMIT_PATH = "/peer/limits"
 REPORT_PATH = "/peer/report"
 RUN_PATH = "/peer/run"
--- a/packages/daemon/tests/test_administration.py
+++ b/packages/daemon/tests/test_administration.py
@@ -43,7 +43,6 @@
         own = Member("entry-1", "http://entry-1", domain)
         self.keeper = ConfigurationKeeper(self.platform, None, own, "kovanci", tuple)
         self.draining = False
-        row = UsageRow("drivers", "urgent", 2, 30, 10, 8, 0.5)
         administration = Administration(
             self.keeper,
             "entry",
@@ -51,11 +50,14 @@
             self.undrain,
             lambda: self.draining,
             tuple,
-            lambda: (row,),
+            self.list_usage,
             lambda: 5.0,
         )
         return Application(administration_routes(administration))
 
+    async def list_usage(self):
+        return [UsageRow("drivers", "urgent", 2, 30, 10, 8, 0.5)]
+
     async def drain(self):
         self.draining = True
 
