Never send what was given up in the client's queue

Cause: Tornado's client starts max_clients exchanges at a time and sends the rest later, also when their caller has gone; a run that waited there past the idle time-out ended as unknown though no byte went out. A receiver of tokens that raised an error left out tokens of an answer with an end mark. Change: a request that is given up is not sent; a run that was not sent is NotRun; a receiver's error is an internal fault, outcome unknown. Every point at which an answer can stall is tested.

--- a/packages/adapters/src/persimmonferry_adapters/answer.py
+++ b/packages/adapters/src/persimmonferry_adapters/answer.py
@@ -1,6 +1,7 @@
 """Reading of an engine's answer: a stream of JSON lines, cut into chunks at will."""
 
 import json
+import logging
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +13,8 @@
 
 __all__ = ["AnswerReader"]
 
+_log = logging.getLogger(__name__)
+
 
 class AnswerReader:
     """
@@ -48,7 +51,12 @@
             self.failure = failure
         except (ValueError, KeyError, TypeError, AttributeError):
             self.failure = self._mismatch("a malformed line")
-        self._flush()
+        try:
+            self._flush()
+        except Exception:
+            _log.exception("tokens could not be handed over")
+            detail = "the receiver of the tokens failed"
+            self.failure = OutcomeUnknown(ResultCode.INTERNAL_FAULT, detail)
 
     def _read_line(self, line: bytes) -> None:
         fields: dict[str, Any] = json.loads(line)
--- a/packages/adapters/src/persimmonferry_adapters/engine.py
+++ b/packages/adapters/src/persimmonferry_adapters/engine.py
@@ -62,24 +62,25 @@
     :param idle_timeout_s: longest time between two chunks.
     """
 
-    def __init__(self, reader: AnswerReader, idle_timeout_s: float) -> None:
+    def __init__(
+        self, url: str, order: RunOrder, reader: AnswerReader, idle_timeout_s: float
+    ) -> None:
         self._reader = reader
         self._idle_timeout_s = idle_timeout_s
         self._loop = asyncio.get_running_loop()
         self._last_chunk_s = self._loop.time()
         self._ended: asyncio.Future[HTTPResponse | Loss] = self._loop.create_future()
+        self._request = self._make_request(url, order)
 
-    async def run(
-        self, client: AsyncHTTPClient, url: str, order: RunOrder
-    ) -> HTTPResponse | Loss:
+    async def run(self, client: AsyncHTTPClient) -> HTTPResponse | Loss:
         """Send the order; return at the end of the answer, a fault, or silence."""
-        request = self._make_request(url, order)
-        fetching = asyncio.ensure_future(fetch(client, request))
+        fetching = asyncio.ensure_future(fetch(client, self._request))
         fetching.add_done_callback(self._end_with)
         watch = self._loop.call_later(self._idle_timeout_s, self._check_silence)
         try:
             return await self._ended
         finally:
+            self._request.abandon()
             self._ended.cancel()
             watch.cancel()
 
@@ -116,7 +117,7 @@
     def _check_silence(self) -> None:
         left_s = self._last_chunk_s + self._idle_timeout_s - self._loop.time()
         if left_s <= 0:
-            self._end(Loss.TIMED_OUT)
+            self._end(Loss.TIMED_OUT if self._request.sent else Loss.NOT_SENT)
         elif not self._ended.done():
             self._loop.call_later(left_s, self._check_silence)
 
@@ -166,8 +167,9 @@
         :raises OutcomeUnknown: lost, silent, cut short, or another run's answer.
         """
         reader = AnswerReader(order, deliver)
-        transfer = _Transfer(reader, self._idle_timeout_s)
-        result = await transfer.run(self._client, f"{self._url}/v1/runs", order)
+        url = f"{self._url}/v1/runs"
+        transfer = _Transfer(url, order, reader, self._idle_timeout_s)
+        result = await transfer.run(self._client)
         if reader.failure is not None:
             raise reader.failure
         match result:
--- a/packages/adapters/src/persimmonferry_adapters/exchange.py
+++ b/packages/adapters/src/persimmonferry_adapters/exchange.py
@@ -82,6 +82,7 @@
         # An empty value keeps libcurl from adding a content type of its own.
         all_headers = {"Content-Type": content_type, **(headers or {})}
         self._reuse = reuse
+        self._abandoned = False
         self.sent = False
         self.head_ended = False
         self.http = HTTPRequest(
@@ -108,6 +109,10 @@
             curl.setopt(pycurl.FRESH_CONNECT, 1)
             curl.setopt(pycurl.FORBID_REUSE, 1)
 
+    def abandon(self) -> None:
+        """Forbid sending from now on, also if the client still has it in its queue."""
+        self._abandoned = True
+
     def _read_header(self, line: str) -> None:
         """Note the end of the headers; each interim answer starts them anew."""
         if line.startswith("HTTP/"):
@@ -117,14 +122,19 @@
 
     def _allow_sending(self, *_addresses: Any) -> int:
         """Note that the first byte is about to go out on an open connection."""
-        if self.sent and self._reuse is not Reuse.ALLOWED:
+        if self._abandoned or (self.sent and self._reuse is not Reuse.ALLOWED):
             return pycurl.PREREQFUNC_ABORT
         self.sent = True
         return pycurl.PREREQFUNC_OK
 
 
 async def fetch(client: AsyncHTTPClient, request: Request) -> HTTPResponse | Loss:
-    """Make one exchange and return the answer as it came, or how it was lost."""
+    """
+    Make one exchange and return the answer as it came, or how it was lost.
+
+    A coroutine that is cancelled while the client has the request in its queue keeps
+    it from being sent later.
+    """
     try:
         return await client.fetch(request.http, raise_error=False)
     except CurlError as error:
@@ -134,6 +144,8 @@
     except (ValueError, KeyError, pycurl.error):
         # Tornado could not set the request up.
         return Loss.LOST if request.sent else Loss.NOT_SENT
+    finally:
+        request.abandon()
 
 
 def is_framed(response: HTTPResponse) -> bool:
--- a/packages/adapters/tests/test_answer.py
+++ b/packages/adapters/tests/test_answer.py
@@ -87,6 +87,16 @@
     assert reader.end is None
 
 
+def test_an_answer_whose_receiver_failed_is_not_whole():
+    def fail(batch):
+        raise RuntimeError
+
+    reader = AnswerReader(ORDER, fail)
+    reader.feed(b"".join(LINES))
+    assert reader.failure.code is ResultCode.INTERNAL_FAULT
+    assert reader.end is None
+
+
 @settings(derandomize=True, max_examples=1000)
 @given(data=st.data())
 def test_only_the_whole_answer_in_order_has_an_end(data):
--- a/packages/adapters/tests/test_engine.py
+++ b/packages/adapters/tests/test_engine.py
@@ -460,3 +460,48 @@
         await server.stop()
 
     asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_a_run_that_waits_in_the_client_too_long_is_not_run_and_never_sent():
+    async def scenario():
+        server = RawServer(lambda _: RawAnswer(b"", close=len(server.requests) > 1))
+        await server.start()
+        async with open_session(max_clients=1) as client:
+            patient = HttpEngine(client, server.url, IDLE_TIMEOUT_S)
+            first = asyncio.ensure_future(patient.run(ORDER, lambda batch: None))
+            while not server.requests:
+                await asyncio.sleep(0.01)
+            adapter = HttpEngine(client, server.url, SHORT_TIMEOUT_S)
+            with pytest.raises(NotRun):
+                await adapter.run(ORDER, lambda batch: None)
+            first.cancel()
+            # The next one goes out only after the client is through with both.
+            with pytest.raises(OutcomeUnknown):
+                await patient.run(ORDER, lambda batch: None)
+        await server.stop()
+        assert len(server.requests) == 2
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_an_answer_that_stalls_anywhere_is_given_up_as_unknown():
+    whole = make_answer(chunked=True)
+    order = replace(ORDER, max_tokens=3)
+
+    async def expect_timeout(adapter):
+        with pytest.raises(OutcomeUnknown) as caught:
+            await adapter.run(order, lambda batch: None)
+        assert caught.value.code is ResultCode.UPSTREAM_TIMEOUT
+
+    async def scenario():
+        server = RawServer(
+            lambda _: RawAnswer(whole[: len(server.requests) - 1], close=False)
+        )
+        await server.start()
+        async with open_session(max_clients=len(whole)) as client:
+            adapter = HttpEngine(client, server.url, 2.0)
+            await asyncio.gather(*(expect_timeout(adapter) for _ in whole))
+        await server.stop()
+        assert len(server.requests) == len(whole)
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
--- a/packages/adapters/tests/test_plain.py
+++ b/packages/adapters/tests/test_plain.py
@@ -223,3 +223,21 @@
         assert b"content-type" not in server.requests[0].lower()
 
     asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_a_call_that_is_given_up_in_the_queue_of_the_client_is_never_sent():
+    whole = b"HTTP/1.1 200 OK\r\nX-Run-Id: run\r\nContent-Length: 0\r\n\r\n"
+
+    async def scenario():
+        server = RawServer(lambda _: RawAnswer(whole))
+        await server.start()
+        async with open_session(max_clients=1) as client:
+            adapter = HttpPlainService(client, server.url)
+            calls = [asyncio.ensure_future(adapter.call(ORDER)) for _ in range(3)]
+            await asyncio.sleep(0)
+            calls[1].cancel()
+            await calls[2]
+        await server.stop()
+        assert len(server.requests) == 2
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
--- a/packages/standins/src/persimmonferry_standins/raw.py
+++ b/packages/standins/src/persimmonferry_standins/raw.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from persimmonferry_standins.server import LOOPBACK
+from persimmonferry_standins.server import BACKLOG, LOOPBACK
 
 __all__ = ["RawAnswer", "RawServer"]
 
@@ -52,7 +52,9 @@
 
     async def start(self) -> None:
         """Listen on a port that the system chooses."""
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        self._server = await asyncio.start_server(
+            self._serve, LOOPBACK, 0, backlog=BACKLOG
+        )
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
--- a/packages/standins/src/persimmonferry_standins/server.py
+++ b/packages/standins/src/persimmonferry_standins/server.py
@@ -22,7 +22,7 @@
     decode_fault,
 )
 
-__all__ = ["LOOPBACK", "Handler", "Route", "StandIn"]
+__all__ = ["BACKLOG", "LOOPBACK", "Handler", "Route", "StandIn"]
 
 LOOPBACK = "127.0.0.1"
 BACKLOG = 1024
--- a/packages/standins/src/persimmonferry_standins/session.py
+++ b/packages/standins/src/persimmonferry_standins/session.py
@@ -14,10 +14,16 @@
 
 
 @asynccontextmanager
-async def open_session(*standins: StandIn) -> AsyncIterator[AsyncHTTPClient]:
-    """Start stand-ins, give out a client, and stop them at the end."""
+async def open_session(
+    *standins: StandIn, max_clients: int = MAX_CLIENTS
+) -> AsyncIterator[AsyncHTTPClient]:
+    """
+    Start stand-ins, give out a client, and stop them at the end.
+
+    :param max_clients: exchanges that the client makes at a time; the others wait.
+    """
     async with AsyncExitStack() as stack:
-        client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
+        client = CurlAsyncHTTPClient(force_instance=True, max_clients=max_clients)
         stack.callback(client.close)
         for standin in standins:
             await standin.start()
