--- a/packages/daemon/tests/test_blocks.py
+++ b/packages/daemon/tests/test_blocks.py
@@ -1,5 +1,5 @@
 import asyncio
-from dataclasses import dataclass
+import random
 
 import pytest
 from hypothesis import settings, strategies as st
@@ -8,9 +8,20 @@
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.contracts import RoutingWeights
 from persimmonferry_core.exceptions import OutcomeUnknown, StoreError
-from persimmonferry_core.interfaces import Lease, StoredBlock, StoreUsage
-from persimmonferry_core.runs import EngineLoad, RunEnd, RunOrder
+from persimmonferry_core.runs import (
+    CacheEvent,
+    CacheEventKind,
+    EngineLoad,
+    RunEnd,
+    RunOrder,
+)
 from persimmonferry_daemon.blocks import BlockKeeper, BlockSettings
+from persimmonferry_daemon.blockstores import (
+    DEAD_PAUSE_S,
+    SLOW_FAULT_S,
+    BlockStores,
+)
+from persimmonferry_standins.memory import MemoryPlatform, MemoryStore
 from persimmonferry_standins.virtualtime import VirtualLoop
 
 BLOCK_S = 0.2
@@ -18,100 +29,6 @@
 VERSIONS = ["v1", "v2"]
 
 
-@dataclass
-class Cell:
-    generation: int
-    data: bytes
-    committed: bool = False
-
-
-class FakeStore:
-    """Space that can be freed and written anew while it is read or written."""
-
-    def __init__(self, loop, delay_s=0.01, capacity=10**6):
-        self.loop = loop
-        self.delay_s = delay_s
-        self.capacity = capacity
-        self.alive = True
-        self.cells = {}
-        self.generations = 0
-        self.freed_s = {}
-        self.reads = {}
-
-    def check(self):
-        if not self.alive:
-            raise StoreError(ResultCode.STORE_UNAVAILABLE)
-
-    def free(self, name):
-        cell = self.cells.pop(name, None)
-        if cell:
-            self.freed_s[cell.generation] = self.loop.time()
-
-    def die(self):
-        self.alive = False
-        for name in list(self.cells):
-            self.free(name)
-
-    def open_cell(self, name, data):
-        self.free(name)
-        self.generations += 1
-        self.cells[name] = Cell(self.generations, data)
-        return self.cells[name]
-
-    async def write(self, name, data):
-        self.check()
-        used = sum(len(cell.data) for cell in self.cells.values())
-        if used + len(data) > self.capacity:
-            raise StoreError(ResultCode.STORE_FULL)
-        cell = self.open_cell(name, data[: len(data) // 2])
-        await asyncio.sleep(self.delay_s)
-        self.check()
-        cell.data = data
-        return cell.generation
-
-    async def commit(self, name, generation):
-        self.check()
-        if await self.read_any_generation(name) != generation:
-            raise StoreError(ResultCode.BLOCK_INVALID)
-        self.cells[name].committed = True
-
-    async def read(self, name):
-        self.check()
-        cell = self.cells.get(name)
-        if cell is None:
-            raise StoreError(ResultCode.BLOCK_INVALID)
-        head, committed = cell.data[:40], cell.committed
-        await asyncio.sleep(self.delay_s)
-        self.check()
-        tail = self.cells.get(name, cell).data[40:]
-        ended_s = self.loop.time()
-        freed_s = self.freed_s.get(cell.generation, ended_s + 1)
-        self.reads[name] = committed and freed_s > ended_s
-        return StoredBlock(name, cell.generation, committed, head + tail)
-
-    async def read_any_generation(self, name):
-        return self.cells[name].generation if name in self.cells else 0
-
-    async def read_generation(self, name):
-        self.check()
-        cell = self.cells.get(name)
-        return cell.generation if cell and cell.committed else 0
-
-    async def remove(self, name, generation):
-        self.check()
-        if await self.read_any_generation(name) == generation:
-            self.free(name)
-
-    async def list_names(self):
-        self.check()
-        return tuple(self.cells)
-
-    async def read_usage(self):
-        self.check()
-        used = sum(len(cell.data) for cell in self.cells.values())
-        return StoreUsage(used, self.capacity)
-
-
 class FakeEngine:
     """Computes blocks with the version it has, whatever version the names are of."""
 
@@ -121,22 +38,44 @@
         self.cache = {}
         self.imported = []
         self.ends = True
+        self.deaf = False
+        self.events = []
+
+    def check(self):
+        if self.deaf:
+            raise OSError
+
+    def hold(self, name, data):
+        self.cache[name] = data
+        self.publish(CacheEventKind.STORED, name)
+
+    def clear(self):
+        for name in self.cache:
+            self.publish(CacheEventKind.REMOVED, name)
+        self.cache.clear()
+
+    def publish(self, kind, name):
+        self.events.append(CacheEvent(len(self.events) + 1, kind, name))
 
     async def read_load(self):
+        self.check()
         return EngineLoad("m", self.version, 0, 0, 0, 8, 1000 / BLOCK_S, 50.0)
 
     async def read_cache_events(self, after):
-        return ()
+        self.check()
+        return [event for event in self.events[after:] if event.sequence % 9]
 
     async def export_block(self, name):
+        self.check()
         if name not in self.cache:
             raise StoreError(ResultCode.BLOCK_INVALID)
         return self.cache[name]
 
     async def import_block(self, name, data):
         self.world.check_import(name, data, self)
+        self.check()
         self.imported.append(name)
-        self.cache[name] = data
+        self.hold(name, data)
 
     async def run(self, order):
         version = self.version
@@ -148,7 +87,7 @@
             await asyncio.sleep(BLOCK_S)
             self.world.computed += 1
             data = f"{self.world.owners[name]} {version} {self.world.computed}"
-            self.cache[name] = data.encode()
+            self.hold(name, data.encode())
         if not self.ends:
             raise OutcomeUnknown(ResultCode.UPSTREAM_LOST)
         total = len(order.block_names) * order.block_tokens
@@ -160,20 +99,13 @@
         self.version = version
 
 
-class FakePlatform:
-    async def acquire_lease(self, name, holder, duration_s, now):
-        return Lease(name, holder, 1, now + duration_s)
-
-    async def release_lease(self, lease):
-        pass
-
-
 class World:
     """Two engines with their keepers, and two stores; the oracle of imports."""
 
     def __init__(self):
+        random.seed(0)
         self.loop = VirtualLoop()
-        self.stores = {name: FakeStore(self.loop) for name in ("s1", "s2")}
+        self.stores = {name: MemoryStore(self.loop.time) for name in ("s1", "s2")}
         self.owners = {}
         self.computed = 0
         self.runs = 0
@@ -184,7 +116,7 @@
         return BlockKeeper(
             engine,
             lambda: self.stores,
-            FakePlatform(),
+            MemoryPlatform(self.loop.time),
             "holder",
             "team/domain",
             RoutingWeights,
@@ -196,7 +128,7 @@
         account, version, index = self.owners[name]
         assert data.decode().startswith(f"{(account, version, index)} {version} ")
         assert engine.version == version
-        reads = [store.reads.pop(name, False) for store in self.stores.values()]
+        reads = [store.good_reads.pop(name, False) for store in self.stores.values()]
         assert any(reads), "uncommitted or freed"
 
     def make_order(self, account="a", word="rose", blocks=4, version="v1"):
@@ -219,6 +151,12 @@
         await keeper.retain(order, end)
         return end
 
+    def mend(self):
+        for store in self.stores.values():
+            store.alive, store.delay_s = True, 0.01
+        for engine in self.engines:
+            engine.ends, engine.deaf = True, False
+
     def start(self):
         self.loop.run(self._start())
 
@@ -232,6 +170,11 @@
         self.loop.stop_all()
 
 
+DELAYS_S = [0.0, 0.006, 0.012, 0.017, 0.1, 0.5, 2.5]
+MOVES = ["free", "reuse", "tear", "kill", "start", "fill", "slow", "fast"]
+ENGINE_MOVES = ["swap", "lose_ends", "give_ends", "deafen", "hear", "clear"]
+
+
 class Blocks(RuleBasedStateMachine):
     """Stores and engines fail, free, tear and swap at any moment of a transfer."""
 
@@ -241,75 +184,77 @@
         self.world.start()
         self.tasks = []
 
-    stores = st.sampled_from(["s1", "s2"])
-    engines = st.integers(0, 1)
-
     def spawn(self, work):
         self.tasks.append(self.world.loop.create_task(work))
-        self.world.loop.run_for(0.0)
 
     @rule(
-        index=engines,
+        index=st.integers(0, 1),
         account=st.sampled_from("ab"),
-        word=st.sampled_from(["rose", "vise"]),
-        blocks=st.integers(0, 6),
-        version=st.sampled_from(VERSIONS),
+        blocks=st.integers(1, 4),
+        version=st.sampled_from(["", "", "", *VERSIONS]),
+        moves=st.lists(
+            st.tuples(
+                st.sampled_from(DELAYS_S),
+                st.sampled_from(MOVES + ENGINE_MOVES),
+                st.integers(0, 9),
+            ),
+            max_size=4,
+        ),
+        rest_s=st.sampled_from([0.0, 1.0, 5.0, 70.0]),
     )
-    def run(self, index, account, word, blocks, version):
-        order = self.world.make_order(account, word, blocks, version)
+    def serve(self, index, account, blocks, version, moves, rest_s):
+        version = version or self.world.engines[index].version or "v1"
+        order = self.world.make_order(account, "rose", blocks, version)
         self.spawn(self.world.serve(index, order))
-
-    @rule(index=engines, version=st.sampled_from(VERSIONS))
-    def swap(self, index, version):
-        if self.world.engines[index].version:
-            self.spawn(self.world.engines[index].swap(version))
-
-    @rule(index=engines)
-    def lose_or_mend_ends(self, index):
-        self.world.engines[index].ends ^= True
-
-    @rule(index=engines)
-    def clear_engine(self, index):
-        self.world.engines[index].cache.clear()
-
-    @rule(duration_s=st.sampled_from([0.005, 0.05, 0.5, 5.0, 70.0]))
-    def wait(self, duration_s):
-        self.world.loop.run_for(duration_s)
-
-    @rule(name=stores)
-    def kill_or_start_store(self, name):
-        store = self.world.stores[name]
-        store.die() if store.alive else setattr(store, "alive", True)
-
-    @rule(name=stores, capacity=st.sampled_from([100, 700, 10**6]))
-    def fill_store(self, name, capacity):
-        self.world.stores[name].capacity = capacity
-
-    @rule(name=stores, delay_s=st.sampled_from([0.01, 0.1, 20.0]))
-    def change_link(self, name, delay_s):
-        self.world.stores[name].delay_s = delay_s
-
-    @rule(name=stores, pick=st.integers(0, 99), reuse=st.booleans())
-    def free(self, name, pick, reuse):
-        cells = self.world.stores[name].cells
-        if not cells:
-            return
-        block = sorted(cells)[pick % len(cells)]
-        data = cells[block].data
-        self.world.stores[name].free(block)
-        if reuse:
-            self.world.stores[name].open_cell(block, data[::-1])
-
-    @rule(name=stores, pick=st.integers(0, 99))
-    def tear(self, name, pick):
-        cells = self.world.stores[name].cells
-        if cells:
-            cell = cells[sorted(cells)[pick % len(cells)]]
-            cell.data = cell.data[:-1] + b"?"
+        for delay_s, move, pick in moves:
+            self.world.loop.run_for(delay_s)
+            if move in MOVES:
+                self.move_store(move, pick)
+            else:
+                self.move_engine(move, self.world.engines[pick % 2])
+        self.world.loop.run_for(rest_s)
+
+    @rule(index=st.integers(0, 1))
+    def clear(self, index):
+        self.world.engines[index].clear()
+        self.world.loop.run_for(3.0)
+
+    def move_store(self, move, pick):
+        store = list(self.world.stores.values())[pick % 2]
+        name = sorted(store.cells)[pick % len(store.cells)] if store.cells else None
+        match move:
+            case "free":
+                store.free(name)
+            case "reuse" if name:
+                store.open_cell(name, store.cells[name].data[::-1])
+            case "tear" if name:
+                cell = store.cells[name]
+                cell.data = cell.data[:-1] + b"?"
+            case "kill":
+                store.die()
+            case "start":
+                store.alive = True
+            case "fill":
+                store.capacity_bytes = 150 * pick
+            case "slow":
+                store.delay_s = 20.0
+            case "fast":
+                store.delay_s = 0.01
+
+    def move_engine(self, move, engine):
+        match move:
+            case "swap" if engine.version:
+                other = VERSIONS[engine.version == "v1"]
+                self.spawn(engine.swap(other))
+            case "lose_ends" | "give_ends":
+                engine.ends = move == "give_ends"
+            case "deafen" | "hear":
+                engine.deaf = move == "deafen"
+            case "clear":
+                engine.clear()
 
     def teardown(self):
-        for store in self.world.stores.values():
-            store.alive, store.delay_s = True, 0.01
+        self.world.mend()
         self.world.loop.run_for(120.0)
         for task in self.tasks:
             task.result()
@@ -317,7 +262,7 @@
 
 
 Blocks.TestCase.settings = settings(
-    derandomize=True, max_examples=120, stateful_step_count=30, deadline=None
+    derandomize=True, max_examples=150, stateful_step_count=15, deadline=None
 )
 TestBlocks = Blocks.TestCase
 
@@ -372,6 +317,21 @@
     assert await world.keepers[1].prepare(order, world.loop.time()) == 0
 
 
+@pytest.mark.parametrize("reused", [False, True])
+def test_a_block_freed_while_it_is_read_is_not_imported(world, reused):
+    serve_first(world)
+    order = world.make_order()
+    preparing = world.loop.create_task(world.keepers[1].prepare(order, 0.0))
+    world.loop.run_for(0.005)
+    for store in world.stores.values():
+        cell = store.cells.get(order.block_names[1])
+        store.free(order.block_names[1])
+        if cell and reused:
+            store.open_cell(order.block_names[1], cell.data)
+    world.loop.run(preparing)
+    assert world.engines[1].imported == [order.block_names[0]]
+
+
 def test_a_resumed_run_that_crosses_a_swap_exports_nothing(world):
     order = world.make_order()
 
@@ -396,8 +356,22 @@
     assert not any(store.cells for store in world.stores.values())
 
 
+@pytest.mark.parametrize("lost", [False, True])
+def test_a_run_under_another_version_without_end_taints_its_names(world, lost):
+    engine = world.engines[0]
+    engine.version, engine.ends = "v2", not lost
+    order = world.make_order(version="v1", blocks=8)
+    serving = world.loop.create_task(world.serve(0, order))
+    world.loop.run_for((10 if lost else 3) * BLOCK_S)
+    engine.version, engine.ends = "v1", True
+    world.loop.run(world.serve(0, world.make_order(blocks=2)))
+    world.loop.run_for(BLOCK_S)
+    assert serving.done() is lost
+    assert not any(store.cells for store in world.stores.values())
+
+
 def test_a_full_store_leaves_its_blocks_to_the_second_choice(world):
-    world.stores["s1"].capacity = 10
+    world.stores["s1"].capacity_bytes = 10
     serve_first(world)
     assert len(world.stores["s2"].cells) == 4
     world.loop.run(world.serve(1, world.make_order()))
@@ -413,6 +387,19 @@
     assert world.loop.time() - start_s == pytest.approx(4 * BLOCK_S)
 
 
+def test_a_store_that_takes_long_to_fail_is_left_alone_for_a_while():
+    loop = VirtualLoop()
+    store = MemoryStore(loop.time, delay_s=SLOW_FAULT_S)
+    store.open_cell("name", b"torn").committed = True
+    stores = BlockStores(lambda: {"s1": store}, loop.time)
+    for now_s in (0.0, DEAD_PAUSE_S / 2, DEAD_PAUSE_S + SLOW_FAULT_S):
+        loop.run_for(now_s - loop.time() if now_s > loop.time() else 0.0)
+        with pytest.raises(StoreError):
+            loop.run(stores.fetch("name"))
+    assert store.calls == 4
+    loop.stop_all()
+
+
 def test_an_import_over_a_slow_link_ends_when_computing_would_have(world):
     serve_first(world)
     for store in world.stores.values():
@@ -420,10 +407,11 @@
     start_s = world.loop.time()
     world.loop.run(world.serve(1, world.make_order()))
     assert world.loop.time() - start_s == pytest.approx(2 * 4 * BLOCK_S)
-    again_s = world.loop.time()
-    world.engines[1].cache.clear()
-    world.loop.run(world.serve(1, world.make_order(account="b")))
-    assert world.loop.time() - again_s < 1.5 * 4 * BLOCK_S
+    world.engines[1].clear()
+    world.loop.run_for(3.0)
+    start_s = world.loop.time()
+    world.loop.run(world.serve(1, world.make_order()))
+    assert world.loop.time() - start_s == pytest.approx(4 * BLOCK_S)
 
 
 def test_two_evictors_free_a_full_store_and_spare_a_write_under_way(world):
@@ -432,10 +420,10 @@
     last = sorted(store.cells)[-1]
     count = len(store.cells)
     written = store.open_cell(last, store.cells[last].data)
-    store.capacity = world.loop.run(store.read_usage()).used_bytes
+    store.capacity_bytes = store.used_bytes
     world.loop.run_for(100.0)
     assert 0 < len(store.cells) < count
     assert store.cells[last] is written
-    store.capacity = len(written.data)
+    store.capacity_bytes = len(written.data)
     world.loop.run_for(400.0)
     assert last not in store.cells
--- a/packages/daemon/tests/test_weights.py
+++ b/packages/daemon/tests/test_weights.py
@@ -1,4 +1,5 @@
 import asyncio
+import random
 from dataclasses import dataclass, field
 
 import pytest
@@ -12,47 +13,17 @@
     PlatformAnswerLost,
     PlatformUnavailable,
 )
-from persimmonferry_core.interfaces import Lease
-from persimmonferry_core.rollout import LEASE_S
+from persimmonferry_core.rollout import LEASE_S, LOAD_TIMEOUT_S, name_engine_lease
 from persimmonferry_core.runs import EngineLoad, LoadAdapter, LoadVersion
+from persimmonferry_daemon.trackedengine import REPORT_LAG_S, TrackedEngine
 from persimmonferry_daemon.weights import DRAIN_TIMEOUT_S, WeightKeeper
+from persimmonferry_standins.memory import MemoryPlatform
 from persimmonferry_standins.virtualtime import VirtualLoop
 
 LOAD_S = 2.0
 AGENTS = 4
 
 
-class FakePlatform:
-    """Leases in virtual time; calls can fail before or after they take effect."""
-
-    def __init__(self, loop):
-        self.loop = loop
-        self.granted = {}
-        self.fencing = {}
-        self.fault = None
-
-    async def acquire_lease(self, name, holder, duration_s, now):
-        await asyncio.sleep(0.01)
-        if self.fault is PlatformUnavailable:
-            raise PlatformUnavailable()
-        held_by, until_s = self.granted.get(name, ("", 0.0))
-        present_s = self.loop.time()
-        if held_by != holder and until_s > present_s:
-            return None
-        if held_by != holder or until_s <= present_s:
-            self.fencing[name] = self.fencing.get(name, 0) + 1
-        self.granted[name] = (holder, present_s + duration_s)
-        if self.fault is PlatformAnswerLost:
-            raise PlatformAnswerLost()
-        return Lease(name, holder, self.fencing[name], now + duration_s)
-
-    async def release_lease(self, lease):
-        if self.fault is not None:
-            raise self.fault()
-        if self.granted.get(lease.name, ("",))[0] == lease.holder:
-            del self.granted[lease.name]
-
-
 @dataclass
 class FakeEngine:
     loop: VirtualLoop
@@ -62,12 +33,20 @@
     adapter: str = ""
     loading: int = 0
     highest: int = 0
+    load_s: float = LOAD_S
     orders: list = field(default_factory=list)
+    reports: list = field(default_factory=list)
 
     async def read_load(self):
-        version = "" if self.loading else self.version
-        loading = bool(self.loading)
-        return EngineLoad(self.model, version, 0, 0, 0, 8, 1e4, 50.0, loading)
+        seen_s = self.loop.time() - REPORT_LAG_S + 1.0
+        reports = [report for time_s, report in self.reports if time_s <= seen_s]
+        return reports[-1] if reports else EngineLoad("m", "v1", 0, 0, 0, 8, 1e4, 50.0)
+
+    def report(self):
+        load = EngineLoad(
+            self.model, self.version, 0, 0, 0, 8, 1e4, 50.0, bool(self.loading)
+        )
+        self.reports.append((self.loop.time(), load))
 
     async def give_order(self, numbered):
         if self.fenced and numbered.fencing < self.highest:
@@ -75,17 +54,19 @@
         self.highest = max(self.highest, numbered.fencing)
         self.orders.append(numbered.order)
         self.loading += 1
+        self.report()
         # The load goes on in the engine when the order's call is given up.
         await asyncio.shield(asyncio.ensure_future(self._load(numbered.order)))
 
     async def _load(self, order):
-        await asyncio.sleep(LOAD_S)
+        await asyncio.sleep(self.load_s)
         self.loading -= 1
         match order:
             case LoadVersion(model, version):
                 self.model, self.version, self.adapter = model, version, ""
             case LoadAdapter(_, adapter):
                 self.adapter = adapter
+        self.report()
 
 
 class FakeGate:
@@ -126,11 +107,13 @@
 
 class Fleet:
     def __init__(self, loading_slots, fenced=False):
+        random.seed(0)
         self.loop = VirtualLoop()
-        self.platform = FakePlatform(self.loop)
+        self.platform = MemoryPlatform(self.loop.time)
         self.loading_slots = loading_slots
         self.want("v1")
         self.engines = [FakeEngine(self.loop, fenced) for _ in range(AGENTS)]
+        self.tracked = [TrackedEngine(e, self.loop.time) for e in self.engines]
         self.gates = [FakeGate() for _ in range(AGENTS)]
         self.ways = [Pauses(self.platform) for _ in range(AGENTS)]
         self.keepers = [self.make_keeper(index, "a") for index in range(AGENTS)]
@@ -142,7 +125,7 @@
 
     def make_keeper(self, index, incarnation):
         return WeightKeeper(
-            self.engines[index],
+            self.tracked[index],
             self.ways[index],
             self.gates[index],
             f"vm{index}/{incarnation}",
@@ -238,6 +221,47 @@
     fleet.loop.stop_all()
 
 
+def test_a_slot_stays_taken_while_a_load_outlasts_its_timeout():
+    fleet = Fleet(loading_slots=1)
+    fleet.want("v2")
+    fleet.engines[0].load_s = LOAD_TIMEOUT_S + 2 * LEASE_S
+    task = fleet.loop.create_task(fleet.keepers[0].compare())
+    fleet.loop.run_for(LOAD_TIMEOUT_S + LEASE_S + 1.0)
+    assert fleet.loop.run(fleet.keepers[1].compare()) is False
+    assert fleet.engines[1].orders == []
+    fleet.loop.run_for(LEASE_S)
+    assert fleet.loop.run(task) is True
+    fleet.loop.stop_all()
+
+
+def test_a_load_is_ordered_once_while_reports_still_show_the_old_version():
+    fleet = Fleet(loading_slots=1)
+    fleet.want("v2")
+    task = fleet.loop.create_task(fleet.keepers[0].compare())
+    fleet.loop.run_for(LOAD_S / 2)
+    assert not fleet.loop.run(fleet.engines[0].read_load()).loading
+    assert fleet.loop.run(fleet.tracked[0].read_load()).loading
+    assert fleet.loop.run(task) is True
+    for _ in range(20):
+        fleet.loop.run(fleet.keepers[0].compare())
+        fleet.loop.run_for(0.5)
+    assert fleet.engines[0].orders == [LoadVersion("m", "v2")]
+    fleet.loop.stop_all()
+
+
+def test_a_new_process_waits_until_the_lease_of_the_one_before_has_lapsed():
+    fleet = Fleet(loading_slots=1)
+    fleet.want("v2")
+    lease_name = name_engine_lease("team", "vm0")
+    taken = fleet.platform.acquire_lease(lease_name, "vm0/old", LEASE_S, 0.0)
+    fleet.loop.run(taken)
+    assert fleet.loop.run(fleet.keepers[0].compare()) is False
+    assert fleet.engines[0].orders == []
+    fleet.loop.run_for(LEASE_S)
+    assert fleet.loop.run(fleet.keepers[0].compare()) is True
+    fleet.loop.stop_all()
+
+
 def test_a_fenced_engine_refuses_the_process_that_was_replaced():
     fleet = Fleet(loading_slots=2, fenced=True)
     fleet.want("v2")
