Measure how fast a change is in force in 50 processes

Cause: the promise of 3 s was not measured with real processes. Change: python -m bench.configuration starts 50 processes and the platform's stand-in, changes the document with the platform up, frozen in mid-change, and with a failure domain frozen; the baseline is 50 processes that each watch the platform. A first try froze the platform before any process of the fleet knew the change, which nobody could then learn; the change now comes in at a process of the fleet, as in service.

--- /dev/null
+++ b/bench/configuration.py
@@ -0,0 +1,428 @@
+"""
+Time for a change of a team's document to be in force in 50 real processes.
+
+The baseline is the same number of processes that each watch the platform themselves.
+"""
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import sys
+import time
+import uuid
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from persimmonferry_adapters import HttpPlatform, HttpVMList
+from persimmonferry_core.exceptions import PlatformError
+from persimmonferry_core.watchers import Member
+from persimmonferry_core.world import VM, Address, FailureDomain, Role
+from persimmonferry_daemon.configuration import ConfigurationKeeper
+from persimmonferry_daemon.documents import Proposal
+from persimmonferry_daemon.servers import Listener, list_peer_rules
+from persimmonferry_daemon.vms import VMWatch
+from persimmonferry_standins.control import Control
+from persimmonferry_wire import PeerClient
+from tornado.httpclient import AsyncHTTPClient
+from tornado.iostream import IOStream
+
+from bench.tables import print_table, take_percentile
+
+EXAMPLE = Path(__file__).resolve().parent.parent / "examples" / "kovanci.ini"
+TEAM = "kovanci"
+DOMAINS = 5
+NODES = 50
+CHANGES = 30
+CHANGES_IN_OUTAGE = 6
+PAUSE_S = 0.4
+OUTAGE_S = 4.0
+IDLE_S = 10.0
+DEADLINE_S = 30.0
+PROMISE_S = 3.0
+RETURN_S = 1.0
+MS_PER_S = 1000.0
+KB = 1024
+
+
+class CountedStreams:
+    """Counts the bytes of all connections that this process's servers accept."""
+
+    def __init__(self):
+        self.bytes = 0
+        read, write = IOStream.read_from_fd, IOStream.write_to_fd
+
+        def count_read(stream, buffer):
+            size = read(stream, buffer)
+            self.bytes += size or 0
+            return size
+
+        def count_write(stream, data):
+            size = write(stream, data)
+            self.bytes += size
+            return size
+
+        IOStream.read_from_fd = count_read
+        IOStream.write_to_fd = count_write
+
+
+@dataclass
+class Sample:
+    """What one process reports of itself; totals since its start."""
+
+    calls: dict
+    messages: int
+    bytes: int
+    processor_s: float
+    memory_mb: float
+
+
+class Node:
+    """One process: its keeper and its server."""
+
+    def __init__(self, name, domain, platform_url, vms_url):
+        client = AsyncHTTPClient()
+        self.streams = CountedStreams()
+        self.listener = Listener(Address("127.0.0.1", 0), lambda: True)
+        self.vms = VMWatch(HttpVMList(client, vms_url))
+        own = Member(name, self.listener.address.url, FailureDomain("bench", domain))
+        self.platform = HttpPlatform(client, platform_url)
+        self.keeper = ConfigurationKeeper(
+            self.platform, PeerClient(client), own, TEAM, self.vms.list_vms
+        )
+
+    async def start(self):
+        await self.vms.start()
+        self.listener.start(list_peer_rules(self.keeper.routes))
+        self.keeper.start()
+
+    async def watch_alone(self):
+        """Follow the document as the baseline does."""
+        key, revision = self.keeper.record.key, 0
+        while True:
+            try:
+                value = await self.platform.watch(key, revision, 30.0)
+            except PlatformError:
+                await asyncio.sleep(1.0)
+                continue
+            if value is not None:
+                revision = value.revision
+                print(f"revision {revision} {time.monotonic()}", flush=True)
+
+    def sample(self):
+        return Sample(
+            dict(self.keeper.platform.calls),
+            self.keeper.messages_sent,
+            self.streams.bytes,
+            time.process_time(),
+            resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / KB,
+        )
+
+
+def report_revision(document):
+    print(f"revision {document.revision} {time.monotonic()}", flush=True)
+
+
+async def run_node(name, domain, platform_url, vms_url, mode):
+    configure_client()
+    node = Node(name, domain, platform_url, vms_url)
+    node.keeper.on_change.append(report_revision)
+    print(f"listening {node.listener.address}", flush=True)
+    if mode == "alone":
+        await node.watch_alone()
+    await node.start()
+    loop = asyncio.get_running_loop()
+    asked = asyncio.Event()
+    loop.add_signal_handler(signal.SIGUSR1, asked.set)
+    while True:
+        await asked.wait()
+        asked.clear()
+        print("sample " + json.dumps(vars(node.sample())), flush=True)
+
+
+def configure_client():
+    AsyncHTTPClient.configure(
+        "tornado.curl_httpclient.CurlAsyncHTTPClient", max_clients=500
+    )
+
+
+@dataclass
+class Child:
+    """A process that this bench started."""
+
+    name: str
+    process: asyncio.subprocess.Process
+    address: Address | None = None
+    times: dict = field(default_factory=dict)
+    samples: list = field(default_factory=list)
+
+    async def follow(self):
+        """Keep what the process prints."""
+        while line := (await self.process.stdout.readline()).decode():
+            kind, _, rest = line.partition(" ")
+            match kind:
+                case "listening":
+                    self.address = Address.parse(rest.split("=")[-1].strip())
+                case "revision":
+                    revision, at = rest.split()
+                    self.times[int(revision)] = float(at)
+                case "sample":
+                    self.samples.append(Sample(**json.loads(rest)))
+
+
+class Bench:
+    """The platform, the VM list and the processes of one run."""
+
+    def __init__(self):
+        self.children = []
+        self.followers = []
+        self.nodes = []
+        self.client = AsyncHTTPClient()
+
+    async def start(self, mode):
+        platform = await self.spawn("platform", "-m", "persimmonferry_standins")
+        vms = await self.spawn("vms", "-m", "persimmonferry_standins")
+        self.platform, self.vms = platform, vms
+        self.control = Control(self.client, platform.address.url)
+        # Operators' changes come in at a process of the fleet, as in service.
+        self.accepting = Node(
+            "d0-accepting", "d0", platform.address.url, vms.address.url
+        )
+        self.nodes = list(
+            await asyncio.gather(*(self.start_node(n, mode) for n in range(NODES)))
+        )
+        listed = tuple(
+            VM(
+                node.name,
+                Role.UPSTREAM,
+                node.address,
+                FailureDomain("bench", node.name[:2]),
+            )
+            for node in self.nodes
+        )
+        own = self.accepting.keeper.own
+        address = self.accepting.listener.address
+        own_vm = VM(own.name, Role.UPSTREAM, address, own.failure_domain)
+        await Control(self.client, vms.address.url).set_vms((*listed, own_vm))
+        await self.accepting.start()
+        await asyncio.sleep(2.0)
+
+    async def start_node(self, number, mode):
+        domain = f"d{number % DOMAINS}"
+        name = f"{domain}-{number}"
+        urls = (self.platform.address.url, self.vms.address.url)
+        return await self.spawn(
+            name, "-m", "bench.configuration", "node", name, domain, *urls, mode
+        )
+
+    async def spawn(self, name, *command):
+        if command[1] == "persimmonferry_standins":
+            command = (*command, name)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *command,
+            stdout=asyncio.subprocess.PIPE,
+            env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)},
+        )
+        child = Child(name, process)
+        self.children.append(child)
+        self.followers.append(asyncio.ensure_future(child.follow()))
+        while child.address is None:
+            await asyncio.sleep(0.02)
+        return child
+
+    async def end(self):
+        await self.accepting.keeper.stop()
+        await self.accepting.vms.stop()
+        self.accepting.listener.stop()
+        for child in self.children:
+            if child.process.returncode is None:
+                child.process.send_signal(signal.SIGCONT)
+                child.process.kill()
+        for child in self.children:
+            await child.process.wait()
+
+    async def change(self, number):
+        """Have one weight changed; return the revision and when that began."""
+        text = EXAMPLE.read_text().replace("weight = 8", f"weight = {number + 9}")
+        keeper = self.accepting.keeper
+        accepted = await keeper.record.read()
+        proposal = Proposal(
+            text, accepted.revision, uuid.uuid4().hex, "bench", time.time()
+        )
+        start = time.monotonic()
+        return (await keeper.apply(proposal)).revision, start
+
+    async def wait_everywhere(self, revision, start, nodes=None):
+        """Return each process's time until it had the revision or a later one."""
+        nodes = nodes or self.nodes
+        deadline = start + DEADLINE_S
+        while not all(max(node.times, default=0) >= revision for node in nodes):
+            if time.monotonic() > deadline:
+                raise TimeoutError("the change did not get everywhere")
+            await asyncio.sleep(0.02)
+        return [
+            min(at for held, at in node.times.items() if held >= revision) - start
+            for node in nodes
+        ]
+
+    async def change_without_a_domain(self, first, count):
+        """Freeze a failure domain, change the document, and wake the domain."""
+        lost = [node for node in self.nodes if node.name.startswith("d1")]
+        left = [node for node in self.nodes if node not in lost]
+        others, woken = [], []
+        for number in range(first, first + count):
+            for node in lost:
+                node.process.send_signal(signal.SIGSTOP)
+            try:
+                revision, start = await self.change(number)
+                others += await self.wait_everywhere(revision, start, left)
+            finally:
+                for node in lost:
+                    node.process.send_signal(signal.SIGCONT)
+            woken += await self.wait_everywhere(revision, time.monotonic(), lost)
+            await asyncio.sleep(PAUSE_S)
+        return others, woken
+
+    async def change_many(self, first, count):
+        times = []
+        for number in range(first, first + count):
+            times += await self.wait_everywhere(*await self.change(number))
+            await asyncio.sleep(PAUSE_S)
+        return times
+
+    async def change_in_outages(self, first, count):
+        """Freeze the platform as soon as it has accepted each change."""
+        times, returns = [], []
+        for number in range(first, first + count):
+            revision, start = await self.change(number)
+            self.platform.process.send_signal(signal.SIGSTOP)
+            try:
+                times += await self.wait_everywhere(revision, start)
+                await asyncio.sleep(max(0, start + OUTAGE_S - time.monotonic()))
+            finally:
+                self.platform.process.send_signal(signal.SIGCONT)
+            before = await self.count_calls()
+            await asyncio.sleep(RETURN_S)
+            returns.append(sum((await self.count_calls() - before).values()))
+            await asyncio.sleep(PAUSE_S)
+        return times, returns
+
+    async def count_calls(self):
+        return Counter((await self.control.read_report()).counters)
+
+    async def take_samples(self):
+        count = len(self.nodes[0].samples)
+        for node in self.nodes:
+            node.process.send_signal(signal.SIGUSR1)
+        while not all(len(node.samples) > count for node in self.nodes):
+            await asyncio.sleep(0.02)
+        return [node.samples[-1] for node in self.nodes]
+
+
+def subtract(after, before, name):
+    """Return the growth of a total for each process."""
+    pairs = zip(after, before, strict=True)
+    return [getattr(new, name) - getattr(old, name) for new, old in pairs]
+
+
+def describe(title, times):
+    """Return a row of percentiles in milliseconds."""
+    shares = [take_percentile(times, share) * MS_PER_S for share in (50, 95, 99)]
+    kept = "yes" if take_percentile(times, 99) < PROMISE_S else "NO"
+    return [title, len(times), *shares, max(times) * MS_PER_S, kept]
+
+
+async def measure_baseline():
+    bench = Bench()
+    try:
+        await bench.start("alone")
+        await bench.change(0)
+        await asyncio.sleep(1.0)
+        before = await bench.count_calls()
+        times = await bench.change_many(1, CHANGES)
+        calls = await bench.count_calls() - before
+        return times, calls["watch"] / CHANGES
+    finally:
+        await bench.end()
+
+
+async def measure():
+    bench = Bench()
+    try:
+        await bench.start("keeper")
+        await bench.wait_everywhere(*await bench.change(0))
+        before = await bench.count_calls()
+        up = await bench.change_many(1, CHANGES)
+        calls = await bench.count_calls() - before
+        outage, returns = await bench.change_in_outages(CHANGES + 1, CHANGES_IN_OUTAGE)
+        lost = await bench.change_without_a_domain(60, CHANGES_IN_OUTAGE)
+        await asyncio.sleep(3.0)
+        idle_calls = await bench.count_calls()
+        first = await bench.take_samples()
+        await asyncio.sleep(IDLE_S)
+        second = await bench.take_samples()
+        idle_calls = await bench.count_calls() - idle_calls
+        for number in range(100, 100 + CHANGES):
+            await bench.wait_everywhere(*await bench.change(number))
+        third = await bench.take_samples()
+        return up, outage, lost, returns, calls, idle_calls, (first, second, third)
+    finally:
+        await bench.end()
+
+
+def print_cost(samples):
+    """Print what one process spends when idle and what a change adds."""
+    first, second, third = samples
+    rows = []
+    for title, after, before, per in (
+        (f"idle, each second ({NODES} processes)", second, first, IDLE_S),
+        ("each change (idle part included)", third, second, CHANGES),
+    ):
+        messages = subtract(after, before, "messages")
+        # A message's bytes are counted where it arrives, once for both ends.
+        moved = [2 * size / per for size in subtract(after, before, "bytes")]
+        processor = subtract(after, before, "processor_s")
+        rows.append(
+            [
+                title,
+                sum(messages) / NODES / per,
+                max(messages) / per,
+                sum(moved) / NODES,
+                max(processor) * MS_PER_S / per,
+            ]
+        )
+    header = ["", "messages sent, mean", "most", "bytes in and out, mean"]
+    print_table("Cost for each process", [*header, "processor ms, most"], rows)
+    print(f"\nmemory of a process, most: {max(s.memory_mb for s in third):.0f} MB")
+
+
+async def main():
+    configure_client()
+    alone, alone_calls = await measure_baseline()
+    up, outage, lost, returns, calls, idle_calls, samples = await measure()
+    rows = [
+        describe("every process watches (baseline)", alone),
+        describe("platform up", up),
+        describe("platform frozen in mid-change", outage),
+        describe("a failure domain frozen: the others", lost[0]),
+        describe("a failure domain frozen: itself, once it wakes", lost[1]),
+    ]
+    header = ["", "samples", "p50 ms", "p95 ms", "p99 ms", "max ms", "under 3 s"]
+    print_table(f"Change in force in {NODES} processes", header, rows)
+    changes = [[kind, count / CHANGES] for kind, count in sorted(calls.items())]
+    changes.append(["watch, baseline", alone_calls])
+    print_table("Platform calls for each change", ["kind", "calls"], changes)
+    idle = [[kind, count / IDLE_S] for kind, count in sorted(idle_calls.items())]
+    print_table("Platform calls a second, idle", ["kind", "calls/s"], idle)
+    print(f"\ncalls in the first second after each outage: {returns}")
+    print_cost(samples)
+
+
+if __name__ == "__main__":
+    if sys.argv[1:2] == ["node"]:
+        asyncio.run(run_node(*sys.argv[2:]))
+    else:
+        asyncio.run(main())
