Count a run just sent in full behind older ones of lower priority

Cause: the backlog before an urgent run was reduced by the time since the last event of the prefill, also when the urgent run had only just been sent behind a patient one; so a second urgent run was sent to the same upstream. Seen in a trace of 2x overload: 176 of 1030 urgent runs met another one at their home, 33 of them late. Change: elapsed time counts from the oldest run that is counted; tests of routing.

--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -251,11 +251,14 @@
         :param others_share: part of other entries' work that goes first.
         """
         ahead = 0.0
+        since_s = now
         for run in self.runs.values():
             if not run.started and run.priority <= priority and run.ready_s <= now:
                 ahead += run.prefill_s
+                since_s = min(since_s, run.ready_s)
         if ahead:
-            ahead = max(0.0, ahead - (now - self._lane_event_s))
+            since_s = max(since_s, self._lane_event_s)
+            ahead = max(0.0, ahead - (now - since_s))
         return ahead + others_share * self._others_prefill_s
 
     def estimate_slot_wait(self) -> float:
--- /dev/null
+++ b/packages/core/tests/test_routing.py
@@ -0,0 +1,151 @@
+import random
+from collections import Counter
+from dataclasses import replace
+
+from persimmonferry_core.contracts import RoutingWeights, Service, ServiceKind
+from persimmonferry_core.patience import PromptRequest, WaitingRequest
+from persimmonferry_core.routing import (
+    BlockIndex,
+    LinkTable,
+    Route,
+    Router,
+    Upstream,
+    UpstreamReport,
+)
+from persimmonferry_core.world import Link
+
+BLOCKS = tuple(f"b{index}" for index in range(10))
+LINKS = (
+    Link("east", "east", 0.0002, 1e9, 0.0),
+    Link("west", "east", 0.005, 250e6, 0.02),
+)
+
+
+def make_report(name, domain="east", sequence=1, **changes):
+    report = UpstreamReport(
+        name, 1, sequence, domain, "notes", "m", "v1", 0, 0, 0, 4, 10_000.0, 40.0
+    )
+    return replace(report, **changes)
+
+
+def make_router(names, weights=None, links=LINKS, seed=1):
+    service = Service(
+        "notes", ServiceKind.MODEL, "m", "v1", weights=weights or RoutingWeights()
+    )
+    index = BlockIndex()
+    router = Router(service, LinkTable(links), index, random.Random(seed))
+    for name in names:
+        router.add(make_report(name))
+    return router, index
+
+
+def make_waiting(now=0.0, latest=60.0, priority=1, blocks=BLOCKS, name="r"):
+    tokens = 1000 * len(blocks) + 200
+    request = PromptRequest(
+        name, "a", "desk", "notes", tokens, 20, now, blocks, 10_000_000
+    )
+    return WaitingRequest(request, latest, 0.1, priority)
+
+
+def test_an_urgent_run_just_sent_counts_in_full_behind_an_older_patient_one():
+    upstream = Upstream(make_report("u0"))
+    upstream.add_run("patient", 2, Route("u0", None, 1.5, 1.5, 0.0, True), 0.0)
+    upstream.add_run("urgent", 0, Route("u0", None, 0.08, 0.08, 0.0, True), 1.0)
+    assert upstream.estimate_backlog(0, 0.0, 1.0) == 0.08
+    assert abs(upstream.estimate_backlog(2, 0.0, 1.0) - 0.58) < 1e-9
+    upstream.start_run("urgent", 1.08)
+    assert upstream.estimate_backlog(0, 0.0, 1.1) == 0.0
+
+
+def test_work_of_others_is_the_report_without_own_runs_it_may_have_seen():
+    upstream = Upstream(make_report("u0"))
+    for name in ("a", "b"):
+        upstream.add_run(name, 1, None, 0.0)
+    upstream.end_run("a", 0.1, True)
+    upstream.apply(make_report("u0", sequence=2, running=3), 0.2)
+    assert upstream.others == 1
+    assert upstream.in_flight == 2
+    assert not upstream.apply(make_report("u0", sequence=1, running=0), 0.3)
+    upstream.apply(make_report("u0", sequence=3, running=3), 0.4)
+    assert upstream.others == 2
+
+
+def test_blocks_come_from_the_nearest_store_unless_computing_is_quicker():
+    router, index = make_router(["u0"])
+    index.add_stored("west", BLOCKS)
+    assert router.choose(make_waiting(), 0.0).plan.source_domain == "west"
+    index.add_stored("east", BLOCKS[:9])
+    plan = router.choose(make_waiting(), 0.0).plan
+    assert (plan.source_domain, plan.block_names) == ("east", BLOCKS[:9])
+    slow = (Link("west", "east", 0.005, 50e6, 0.02),)
+    router, index = make_router(["u0"], links=slow)
+    index.add_stored("west", BLOCKS)
+    assert router.choose(make_waiting(), 0.0).plan is None
+
+
+def test_weights_decide_between_a_priced_link_and_computing_again():
+    for weights, is_imported in (
+        (RoutingWeights(1.0, 0.0, 0.0), True),
+        (RoutingWeights(1.0, 0.0, 500.0), False),
+        (RoutingWeights(1.0, 2.0, 500.0), True),
+    ):
+        router, index = make_router(["u0"], weights)
+        index.add_stored("west", BLOCKS)
+        assert (router.choose(make_waiting(), 0.0).plan is not None) is is_imported
+
+
+def test_a_link_that_became_slow_is_learned_and_avoided():
+    router, index = make_router(["u0"])
+    index.add_stored("west", BLOCKS)
+    for step in range(20):
+        router.links.record("west", "east", 100_000_000, 5.0, 10.0 * step)
+    assert router.choose(make_waiting(), 300.0).plan is None
+
+
+def test_a_busy_holder_is_waited_for_only_while_that_is_sooner_and_in_time():
+    router, index = make_router(["u0", "u1"])
+    index.add_held("u0", BLOCKS)
+    first = router.choose(make_waiting(), 0.0)
+    assert first.upstream == "u0"
+    filler = Route("u0", None, 0.4, 0.4, 0.0, True)
+    router.add_run(make_waiting(name="filler"), filler, 0.0)
+    behind = router.choose(make_waiting(), 0.0)
+    assert (behind.upstream, behind.startable) == ("u0", False)
+    hurried = router.choose(make_waiting(latest=0.1), 0.0)
+    assert (hurried.upstream, hurried.startable) == ("u1", True)
+    router.add_run(make_waiting(name="more"), replace(filler, prefill_s=5.0), 0.0)
+    assert router.choose(make_waiting(), 0.0).upstream == "u1"
+
+
+def test_entries_that_hear_the_same_reports_do_not_choose_the_same_upstream():
+    names = [f"u{index}" for index in range(6)]
+    chosen = Counter()
+    for seed in range(60):
+        router, _ = make_router(names, seed=seed)
+        chosen[router.choose(make_waiting(blocks=()), 0.0).upstream] += 1
+    assert len(chosen) == 6
+    assert max(chosen.values()) <= 30
+
+
+def test_a_large_service_still_finds_the_holder():
+    names = [f"u{index}" for index in range(300)]
+    router, index = make_router(names)
+    index.add_held("u123", BLOCKS)
+    assert router.choose(make_waiting(), 0.0).upstream == "u123"
+    index.remove_upstream("u123")
+    assert index.find_holders(BLOCKS) == {}
+
+
+def test_homes_divide_all_upstreams_and_leave_no_entry_without():
+    for count in (1, 2, 3, 7, 9):
+        names = [f"u{index}" for index in range(count)]
+        entries = ("e0", "e1", "e2")
+        homes = []
+        for entry in entries:
+            router, _ = make_router(names)
+            router.set_homes(entry, entries)
+            own = [up.name for up in router.upstreams.values() if up.is_home]
+            assert own
+            homes += own
+        assert set(homes) == set(names)
+        assert len(homes) == max(count, len(entries))
