Cache the fleet's summary and divide homes among usable upstreams

Cause: each offer and each choice walked through all upstreams; homes counted upstreams of another version, so an entry could be left without a usable one during a swap; removing upstreams could leave too large a part ejected.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -32,6 +32,7 @@
     request: PromptRequest
     answer_tokens: int
     refused: bool = False
+    given_up: bool = False
     first_token_s: float | None = None
     end_s: float | None = None
     computed_tokens: int = 0
@@ -360,7 +361,7 @@
     def _go_on(self):
         now = self.fleet.clock.now
         for refused in self.policy.expire(now):
-            self.calls[refused.request_id].refused = True
+            self.calls[refused.request_id].given_up = True
         for assignment in self.policy.assign(now):
             engine = self.fleet.engines[assignment.upstream]
             call = self.calls[assignment.request.request_id]
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -183,7 +183,9 @@
         )
         p95 = percentile(first_token_times(alone, "door"), 0.95)
         cells = (f"{p95 * 1000:.0f} ms", f"{p95 / base:.2f}")
-        rows.append(("door tier alone", f"{factor:g}x", *cells, "-", "-", "-", "-"))
+        rows.append(
+            ("door tier alone", f"{factor:g}x", *cells, "-", "-", "-", "-", "-")
+        )
     for factor in (0.8, 2.0, 4.0):
         for name in ("dispatcher", "first come, expiring", "least-loaded", "random"):
             calls = run_overload(name, document, capacity, factor, duration_s)
@@ -199,6 +201,7 @@
         "desk kept",
         "dawn kept",
         "useful work",
+        "given up late",
     )
     title = f"Overload: {ENGINES} engines, {ENTRIES} entries, {capacity:.0f} tokens/s"
     print_table(title, header, rows)
@@ -239,7 +242,10 @@
         tokens_of(call) for call in calls if is_useful(call) and call.end_s > settled
     )
     share = useful / (duration_s - settled) / capacity
-    return (f"{p95 * 1000:.0f} ms", f"{p95 / base:.2f}", *kept, f"{share:.1%}")
+    queued = [call for call in calls if not call.refused]
+    given_up = sum(call.given_up for call in queued) / len(queued)
+    cells = (*kept, f"{share:.1%}", f"{given_up:.1%}")
+    return (f"{p95 * 1000:.0f} ms", f"{p95 / base:.2f}", *cells)
 
 
 CATALOGUES = 150
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -124,24 +124,16 @@
 
     def estimate_capacity(self, entries: int) -> float:
         """Return the upstream seconds that this entry can start each second."""
-        nominal = len(self.usable()) / max(1, entries)
+        nominal = len(self.router.summarize().names) / max(1, entries)
         return self.pace.estimate(nominal) if nominal else 0.0
 
-    def usable(self) -> list[Upstream]:
-        """Return the upstreams that may take new runs."""
-        upstreams = self.router.upstreams.values()
-        return [up for up in upstreams if self.router.is_usable(up)]
-
     def estimate_cost(self, request: PromptRequest) -> float:
         """Return the share of one upstream's time that a request is expected to use."""
-        usable = self.usable()
-        if not usable:
-            return 0.0
-        report = usable[0].report
+        fleet = self.router.summarize()
         prefill_s = self.router.estimate_prefill(request)
         answer_tokens = request.max_tokens * self.answer_share
-        decode_s = answer_tokens / max(1.0, report.decode_tokens_per_s)
-        return max(prefill_s, (prefill_s + decode_s) / max(1, report.slots))
+        decode_s = answer_tokens / max(1.0, fleet.decode_tokens_per_s)
+        return max(prefill_s, (prefill_s + decode_s) / max(1.0, fleet.slots))
 
 
 class Dispatcher:
@@ -206,7 +198,8 @@
         """Take over the names of all entries that share the upstreams."""
         self._entries = tuple(sorted({*entries, self._entry}))
         self.limits.set_entries(self._entries)
-        self._set_homes()
+        for model in self._models.values():
+            model.router.set_homes(self._entry, self._entries)
 
     def set_ejection(self, policy: EjectionPolicy) -> None:
         """Take over when slow and failing upstreams are ejected."""
@@ -228,7 +221,10 @@
             return
         if report.incarnation > known.report.incarnation:
             self._index.remove_upstream(report.name)
-        known.apply(report, now)
+        if report.service in self._models:
+            self._models[report.service].router.apply(report, now)
+        else:
+            known.apply(report, now)
 
     def remove(self, upstream: str) -> None:
         """Forget an upstream: the lists say that it is gone."""
@@ -437,18 +433,14 @@
         urgent = sum(1 for tier in tiers if tier.promised_wait_s <= URGENT_WAIT_S)
         if model is None:
             router = Router(service, self._links, self._index, self._random)
-            router.urgent_ranks = urgent
+            router.configure(service, urgent)
+            router.set_homes(self._entry, self._entries)
             queue = PatienceQueue(tiers)
             self._models[service.name] = _ModelService(queue, router)
             return
-        model.router.service = service
-        model.router.urgent_ranks = urgent
+        model.router.configure(service, urgent)
         model.queue.configure(tiers)
 
-    def _set_homes(self) -> None:
-        for model in self._models.values():
-            model.router.set_homes(self._entry, self._entries)
-
     def _refuse_unknown(self, request: PromptRequest) -> Refused | None:
         model = self._models.get(request.service)
         if model is None:
@@ -549,13 +541,11 @@
             self._plain[report.service][report.name] = Upstream(report)
         else:
             model.router.add(report)
-            self._set_homes()
 
     def _drop_upstream(self, name: str) -> None:
         service = self._services_of.pop(name, "")
         if service in self._models:
             self._models[service].router.remove(name)
-            self._set_homes()
         elif service in self._plain:
             self._plain[service].pop(name, None)
         self._index.remove_upstream(name)
--- a/packages/core/src/persimmonferry_core/ejection.py
+++ b/packages/core/src/persimmonferry_core/ejection.py
@@ -56,6 +56,7 @@
 State = Closed | Opened | HalfOpen | Warming
 
 SLOWNESS_SMOOTHING = 0.2
+MEDIAN_REUSE = 8
 
 
 class _Health:
@@ -78,23 +79,34 @@
     def __init__(self, policy: EjectionPolicy | None = None) -> None:
         self.policy = policy or EjectionPolicy()
         self._healths: dict[str, _Health] = {}
+        self._limited: set[str] = set()
+        self._typical = 1.0
+        self._typical_age = 0
 
     def add(self, upstream: str) -> None:
         """Begin to look after an upstream."""
         self._healths.setdefault(upstream, _Health())
 
     def remove(self, upstream: str) -> None:
-        """Forget an upstream."""
+        """Forget an upstream; others come back if too large a part is out now."""
         self._healths.pop(upstream, None)
+        self._limited.discard(upstream)
+        out = [
+            self._healths[name]
+            for name in self._limited
+            if isinstance(self._healths[name].state, Opened | HalfOpen)
+        ]
+        out.sort(key=_slowness_of)
+        excess = len(out) - self._count_allowed()
+        for health in out[: max(0, excess)]:
+            health.state = Closed()
 
     def find_limited(self, now: float) -> tuple[str, ...]:
         """Return the upstreams that may not use all their slots now."""
-        return tuple(
-            name
-            for name, health in self._healths.items()
-            if not isinstance(health.state, Closed)
-            and not isinstance(self.find_state(name, now), Closed)
-        )
+        for name in tuple(self._limited):
+            if isinstance(self.find_state(name, now), Closed):
+                self._limited.discard(name)
+        return tuple(sorted(self._limited))
 
     def find_state(self, upstream: str, now: float) -> State:
         """Return the state, moved on to the present time."""
@@ -147,7 +159,7 @@
             case HalfOpen(float()):
                 self._eject(health, now)
             case Closed() if self._is_slow(health):
-                self._try_eject(health, now)
+                self._try_eject(upstream, now)
 
     def record_failure(self, upstream: str, now: float) -> None:
         """Note a run that the upstream refused or lost."""
@@ -159,11 +171,11 @@
             case HalfOpen(float()):
                 self._eject(health, now)
             case Closed() | Warming() if health.failures >= self.policy.failures:
-                self._try_eject(health, now)
+                self._try_eject(upstream, now)
 
     def count_out(self, now: float) -> int:
         """Return how many upstreams are ejected or not yet proved again."""
-        return sum(1 for name in self._healths if self._is_out(name, now))
+        return sum(1 for name in self._limited if self._is_out(name, now))
 
     def _is_out(self, upstream: str, now: float) -> bool:
         return isinstance(self.find_state(upstream, now), Opened | HalfOpen)
@@ -173,13 +185,19 @@
         return enough and health.slowness > self._slow_limit()
 
     def _slow_limit(self) -> float:
-        typical = median(health.slowness for health in self._healths.values())
-        return self.policy.slow_factor * max(1.0, typical)
+        self._typical_age -= 1
+        if self._typical_age < 0:
+            self._typical = median(x.slowness for x in self._healths.values())
+            self._typical_age = len(self._healths) // MEDIAN_REUSE
+        return self.policy.slow_factor * max(1.0, self._typical)
 
-    def _try_eject(self, health: _Health, now: float) -> None:
-        allowed = math.floor(self.policy.max_share * len(self._healths))
-        if self.count_out(now) + 1 <= allowed:
-            self._eject(health, now)
+    def _count_allowed(self) -> int:
+        return math.floor(self.policy.max_share * len(self._healths))
+
+    def _try_eject(self, upstream: str, now: float) -> None:
+        if self.count_out(now) + 1 <= self._count_allowed():
+            self._limited.add(upstream)
+            self._eject(self._healths[upstream], now)
 
     def _eject(self, health: _Health, now: float) -> None:
         duration = self.policy.base_s * 2**health.ejections
@@ -192,3 +210,7 @@
         health.samples = 0
         health.failures = 0
         health.ejections = max(0, health.ejections - 1)
+
+
+def _slowness_of(health: _Health) -> float:
+    return health.slowness
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -4,6 +4,7 @@
 import random
 from collections import OrderedDict
 from dataclasses import dataclass
+from heapq import nlargest
 
 from persimmonferry_core.contracts import Service
 from persimmonferry_core.ejection import Ejector
@@ -12,6 +13,7 @@
 
 __all__ = [
     "BlockIndex",
+    "FleetSummary",
     "ImportPlan",
     "LinkTable",
     "Route",
@@ -24,6 +26,7 @@
 NO_SLOT_LIMIT = 1_000_000
 SAMPLED_CANDIDATES = 8
 HOLDER_CANDIDATES = 8
+SOURCE_CANDIDATES = 4
 START_AHEAD_S = 0.1
 UNKNOWN_BACKLOG_S = 0.1
 IMPORT_AHEAD_S = 1.0
@@ -199,8 +202,8 @@
 
     def count_patient(self, urgent_ranks: int) -> int:
         """Return the runs there that are not of an urgent priority, as known."""
-        own = sum(1 for run in self.runs.values() if run.priority >= urgent_ranks)
-        return own + self.others
+        own = [run for run in self.runs.values() if run.priority >= urgent_ranks]
+        return len(own) + self.others
 
     def add_run(
         self, run_id: str, priority: int, route: Route | None, now: float
@@ -435,6 +438,40 @@
         return state
 
 
+@dataclass(frozen=True)
+class FleetSummary:
+    """
+    The upstreams of a service that may take new runs.
+
+    :param names: of them all.
+    :param prefill_tokens_per_s: of an average one, as are the other figures.
+    """
+
+    names: tuple[str, ...]
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+    slots: float
+
+
+@dataclass(slots=True)
+class _Place:
+    """
+    What is the same for all ways to run a request at one upstream.
+
+    :param depth: leading blocks that it holds.
+    :param slot_wait_s: until a slot is expected to be free.
+    :param has_room: whether a slot may be used now.
+    """
+
+    upstream: Upstream
+    depth: int
+    rate: float
+    backlog_s: float
+    slot_wait_s: float
+    doubt_s: float
+    has_room: bool
+
+
 @dataclass(slots=True)
 class _Option:
     """
@@ -499,8 +536,20 @@
         self.ejector = Ejector()
         self._limited: tuple[str, ...] = ()
         self._urgent = _Occupancy()
-        self._entries = 1
+        self._entry = ""
+        self._entries: tuple[str, ...] = ("",)
         self.upstreams: dict[str, Upstream] = {}
+        self._summary: FleetSummary | None = None
+
+    def configure(self, service: Service, urgent_ranks: int) -> None:
+        """
+        Take over a new document.
+
+        :param urgent_ranks: how many of the most urgent tiers get reserved slots.
+        """
+        self.service = service
+        self.urgent_ranks = urgent_ranks
+        self._summary = None
 
     def is_usable(self, upstream: Upstream) -> bool:
         """Whether the upstream may take new runs: not leaving, right version."""
@@ -516,25 +565,53 @@
         and sends such work elsewhere only as reports show room. So entries that don't
         hear each other's dispatches don't pile patient runs up at one upstream.
         """
-        ordered = sorted(entries)
-        self._entries = max(1, len(ordered))
-        index = ordered.index(entry) if entry in ordered else 0
-        upstreams = sorted(self.upstreams.values(), key=_place_of)
-        for place, upstream in enumerate(upstreams):
-            if len(upstreams) >= len(ordered):
-                upstream.is_home = place % self._entries == index
+        self._entry = entry
+        self._entries = tuple(sorted(entries)) or (entry,)
+        self._summary = None
+
+    def _divide_homes(self, usable: list[Upstream]) -> None:
+        count = len(self._entries)
+        known = self._entry in self._entries
+        index = self._entries.index(self._entry) if known else 0
+        for place, upstream in enumerate(sorted(usable, key=_place_of)):
+            if len(usable) >= count:
+                upstream.is_home = place % count == index
             else:
-                upstream.is_home = index % len(upstreams) == place
+                upstream.is_home = index % len(usable) == place
 
     def add(self, report: UpstreamReport) -> None:
         """Begin to use an upstream."""
         self.upstreams[report.name] = Upstream(report)
         self.ejector.add(report.name)
+        self._summary = None
+
+    def apply(self, report: UpstreamReport, now: float) -> None:
+        """Take over a later report of an upstream."""
+        upstream = self.upstreams[report.name]
+        former = upstream.report
+        if upstream.apply(report, now) and _capacity_of(former) != _capacity_of(report):
+            self._summary = None
 
     def remove(self, name: str) -> None:
         """Forget an upstream."""
         self.upstreams.pop(name, None)
         self.ejector.remove(name)
+        self._summary = None
+
+    def summarize(self) -> FleetSummary:
+        """Return the fleet's capacity as reported."""
+        if self._summary is None:
+            usable = [up for up in self.upstreams.values() if self.is_usable(up)]
+            self._divide_homes(usable)
+            reports = [upstream.report for upstream in usable]
+            count = max(1, len(reports))
+            self._summary = FleetSummary(
+                tuple(report.name for report in reports),
+                sum(report.prefill_tokens_per_s for report in reports) / count,
+                sum(report.decode_tokens_per_s for report in reports) / count,
+                sum(report.slots for report in reports) / count,
+            )
+        return self._summary
 
     def refresh(self, now: float) -> None:
         """Bring the slots up to date that ejected and returning upstreams may use."""
@@ -568,6 +645,9 @@
         request = waiting.request
         held = self._index.find_holders(request.block_names)
         stored = self._index.find_stored(request.block_names)
+        if len(stored) > SOURCE_CANDIDATES:
+            deepest = nlargest(SOURCE_CANDIDATES, stored, key=stored.get)
+            stored = {source: stored[source] for source in deepest}
         candidates = self._candidates(waiting, held)
         context = _Context(
             waiting,
@@ -593,25 +673,19 @@
 
     def estimate_prefill(self, request: PromptRequest) -> float:
         """Return the prefill seconds at an average upstream without any cache."""
-        rates = [
-            upstream.report.prefill_tokens_per_s
-            for upstream in self.upstreams.values()
-            if upstream.report.prefill_tokens_per_s > 0
-        ]
-        if not rates:
-            return 0.0
-        return request.prompt_tokens * len(rates) / sum(rates)
+        rate = self.summarize().prefill_tokens_per_s
+        return request.prompt_tokens / rate if rate > 0 else 0.0
 
     def _candidates(
         self, waiting: WaitingRequest, held: dict[str, int]
     ) -> list[Upstream]:
         """Return all upstreams of a small service, a few of a large one."""
-        names = list(self.upstreams)
+        names = list(self.summarize().names)
         if len(names) > ALL_CANDIDATES:
-            holders = sorted(held, key=held.get, reverse=True)[:HOLDER_CANDIDATES]
+            holders = nlargest(HOLDER_CANDIDATES, held, key=held.get)
             names = [*self._random.sample(names, SAMPLED_CANDIDATES), *holders]
         # Equal choices must not lead all entries to the same upstream.
-        offset = self._random.randrange(len(names)) if names else 0
+        offset = int(self._random.random() * len(names))
         names = names[offset:] + names[:offset]
         found = (self.upstreams.get(name) for name in dict.fromkeys(names))
         usable = [up for up in found if up is not None and self.is_usable(up)]
@@ -658,59 +732,65 @@
 
     def _count_reserved(self) -> int:
         """Return the slots of each upstream that are kept for urgent runs."""
-        mean = self._urgent.mean * self._entries / max(1, len(self.upstreams))
+        mean = self._urgent.mean * len(self._entries) / max(1, len(self.upstreams))
         # A mean and one deviation of a Poisson count.
         return math.ceil(mean + math.sqrt(mean)) if mean > NEGLIGIBLE_OCCUPANCY else 0
 
     def _estimate(self, upstream: Upstream, depth: int, context: _Context) -> _Option:
         """Return the cheaper of computing the missing blocks and importing them."""
-        backlog_s = upstream.estimate_backlog(
-            context.waiting.priority, context.others_share, context.now
-        )
-        best = self._rate(upstream, depth, depth, "", backlog_s, context)
+        place = self._look_at(upstream, depth, context)
+        best = self._rate(place, depth, "", context)
         for source, stored_depth in context.stored.items():
             if stored_depth > depth:
-                option = self._rate(
-                    upstream, depth, stored_depth, source, backlog_s, context
-                )
-                best = min(best, option, key=_score)
+                option = self._rate(place, stored_depth, source, context)
+                if option.score < best.score:
+                    best = option
         return best
 
+    def _look_at(self, upstream: Upstream, depth: int, context: _Context) -> _Place:
+        priority = context.waiting.priority
+        has_room = upstream.free_slots > 0
+        slot_wait_s = 0.0 if has_room else upstream.estimate_slot_wait()
+        if has_room and priority >= self.urgent_ranks:
+            has_room = self._fits_patient(upstream, context.reserved)
+        return _Place(
+            upstream,
+            depth,
+            max(1.0, upstream.report.prefill_tokens_per_s),
+            upstream.estimate_backlog(priority, context.others_share, context.now),
+            slot_wait_s,
+            0.0 if upstream.is_home else UNKNOWN_BACKLOG_S,
+            has_room,
+        )
+
     def _rate(
-        self,
-        upstream: Upstream,
-        depth: int,
-        cached: int,
-        source: str,
-        backlog_s: float,
-        context: _Context,
+        self, place: _Place, cached: int, source: str, context: _Context
     ) -> _Option:
         request = context.waiting.request
-        report = upstream.report
         import_s = price = 0.0
         if source:
-            size = (cached - depth) * request.block_bytes
-            target = report.failure_domain
+            size = (cached - place.depth) * request.block_bytes
+            target = place.upstream.report.failure_domain
             import_s = self.links.estimate_transfer(source, target, size, context.now)
             price = self.links.price(source, target, size)
-        rate = max(1.0, report.prefill_tokens_per_s)
-        prefill_s = max(1, request.prompt_tokens - cached * request.block_tokens) / rate
-        first_token_s = max(import_s, backlog_s) + prefill_s
-        free = upstream.free_slots
-        if free <= 0:
-            first_token_s += upstream.estimate_slot_wait()
+        missing_tokens = request.prompt_tokens - cached * request.block_tokens
+        prefill_s = max(1, missing_tokens) / place.rate
+        first_token_s = max(import_s, place.backlog_s) + prefill_s + place.slot_wait_s
         again_tokens = (context.known_depth - cached) * request.block_tokens
         weights = self.service.weights
-        doubt_s = 0.0 if upstream.is_home else UNKNOWN_BACKLOG_S
-        score = weights.first_token * (first_token_s + doubt_s)
-        score += weights.recomputed * again_tokens / rate
+        score = weights.first_token * (first_token_s + place.doubt_s)
+        score += weights.recomputed * again_tokens / place.rate
         score += weights.link * price
         ahead_s = START_AHEAD_S + min(import_s, IMPORT_AHEAD_S)
-        startable = free > 0 and backlog_s <= ahead_s
-        if startable and context.waiting.priority >= self.urgent_ranks:
-            startable = self._fits_patient(upstream, context.reserved)
         return _Option(
-            upstream, depth, cached, source, first_token_s, prefill_s, score, startable
+            place.upstream,
+            place.depth,
+            cached,
+            source,
+            first_token_s,
+            prefill_s,
+            score,
+            place.has_room and place.backlog_s <= ahead_s,
         )
 
     def _fits_patient(self, upstream: Upstream, reserved: int) -> bool:
@@ -748,6 +828,17 @@
     return option.score
 
 
+def _capacity_of(report: UpstreamReport) -> tuple[object, ...]:
+    return (
+        report.leaving,
+        report.model,
+        report.version,
+        report.slots,
+        report.prefill_tokens_per_s,
+        report.decode_tokens_per_s,
+    )
+
+
 def _place_of(upstream: Upstream) -> tuple[str, str]:
     return upstream.report.failure_domain, upstream.name
 
--- a/packages/core/tests/test_ejection.py
+++ b/packages/core/tests/test_ejection.py
@@ -34,6 +34,16 @@
             self.ejector.record_failure(name, self.now)
         self.probing.pop(name, None)
 
+    @rule(name=st.sampled_from(NAMES), is_removed=st.booleans())
+    def change_fleet(self, name, is_removed):
+        if is_removed:
+            self.ejector.remove(name)
+            self.known.discard(name)
+            self.probing.pop(name, None)
+        else:
+            self.ejector.add(name)
+            self.known.add(name)
+
     @rule(name=st.sampled_from(NAMES))
     def dispatch(self, name):
         limit = self.ejector.limit_slots(name, 8, self.now)
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -143,8 +143,10 @@
         homes = []
         for entry in entries:
             router, _ = make_router(names)
+            router.add(make_report("old", version="v0"))
             router.set_homes(entry, entries)
-            own = [up.name for up in router.upstreams.values() if up.is_home]
+            assert set(router.summarize().names) == set(names)
+            own = [name for name in names if router.upstreams[name].is_home]
             assert own
             homes += own
         assert set(homes) == set(names)
