Let engines take turns in asking for slots

An engine whose lease another process still holds is no longer drained in vain, and a past fault no longer slows the comparison for good.

--- a/packages/core/src/persimmonferry_core/rollout.py
+++ b/packages/core/src/persimmonferry_core/rollout.py
@@ -1,6 +1,8 @@
 """Decides when an engine loads weights, and under which leases."""
 
 import hashlib
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 from persimmonferry_core.contracts import Service, ServiceKind
 from persimmonferry_core.interfaces import Lease
@@ -10,8 +12,10 @@
     "LEASE_S",
     "LOAD_TIMEOUT_S",
     "RetryDelay",
+    "Turn",
     "choose_order",
     "choose_slot",
+    "choose_turn",
     "is_slot_usable",
     "name_engine_lease",
 ]
@@ -21,6 +25,7 @@
 CLOCK_MARGIN_S = 5.0
 FIRST_RETRY_S = 0.5
 LAST_RETRY_S = 30.0
+RETRY_GROWTH = 1.5
 
 
 def choose_order(
@@ -41,18 +46,56 @@
     return None
 
 
-def choose_slot(team: str, service: Service, holder: str, attempt: int) -> str:
+@dataclass(frozen=True)
+class Turn:
     """
-    Return the name of the slot lease to ask for.
+    When and where an engine first asks for a slot.
 
-    Holders start at different slots and go round, one slot for each attempt.
+    :param delay_s: to wait before, in seconds.
+    :param slot: number of the slot, from 0.
     """
-    digest = hashlib.blake2b(holder.encode(), digest_size=4).digest()
-    start = int.from_bytes(digest, "big")
-    index = (start + attempt) % max(1, service.loading_slots)
+
+    delay_s: float = 0.0
+    slot: int = 0
+
+
+def choose_turn(
+    engine_name: str, peers: Sequence[str], service: Service, load_s: float
+) -> Turn:
+    """
+    Return the turn of an engine.
+
+    Engines rank themselves anew for each version and ask when those before them should
+    be done, each for the slot that the one before it had, so that they neither ask all
+    at once nor for the same slot. Without known peers the slot is spread by name.
+
+    :param peers: names of the engines that may load too, as far as known.
+    :param load_s: expected time of one load.
+
+    >>> service = Service("s", ServiceKind.MODEL, loading_slots=2)
+    >>> turns = [choose_turn(name, "abcd", service, 3.0) for name in "abcd"]
+    >>> sorted((turn.delay_s, turn.slot) for turn in turns)
+    [(0.0, 0), (0.0, 1), (3.0, 0), (3.0, 1)]
+    """
+    slots = max(1, service.loading_slots)
+    wanted = f"{service.version} {service.adapter} "
+    own = _rank(wanted + engine_name)
+    if not peers:
+        return Turn(slot=int.from_bytes(own, "big") % slots)
+    earlier = sum(_rank(wanted + peer) < own for peer in peers)
+    return Turn(earlier // slots * load_s, earlier % slots)
+
+
+def choose_slot(team: str, service: Service, turn: Turn, attempt: int) -> str:
+    """Return the name of the slot lease to ask for; attempts go round the slots."""
+    index = (turn.slot + attempt) % max(1, service.loading_slots)
     return f"slots/{team}/{service.name}/{index}"
 
 
+def _rank(text: str) -> bytes:
+    return hashlib.blake2b(text.encode(), digest_size=8).digest()
+
+
 def name_engine_lease(team: str, engine_name: str) -> str:
     """
     Return the name of the lease whose fencing number goes with an engine's orders.
@@ -68,12 +111,12 @@
 
 
 class RetryDelay:
-    """Doubles the pause after each attempt that found no free slot."""
+    """Lengthens the pause after each attempt that found no free slot."""
 
     def __init__(self) -> None:
         self.attempts = 0
 
-    def note_attempt(self, succeeded: bool) -> None:
+    def note_attempt(self, *, succeeded: bool) -> None:
         """Count an attempt, or start again after one that succeeded."""
         self.attempts = 0 if succeeded else self.attempts + 1
 
@@ -84,4 +127,4 @@
         >>> RetryDelay().compute()
         0.5
         """
-        return min(LAST_RETRY_S, FIRST_RETRY_S * 2.0 ** min(self.attempts, 16))
+        return min(LAST_RETRY_S, FIRST_RETRY_S * RETRY_GROWTH ** min(self.attempts, 16))
--- a/packages/daemon/src/persimmonferry_daemon/weights.py
+++ b/packages/daemon/src/persimmonferry_daemon/weights.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from persimmonferry_core.contracts import Service
@@ -13,8 +13,10 @@
     LEASE_S,
     LOAD_TIMEOUT_S,
     RetryDelay,
+    Turn,
     choose_order,
     choose_slot,
+    choose_turn,
     is_slot_usable,
     name_engine_lease,
 )
@@ -34,6 +36,7 @@
 ENGINE_CALL_TIMEOUT_S = 0.5
 LOAD_POLL_S = 0.5
 MAX_ORDERS = 2
+FIRST_LOAD_S = 2.0
 
 _log = logging.getLogger(__name__)
 
@@ -64,6 +67,8 @@
     :param engine_name: of the engine's VM, equal for all processes beside it.
     :param find_service: returns what the document in force wants, None when unknown.
     :param clock: returns the present time in seconds; it goes on while paused.
+    :param find_peers: returns the names of the engines that may load too, this one's
+        included; they take turns in asking for slots.
     """
 
     def __init__(
@@ -76,6 +81,7 @@
         team: str,
         find_service: Callable[[], Service | None],
         clock: Callable[[], float],
+        find_peers: Callable[[], Sequence[str]] = tuple,
     ) -> None:
         self._engine = engine
         self._platform = platform
@@ -85,6 +91,12 @@
         self._team = team
         self._find_service = find_service
         self._clock = clock
+        self._find_peers = find_peers
+        self._engine_name = engine_name
+        self._planned: LoadVersion | LoadAdapter | None = None
+        self._turn = Turn()
+        self._turn_s = 0.0
+        self._load_s = FIRST_LOAD_S
         self._delay = RetryDelay()
         self._adapter: tuple[LoadVersion, str] | None = None
         self._task: asyncio.Task | None = None
@@ -102,11 +114,10 @@
     async def _run_forever(self) -> None:
         while True:
             try:
-                done = await self.compare()
+                await self.compare()
             except OUTSIDE_FAULTS as error:
                 _log.warning("weights are not compared: %s", error)
-                done = False
-            self._delay.note_attempt(done)
+                self._delay.note_attempt(succeeded=False)
             # Spread out, so that waiting agents don't ask for a slot at once.
             await asyncio.sleep(self._delay.compute() * random.uniform(0.5, 1.5))
 
@@ -116,11 +127,21 @@
 
         :return: whether the engine holds what the document wants.
         """
-        if await self._choose_order() is None:
+        order = await self._choose_order()
+        if order is None:
+            self._planned = None
+            self._delay.note_attempt(succeeded=True)
             return True
+        if not self._is_turn(order):
+            return False
         slot = await self._take_slot()
         if slot is None:
             return False
+        # A process before this one may still hold it: then nothing is drained.
+        if await self._lease(self._engine_lease_name) is None:
+            self._delay.note_attempt(succeeded=False)
+            await self._release(slot)
+            return False
         try:
             self._gate.drain()
             await self._drain()
@@ -130,6 +151,16 @@
         await self._release(slot)
         return done
 
+    def _is_turn(self, order: LoadVersion | LoadAdapter) -> bool:
+        now = self._clock()
+        service = self._find_service()
+        if order != self._planned and service is not None:
+            peers = self._find_peers()
+            self._turn = choose_turn(self._engine_name, peers, service, self._load_s)
+            self._planned = order
+            self._turn_s = now + self._turn.delay_s
+        return now >= self._turn_s
+
     async def _choose_order(self) -> LoadVersion | LoadAdapter | None:
         service = self._find_service()
         if service is None:
@@ -151,9 +182,10 @@
         if service is None:
             return None
         attempt = self._delay.attempts
-        return await self._lease(
-            choose_slot(self._team, service, self._holder, attempt)
-        )
+        name = choose_slot(self._team, service, self._turn, attempt)
+        slot = await self._lease(name)
+        self._delay.note_attempt(succeeded=slot is not None)
+        return slot
 
     async def _lease(self, name: str) -> Lease | None:
         asked_s = self._clock()
@@ -186,6 +218,7 @@
             _log.warning("the lease may lapse before the load ends")
             return False
         numbered = EngineOrder(engine_lease.fencing, order)
+        start_s = self._clock()
         try:
             await asyncio.wait_for(self._engine.give_order(numbered), LOAD_TIMEOUT_S)
         except NotRun as error:
@@ -194,6 +227,7 @@
         except TimeoutError:
             _log.warning("the load takes longer than %g s", LOAD_TIMEOUT_S)
         await self._wait_loaded(slot_name)
+        self._load_s = self._clock() - start_s
         await self._note_loaded(order)
         await self._release(engine_lease)
         return True
--- a/packages/daemon/tests/test_weights.py
+++ b/packages/daemon/tests/test_weights.py
@@ -72,11 +72,13 @@
 class FakeGate:
     def __init__(self):
         self.draining = False
+        self.drains = 0
         self.idle = asyncio.Event()
         self.idle.set()
 
     def drain(self):
         self.draining = True
+        self.drains += 1
 
     def resume(self):
         self.draining = False
@@ -256,7 +258,7 @@
     taken = fleet.platform.acquire_lease(lease_name, "vm0/old", LEASE_S, 0.0)
     fleet.loop.run(taken)
     assert fleet.loop.run(fleet.keepers[0].compare()) is False
-    assert fleet.engines[0].orders == []
+    assert fleet.gates[0].drains == 0
     fleet.loop.run_for(LEASE_S)
     assert fleet.loop.run(fleet.keepers[0].compare()) is True
     fleet.loop.stop_all()
