Test each guard of the claims on its own

Four guards survived removal in the first trial: a full table's deadline mark, the size bound, the fresh read for an open claim, and the kept refusal. Each has a test now that fails without it.

--- a/packages/core/tests/test_attempts.py
+++ b/packages/core/tests/test_attempts.py
@@ -13,11 +13,12 @@
     Repeated,
     Running,
 )
+from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.exceptions import NotRun
 from persimmonferry_core.runs import CallAnswer
 
 LIMITS = AttemptLimits(
-    attempts=3, answer_bytes=40, retention_s=20.0, start_window_s=10.0
+    attempts=2, answer_bytes=40, retention_s=20.0, start_window_s=10.0
 )
 
 
@@ -43,7 +44,7 @@
     def receive_copy(self, data):
         if not self.attempts:
             return
-        attempt = data.draw(st.sampled_from(self.attempts))
+        attempt = data.draw(st.sampled_from(self.attempts[-4:]))
         match self.table.admit(attempt, self.now):
             case Admitted():
                 assert attempt.run_id not in self.proved_not_run
@@ -115,3 +116,15 @@
     derandomize=True, max_examples=300, stateful_step_count=40, deadline=None
 )
 TestAttempts = AttemptMachine.TestCase
+
+
+def test_an_attempt_refused_by_a_full_table_stays_refused_when_there_is_room():
+    table = AttemptTable(1, LIMITS)
+    for run_id in "ab":
+        attempt = Attempt(run_id, 1, 1002.0)
+        assert table.admit(attempt, 1000.0) == Admitted()
+        table.finish(run_id, Lost(ResultCode.UPSTREAM_LOST))
+    late = Attempt("c", 1, 1025.0)
+    assert isinstance(table.admit(late, 1016.0), Denied)
+    assert isinstance(table.admit(late, 1023.0), Denied)
+    assert table.admit(Attempt("d", 1, 1026.0), 1023.0) == Admitted()
--- a/packages/core/tests/test_journal.py
+++ b/packages/core/tests/test_journal.py
@@ -18,7 +18,7 @@
 from persimmonferry_core.runs import CallAnswer
 from persimmonferry_core.world import Address
 
-SHAPE = JournalShape(segment_bytes=4000, answer_bytes=30)
+SHAPE = JournalShape(segment_bytes=2000, answer_bytes=30)
 KEYS = st.sampled_from([f"{number:032x}" for number in range(3)])
 NUMBERS = st.integers(0, 5)
 
@@ -148,3 +148,23 @@
     names = [f"entry{number}" for number in range(4)]
     writers = [choose_writer(partition, names) for partition in range(400)]
     assert min(map(writers.count, names)) > 60
+
+
+def test_a_full_segment_refuses_new_keys_and_still_records_endings():
+    segment = Segment.parse(b"")
+    placements = []
+    for number in range(40):
+        run_id = f"run{number}"
+        claim = build_claim(f"{number:032x}", "a", number)
+        ending = EndingChange(
+            claim.key_digest, run_id, build_ending("answered", run_id)
+        )
+        applied = segment.apply(3, [ClaimChange(claim)], [ending], SHAPE)
+        placements += applied.placements
+        segment = applied.segment
+    assert len(segment.value) <= SHAPE.segment_bytes
+    assert placements[-1] == NoRoom()
+    endings = [entry.ending for entry in segment.entries.values()]
+    assert endings[0].answer is not None
+    assert endings[-1] == Answered(None)
+    assert len(endings) == sum(isinstance(item, Placed) for item in placements)
--- a/packages/daemon/tests/test_calls.py
+++ b/packages/daemon/tests/test_calls.py
@@ -569,6 +569,10 @@
         self.world.step()
         return call
 
+    def deliver_while(self, condition):
+        while condition():
+            self.machine.deliver(0)
+
     def finish(self, call, rounds=6):
         self.machine.settle(rounds)
         assert call.ended is not None
@@ -617,6 +621,20 @@
     assert scene.finish(call).error is None
 
 
+def test_a_recorded_answer_is_found_when_a_late_copy_and_a_lost_agent_hide_it(scene):
+    first, second = scene.entries
+    scene.world.entries = []  # No entry knows another, so each writes by itself.
+    call = scene.call(first)
+    scene.deliver_while(lambda: not scene.world.service_calls)
+    early = scene.call(second)
+    scene.deliver_while(lambda: early.ended is None)
+    assert early.error.code is ResultCode.STILL_RUNNING
+    scene.finish(call)
+    scene.world.agents["agent0"].alive = False
+    assert scene.finish(scene.call(second)).error is None
+    scene.world.entries = [first, second]
+
+
 def test_two_accounts_may_use_the_same_key(scene):
     calls = [scene.call(scene.entries[0], account=name) for name in "ab"]
     answers = {scene.finish(call).task.result().body for call in calls}
