--- a/packages/daemon/src/persimmonferry_daemon/calls.py
+++ b/packages/daemon/src/persimmonferry_daemon/calls.py
@@ -5,6 +5,8 @@
 budget, and any other call at most once, behind a durable claim.
 """
 
+import asyncio
+import itertools
 from collections.abc import Callable
 
 from persimmonferry_core.attempts import Answered, Lost, Refused
@@ -26,8 +28,6 @@
 
 __all__ = ["AgentHandle", "Agents", "CallDispatcher", "PlainRequest"]
 
-MAX_ATTEMPTS = 3
-
 
 class CallDispatcher:
     """
@@ -58,7 +58,7 @@
         :raises OutcomeUnknown: it may have run, now or under an earlier call.
         :raises RanBefore: it still runs, or it ran and its answer is no longer held.
         """
-        self._budget.deposit()
+        self._budget.record_request(now)
         if is_idempotent(request.service, request.method, request.path):
             return await self._call_idempotent(request)
         shape = self._claims.shape
@@ -80,15 +80,17 @@
 
     async def _call_idempotent(self, request: PlainRequest) -> CallAnswer:
         avoided: frozenset[str] = frozenset()
-        for attempts in range(1, MAX_ATTEMPTS + 1):
+        for attempts in itertools.count(1):
             handle = self._agents.choose(request.service, avoided, self._read_clock())
             avoided |= {handle.name}
             try:
                 return await self._try_once(request, handle)
-            except (NotRun, OutcomeUnknown):
-                if attempts == MAX_ATTEMPTS or not self._budget.withdraw():
+            except (NotRun, OutcomeUnknown) as error:
+                ran = isinstance(error, OutcomeUnknown)
+                delay_s = self._budget.allow(attempts, self._read_clock(), ran=ran)
+                if delay_s is None:
                     raise
-        raise AssertionError("the last attempt returns or raises")
+                await asyncio.sleep(delay_s)
 
     async def _try_once(self, request: PlainRequest, handle: AgentHandle) -> CallAnswer:
         run_id = self._create_run_id()
