Expect the recent demand of other accounts in the admission

Change: recent demand of each account, admitted or not, counts up to its fair share; one class of decaying rates in place of two.

--- a/packages/core/src/persimmonferry_core/limits.py
+++ b/packages/core/src/persimmonferry_core/limits.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from persimmonferry_core.contracts import Limits
+from persimmonferry_core.demand import RecentRate
 
 __all__ = ["LimitBook", "ShareAnswer", "ShareAsk", "SharePart"]
 
@@ -94,26 +95,6 @@
         self._level -= amount
 
 
-class _Demand:
-    """Recent demand a second as a decaying sum."""
-
-    def __init__(self) -> None:
-        self._sum = 0.0
-        self._updated_s = 0.0
-
-    def add(self, amount: float, now: float) -> None:
-        """Count demand, whether it was admitted or not."""
-        self._sum = self._decayed(now) + amount
-        self._updated_s = now
-
-    def rate(self, now: float) -> float:
-        """Return the demand a second."""
-        return self._decayed(now) / DEMAND_WINDOW_S
-
-    def _decayed(self, now: float) -> float:
-        return self._sum * math.exp(-max(0.0, now - self._updated_s) / DEMAND_WINDOW_S)
-
-
 class _AccountLimits:
     """One account at one entry: leases, buckets and recent demand."""
 
@@ -123,22 +104,24 @@
         self.lent: dict[str, list[_Lease]] = {}
         self.requests = _Bucket(now)
         self.tokens = _Bucket(now)
-        self.request_demand = _Demand()
-        self.token_demand = _Demand()
+        self.request_demand = RecentRate(DEMAND_WINDOW_S)
+        self.token_demand = RecentRate(DEMAND_WINDOW_S)
         self.running = 0
 
     def is_active(self, now: float) -> bool:
         """Whether the account has had requests here lately."""
-        return self.running > 0 or self.request_demand.rate(now) > IDLE_REQUESTS_PER_S
+        return (
+            self.running > 0 or self.request_demand.estimate(now) > IDLE_REQUESTS_PER_S
+        )
 
     def find_demand(self, now: float) -> float:
         """Return the demand as a part of the limit, by the scarcest of the three."""
         limits = self.limits
         shares = [0.0]
         if limits.requests_per_s:
-            shares.append(self.request_demand.rate(now) / limits.requests_per_s)
+            shares.append(self.request_demand.estimate(now) / limits.requests_per_s)
         if limits.tokens_per_s:
-            shares.append(self.token_demand.rate(now) / limits.tokens_per_s)
+            shares.append(self.token_demand.estimate(now) / limits.tokens_per_s)
         if limits.concurrency and self.is_active(now):
             # One more than now, so that the next request needs no round trip.
             shares.append((self.running + 1) / limits.concurrency)
--- a/packages/core/src/persimmonferry_core/patience.py
+++ b/packages/core/src/persimmonferry_core/patience.py
@@ -6,7 +6,8 @@
 
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.contracts import Tier
-from persimmonferry_core.shares import FairQueue, QueueEntry
+from persimmonferry_core.demand import RecentRate
+from persimmonferry_core.shares import Arrivals, FairQueue, QueueEntry
 
 __all__ = ["PatienceQueue", "PromptRequest", "Queued", "Refused", "WaitingRequest"]
 
@@ -83,27 +84,6 @@
     avoid: frozenset[str] = frozenset()
 
 
-class _Demand:
-    """Recent demand of one tier, in upstream seconds for each second."""
-
-    def __init__(self) -> None:
-        self._sum = 0.0
-        self._updated_s = 0.0
-
-    def add(self, cost_s: float, now: float) -> None:
-        """Count admitted work."""
-        self._sum = self._decayed(now) + cost_s
-        self._updated_s = now
-
-    def rate(self, now: float) -> float:
-        """Return the recent rate."""
-        return self._decayed(now) / DEMAND_WINDOW_S
-
-    def _decayed(self, now: float) -> float:
-        elapsed = max(0.0, now - self._updated_s)
-        return self._sum * max(0.0, 1.0 - elapsed / DEMAND_WINDOW_S)
-
-
 class PatienceQueue:
     """
     The queue of one service.
@@ -118,7 +98,7 @@
 
     def __init__(self, tiers: tuple[Tier, ...]) -> None:
         self._queues: dict[str, FairQueue[WaitingRequest]] = {}
-        self._demands: dict[str, _Demand] = {}
+        self._demands: dict[str, RecentRate] = {}
         self._tiers: dict[str, Tier] = {}
         self._ranks: dict[str, int] = {}
         self.configure(tiers)
@@ -133,7 +113,7 @@
         self._tiers = {tier.name: tier for tier in ordered}
         for tier in ordered:
             self._queues.setdefault(tier.name, FairQueue())
-            self._demands.setdefault(tier.name, _Demand())
+            self._demands.setdefault(tier.name, RecentRate(DEMAND_WINDOW_S))
 
     def find_tier(self, name: str) -> Tier | None:
         """Return the tier of that name, or None."""
@@ -157,10 +137,14 @@
         ahead = 0.0
         for name, queue in self._queues.items():
             if self.rank(name) < waiting.priority:
-                urgent_rate += self._demands[name].rate(now)
+                urgent_rate += self._demands[name].estimate(now)
                 ahead += queue.total_cost
         own = self._queues[request.tier]
-        ahead += own.estimate_work_ahead(request.account, weight, waiting.cost_s)
+        horizon_s = max(0.0, waiting.latest_start_s - now)
+        arrivals = Arrivals(horizon_s, now)
+        ahead += own.estimate_work_ahead(
+            request.account, weight, waiting.cost_s, arrivals
+        )
         free = max(capacity - urgent_rate, MIN_FREE_SHARE * capacity)
         return ahead / free if free > 0 else float("inf")
 
@@ -174,6 +158,8 @@
         :param capacity: upstream seconds that the fleet works off each second.
         """
         request = waiting.request
+        queue = self._queues[request.tier]
+        queue.record_demand(request.account, waiting.cost_s, weight, now)
         wait = self.estimate_wait(waiting, weight, capacity, now)
         slack = waiting.latest_start_s - now
         allowed = ADMISSION_MARGIN * slack
@@ -250,7 +236,7 @@
             for entry in queue.find_excess(ahead, free, now):
                 dropped.append(entry.item)
             ahead += queue.total_cost
-            urgent_rate += self._demands[tier].rate(now)
+            urgent_rate += self._demands[tier].estimate(now)
         return tuple(dropped)
 
 
--- a/packages/core/src/persimmonferry_core/shares.py
+++ b/packages/core/src/persimmonferry_core/shares.py
@@ -6,7 +6,12 @@
 from heapq import heapify, heappop, heapreplace
 from typing import Generic, TypeVar
 
-__all__ = ["FairQueue", "QueueEntry"]
+from persimmonferry_core.demand import RecentRate
+
+__all__ = ["Arrivals", "FairQueue", "QueueEntry"]
+
+DEMAND_WINDOW_S = 10.0
+NEGLIGIBLE_RATE = 1e-4
 
 Item = TypeVar("Item")
 
@@ -26,6 +31,14 @@
     item: Item
 
 
+@dataclass(frozen=True)
+class Arrivals:
+    """A time from now on in which recent demand is expected to go on."""
+
+    horizon_s: float
+    now: float
+
+
 class _Flow(Generic[Item]):
     """The waiting entries of one account, by latest start, and its virtual start."""
 
@@ -44,6 +57,14 @@
         self.cost = self.cost - entry.cost if self.entries else 0.0
 
 
+class _Demand:
+    """What an account asked for recently."""
+
+    def __init__(self, weight: float) -> None:
+        self.weight = weight
+        self.rate = RecentRate(DEMAND_WINDOW_S)
+
+
 class FairQueue(Generic[Item]):
     """
     Serves accounts in proportion to their weights, and each one by latest start.
@@ -57,6 +78,7 @@
         self._flows: dict[str, _Flow[Item]] = {}
         self._idle_starts: dict[str, float] = {}
         self._entries: dict[str, QueueEntry[Item]] = {}
+        self._demands: dict[str, _Demand] = {}
         self._virtual_time = 0.0
         self.total_cost = 0.0
 
@@ -136,7 +158,24 @@
                 excess.append(entry)
         return tuple(excess)
 
-    def estimate_work_ahead(self, account: str, weight: float, cost: float) -> float:
+    def record_demand(
+        self, account: str, cost: float, weight: float, now: float
+    ) -> None:
+        """Count what an account asks for, admitted or not."""
+        demand = self._demands.get(account)
+        if demand is None:
+            self._drop_idle_demands(now)
+            demand = self._demands[account] = _Demand(weight)
+        demand.weight = weight
+        demand.rate.add(cost, now)
+
+    def estimate_work_ahead(
+        self,
+        account: str,
+        weight: float,
+        cost: float,
+        arrivals: Arrivals | None = None,
+    ) -> float:
         """
         Return the work served before the last entry of an account would start.
 
@@ -144,16 +183,38 @@
         so one account's backlog does not count against another's short queue.
 
         :param cost: of an entry of the account that is about to join.
+        :param arrivals: the time in which work of other accounts will still arrive;
+            None counts only what waits now.
         """
         flow = self._flows.get(account)
         own = flow.cost if flow else 0.0
         rounds = (own + cost) / weight
-        others = (
-            min(other.cost, rounds * other.weight)
-            for name, other in self._flows.items()
-            if name != account
-        )
-        return own + sum(others)
+        ahead = own
+        for name, other in self._flows.items():
+            if name != account:
+                expected = other.cost + self._expect(name, arrivals)
+                ahead += min(expected, rounds * other.weight)
+        if arrivals is not None:
+            for name, demand in self._demands.items():
+                if name != account and name not in self._flows:
+                    expected = self._expect(name, arrivals)
+                    ahead += min(expected, rounds * demand.weight)
+        return ahead
+
+    def _expect(self, account: str, arrivals: Arrivals | None) -> float:
+        demand = self._demands.get(account)
+        if arrivals is None or demand is None:
+            return 0.0
+        return demand.rate.estimate(arrivals.now) * arrivals.horizon_s
+
+    def _drop_idle_demands(self, now: float) -> None:
+        idle = [
+            name
+            for name, demand in self._demands.items()
+            if demand.rate.estimate(now) < NEGLIGIBLE_RATE
+        ]
+        for name in idle:
+            del self._demands[name]
 
     def _keep_idle_start(self, account: str, start: float) -> None:
         """Remember what an idle account was served ahead of the others."""
