Serve on with the earlier weight version during a rollout

Ruled out: holding prompts back (the promised wait), choosing the version once for each request (one that waits would outlive its version). Second fault: an entry dropped reports that came before its first document, so that one started in an outage had no upstreams for a while: they are replayed now. Third, found by the fuzz with other examples: a cancelled request's retry delay kept the timer busy.

--- a/demo/demo.py
+++ b/demo/demo.py
@@ -20,6 +20,7 @@
 QUESTIONS = 40
 ORDERS = 60
 MAX_CLIENTS = 500
+EXPORT_TIME_S = 2.0
 
 
 def make_history(shop: int, words: int) -> str:
@@ -56,6 +57,7 @@
 
     async def return_later(self) -> None:
         """Send the histories again after the engines have lost their caches."""
+        await asyncio.sleep(EXPORT_TIME_S)
         for plan in self.fleet.plan.models:
             await self.fleet.control(f"{plan.name}-upstream").evict_blocks()
         results = [await self._send_history(shop) for shop in range(HISTORIES)]
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -57,6 +57,7 @@
     One attempt that is to start now.
 
     :param upstream: its name.
+    :param version: weight version that the upstream holds.
     :param plan: blocks to import before the run, or None.
     :param priority: for the engine; the lower, the sooner.
     :param attempt: 1 for the first.
@@ -64,6 +65,7 @@
 
     request: PromptRequest
     upstream: str
+    version: str
     plan: ImportPlan | None
     priority: int
     attempt: int
@@ -78,6 +80,7 @@
     upstream: str | None = None
     number: int = 0
     delivered_tokens: int = 0
+    version: str = ""
     is_delayed: bool = False
 
 
@@ -349,7 +352,10 @@
             code = ResultCode.RETRIES_EXHAUSTED
             return Refused(request_id, code, NO_UPSTREAM_RETRY_S)
         avoid = waiting.avoid | ({failed_at} if failed_at else frozenset())
-        attempt.waiting = replace(waiting, avoid=avoid, latest_start_s=latest_s)
+        version = attempt.version if attempt.delivered_tokens else ""
+        attempt.waiting = replace(
+            waiting, avoid=avoid, latest_start_s=latest_s, version=version
+        )
         attempt.is_delayed = True
         heappush(self._delayed, (now + delay_s, request_id))
         return Queued(request_id, latest_s, delay_s)
@@ -397,6 +403,7 @@
         """Return when to call ``expire`` and ``assign`` again, None when idle."""
         if any(len(model.queue) for model in self._models.values()):
             return now + POLL_INTERVAL_S
+        self._drop_ended_delays()
         if self._delayed:
             return max(self._delayed[0][0], now + MIN_INTERVAL_S)
         return None
@@ -484,8 +491,15 @@
         attempt.upstream = route.upstream
         attempt.number += 1
         model.router.add_run(waiting, route, now)
+        version = model.router.upstreams[route.upstream].report.version
+        attempt.version = version
         return Assignment(
-            request, route.upstream, route.plan, waiting.priority, attempt.number
+            request,
+            route.upstream,
+            version,
+            route.plan,
+            waiting.priority,
+            attempt.number,
         )
 
     def _end_attempt(self, attempt: _Attempt, now: float, whole: bool) -> None:
@@ -514,13 +528,22 @@
             generated,
         )
 
+    def _drop_ended_delays(self) -> None:
+        """Forget the delays in front whose requests have ended meanwhile."""
+        while self._delayed and not self._is_delayed(self._delayed[0][1]):
+            heappop(self._delayed)
+
+    def _is_delayed(self, request_id: str) -> bool:
+        attempt = self._attempts.get(request_id)
+        return attempt is not None and attempt.is_delayed
+
     def _release_delayed(self, now: float) -> None:
         """Put the requests back into the queue whose retry delay has passed."""
         while self._delayed and self._delayed[0][0] <= now:
             _, request_id = heappop(self._delayed)
-            attempt = self._attempts.get(request_id)
-            if attempt is None or not attempt.is_delayed:
+            if not self._is_delayed(request_id):
                 continue
+            attempt = self._attempts[request_id]
             attempt.is_delayed = False
             request = attempt.waiting.request
             weight = self._weights.get(request.account, 1.0)
--- a/packages/core/src/persimmonferry_core/patience.py
+++ b/packages/core/src/persimmonferry_core/patience.py
@@ -75,6 +75,8 @@
 
     :param cost_s: seconds of one whole upstream that the run is expected to use.
     :param avoid: upstreams that failed it before.
+    :param version: weight version that it has to go on with, empty before its answer
+        has begun.
     """
 
     request: PromptRequest
@@ -82,6 +84,7 @@
     cost_s: float
     priority: int
     avoid: frozenset[str] = frozenset()
+    version: str = ""
 
 
 class PatienceQueue:
--- a/packages/daemon/src/persimmonferry_daemon/agent.py
+++ b/packages/daemon/src/persimmonferry_daemon/agent.py
@@ -61,6 +61,7 @@
             self._vms.list_vms,
         )
         self._reporter = Reporter(peers, self._vms, self._describe)
+        self._gate.on_change.append(self._reporter.plan_report)
         self._work = self._build_work(client, platform)
 
     async def start(self) -> None:
--- a/packages/daemon/src/persimmonferry_daemon/entry.py
+++ b/packages/daemon/src/persimmonferry_daemon/entry.py
@@ -246,7 +246,7 @@
 
     def _configure(self, document: TeamDocument) -> None:
         self._dispatcher.configure(document, time.monotonic())
-        self._scheduler.plan_pump()
+        self._members.replay()
 
     def _read_document(self) -> TeamDocument | None:
         return self._configuration.document
--- a/packages/daemon/src/persimmonferry_daemon/gate.py
+++ b/packages/daemon/src/persimmonferry_daemon/gate.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import enum
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 from persimmonferry_core.codes import ResultCode
@@ -30,6 +30,7 @@
 
     def __init__(self, name: str) -> None:
         self._name = name
+        self.on_change: list[Callable[[], None]] = []
         self._count = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -48,10 +49,16 @@
     def close(self, reason: CloseReason) -> None:
         """Refuse new work until the reason is gone."""
         self._reasons.add(reason)
+        self._notify()
 
     def open(self, reason: CloseReason) -> None:
         """Take new work again, unless there is another reason not to."""
         self._reasons.discard(reason)
+        self._notify()
+
+    def _notify(self) -> None:
+        for notify in self.on_change:
+            notify()
 
     def find_refusal(self) -> NotRun | None:
         """Return why new work is refused now, None when it is taken."""
--- a/packages/daemon/src/persimmonferry_daemon/members.py
+++ b/packages/daemon/src/persimmonferry_daemon/members.py
@@ -82,6 +82,12 @@
         """Return all upstreams."""
         return self._table.list_all()
 
+    def replay(self) -> None:
+        """Tell the dispatcher of all upstreams: services may be known only now."""
+        for presence in self._table.list_all():
+            self._scheduler.dispatcher.report(presence.report, self._read_clock())
+        self._scheduler.plan_pump()
+
     def suspect(self, name: str, incarnation: int) -> None:
         """Avoid an upstream that was lost until its next report."""
         if self._table.suspect(name, incarnation):
--- a/packages/daemon/src/persimmonferry_daemon/reports.py
+++ b/packages/daemon/src/persimmonferry_daemon/reports.py
@@ -56,6 +56,11 @@
         if self._task is not None:
             self._task.cancel()
 
+    def plan_report(self) -> None:
+        """Send a report without waiting for it."""
+        task = asyncio.create_task(self.report_now())
+        task.add_done_callback(_log_failure)
+
     async def report_now(self) -> None:
         """Send one report to every entry and wait for the replies."""
         entries = self._list_entries()
@@ -84,8 +89,7 @@
     async def _run(self) -> None:
         while True:
             # Not awaited: an entry that does not answer must not delay the others.
-            task = asyncio.create_task(self.report_now())
-            task.add_done_callback(_log_failure)
+            self.plan_report()
             await asyncio.sleep(self._find_interval())
 
     async def _send(self, entry: Address, report: AgentReport) -> None:
