Measure what a change costs by size; send a newcomer the text once

Cause: the slopes showed a whole text of 124,876 bytes sent as 195,758: the change that went with it carried the text again as its delta. Change: the delta stays behind.

--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -2,6 +2,7 @@
 Time for a change of a team's document to be in force in 50 real processes.
 
 The baseline is the same number of processes that each watch the platform themselves.
+``python -m bench.configuration slopes`` prints what a change costs by size instead.
 """
 
 import asyncio
@@ -17,15 +18,28 @@
 from pathlib import Path
 
 from persimmonferry_adapters import HttpPlatform, HttpVMList
+from persimmonferry_core.accounts import hash_key
+from persimmonferry_core.document import parse_document
 from persimmonferry_core.exceptions import PlatformError
-from persimmonferry_core.watchers import Member
+from persimmonferry_core.revisions import (
+    Change,
+    ChangesUpdate,
+    Head,
+    Replica,
+    WholeUpdate,
+    advance,
+    digest_text,
+    make_delta,
+)
+from persimmonferry_core.watchers import Member, count_levels, rank_members
 from persimmonferry_core.world import VM, Address, FailureDomain, Role
 from persimmonferry_daemon.configuration import ConfigurationKeeper
 from persimmonferry_daemon.documents import Proposal
+from persimmonferry_daemon.revision_messages import encode_head, write_update
 from persimmonferry_daemon.servers import Listener, list_peer_rules
 from persimmonferry_daemon.vms import VMWatch
 from persimmonferry_standins.control import Control
-from persimmonferry_wire import PeerClient
+from persimmonferry_wire import PeerClient, encode
 from tornado.httpclient import AsyncHTTPClient
 from tornado.iostream import IOStream
 
@@ -45,6 +59,9 @@
 RETURN_S = 1.0
 MS_PER_S = 1000.0
 KB = 1024
+ACCOUNTS = (10, 100, 630)
+SIZES = (4, 18, 100, 353)
+REPEATS = 10
 
 
 class CountedStreams:
@@ -421,8 +438,80 @@
     print_cost(samples)
 
 
+def write_large(accounts):
+    """Return a document of that many client accounts."""
+    sections = (
+        f"[account shop-{number}]\n"
+        f"key_digests = {hash_key(f'key-{number}')}\n"
+        f"cache_secret = {hash_key(f'secret-{number}')[:32]}\n"
+        "services = notes, orders\nrequests_per_s = 20\n\n"
+        for number in range(accounts)
+    )
+    return EXAMPLE.read_text() + "\n" + "".join(sections)
+
+
+def make_change(revision, before, after):
+    """Return a change as the platform would have accepted it."""
+    delta = make_delta(before, after)
+    digest = digest_text(after)
+    return Change(revision, uuid.uuid4().hex, "demo", time.time(), "", digest, delta)
+
+
+def measure_change(accounts):
+    """Return the sizes of one change of one account, and the time to take it."""
+    before = write_large(accounts)
+    after = before.replace("requests_per_s = 20", "requests_per_s = 30", 1)
+    first = make_change(1, "", before)
+    replica = advance(Replica(), WholeUpdate(first, before)).replica
+    update = ChangesUpdate(1, (make_change(2, before, after),))
+    head = Head(1, 1, update.changes)
+    start = time.process_time()
+    for _ in range(REPEATS):
+        taken = advance(replica, update)
+        parse_document(taken.replica.text, TEAM, 2)
+    taking_s = (time.process_time() - start) / REPEATS
+    whole = write_update(TEAM, WholeUpdate(first, before))
+    return [
+        accounts,
+        len(before),
+        len(encode_head(head)),
+        len(encode(write_update(TEAM, update))),
+        len(encode(whole)),
+        taking_s * MS_PER_S,
+    ]
+
+
+def count_messages(size):
+    """Return what one failure domain of that size sends for a change."""
+    domain = FailureDomain("bench", "d")
+    vms = tuple(
+        VM(f"vm-{number}", Role.UPSTREAM, Address("127.0.0.1", number), domain)
+        for number in range(size)
+    )
+    owns = (Member(vm.name, vm.address.url, domain) for vm in vms)
+    sent = []
+    for own in owns:
+        members = rank_members(own, vms, TEAM)
+        roots = members.list_roots() if members.is_watcher(frozenset()) else ()
+        sent.append(len(members.list_children()) + len(roots))
+    return [size, count_levels(size), sum(sent) / size, max(sent)]
+
+
+def print_slopes():
+    rows = [measure_change(accounts) for accounts in ACCOUNTS]
+    header = ["accounts", "text bytes", "head bytes", "update bytes"]
+    header += ["whole text to a newcomer, bytes", "processor ms to take it"]
+    print_table("One change of one account", header, rows)
+    rows = [count_messages(size) for size in SIZES]
+    header = ["processes", "messages in a row", "sent by each, mean", "most"]
+    print_table("One change in one failure domain", header, rows)
+
+
 if __name__ == "__main__":
-    if sys.argv[1:2] == ["node"]:
-        asyncio.run(run_node(*sys.argv[2:]))
-    else:
-        asyncio.run(main())
+    match sys.argv[1:]:
+        case ["node", *arguments]:
+            asyncio.run(run_node(*arguments))
+        case ["slopes"]:
+            print_slopes()
+        case _:
+            asyncio.run(main())
--- a/packages/daemon/src/persimmonferry_daemon/revision_messages.py
+++ b/packages/daemon/src/persimmonferry_daemon/revision_messages.py
@@ -2,6 +2,7 @@
 
 import zlib
 from collections.abc import Iterable
+from dataclasses import replace
 
 from persimmonferry_core.revisions import (
     Change,
@@ -74,7 +75,9 @@
             return ttypes.RevisionUpdate(team, base, _write_changes(changes))
         case WholeUpdate(last, text):
             whole = zlib.compress(text.encode())
-            return ttypes.RevisionUpdate(team, 0, [], whole, _write_change(last))
+            # The delta that led to the text is of no use beside it, and may be as long.
+            bare = _write_change(replace(last, delta=Patch((), ())))
+            return ttypes.RevisionUpdate(team, 0, [], whole, bare)
     return None
 
 
