Read only the changed sections of a document again

Change: sections are cut first and read one by one, those read before are kept. A fuzz of the parser found that an empty header ended the check with an exception; it is a fault now.

--- a/packages/core/src/persimmonferry_core/document.py
+++ b/packages/core/src/persimmonferry_core/document.py
@@ -4,6 +4,7 @@
 import re
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import Any
 
 from persimmonferry_core.codes import ResultCode
@@ -18,6 +19,7 @@
     Tier,
 )
 from persimmonferry_core.exceptions import ConfigurationFaulty
+from persimmonferry_core.sections import split_sections
 from persimmonferry_core.world import Link
 
 __all__ = ["format_document", "parse_document"]
@@ -25,6 +27,7 @@
 MIN_SECRET_HEX = 32
 MAX_SLOTS = 100_000
 MAX_WAIT_S = 7 * 86_400
+MAX_CACHED_SECTIONS = 4096
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 _DIGEST = re.compile(r"[0-9a-f]{64}")
@@ -166,6 +169,19 @@
     values: Mapping[str, Any] | None
 
 
+@dataclass(frozen=True)
+class _Chunk:
+    """
+    What was read from the lines of one section.
+
+    :param headers: of all sections in it, also those that were left out for a fault.
+    """
+
+    headers: tuple[str, ...]
+    sections: tuple[_Section, ...]
+    faults: tuple[str, ...]
+
+
 def parse_document(text: str, team: str = "", revision: int = 0) -> TeamDocument:
     """
     Parse and check a team's document.
@@ -238,9 +254,25 @@
 
 
 def _read_sections(text: str, faults: list[str]) -> Iterable[_Section]:
+    seen: set[str] = set()
+    for part in split_sections(text):
+        chunk = _read_chunk(part.text)
+        faults += chunk.faults
+        for header in chunk.headers:
+            if header in seen:
+                faults.append(f"[{header}]: twice")
+            seen.add(header)
+        yield from chunk.sections
+
+
+@lru_cache(maxsize=MAX_CACHED_SECTIONS)
+def _read_chunk(text: str) -> _Chunk:
+    """Read one section; a changed document has few that were not read before."""
+    faults: list[str] = []
+    sections = []
     parser = _read_ini(text, faults)
     for header in parser.sections():
-        kind, *names = header.split()
+        kind, *names = header.split() or [""]
         keys = _KEYS.get(kind)
         if keys is None:
             faults.append(f"[{header}]: no such kind of section")
@@ -250,7 +282,8 @@
             continue
         named_well = _check_names(header, names, faults)
         values = _read_values(header, parser[header], keys, faults)
-        yield _Section(kind, tuple(names), values if named_well else None)
+        sections.append(_Section(kind, tuple(names), values if named_well else None))
+    return _Chunk(tuple(parser.sections()), tuple(sections), tuple(faults))
 
 
 def _read_ini(text: str, faults: list[str]) -> configparser.ConfigParser:
@@ -259,13 +292,13 @@
         parser.read_string(text)
         return parser
     except configparser.Error as error:
-        faults.append(_describe_syntax(error))
+        faults.append(_describe_syntax(text, error))
     # The lenient parser goes past duplicates, so that the other faults show too.
     lenient = _make_parser(strict=False)
     try:
         lenient.read_string(text)
     except configparser.Error as error:
-        fault = _describe_syntax(error)
+        fault = _describe_syntax(text, error)
         if fault not in faults:
             faults.append(fault)
     return lenient
@@ -277,17 +310,18 @@
     )
 
 
-def _describe_syntax(error: configparser.Error) -> str:
+def _describe_syntax(text: str, error: configparser.Error) -> str:
+    lines = text.splitlines()
     match error:
         case configparser.DuplicateSectionError():
-            return f"[{error.section}]: twice, again in line {error.lineno}"
+            return f"[{error.section}]: twice"
         case configparser.DuplicateOptionError():
-            return f"[{error.section}] {error.option}: twice, line {error.lineno}"
+            return f"[{error.section}] {error.option}: twice"
         case configparser.MissingSectionHeaderError():
-            return f"line {error.lineno}: stands before the first section"
+            return f"{lines[error.lineno - 1]!r}: belongs to no section"
         case configparser.ParsingError():
-            lines = ", ".join(str(number) for number, _ in error.errors)
-            return f"line {lines}: neither a section nor key = value"
+            wrong = ", ".join(repr(lines[number - 1]) for number, _ in error.errors)
+            return f"{lines[0].strip()} {wrong}: neither a section nor key = value"
     return "not an INI document"
 
 
--- a/packages/core/src/persimmonferry_core/revisions.py
+++ b/packages/core/src/persimmonferry_core/revisions.py
@@ -6,9 +6,11 @@
 """
 
 import hashlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 
+from persimmonferry_core.sections import Section, split_sections
+
 __all__ = [
     "MAX_TEXT_BYTES",
     "Advanced",
@@ -196,11 +198,11 @@
     >>> [(change.header, change.after) for change in delta.changed]
     [('[a]', ''), ('[c]', '[b]')]
     """
-    before = dict(_split_sections(base))
-    pairs = tuple(_split_sections(target))
-    after = dict(pairs)
+    before = {section.header: section.text for section in split_sections(base)}
+    sections = tuple(split_sections(target))
+    after = {section.header for section in sections}
     removed = tuple(header for header in before if header not in after)
-    patch = Patch(removed, tuple(_list_section_changes(before, pairs)))
+    patch = Patch(removed, tuple(_list_section_changes(before, sections)))
     # Moved or repeated sections are rare and need the whole text.
     if apply_delta(base, patch) == target:
         return patch
@@ -214,10 +216,10 @@
             return text
         case Patch(removed, changed):
             gone = set(removed)
-            kept = [pair for pair in _split_sections(base) if pair[0] not in gone]
+            kept = [item for item in split_sections(base) if item.header not in gone]
             for change in changed:
                 _write_section(kept, change)
-            return "".join(text for _, text in kept)
+            return "".join(section.text for section in kept)
 
 
 def advance(replica: Replica, update: ChangesUpdate | WholeUpdate) -> Outcome:
@@ -321,39 +323,25 @@
     return next((item for item in changes if item.change_id == change_id), None)
 
 
-def _split_sections(text: str) -> Iterator[tuple[str, str]]:
-    header = ""
-    lines: list[str] = []
-    for line in text.splitlines(keepends=True):
-        if line.startswith("["):
-            if lines:
-                yield header, "".join(lines)
-            header = line.strip()
-            lines = []
-        lines.append(line)
-    if lines:
-        yield header, "".join(lines)
-
-
 def _list_section_changes(
-    before: dict[str, str], pairs: Iterable[tuple[str, str]]
+    before: Mapping[str, str], sections: Iterable[Section]
 ) -> Iterator[SectionChange]:
     previous = ""
-    for header, text in pairs:
-        if before.get(header) != text:
-            yield SectionChange(header, previous, text)
-        previous = header
+    for section in sections:
+        if before.get(section.header) != section.text:
+            yield SectionChange(section.header, previous, section.text)
+        previous = section.header
 
 
-def _write_section(sections: list[tuple[str, str]], change: SectionChange) -> None:
-    headers = [header for header, _ in sections]
-    pair = (change.header, change.text)
+def _write_section(sections: list[Section], change: SectionChange) -> None:
+    headers = [section.header for section in sections]
+    written = Section(change.header, change.text)
     if change.header in headers:
-        sections[headers.index(change.header)] = pair
+        sections[headers.index(change.header)] = written
     elif change.after in headers:
-        sections.insert(headers.index(change.after) + 1, pair)
+        sections.insert(headers.index(change.after) + 1, written)
     else:
-        sections.insert(0, pair)
+        sections.insert(0, written)
 
 
 def _joins(replica: Replica, base: int, changes: Iterable[Change]) -> bool:
--- a/packages/core/tests/test_document.py
+++ b/packages/core/tests/test_document.py
@@ -1,6 +1,8 @@
 from pathlib import Path
 
+import hypothesis.strategies as st
 import pytest
+from hypothesis import given, settings
 from persimmonferry_core.accounts import (
     find_account,
     find_operator,
@@ -101,6 +103,23 @@
         parse_document(text, "kovanci")
 
 
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    position=st.integers(0, 5000),
+    cut=st.integers(0, 30),
+    text=st.text("[]=: \n\t\x0c\r#;aé0\u2028", max_size=8),
+)
+def test_any_text_is_a_document_or_is_refused_as_faulty(position, cut, text):
+    whole = read_example("kovanci")
+    changed = whole[:position] + text + whole[position + cut :]
+    try:
+        document = parse_document(changed, "kovanci")
+    except ConfigurationFaulty as error:
+        assert all(error.faults)
+    else:
+        assert parse_document(format_document(document), "kovanci") == document
+
+
 def test_two_keys_are_valid_during_a_rotation_and_the_third_drops_the_first():
     document = parse_document(read_example("kovanci"), "kovanci")
     account = document.accounts[0]
