--- a/packages/adapters/src/persimmonferry_adapters/answer.py
+++ b/packages/adapters/src/persimmonferry_adapters/answer.py
@@ -1,21 +1,20 @@
 """Reading of an engine's answer: a stream of JSON lines, cut into chunks at will."""
 
 import json
+import logging
 from collections.abc import Callable
 from typing import Any
 
 from persimmonferry_core.codes import ResultCode
-from persimmonferry_core.exceptions import (
-    FerryError,
-    OutcomeUnknown,
-    make_error,
-)
+from persimmonferry_core.exceptions import FerryError, OutcomeUnknown
 from persimmonferry_core.runs import RunEnd, RunOrder, TokenBatch
 
-from persimmonferry_adapters.forms import decode_run_end, find_refusal_code
+from persimmonferry_adapters.forms import decode_refusal, decode_run_end
 
 __all__ = ["AnswerReader"]
 
+_log = logging.getLogger(__name__)
+
 
 class AnswerReader:
     """
@@ -52,14 +51,19 @@
             self.failure = failure
         except (ValueError, KeyError, TypeError, AttributeError):
             self.failure = self._mismatch("a malformed line")
-        self._flush()
+        try:
+            self._flush()
+        except Exception:
+            _log.exception("tokens could not be handed over")
+            detail = "the receiver of the tokens failed"
+            self.failure = OutcomeUnknown(ResultCode.INTERNAL_FAULT, detail)
 
     def _read_line(self, line: bytes) -> None:
         fields: dict[str, Any] = json.loads(line)
         if fields.get("run_id") != self._order.run_id:
             raise self._mismatch("another run's id")
         if "refused" in fields:
-            raise self._read_refusal(fields["refused"])
+            raise self._read_refusal(fields)
         if "tokens" in fields:
             self._read_tokens(int(fields["first"]), fields["tokens"])
         if "end" in fields:
@@ -68,8 +72,7 @@
     def _read_refusal(self, fields: dict[str, Any]) -> FerryError:
         if self._next_index > len(self._order.delivered):
             return OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "stopped by the engine")
-        code = find_refusal_code(fields["code"])
-        return make_error(code, str(fields["reason"]), fields.get("retry_after_s"))
+        return decode_refusal(fields)
 
     def _read_tokens(self, first: int, tokens: list[str]) -> None:
         if self._end is not None or first != self._next_index:
--- a/packages/core/src/persimmonferry_core/patience.py
+++ b/packages/core/src/persimmonferry_core/patience.py
@@ -1,18 +1,20 @@
 """Requests that wait for an upstream: promised waits, tiers and admission."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 from heapq import merge
+from itertools import islice
 
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.contracts import Tier
-from persimmonferry_core.shares import FairQueue, QueueEntry
+from persimmonferry_core.demand import RecentRate
+from persimmonferry_core.shares import Arrivals, FairQueue, QueueEntry
 
 __all__ = ["PatienceQueue", "PromptRequest", "Queued", "Refused", "WaitingRequest"]
 
 ADMISSION_MARGIN = 0.8
 DEMAND_WINDOW_S = 10.0
 MIN_RETRY_AFTER_S = 0.1
+MIN_FREE_SHARE = 0.05
 
 
 @dataclass(frozen=True)
@@ -73,6 +75,8 @@
 
     :param cost_s: seconds of one whole upstream that the run is expected to use.
     :param avoid: upstreams that failed it before.
+    :param version: weight version that it has to go on with, empty before its answer
+        has begun.
     """
 
     request: PromptRequest
@@ -80,27 +84,7 @@
     cost_s: float
     priority: int
     avoid: frozenset[str] = frozenset()
-
-
-class _Demand:
-    """Recent demand of one tier, in upstream seconds for each second."""
-
-    def __init__(self) -> None:
-        self._sum = 0.0
-        self._updated_s = 0.0
-
-    def add(self, cost_s: float, now: float) -> None:
-        """Count admitted work."""
-        self._sum = self._decayed(now) + cost_s
-        self._updated_s = now
-
-    def rate(self, now: float) -> float:
-        """Return the recent rate."""
-        return self._decayed(now) / DEMAND_WINDOW_S
-
-    def _decayed(self, now: float) -> float:
-        elapsed = max(0.0, now - self._updated_s)
-        return self._sum * max(0.0, 1.0 - elapsed / DEMAND_WINDOW_S)
+    version: str = ""
 
 
 class PatienceQueue:
@@ -117,7 +101,7 @@
 
     def __init__(self, tiers: tuple[Tier, ...]) -> None:
         self._queues: dict[str, FairQueue[WaitingRequest]] = {}
-        self._demands: dict[str, _Demand] = {}
+        self._demands: dict[str, RecentRate] = {}
         self._tiers: dict[str, Tier] = {}
         self._ranks: dict[str, int] = {}
         self.configure(tiers)
@@ -132,7 +116,7 @@
         self._tiers = {tier.name: tier for tier in ordered}
         for tier in ordered:
             self._queues.setdefault(tier.name, FairQueue())
-            self._demands.setdefault(tier.name, _Demand())
+            self._demands.setdefault(tier.name, RecentRate(DEMAND_WINDOW_S))
 
     def find_tier(self, name: str) -> Tier | None:
         """Return the tier of that name, or None."""
@@ -156,11 +140,15 @@
         ahead = 0.0
         for name, queue in self._queues.items():
             if self.rank(name) < waiting.priority:
-                urgent_rate += self._demands[name].rate(now)
+                urgent_rate += self._demands[name].estimate(now)
                 ahead += queue.total_cost
         own = self._queues[request.tier]
-        ahead += own.estimate_work_ahead(request.account, weight, waiting.cost_s)
-        free = max(capacity - urgent_rate, 0.05 * capacity)
+        horizon_s = max(0.0, waiting.latest_start_s - now)
+        arrivals = Arrivals(horizon_s, now)
+        ahead += own.estimate_work_ahead(
+            request.account, weight, waiting.cost_s, arrivals
+        )
+        free = max(capacity - urgent_rate, MIN_FREE_SHARE * capacity)
         return ahead / free if free > 0 else float("inf")
 
     def offer(
@@ -173,6 +161,8 @@
         :param capacity: upstream seconds that the fleet works off each second.
         """
         request = waiting.request
+        queue = self._queues[request.tier]
+        queue.record_demand(request.account, waiting.cost_s, weight, now)
         wait = self.estimate_wait(waiting, weight, capacity, now)
         slack = waiting.latest_start_s - now
         allowed = ADMISSION_MARGIN * slack
@@ -197,10 +187,24 @@
             weight,
         )
 
-    def iterate(self) -> Iterator[WaitingRequest]:
-        """Return the waiting requests in the order in which they should start."""
-        streams = (queue.iterate() for queue in self._queues.values() if len(queue))
-        return (entry.item for entry in merge(*streams, key=_start_order))
+    def iterate(self, priorities: frozenset[int], limit: int) -> list[WaitingRequest]:
+        """
+        Return waiting requests in the order in which they should start.
+
+        :param priorities: ranks of the tiers that are looked at.
+        :param limit: requests of one tier.
+        """
+        streams = (
+            islice(queue.iterate(), limit)
+            for tier, queue in self._queues.items()
+            if len(queue) and self.rank(tier) in priorities
+        )
+        return [entry.item for entry in merge(*streams, key=_start_order)]
+
+    def find_priorities(self) -> list[int]:
+        """Return the ranks of the tiers that have waiting requests, urgent first."""
+        ranks = (self.rank(tier) for tier, queue in self._queues.items() if len(queue))
+        return sorted(ranks)
 
     def take(self, waiting: WaitingRequest) -> None:
         """Remove a request that was assigned and charge its account's fair share."""
@@ -219,6 +223,25 @@
             self.remove(waiting)
         return tuple(late)
 
+    def drop_excess(self, capacity: float, now: float) -> tuple[WaitingRequest, ...]:
+        """
+        Remove and return requests that are not expected to start in time.
+
+        An account that comes back to its fair share delays what another account was
+        admitted beyond its own; the newest requests of that account go first.
+        """
+        dropped: list[WaitingRequest] = []
+        ahead = 0.0
+        urgent_rate = 0.0
+        for tier in self._tiers:
+            queue = self._queues[tier]
+            free = max(capacity - urgent_rate, MIN_FREE_SHARE * capacity)
+            for entry in queue.find_excess(ahead, free, now):
+                dropped.append(entry.item)
+            ahead += queue.total_cost
+            urgent_rate += self._demands[tier].estimate(now)
+        return tuple(dropped)
+
 
 def _start_order(entry: QueueEntry[WaitingRequest]) -> float:
     return entry.latest_start_s
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -4,6 +4,7 @@
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.contracts import (
     ClientAccount,
+    Limits,
     Service,
     ServiceKind,
     TeamDocument,
@@ -19,9 +20,11 @@
 from persimmonferry_core.runs import RunEnd
 
 TIERS = (Tier("door", 1.0, 2.0, 0.2), Tier("dawn", 60.0, 0.5, 0.05))
-ACCOUNTS = tuple(
-    ClientAccount(name, (), "", weight, ("notes", "orders"))
-    for name, weight in (("a", 1.0), ("b", 2.0), ("c", 1.0))
+CONCURRENCY = 4
+ACCOUNTS = (
+    ClientAccount("a", (), "", 1.0, ("notes",)),
+    ClientAccount("b", (), "", 2.0, ("notes",)),
+    ClientAccount("c", (), "", 1.0, ("notes",), Limits(concurrency=CONCURRENCY)),
 )
 SERVICES = (
     Service("notes", ServiceKind.MODEL, "m", "v1"),
@@ -67,10 +70,12 @@
         self.dispatcher = Dispatcher(DOCUMENT, frozenset({"east"}), seed=1)
         self.reports = {}
         self.sequence = 0
-        self.count = 0
+        self.accounts = {}
         self.waiting = {}
         self.running = {}
-        self.peaks = {name: 0 for name in NAMES}
+        self.begun = {}
+        self.versions = {}
+        self.failed_at = {}
 
     def _running_at(self, name):
         return sum(1 for upstream in self.running.values() if upstream == name)
@@ -105,22 +110,37 @@
     @rule(
         tier=st.sampled_from(("door", "dawn")),
         account=st.sampled_from("abc"),
-        tokens=st.integers(1, 30_000),
+        tokens=st.sampled_from((1, 100, 800, 30_000)),
         blocks=st.integers(0, 3),
+        count=st.integers(1, 4),
     )
-    def offer(self, tier, account, tokens, blocks):
-        self.count += 1
+    def offer(self, tier, account, tokens, blocks, count):
         names = tuple(f"{account}{index}" for index in range(blocks))
-        request = make_request(
-            self.count, self.now, tier, account, tokens, block_names=names
-        )
-        match self.dispatcher.offer(request, self.now):
+        for _ in range(count):
+            # The number of an ended request may come again.
+            free = [n for n in range(30) if f"r{n}" not in self.accounts]
+            self.begun.pop(f"r{free[0]}", None)
+            self.failed_at.pop(f"r{free[0]}", None)
+            request = make_request(
+                free[0], self.now, tier, account, tokens, block_names=names
+            )
+            self._take_answer(request, self.dispatcher.offer(request, self.now))
+
+    def _take_answer(self, request, answer):
+        match answer:
             case Queued(request_id, latest):
                 assert latest >= self.now
                 self.waiting[request_id] = latest
+                self.accounts[request_id] = request.account
             case Refused(code=code, retry_after_s=retry_after_s):
-                assert code in (ResultCode.WAIT_NOT_KEPT, ResultCode.NO_UPSTREAM)
                 assert retry_after_s > 0
+                if code is ResultCode.LIMIT_EXCEEDED:
+                    assert self._count_open("c") >= CONCURRENCY
+                else:
+                    assert code in (ResultCode.WAIT_NOT_KEPT, ResultCode.NO_UPSTREAM)
+
+    def _count_open(self, account):
+        return list(self.accounts.values()).count(account)
 
     @rule(name=st.sampled_from(NAMES), account=st.sampled_from("abc"))
     def hold(self, name, account):
@@ -135,12 +155,28 @@
             del self.waiting[request_id]
             report = self.reports[assignment.upstream]
             assert not report.leaving
-            assert report.version == "v1"
+            self._check_version(assignment, report)
             self.running[request_id] = assignment.upstream
+            self.versions[request_id] = assignment.version
         for name, count in before.items():
             if self._running_at(name) > count:
                 assert self._running_at(name) <= self.reports[name].slots
 
+    def _check_version(self, assignment, report):
+        request_id = assignment.request.request_id
+        assert assignment.version == report.version
+        if request_id in self.begun:
+            assert assignment.version == self.begun[request_id]
+        elif report.version != "v1":
+            # Another version is for the time when the wanted one can't start.
+            idle = [
+                name
+                for name, other in self.reports.items()
+                if (other.version, other.leaving, other.running) == ("v1", False, 0)
+                and self._running_at(name) == 0
+            ]
+            assert set(idle) <= self.failed_at.get(request_id, set())
+
     @precondition(lambda self: self.running)
     @rule(data=st.data(), how=st.sampled_from(("finish", "start", "refuse", "lose")))
     def go_on(self, data, how):
@@ -149,17 +185,22 @@
             case "start":
                 self.dispatcher.started(request_id, self.now)
                 self.dispatcher.progressed(request_id, 3, self.now)
+                version = self.versions[request_id]
+                self.begun.setdefault(request_id, version)
             case "finish":
-                del self.running[request_id]
+                del self.running[request_id], self.accounts[request_id]
                 self.dispatcher.finished(request_id, make_end(request_id), self.now)
             case _:
                 self._fail(request_id, ran=how == "lose")
 
     def _fail(self, request_id, ran):
-        del self.running[request_id]
+        upstream = self.running.pop(request_id)
+        self.failed_at.setdefault(request_id, set()).add(upstream)
         answer = self.dispatcher.failed(request_id, ran, self.now)
         if isinstance(answer, Queued):
             self.waiting[request_id] = answer.latest_start_s
+        else:
+            del self.accounts[request_id]
 
     @precondition(lambda self: self.waiting or self.running)
     @rule(data=st.data())
@@ -169,8 +210,9 @@
         upstream = self.dispatcher.cancel(request_id, self.now)
         assert upstream == self.running.pop(request_id, None)
         self.waiting.pop(request_id, None)
+        del self.accounts[request_id]
 
-    @rule(seconds=st.floats(0.001, 5.0))
+    @rule(seconds=st.sampled_from((0.001, 0.05, 0.2, 0.6, 3.0)))
     def advance(self, seconds):
         self.now += seconds
         refused = {item.request_id for item in self.dispatcher.expire(self.now)}
@@ -178,7 +220,11 @@
         late = {key for key, latest in self.waiting.items() if latest < self.now}
         assert late <= refused
         for request_id in refused:
-            del self.waiting[request_id]
+            del self.waiting[request_id], self.accounts[request_id]
+
+    @invariant()
+    def concurrency_limit_is_kept(self):
+        assert self._count_open("c") <= CONCURRENCY
 
     @invariant()
     def waiting_requests_are_looked_after(self):
@@ -190,11 +236,12 @@
         """A fleet that is free again starts everything that still waits."""
         for request_id in sorted(self.running):
             self.dispatcher.cancel(request_id, self.now)
-        for index in range(2):
-            report = make_report(f"spare{index}", slots=500)
+        for index, version in enumerate(("v1", "v1", "v2", "v2")):
+            report = make_report(f"spare{index}", slots=500, version=version)
             self.dispatcher.report(report, self.now)
-        for step in range(200):
-            moment = min([self.now, *self.waiting.values()]) + step * 1e-6
+        for step in range(400):
+            # The longest delay of a retry passes on the way.
+            moment = min([self.now, *self.waiting.values()]) + step * 2e-4
             for assignment in self.dispatcher.assign(moment):
                 request_id = assignment.request.request_id
                 del self.waiting[request_id]
@@ -203,6 +250,6 @@
 
 
 DispatcherMachine.TestCase.settings = settings(
-    derandomize=True, max_examples=60, stateful_step_count=40, deadline=None
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
 )
 TestDispatcher = DispatcherMachine.TestCase
--- a/packages/daemon/src/persimmonferry_daemon/claimed.py
+++ b/packages/daemon/src/persimmonferry_daemon/claimed.py
@@ -8,6 +8,7 @@
 the agent refused it, or fenced it when it was asked.
 """
 
+import itertools
 from collections.abc import Callable
 
 from persimmonferry_core.attempts import (
@@ -41,7 +42,6 @@
 __all__ = ["ClaimedCall"]
 
 START_WINDOW_S = 5.0
-MAX_ATTEMPTS = 3
 RETRY_AFTER_S = 1.0
 
 
@@ -99,13 +99,13 @@
             raise
 
     async def _run(self) -> CallAnswer:
-        for attempts in range(1, MAX_ATTEMPTS + 1):
+        for attempts in itertools.count(1):
             answer = await self._claim_and_attempt()
             if answer is not None:
                 return answer
-            if attempts == MAX_ATTEMPTS or not self._budget.withdraw():
-                break
-        raise self._build_refusal()
+            # Whatever comes here provably did not run.
+            if self._budget.allow(attempts, self._read_clock(), ran=False) is None:
+                raise self._build_refusal()
 
     async def _claim_and_attempt(self) -> CallAnswer | None:
         try:
