Split the router and the dispatcher into small modules; eject plain upstreams

Change: upstreams, links, blockindex and services are modules of their own; one function applies slot limits for model and plain services; tests of ejection, retries and plain services through the dispatcher.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -1,6 +1,5 @@
 """The entry's decisions: what is admitted, what starts next, and where it runs."""
 
-import math
 import random
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
@@ -23,10 +22,10 @@
     LinkTable,
     Route,
     Router,
-    Upstream,
     UpstreamReport,
 )
 from persimmonferry_core.runs import RunEnd
+from persimmonferry_core.services import ModelService, PlainService
 from persimmonferry_core.usage import UsageMeter
 
 __all__ = [
@@ -46,8 +45,6 @@
 URGENT_WAIT_S = 2.0
 RESUMPTION_WAIT_S = 5.0
 MIN_INTERVAL_S = 0.001
-PACE_WINDOW_S = 10.0
-PACE_PRIOR_S = 2.0
 EXCESS_INTERVAL_S = 0.25
 
 
@@ -81,61 +78,6 @@
     is_delayed: bool = False
 
 
-class _Pace:
-    """
-    The work that is really started each second while requests wait.
-
-    It takes in what nobody reports: cache hits, slow upstreams, other entries' work.
-    """
-
-    def __init__(self) -> None:
-        self._work = 0.0
-        self._time_s = 0.0
-        self._updated_s = 0.0
-        self._is_backlogged = False
-
-    def record(self, cost_s: float, is_backlogged: bool, now: float) -> None:
-        """
-        Count started work.
-
-        :param is_backlogged: whether requests wait after it.
-        """
-        elapsed = max(0.0, now - self._updated_s)
-        self._updated_s = now
-        if self._is_backlogged:
-            kept = math.exp(-elapsed / PACE_WINDOW_S)
-            self._work = self._work * kept + cost_s
-            self._time_s = self._time_s * kept + elapsed
-        self._is_backlogged = is_backlogged
-
-    def estimate(self, nominal: float) -> float:
-        """Return the pace; the less is known, the nearer to the nominal one."""
-        return (self._work + nominal * PACE_PRIOR_S) / (self._time_s + PACE_PRIOR_S)
-
-
-class _ModelService:
-    """Queue and router of one model service."""
-
-    def __init__(self, queue: PatienceQueue, router: Router) -> None:
-        self.queue = queue
-        self.router = router
-        self.answer_share = 1.0
-        self.pace = _Pace()
-
-    def estimate_capacity(self, entries: int) -> float:
-        """Return the upstream seconds that this entry can start each second."""
-        nominal = len(self.router.summarize().names) / max(1, entries)
-        return self.pace.estimate(nominal) if nominal else 0.0
-
-    def estimate_cost(self, request: PromptRequest) -> float:
-        """Return the share of one upstream's time that a request is expected to use."""
-        fleet = self.router.summarize()
-        prefill_s = self.router.estimate_prefill(request)
-        answer_tokens = request.max_tokens * self.answer_share
-        decode_s = answer_tokens / max(1.0, fleet.decode_tokens_per_s)
-        return max(prefill_s, (prefill_s + decode_s) / max(1.0, fleet.slots))
-
-
 class Dispatcher:
     """
     All decisions of one entry process. It does no I/O and has no clock.
@@ -167,8 +109,8 @@
         self._store_domains = store_domains
         self._entry = entry
         self._entries: tuple[str, ...] = (entry,)
-        self._models: dict[str, _ModelService] = {}
-        self._plain: dict[str, dict[str, Upstream]] = {}
+        self._models: dict[str, ModelService] = {}
+        self._plain: dict[str, PlainService] = {}
         self._attempts: dict[str, _Attempt] = {}
         self._excess_checked_s = 0.0
         self._delayed: list[tuple[float, str]] = []
@@ -188,7 +130,7 @@
                 case ServiceKind.MODEL:
                     self._configure_model(service, document.tiers)
                 case ServiceKind.PLAIN:
-                    self._plain.setdefault(service.name, {})
+                    self._plain.setdefault(service.name, PlainService(self._random))
 
     def set_store_domains(self, failure_domains: frozenset[str]) -> None:
         """Take over the failure domains that have store VMs now."""
@@ -211,20 +153,17 @@
         former = self._services_of.get(report.name)
         if former is not None and former != report.service:
             self._drop_upstream(report.name)
-        upstreams = self._upstreams_of(report.service)
-        if upstreams is None:
+        pool = self._find_pool(report.service)
+        if pool is None:
             return
         self._services_of[report.name] = report.service
-        known = upstreams.get(report.name)
+        known = pool.upstreams.get(report.name)
         if known is None:
-            self._add_upstream(report)
+            pool.add(report)
             return
         if report.incarnation > known.report.incarnation:
             self._index.remove_upstream(report.name)
-        if report.service in self._models:
-            self._models[report.service].router.apply(report, now)
-        else:
-            known.apply(report, now)
+        pool.apply(report, now)
 
     def remove(self, upstream: str) -> None:
         """Forget an upstream: the lists say that it is gone."""
@@ -232,12 +171,13 @@
 
     def record_held(self, upstream: str, block_names: tuple[str, ...]) -> None:
         """Note blocks that an upstream's engine holds; a hint."""
-        found = self._find_upstream(upstream)
-        if found is None:
+        pool = self._find_pool(self._services_of.get(upstream, ""))
+        if pool is None:
             return
         self._index.add_held(upstream, block_names)
-        if found.report.failure_domain in self._store_domains:
-            self._index.add_stored(found.report.failure_domain, block_names)
+        failure_domain = pool.upstreams[upstream].report.failure_domain
+        if failure_domain in self._store_domains:
+            self._index.add_stored(failure_domain, block_names)
 
     def record_removed(self, upstream: str, block_names: tuple[str, ...]) -> None:
         """Note blocks that an upstream's engine dropped; a hint."""
@@ -405,28 +345,22 @@
         self, service: str, now: float, avoid: frozenset[str] = frozenset()
     ) -> str | None:
         """Return the upstream of a plain service with the least estimated wait."""
-        upstreams = self._plain.get(service, {}).values()
-        open_ones = [
-            up for up in upstreams if not up.report.leaving and up.name not in avoid
-        ]
-        if not open_ones:
-            return None
-        self._random.shuffle(open_ones)
-        return min(open_ones, key=_plain_wait).name
+        plain = self._plain.get(service)
+        return plain.choose(avoid, now) if plain else None
 
     def plain_started(self, call_id: str, upstream: str, now: float) -> None:
         """Count a call that goes to an upstream of a plain service."""
-        found = self._find_upstream(upstream)
-        if found is not None:
+        plain = self._plain.get(self._services_of.get(upstream, ""))
+        if plain is not None:
             self._plain_runs[call_id] = upstream
-            found.add_run(call_id, 0, None, now)
+            plain.start(call_id, upstream, now)
 
     def plain_finished(self, call_id: str, now: float, whole: bool = True) -> None:
-        """Note the end of a call to a plain service."""
-        upstream = self._plain_runs.pop(call_id, None)
-        found = self._find_upstream(upstream) if upstream else None
-        if found is not None:
-            found.end_run(call_id, now, whole)
+        """Note the end of a call; one without a whole answer counts as a failure."""
+        upstream = self._plain_runs.pop(call_id, "")
+        plain = self._plain.get(self._services_of.get(upstream, ""))
+        if plain is not None:
+            plain.finish(call_id, upstream, whole, now)
 
     def _configure_model(self, service: Service, tiers: tuple[Tier, ...]) -> None:
         model = self._models.get(service.name)
@@ -436,7 +370,7 @@
             router.configure(service, urgent)
             router.set_homes(self._entry, self._entries)
             queue = PatienceQueue(tiers)
-            self._models[service.name] = _ModelService(queue, router)
+            self._models[service.name] = ModelService(queue, router)
             return
         model.router.configure(service, urgent)
         model.queue.configure(tiers)
@@ -452,7 +386,7 @@
         return None
 
     def _make_waiting(
-        self, request: PromptRequest, model: _ModelService
+        self, request: PromptRequest, model: ModelService
     ) -> WaitingRequest:
         tier = model.queue.find_tier(request.tier)
         prefill_s = model.router.estimate_prefill(request)
@@ -461,7 +395,7 @@
         priority = model.queue.rank(request.tier)
         return WaitingRequest(request, latest, cost_s, priority)
 
-    def _assign_scanned(self, model: _ModelService, now: float) -> list[Assignment]:
+    def _assign_scanned(self, model: ModelService, now: float) -> list[Assignment]:
         router = model.router
         priorities = frozenset(
             priority
@@ -476,7 +410,7 @@
         return made
 
     def _start_attempt(
-        self, model: _ModelService, waiting: WaitingRequest, route: Route, now: float
+        self, model: ModelService, waiting: WaitingRequest, route: Route, now: float
     ) -> Assignment:
         request = waiting.request
         model.queue.take(waiting, now)
@@ -526,30 +460,12 @@
             weight = self._weights.get(request.account, 1.0)
             self._models[request.service].queue.push(attempt.waiting, weight)
 
-    def _upstreams_of(self, service: str) -> dict[str, Upstream] | None:
-        if service in self._models:
-            return self._models[service].router.upstreams
-        return self._plain.get(service)
-
-    def _find_upstream(self, name: str) -> Upstream | None:
-        upstreams = self._upstreams_of(self._services_of.get(name, ""))
-        return upstreams.get(name) if upstreams else None
-
-    def _add_upstream(self, report: UpstreamReport) -> None:
-        model = self._models.get(report.service)
-        if model is None:
-            self._plain[report.service][report.name] = Upstream(report)
-        else:
-            model.router.add(report)
+    def _find_pool(self, service: str) -> Router | PlainService | None:
+        model = self._models.get(service)
+        return model.router if model else self._plain.get(service)
 
     def _drop_upstream(self, name: str) -> None:
-        service = self._services_of.pop(name, "")
-        if service in self._models:
-            self._models[service].router.remove(name)
-        elif service in self._plain:
-            self._plain[service].pop(name, None)
+        pool = self._find_pool(self._services_of.pop(name, ""))
+        if pool is not None:
+            pool.remove(name)
         self._index.remove_upstream(name)
-
-
-def _plain_wait(upstream: Upstream) -> tuple[float, int]:
-    return upstream.estimate_slot_wait(), upstream.in_flight
--- a/packages/core/src/persimmonferry_core/ejection.py
+++ b/packages/core/src/persimmonferry_core/ejection.py
@@ -80,6 +80,7 @@
         self.policy = policy or EjectionPolicy()
         self._healths: dict[str, _Health] = {}
         self._limited: set[str] = set()
+        self._readmitted: set[str] = set()
         self._typical = 1.0
         self._typical_age = 0
 
@@ -106,8 +107,15 @@
         for name in tuple(self._limited):
             if isinstance(self.find_state(name, now), Closed):
                 self._limited.discard(name)
+                self._readmitted.add(name)
         return tuple(sorted(self._limited))
 
+    def take_readmitted(self) -> frozenset[str]:
+        """Return the upstreams that may use all their slots again since last asked."""
+        readmitted = frozenset(self._readmitted - self._limited)
+        self._readmitted.clear()
+        return readmitted
+
     def find_state(self, upstream: str, now: float) -> State:
         """Return the state, moved on to the present time."""
         health = self._healths.get(upstream)
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/links.py
@@ -0,0 +1,75 @@
+"""Links between failure domains: estimated transfers, prices and learned rates."""
+
+from persimmonferry_core.world import Link
+
+__all__ = ["LinkTable"]
+
+LINK_SMOOTHING = 0.2
+LOCAL_LATENCY_S = 0.0005
+LOCAL_BYTES_PER_S = 1.25e9
+
+
+class _LinkState:
+    """A link with the rate that transfers met and when the planned ones end."""
+
+    def __init__(self, link: Link) -> None:
+        self.link = link
+        self.bytes_per_s = max(1.0, link.bytes_per_s * (1.0 - link.loss))
+        self.busy_until_s = 0.0
+        self.last_end_s = 0.0
+
+
+class LinkTable:
+    """The links between failure domains, with the rates that imports have met."""
+
+    def __init__(self, links: tuple[Link, ...] = ()) -> None:
+        self._states: dict[tuple[str, str], _LinkState] = {}
+        self.configure(links)
+
+    def configure(self, links: tuple[Link, ...]) -> None:
+        """Take over the links of a new document; unchanged ones keep their state."""
+        for link in links:
+            state = self._states.get((link.source, link.target))
+            if state is None or state.link != link:
+                self._states[link.source, link.target] = _LinkState(link)
+
+    def estimate_transfer(
+        self, source: str, target: str, total_bytes: int, now: float
+    ) -> float:
+        """Return the seconds that a transfer takes behind those planned before."""
+        state = self._find(source, target)
+        waiting = max(0.0, state.busy_until_s - now)
+        duration = total_bytes / state.bytes_per_s
+        return waiting + 2 * state.link.latency_s + duration
+
+    def price(self, source: str, target: str, total_bytes: int) -> float:
+        """Return the price of a transfer, in the team's currency."""
+        return self._find(source, target).link.price_per_gb * total_bytes / 1e9
+
+    def reserve(self, source: str, target: str, total_bytes: int, now: float) -> None:
+        """Count a transfer that was planned."""
+        state = self._find(source, target)
+        duration = total_bytes / state.bytes_per_s
+        state.busy_until_s = max(now, state.busy_until_s) + duration
+
+    def record(
+        self, source: str, target: str, total_bytes: int, seconds: float, now: float
+    ) -> None:
+        """Learn the rate of the link from a transfer that ended."""
+        state = self._find(source, target)
+        # Transfers share the link, so the time since the last one ended is its own.
+        start = max(now - seconds, state.last_end_s)
+        state.last_end_s = max(now, state.last_end_s)
+        duration = now - start - 2 * state.link.latency_s
+        capacity = max(1.0, state.link.bytes_per_s)
+        rate = total_bytes / duration if duration > 0 else capacity
+        rate = min(rate, capacity)
+        state.bytes_per_s += LINK_SMOOTHING * (rate - state.bytes_per_s)
+        state.bytes_per_s = max(1.0, state.bytes_per_s)
+
+    def _find(self, source: str, target: str) -> _LinkState:
+        state = self._states.get((source, target))
+        if state is None:
+            link = Link(source, target, LOCAL_LATENCY_S, LOCAL_BYTES_PER_S, 0.0)
+            state = self._states[source, target] = _LinkState(link)
+        return state
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -2,14 +2,21 @@
 
 import math
 import random
-from collections import OrderedDict
 from dataclasses import dataclass
 from heapq import nlargest
 
+from persimmonferry_core.blockindex import BlockIndex
 from persimmonferry_core.contracts import Service
 from persimmonferry_core.ejection import Ejector
+from persimmonferry_core.links import LinkTable
 from persimmonferry_core.patience import PromptRequest, WaitingRequest
-from persimmonferry_core.world import Link
+from persimmonferry_core.upstreams import (
+    ImportPlan,
+    Route,
+    Upstream,
+    UpstreamReport,
+    limit_slots,
+)
 
 __all__ = [
     "BlockIndex",
@@ -23,255 +30,16 @@
 ]
 
 ALL_CANDIDATES = 16
-NO_SLOT_LIMIT = 1_000_000
 SAMPLED_CANDIDATES = 8
 HOLDER_CANDIDATES = 8
 SOURCE_CANDIDATES = 4
 START_AHEAD_S = 0.1
-UNKNOWN_BACKLOG_S = 0.1
 IMPORT_AHEAD_S = 1.0
-DEFAULT_RUN_S = 2.0
-RUN_SMOOTHING = 0.1
-FIRST_STEP_S = 0.1
-LINK_SMOOTHING = 0.2
+UNKNOWN_BACKLOG_S = 0.1
 MIX_RETENTION = 0.99
-NEGLIGIBLE_OCCUPANCY = 0.01
 OCCUPANCY_WINDOW_S = 10.0
+NEGLIGIBLE_OCCUPANCY = 0.01
 MAX_RESERVED_SHARE = 0.25
-SPILL_SHARE = 0.5
-MAX_INDEXED_BLOCKS = 100_000
-LOCAL_LATENCY_S = 0.0005
-LOCAL_BYTES_PER_S = 1.25e9
-
-
-@dataclass(frozen=True)
-class UpstreamReport:
-    """
-    What an agent reports of its upstream; it lags.
-
-    :param incarnation: grows each time that the agent starts.
-    :param sequence: grows within an incarnation.
-    :param model: empty for a plain service.
-    :param waiting_prefill_tokens: prompt tokens that wait to be computed.
-    :param decode_tokens_per_s: of one run.
-    :param leaving: whether it takes no new work.
-    """
-
-    name: str
-    incarnation: int
-    sequence: int
-    failure_domain: str
-    service: str
-    model: str
-    version: str
-    running: int
-    waiting: int
-    waiting_prefill_tokens: int
-    slots: int
-    prefill_tokens_per_s: float
-    decode_tokens_per_s: float
-    leaving: bool = False
-
-
-@dataclass(frozen=True)
-class ImportPlan:
-    """
-    Blocks to bring from the store VMs of a failure domain before the run.
-
-    :param source_domain: failure domain whose store VMs hold the blocks.
-    :param price: in the team's currency.
-    """
-
-    source_domain: str
-    block_names: tuple[str, ...]
-    total_bytes: int
-    estimated_s: float
-    price: float
-
-
-@dataclass(frozen=True)
-class Route:
-    """
-    An upstream for a request with what it is estimated to take.
-
-    :param first_token_s: from now to the first token.
-    :param prefill_s: of the prompt's part that has to be computed.
-    :param startable: whether the upstream can start it about now.
-    """
-
-    upstream: str
-    plan: ImportPlan | None
-    first_token_s: float
-    prefill_s: float
-    score: float
-    startable: bool
-
-
-@dataclass
-class _OwnRun:
-    """
-    A run of this entry at an upstream.
-
-    :param expected_s: estimated time to first token when it was dispatched.
-    :param ready_s: when its import has ended.
-    """
-
-    priority: int
-    prefill_s: float
-    expected_s: float
-    dispatched_s: float
-    ready_s: float
-    started_s: float | None = None
-
-    @property
-    def started(self) -> bool:
-        """Whether it gave its first token."""
-        return self.started_s is not None
-
-
-class Upstream:
-    """
-    An upstream as this entry knows it: the last report and its own runs since.
-
-    The work of other entries is the reported work less the most that this entry had
-    there between the last two reports, so neither a dispatch nor an end that the
-    report has not seen yet is counted twice.
-    """
-
-    def __init__(self, report: UpstreamReport) -> None:
-        self.report = report
-        self.runs: dict[str, _OwnRun] = {}
-        self.slot_limit = NO_SLOT_LIMIT
-        self.is_home = True
-        self.others = report.running + report.waiting
-        self._others_prefill_s = _prefill_s(report, report.waiting_prefill_tokens)
-        self._peak_runs = 0
-        self._unreported_runs = 0
-        self._run_s = DEFAULT_RUN_S
-        self._lane_event_s = 0.0
-
-    @property
-    def name(self) -> str:
-        """The name of the upstream."""
-        return self.report.name
-
-    @property
-    def in_flight(self) -> int:
-        """Runs that are known to be there, of this entry and of others."""
-        return len(self.runs) + self.others
-
-    @property
-    def free_slots(self) -> int:
-        """Runs more that are known to fit."""
-        if self.report.leaving:
-            return 0
-        own_limit = self.slot_limit - len(self.runs)
-        return min(own_limit, self.report.slots - self.in_flight)
-
-    @property
-    def takes_spill(self) -> bool:
-        """
-        Whether this entry may send patient work there although it is another's home.
-
-        Other entries may do the same before the next report, so each sends one run.
-        """
-        report = self.report
-        idle = report.waiting_prefill_tokens == 0 and report.waiting == 0
-        half = report.running <= SPILL_SHARE * report.slots
-        return idle and half and self._unreported_runs == 0
-
-    def apply(self, report: UpstreamReport, now: float) -> bool:
-        """Take over a report unless it is older than the last one."""
-        known = (self.report.incarnation, self.report.sequence)
-        if (report.incarnation, report.sequence) <= known:
-            return False
-        if report.incarnation != self.report.incarnation:
-            self._peak_runs = 0
-        self.others = max(0, report.running + report.waiting - self._peak_runs)
-        own_prefill_s = sum(
-            run.prefill_s for run in self.runs.values() if not run.started
-        )
-        reported_s = _prefill_s(report, report.waiting_prefill_tokens)
-        self._others_prefill_s = max(0.0, reported_s - own_prefill_s)
-        if not self.others:
-            self._others_prefill_s = 0.0
-        self.report = report
-        self._peak_runs = len(self.runs)
-        self._unreported_runs = 0
-        return True
-
-    def count_patient(self, urgent_ranks: int) -> int:
-        """Return the runs there that are not of an urgent priority, as known."""
-        own = [run for run in self.runs.values() if run.priority >= urgent_ranks]
-        return len(own) + self.others
-
-    def add_run(
-        self, run_id: str, priority: int, route: Route | None, now: float
-    ) -> None:
-        """
-        Count a run that was dispatched there.
-
-        :param route: None for a call to a plain service.
-        """
-        if not self._computing():
-            self._lane_event_s = now
-        import_s = route.plan.estimated_s if route and route.plan else 0.0
-        prefill_s = route.prefill_s if route else 0.0
-        expected_s = route.first_token_s if route else 0.0
-        run = _OwnRun(priority, prefill_s, expected_s, now, now + import_s)
-        self.runs[run_id] = run
-        self._peak_runs = max(self._peak_runs, len(self.runs))
-        self._unreported_runs += 1
-
-    def start_run(self, run_id: str, now: float) -> float | None:
-        """
-        Note that a run gave its first token.
-
-        :returns: how slow it was: the time that it took over the expected time.
-        """
-        run = self.runs.get(run_id)
-        if run is None or run.started:
-            return None
-        run.started_s = now
-        self._lane_event_s = now
-        expected_s = run.expected_s + FIRST_STEP_S
-        return (now - run.dispatched_s) / expected_s
-
-    def end_run(self, run_id: str, now: float, whole: bool) -> None:
-        """Forget a run; a whole one tells how long runs take."""
-        run = self.runs.pop(run_id, None)
-        if run is None:
-            return
-        if not run.started:
-            self._lane_event_s = now
-        if whole:
-            self._run_s += RUN_SMOOTHING * (now - run.dispatched_s - self._run_s)
-
-    def estimate_backlog(self, priority: int, others_share: float, now: float) -> float:
-        """
-        Return the seconds of prefill to be done before one of that priority.
-
-        :param others_share: part of other entries' work that goes first.
-        """
-        ahead = 0.0
-        since_s = now
-        for run in self.runs.values():
-            if not run.started and run.priority <= priority and run.ready_s <= now:
-                ahead += run.prefill_s
-                since_s = min(since_s, run.ready_s)
-        if ahead:
-            since_s = max(since_s, self._lane_event_s)
-            ahead = max(0.0, ahead - (now - since_s))
-        return ahead + others_share * self._others_prefill_s
-
-    def estimate_slot_wait(self) -> float:
-        """Return the seconds until a slot is expected to be free."""
-        limit = max(1, self.report.slots)
-        excess = self.in_flight + 1 - limit
-        return max(0.0, excess * self._run_s / limit)
-
-    def _computing(self) -> bool:
-        return any(not run.started for run in self.runs.values())
 
 
 class _Occupancy:
@@ -320,124 +88,6 @@
         return ahead / total
 
 
-class BlockIndex:
-    """
-    Hints of which upstreams and which failure domains' stores hold a cache block.
-
-    A block that an upstream held is taken to be in the stores of its failure domain,
-    since agents export what their engines cache. A wrong hint costs time only.
-    """
-
-    def __init__(self) -> None:
-        self._holders: dict[str, set[str]] = {}
-        self._held: dict[str, set[str]] = {}
-        self._stored: OrderedDict[str, set[str]] = OrderedDict()
-
-    def add_held(self, upstream: str, names: tuple[str, ...]) -> None:
-        """Note that an upstream's engine holds blocks."""
-        self._held.setdefault(upstream, set()).update(names)
-        for name in names:
-            self._holders.setdefault(name, set()).add(upstream)
-
-    def add_stored(self, failure_domain: str, names: tuple[str, ...]) -> None:
-        """Note that the stores of a failure domain hold blocks."""
-        for name in names:
-            self._stored.setdefault(name, set()).add(failure_domain)
-            self._stored.move_to_end(name)
-        while len(self._stored) > MAX_INDEXED_BLOCKS:
-            self._stored.popitem(last=False)
-
-    def remove_held(self, upstream: str, names: tuple[str, ...]) -> None:
-        """Note that an upstream's engine dropped blocks."""
-        self._held.get(upstream, set()).difference_update(names)
-        for name in names:
-            _discard(self._holders, name, upstream)
-
-    def remove_stored(self, failure_domain: str, names: tuple[str, ...]) -> None:
-        """Note that the stores of a failure domain don't hold blocks any more."""
-        for name in names:
-            _discard(self._stored, name, failure_domain)
-
-    def remove_upstream(self, upstream: str) -> None:
-        """Forget all that an upstream held."""
-        self.remove_held(upstream, tuple(self._held.get(upstream, ())))
-        self._held.pop(upstream, None)
-
-    def find_holders(self, names: tuple[str, ...]) -> dict[str, int]:
-        """Return for each upstream how many leading blocks it holds."""
-        return _find_depths(self._holders, names)
-
-    def find_stored(self, names: tuple[str, ...]) -> dict[str, int]:
-        """Return for each failure domain how many leading blocks its stores hold."""
-        return _find_depths(self._stored, names)
-
-
-class _LinkState:
-    """A link with the rate that transfers met and when the planned ones end."""
-
-    def __init__(self, link: Link) -> None:
-        self.link = link
-        self.bytes_per_s = max(1.0, link.bytes_per_s * (1.0 - link.loss))
-        self.busy_until_s = 0.0
-        self.last_end_s = 0.0
-
-
-class LinkTable:
-    """The links between failure domains, with the rates that imports have met."""
-
-    def __init__(self, links: tuple[Link, ...] = ()) -> None:
-        self._states: dict[tuple[str, str], _LinkState] = {}
-        self.configure(links)
-
-    def configure(self, links: tuple[Link, ...]) -> None:
-        """Take over the links of a new document; unchanged ones keep their state."""
-        for link in links:
-            state = self._states.get((link.source, link.target))
-            if state is None or state.link != link:
-                self._states[link.source, link.target] = _LinkState(link)
-
-    def estimate_transfer(
-        self, source: str, target: str, total_bytes: int, now: float
-    ) -> float:
-        """Return the seconds that a transfer takes behind those planned before."""
-        state = self._find(source, target)
-        waiting = max(0.0, state.busy_until_s - now)
-        duration = total_bytes / state.bytes_per_s
-        return waiting + 2 * state.link.latency_s + duration
-
-    def price(self, source: str, target: str, total_bytes: int) -> float:
-        """Return the price of a transfer, in the team's currency."""
-        return self._find(source, target).link.price_per_gb * total_bytes / 1e9
-
-    def reserve(self, source: str, target: str, total_bytes: int, now: float) -> None:
-        """Count a transfer that was planned."""
-        state = self._find(source, target)
-        duration = total_bytes / state.bytes_per_s
-        state.busy_until_s = max(now, state.busy_until_s) + duration
-
-    def record(
-        self, source: str, target: str, total_bytes: int, seconds: float, now: float
-    ) -> None:
-        """Learn the rate of the link from a transfer that ended."""
-        state = self._find(source, target)
-        # Transfers share the link, so the time since the last one ended is its own.
-        start = max(now - seconds, state.last_end_s)
-        state.last_end_s = max(now, state.last_end_s)
-        duration = now - start - 2 * state.link.latency_s
-        capacity = max(1.0, state.link.bytes_per_s)
-        rate = total_bytes / duration if duration > 0 else capacity
-        rate = min(rate, capacity)
-        state.bytes_per_s += LINK_SMOOTHING * (rate - state.bytes_per_s)
-        state.bytes_per_s = max(1.0, state.bytes_per_s)
-
-    def _find(self, source: str, target: str) -> _LinkState:
-        state = self._states.get((source, target))
-        if state is None:
-            link = Link(source, target, LOCAL_LATENCY_S, LOCAL_BYTES_PER_S, 0.0)
-            state = self._states[source, target] = _LinkState(link)
-        return state
-
-
 @dataclass(frozen=True)
 class FleetSummary:
     """
@@ -534,7 +184,6 @@
         self.mix = PriorityMix()
         self.urgent_ranks = 0
         self.ejector = Ejector()
-        self._limited: tuple[str, ...] = ()
         self._urgent = _Occupancy()
         self._entry = ""
         self._entries: tuple[str, ...] = ("",)
@@ -615,13 +264,7 @@
 
     def refresh(self, now: float) -> None:
         """Bring the slots up to date that ejected and returning upstreams may use."""
-        limited = self.ejector.find_limited(now)
-        for name in {*limited, *self._limited} & self.upstreams.keys():
-            upstream = self.upstreams[name]
-            slots = upstream.report.slots
-            limit = self.ejector.limit_slots(name, slots, now)
-            upstream.slot_limit = limit if name in limited else NO_SLOT_LIMIT
-        self._limited = limited
+        limit_slots(self.upstreams, self.ejector, now)
 
     def has_room(self, priority: int, now: float) -> bool:
         """Whether any upstream could start a run of that priority about now."""
@@ -841,33 +484,3 @@
 
 def _place_of(upstream: Upstream) -> tuple[str, str]:
     return upstream.report.failure_domain, upstream.name
-
-
-def _prefill_s(report: UpstreamReport, tokens: int) -> float:
-    if report.prefill_tokens_per_s <= 0:
-        return 0.0
-    return tokens / report.prefill_tokens_per_s
-
-
-def _discard(index: dict[str, set[str]], name: str, member: str) -> None:
-    members = index.get(name)
-    if members is None:
-        return
-    members.discard(member)
-    if not members:
-        del index[name]
-
-
-def _find_depths(index: dict[str, set[str]], names: tuple[str, ...]) -> dict[str, int]:
-    depths: dict[str, int] = {}
-    current: set[str] | None = None
-    for depth, name in enumerate(names, start=1):
-        members = index.get(name)
-        if not members:
-            break
-        current = members if current is None else current & members
-        if not current:
-            break
-        for member in current:
-            depths[member] = depth
-    return depths
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/services.py
@@ -0,0 +1,137 @@
+"""Services of a team as an entry serves them: queue, router, health of upstreams."""
+
+import math
+import random
+from statistics import median
+
+from persimmonferry_core.ejection import Ejector
+from persimmonferry_core.patience import PatienceQueue, PromptRequest
+from persimmonferry_core.routing import Router
+from persimmonferry_core.upstreams import Upstream, UpstreamReport, limit_slots
+
+__all__ = ["ModelService", "PlainService"]
+
+PACE_WINDOW_S = 10.0
+PACE_PRIOR_S = 2.0
+MIN_CALL_S = 0.005
+
+
+class _Pace:
+    """
+    The work that is really started each second while requests wait.
+
+    It takes in what nobody reports: cache hits, slow upstreams, other entries' work.
+    """
+
+    def __init__(self) -> None:
+        self._work = 0.0
+        self._time_s = 0.0
+        self._updated_s = 0.0
+        self._is_backlogged = False
+
+    def record(self, cost_s: float, is_backlogged: bool, now: float) -> None:
+        """
+        Count started work.
+
+        :param is_backlogged: whether requests wait after it.
+        """
+        elapsed = max(0.0, now - self._updated_s)
+        self._updated_s = now
+        if self._is_backlogged:
+            kept = math.exp(-elapsed / PACE_WINDOW_S)
+            self._work = self._work * kept + cost_s
+            self._time_s = self._time_s * kept + elapsed
+        self._is_backlogged = is_backlogged
+
+    def estimate(self, nominal: float) -> float:
+        """Return the pace; the less is known, the nearer to the nominal one."""
+        return (self._work + nominal * PACE_PRIOR_S) / (self._time_s + PACE_PRIOR_S)
+
+
+class ModelService:
+    """Queue and router of one model service."""
+
+    def __init__(self, queue: PatienceQueue, router: Router) -> None:
+        self.queue = queue
+        self.router = router
+        self.answer_share = 1.0
+        self.pace = _Pace()
+
+    def estimate_capacity(self, entries: int) -> float:
+        """Return the upstream seconds that this entry can start each second."""
+        nominal = len(self.router.summarize().names) / max(1, entries)
+        return self.pace.estimate(nominal) if nominal else 0.0
+
+    def estimate_cost(self, request: PromptRequest) -> float:
+        """Return the share of one upstream's time that a request is expected to use."""
+        fleet = self.router.summarize()
+        prefill_s = self.router.estimate_prefill(request)
+        answer_tokens = request.max_tokens * self.answer_share
+        decode_s = answer_tokens / max(1.0, fleet.decode_tokens_per_s)
+        return max(prefill_s, (prefill_s + decode_s) / max(1.0, fleet.slots))
+
+
+class PlainService:
+    """
+    Upstreams of one plain service.
+
+    :param generator: source of the seeded choices.
+    """
+
+    def __init__(self, generator: random.Random) -> None:
+        self._random = generator
+        self.upstreams: dict[str, Upstream] = {}
+        self.ejector = Ejector()
+
+    def add(self, report: UpstreamReport) -> None:
+        """Begin to use an upstream."""
+        self.upstreams[report.name] = Upstream(report)
+        self.ejector.add(report.name)
+
+    def apply(self, report: UpstreamReport, now: float) -> None:
+        """Take over a later report of an upstream."""
+        self.upstreams[report.name].apply(report, now)
+
+    def remove(self, name: str) -> None:
+        """Forget an upstream."""
+        self.upstreams.pop(name, None)
+        self.ejector.remove(name)
+
+    def choose(self, avoid: frozenset[str], now: float) -> str | None:
+        """Return the upstream with the least estimated wait, None when none is open."""
+        limit_slots(self.upstreams, self.ejector, now)
+        found = [
+            upstream
+            for upstream in self.upstreams.values()
+            if not upstream.report.leaving and upstream.name not in avoid
+        ]
+        allowed = [up for up in found if up.slot_limit > len(up.runs)] or found
+        # Equal choices must not lead all entries to the same upstream.
+        self._random.shuffle(allowed)
+        best = min(allowed, key=_wait_of, default=None)
+        return best.name if best else None
+
+    def start(self, call_id: str, name: str, now: float) -> None:
+        """Count a call that goes to an upstream."""
+        upstream = self.upstreams.get(name)
+        if upstream is not None:
+            upstream.add_run(call_id, 0, None, now)
+            self.ejector.record_dispatch(name, now)
+
+    def finish(self, call_id: str, name: str, whole: bool, now: float) -> None:
+        """Note the end of a call; one without a whole answer counts as a failure."""
+        upstream = self.upstreams.get(name)
+        if upstream is None or call_id not in upstream.runs:
+            return
+        duration_s = now - upstream.runs[call_id].dispatched_s
+        upstream.end_run(call_id, now, whole)
+        if whole:
+            typical_s = median(up.run_s for up in self.upstreams.values())
+            slowness = duration_s / max(MIN_CALL_S, typical_s)
+            self.ejector.record_success(name, slowness, now)
+        else:
+            self.ejector.record_failure(name, now)
+
+
+def _wait_of(upstream: Upstream) -> tuple[float, int]:
+    return upstream.estimate_slot_wait(), upstream.in_flight
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/upstreams.py
@@ -0,0 +1,259 @@
+"""Upstreams as an entry knows them: lagging reports and its own runs since."""
+
+from dataclasses import dataclass
+
+from persimmonferry_core.ejection import Ejector
+
+__all__ = ["ImportPlan", "Route", "Upstream", "UpstreamReport", "limit_slots"]
+
+NO_SLOT_LIMIT = 1_000_000
+DEFAULT_RUN_S = 2.0
+RUN_SMOOTHING = 0.1
+FIRST_STEP_S = 0.1
+SPILL_SHARE = 0.5
+
+
+@dataclass(frozen=True)
+class UpstreamReport:
+    """
+    What an agent reports of its upstream; it lags.
+
+    :param incarnation: grows each time that the agent starts.
+    :param sequence: grows within an incarnation.
+    :param model: empty for a plain service.
+    :param waiting_prefill_tokens: prompt tokens that wait to be computed.
+    :param decode_tokens_per_s: of one run.
+    :param leaving: whether it takes no new work.
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+    failure_domain: str
+    service: str
+    model: str
+    version: str
+    running: int
+    waiting: int
+    waiting_prefill_tokens: int
+    slots: int
+    prefill_tokens_per_s: float
+    decode_tokens_per_s: float
+    leaving: bool = False
+
+
+@dataclass(frozen=True)
+class ImportPlan:
+    """
+    Blocks to bring from the store VMs of a failure domain before the run.
+
+    :param source_domain: failure domain whose store VMs hold the blocks.
+    :param price: in the team's currency.
+    """
+
+    source_domain: str
+    block_names: tuple[str, ...]
+    total_bytes: int
+    estimated_s: float
+    price: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """
+    An upstream for a request with what it is estimated to take.
+
+    :param first_token_s: from now to the first token.
+    :param prefill_s: of the prompt's part that has to be computed.
+    :param startable: whether the upstream can start it about now.
+    """
+
+    upstream: str
+    plan: ImportPlan | None
+    first_token_s: float
+    prefill_s: float
+    score: float
+    startable: bool
+
+
+@dataclass
+class _OwnRun:
+    """
+    A run of this entry at an upstream.
+
+    :param expected_s: estimated time to first token when it was dispatched.
+    :param ready_s: when its import has ended.
+    """
+
+    priority: int
+    prefill_s: float
+    expected_s: float
+    dispatched_s: float
+    ready_s: float
+    started_s: float | None = None
+
+    @property
+    def started(self) -> bool:
+        """Whether it gave its first token."""
+        return self.started_s is not None
+
+
+class Upstream:
+    """
+    An upstream as this entry knows it: the last report and its own runs since.
+
+    The work of other entries is the reported work less the most that this entry had
+    there between the last two reports, so neither a dispatch nor an end that the
+    report has not seen yet is counted twice.
+    """
+
+    def __init__(self, report: UpstreamReport) -> None:
+        self.report = report
+        self.runs: dict[str, _OwnRun] = {}
+        self.slot_limit = NO_SLOT_LIMIT
+        self.is_home = True
+        self.others = report.running + report.waiting
+        self._others_prefill_s = _prefill_s(report, report.waiting_prefill_tokens)
+        self._peak_runs = 0
+        self._unreported_runs = 0
+        self.run_s = DEFAULT_RUN_S
+        self._lane_event_s = 0.0
+
+    @property
+    def name(self) -> str:
+        """The name of the upstream."""
+        return self.report.name
+
+    @property
+    def in_flight(self) -> int:
+        """Runs that are known to be there, of this entry and of others."""
+        return len(self.runs) + self.others
+
+    @property
+    def free_slots(self) -> int:
+        """Runs more that are known to fit."""
+        if self.report.leaving:
+            return 0
+        own_limit = self.slot_limit - len(self.runs)
+        return min(own_limit, self.report.slots - self.in_flight)
+
+    @property
+    def takes_spill(self) -> bool:
+        """
+        Whether this entry may send patient work there although it is another's home.
+
+        Other entries may do the same before the next report, so each sends one run.
+        """
+        report = self.report
+        idle = report.waiting_prefill_tokens == 0 and report.waiting == 0
+        half = report.running <= SPILL_SHARE * report.slots
+        return idle and half and self._unreported_runs == 0
+
+    def apply(self, report: UpstreamReport, now: float) -> bool:
+        """Take over a report unless it is older than the last one."""
+        known = (self.report.incarnation, self.report.sequence)
+        if (report.incarnation, report.sequence) <= known:
+            return False
+        if report.incarnation != self.report.incarnation:
+            self._peak_runs = 0
+        self.others = max(0, report.running + report.waiting - self._peak_runs)
+        own_prefill_s = sum(
+            run.prefill_s for run in self.runs.values() if not run.started
+        )
+        reported_s = _prefill_s(report, report.waiting_prefill_tokens)
+        self._others_prefill_s = max(0.0, reported_s - own_prefill_s)
+        if not self.others:
+            self._others_prefill_s = 0.0
+        self.report = report
+        self._peak_runs = len(self.runs)
+        self._unreported_runs = 0
+        return True
+
+    def count_patient(self, urgent_ranks: int) -> int:
+        """Return the runs there that are not of an urgent priority, as known."""
+        own = [run for run in self.runs.values() if run.priority >= urgent_ranks]
+        return len(own) + self.others
+
+    def add_run(
+        self, run_id: str, priority: int, route: Route | None, now: float
+    ) -> None:
+        """
+        Count a run that was dispatched there.
+
+        :param route: None for a call to a plain service.
+        """
+        if not self._computing():
+            self._lane_event_s = now
+        import_s = route.plan.estimated_s if route and route.plan else 0.0
+        prefill_s = route.prefill_s if route else 0.0
+        expected_s = route.first_token_s if route else 0.0
+        run = _OwnRun(priority, prefill_s, expected_s, now, now + import_s)
+        self.runs[run_id] = run
+        self._peak_runs = max(self._peak_runs, len(self.runs))
+        self._unreported_runs += 1
+
+    def start_run(self, run_id: str, now: float) -> float | None:
+        """
+        Note that a run gave its first token.
+
+        :returns: how slow it was: the time that it took over the expected time.
+        """
+        run = self.runs.get(run_id)
+        if run is None or run.started:
+            return None
+        run.started_s = now
+        self._lane_event_s = now
+        expected_s = run.expected_s + FIRST_STEP_S
+        return (now - run.dispatched_s) / expected_s
+
+    def end_run(self, run_id: str, now: float, whole: bool) -> None:
+        """Forget a run; a whole one tells how long runs take."""
+        run = self.runs.pop(run_id, None)
+        if run is None:
+            return
+        if not run.started:
+            self._lane_event_s = now
+        if whole:
+            self.run_s += RUN_SMOOTHING * (now - run.dispatched_s - self.run_s)
+
+    def estimate_backlog(self, priority: int, others_share: float, now: float) -> float:
+        """
+        Return the seconds of prefill to be done before one of that priority.
+
+        :param others_share: part of other entries' work that goes first.
+        """
+        ahead = 0.0
+        since_s = now
+        for run in self.runs.values():
+            if not run.started and run.priority <= priority and run.ready_s <= now:
+                ahead += run.prefill_s
+                since_s = min(since_s, run.ready_s)
+        if ahead:
+            since_s = max(since_s, self._lane_event_s)
+            ahead = max(0.0, ahead - (now - since_s))
+        return ahead + others_share * self._others_prefill_s
+
+    def estimate_slot_wait(self) -> float:
+        """Return the seconds until a slot is expected to be free."""
+        limit = max(1, self.report.slots)
+        excess = self.in_flight + 1 - limit
+        return max(0.0, excess * self.run_s / limit)
+
+    def _computing(self) -> bool:
+        return any(not run.started for run in self.runs.values())
+
+
+def _prefill_s(report: UpstreamReport, tokens: int) -> float:
+    if report.prefill_tokens_per_s <= 0:
+        return 0.0
+    return tokens / report.prefill_tokens_per_s
+
+
+def limit_slots(upstreams: dict[str, Upstream], ejector: Ejector, now: float) -> None:
+    """Bring up to date the slots that ejected and returning upstreams may use."""
+    for name in ejector.find_limited(now):
+        upstream = upstreams[name]
+        upstream.slot_limit = ejector.limit_slots(name, upstream.report.slots, now)
+    for name in ejector.take_readmitted():
+        if name in upstreams:
+            upstreams[name].slot_limit = NO_SLOT_LIMIT
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -229,3 +229,84 @@
     derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
 )
 TestDispatcher = DispatcherMachine.TestCase
+
+
+def make_plain(count, **changes):
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    for index in range(count):
+        report = make_report(f"o{index}", service="orders", model="", **changes)
+        dispatcher.report(report, 0.0)
+    return dispatcher
+
+
+def test_calls_of_a_plain_service_spread_and_skip_what_leaves_or_is_avoided():
+    dispatcher = make_plain(3)
+    for number in range(6):
+        name = dispatcher.choose_plain("orders", 0.0)
+        dispatcher.plain_started(f"c{number}", name, 0.0)
+    leaving = make_report("o0", 2, service="orders", model="", leaving=True)
+    dispatcher.report(leaving, 0.1)
+    dispatcher.plain_finished("c0", 0.2)
+    chosen = {dispatcher.choose_plain("orders", 0.2) for _ in range(20)}
+    assert chosen <= {"o1", "o2"}
+    avoid = frozenset({"o1", "o2"})
+    assert dispatcher.choose_plain("orders", 0.2, avoid) is None
+
+
+def test_a_plain_upstream_that_fails_gets_no_calls_for_a_while():
+    dispatcher = make_plain(3)
+    for number in range(3):
+        dispatcher.plain_started(f"c{number}", "o1", 0.0)
+        dispatcher.plain_finished(f"c{number}", 0.1, whole=False)
+    chosen = {dispatcher.choose_plain("orders", 0.2) for _ in range(30)}
+    assert chosen == {"o0", "o2"}
+    assert dispatcher.choose_plain("orders", 9.0, frozenset({"o0", "o2"})) == "o1"
+
+
+def test_retries_are_delayed_go_elsewhere_and_end_with_the_budget():
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    for name in NAMES:
+        dispatcher.report(make_report(name), 0.0)
+    answers = []
+    for number in range(8):
+        request = make_request(number, 0.0, tier="dawn", tokens=10)
+        assert isinstance(dispatcher.offer(request, 0.0), Queued)
+        (first,) = dispatcher.assign(0.0)
+        answer = dispatcher.failed(request.request_id, False, 0.0)
+        answers.append(answer)
+        if isinstance(answer, Queued):
+            assert dispatcher.next_event(0.0) is not None
+            (second,) = dispatcher.assign(0.1)
+            assert second.upstream != first.upstream
+            assert second.attempt == 2
+            dispatcher.cancel(request.request_id, 0.1)
+    codes = [answer.code for answer in answers if isinstance(answer, Refused)]
+    assert set(codes) == {ResultCode.RETRIES_EXHAUSTED}
+    assert len(codes) >= 4
+
+
+def test_a_slow_upstream_is_ejected_probed_with_one_run_and_taken_back():
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    for name in NAMES:
+        dispatcher.report(make_report(name, slots=8), 0.0)
+    now = 0.0
+    counts = {}
+    for number in range(600):
+        request = make_request(number, now, tokens=100)
+        if isinstance(dispatcher.offer(request, now), Refused):
+            continue
+        for assignment in dispatcher.assign(now):
+            name = assignment.upstream
+            phase = int(now // 10)
+            counts[phase, name] = counts.get((phase, name), 0) + 1
+            is_slow = name == "u1" and now < 10.0
+            later = now + (2.0 if is_slow else 0.05)
+            dispatcher.started(assignment.request.request_id, later)
+            dispatcher.finished(
+                assignment.request.request_id,
+                make_end(assignment.request.request_id),
+                later,
+            )
+        now += 0.1
+    assert counts[0, "u1"] <= 10
+    assert counts[5, "u1"] >= 0.5 * counts[5, "u0"]
