Keep the health of upstreams that are lost and found again

Cause: the entry drops an upstream when a run is lost and takes it back with its next report, so failures in a row were forgotten each time and never led to an ejection.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -159,7 +159,7 @@
         self._services_of[report.name] = report.service
         known = pool.upstreams.get(report.name)
         if known is None:
-            pool.add(report)
+            pool.add(report, now)
             return
         if report.incarnation > known.report.incarnation:
             self._index.remove_upstream(report.name)
--- a/packages/core/src/persimmonferry_core/ejection.py
+++ b/packages/core/src/persimmonferry_core/ejection.py
@@ -57,6 +57,7 @@
 
 SLOWNESS_SMOOTHING = 0.2
 MEDIAN_REUSE = 8
+MAX_FORMER = 256
 
 
 class _Health:
@@ -79,18 +80,35 @@
     def __init__(self, policy: EjectionPolicy | None = None) -> None:
         self.policy = policy or EjectionPolicy()
         self._healths: dict[str, _Health] = {}
+        self._former: dict[str, _Health] = {}
         self._limited: set[str] = set()
         self._readmitted: set[str] = set()
         self._typical = 1.0
         self._typical_age = 0
 
-    def add(self, upstream: str) -> None:
-        """Begin to look after an upstream."""
-        self._healths.setdefault(upstream, _Health())
+    def add(self, upstream: str, now: float) -> None:
+        """
+        Begin to look after an upstream.
+
+        One that was forgotten a while ago is judged by what it did before, so an
+        upstream that is lost and found again and again is ejected all the same.
+        """
+        if upstream in self._healths:
+            return
+        health = self._healths[upstream] = self._former.pop(upstream, _Health())
+        if not isinstance(health.state, Closed):
+            health.state = Closed()
+            health.failures = max(health.failures, self.policy.failures)
+        if health.failures >= self.policy.failures:
+            self._try_eject(upstream, now)
 
     def remove(self, upstream: str) -> None:
         """Forget an upstream; others come back if too large a part is out now."""
-        self._healths.pop(upstream, None)
+        health = self._healths.pop(upstream, None)
+        if health is not None:
+            self._former[upstream] = health
+        if len(self._former) > MAX_FORMER:
+            del self._former[next(iter(self._former))]
         self._limited.discard(upstream)
         out = [
             self._healths[name]
@@ -173,6 +191,8 @@
         """Note a run that the upstream refused or lost."""
         health = self._healths.get(upstream)
         if health is None:
+            if upstream in self._former:
+                self._former[upstream].failures += 1
             return
         health.failures += 1
         match self.find_state(upstream, now):
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -228,10 +228,10 @@
             else:
                 upstream.is_home = index % len(usable) == place
 
-    def add(self, report: UpstreamReport) -> None:
+    def add(self, report: UpstreamReport, now: float) -> None:
         """Begin to use an upstream."""
         self.upstreams[report.name] = Upstream(report)
-        self.ejector.add(report.name)
+        self.ejector.add(report.name, now)
         self._summary = None
 
     def apply(self, report: UpstreamReport, now: float) -> None:
--- a/packages/core/src/persimmonferry_core/services.py
+++ b/packages/core/src/persimmonferry_core/services.py
@@ -83,10 +83,10 @@
         self.upstreams: dict[str, Upstream] = {}
         self.ejector = Ejector()
 
-    def add(self, report: UpstreamReport) -> None:
+    def add(self, report: UpstreamReport, now: float) -> None:
         """Begin to use an upstream."""
         self.upstreams[report.name] = Upstream(report)
-        self.ejector.add(report.name)
+        self.ejector.add(report.name, now)
 
     def apply(self, report: UpstreamReport, now: float) -> None:
         """Take over a later report of an upstream."""
--- a/packages/core/tests/test_ejection.py
+++ b/packages/core/tests/test_ejection.py
@@ -16,7 +16,7 @@
         self.known = set(NAMES)
         self.probing = {}
         for name in NAMES:
-            self.ejector.add(name)
+            self.ejector.add(name, self.now)
 
     @rule(seconds=st.floats(0.01, 60.0))
     def advance(self, seconds):
@@ -41,7 +41,7 @@
             self.known.discard(name)
             self.probing.pop(name, None)
         else:
-            self.ejector.add(name)
+            self.ejector.add(name, self.now)
             self.known.add(name)
 
     @rule(name=st.sampled_from(NAMES))
@@ -78,7 +78,7 @@
 def make_ejector(**changes):
     ejector = Ejector(EjectionPolicy(**changes))
     for name in NAMES:
-        ejector.add(name)
+        ejector.add(name, 0.0)
     return ejector
 
 
@@ -117,3 +117,13 @@
         for name in NAMES:
             ejector.record_success(name, 10.0, step * 0.1)
     assert ejector.count_out(2.0) == 0
+
+
+def test_an_upstream_that_is_lost_and_found_again_is_ejected_all_the_same():
+    ejector = make_ejector()
+    for _ in range(3):
+        assert ejector.limit_slots("u0", 8, 0.0) == 8
+        ejector.remove("u0")
+        ejector.record_failure("u0", 0.0)
+        ejector.add("u0", 0.0)
+    assert ejector.limit_slots("u0", 8, 0.0) == 0
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -35,7 +35,7 @@
     index = BlockIndex()
     router = Router(service, LinkTable(links), index, random.Random(seed))
     for name in names:
-        router.add(make_report(name))
+        router.add(make_report(name), 0.0)
     return router, index
 
 
@@ -143,7 +143,7 @@
         homes = []
         for entry in entries:
             router, _ = make_router(names)
-            router.add(make_report("old", version="v0"))
+            router.add(make_report("old", version="v0"), 0.0)
             router.set_homes(entry, entries)
             assert set(router.summarize().names) == set(names)
             own = [name for name in names if router.upstreams[name].is_home]
