--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -35,7 +35,7 @@
     index = BlockIndex()
     router = Router(service, LinkTable(links), index, random.Random(seed))
     for name in names:
-        router.add(make_report(name))
+        router.add(make_report(name), 0.0)
     return router, index
 
 
@@ -143,7 +143,7 @@
         homes = []
         for entry in entries:
             router, _ = make_router(names)
-            router.add(make_report("old", version=""))
+            router.add(make_report("old", version=""), 0.0)
             router.set_homes(entry, entries)
             assert set(router.summarize().names) == set(names)
             own = [name for name in names if router.upstreams[name].is_home]
@@ -151,3 +151,13 @@
             homes += own
         assert set(homes) == set(names)
         assert len(homes) == max(count, len(entries))
+
+
+def test_waits_behind_other_entries_transfers_are_learned_and_forgotten():
+    links = LinkTable(LINKS)
+    alone = links.estimate_transfer("west", "east", 25_000_000, 0.0)
+    for step in range(20):
+        links.record("west", "east", 25_000_000, 1.0 + alone, 10.0 + 0.11 * step)
+    assert links.estimate_transfer("west", "east", 25_000_000, 12.1) > 0.7 + alone
+    later = links.estimate_transfer("west", "east", 25_000_000, 100.0)
+    assert later < 1.3 * alone
