--- a/packages/adapters/src/persimmonferry_adapters/engine.py
+++ b/packages/adapters/src/persimmonferry_adapters/engine.py
@@ -1,9 +1,8 @@
 """HTTP adapter to a model engine."""
 
 import asyncio
-import json
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 import pycurl
 from persimmonferry_core.codes import ResultCode
@@ -11,7 +10,6 @@
     FerryError,
     OutcomeUnknown,
     StoreError,
-    make_error,
 )
 from persimmonferry_core.runs import (
     CacheEvent,
@@ -37,16 +35,20 @@
     BLOCK_NAME_HEADER,
     JSON_TYPE,
     OCTETS_TYPE,
+    decode_json,
+    decode_refusal,
     encode_engine_order,
     encode_json,
     encode_run_order,
-    find_refusal_code,
     quote_segment,
 )
 
 __all__ = ["HttpEngine"]
 
+Built = TypeVar("Built")
+
 RUN_IDLE_TIMEOUT_S = 2.0
+LOW_SPEED_TIMEOUT_S = 60
 ORDER_TIMEOUT_S = 120.0
 BLOCK_TIMEOUT_S = 30.0
 
@@ -60,24 +62,25 @@
     :param idle_timeout_s: longest time between two chunks.
     """
 
-    def __init__(self, reader: AnswerReader, idle_timeout_s: float) -> None:
+    def __init__(
+        self, url: str, order: RunOrder, reader: AnswerReader, idle_timeout_s: float
+    ) -> None:
         self._reader = reader
         self._idle_timeout_s = idle_timeout_s
         self._loop = asyncio.get_running_loop()
         self._last_chunk_s = self._loop.time()
         self._ended: asyncio.Future[HTTPResponse | Loss] = self._loop.create_future()
+        self._request = self._make_request(url, order)
 
-    async def run(
-        self, client: AsyncHTTPClient, url: str, order: RunOrder
-    ) -> HTTPResponse | Loss:
+    async def run(self, client: AsyncHTTPClient) -> HTTPResponse | Loss:
         """Send the order; return at the end of the answer, a fault, or silence."""
-        request = self._make_request(url, order)
-        fetching = asyncio.ensure_future(fetch(client, request))
+        fetching = asyncio.ensure_future(fetch(client, self._request))
         fetching.add_done_callback(self._end_with)
         watch = self._loop.call_later(self._idle_timeout_s, self._check_silence)
         try:
             return await self._ended
         finally:
+            self._request.abandon()
             self._ended.cancel()
             watch.cancel()
 
@@ -94,8 +97,9 @@
 
         def prepare(curl: pycurl.Curl) -> None:
             request.prepare(curl)
+            # Makes libcurl call the progress callback each second, also in silence.
             curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
-            curl.setopt(pycurl.LOW_SPEED_TIME, 1)
+            curl.setopt(pycurl.LOW_SPEED_TIME, LOW_SPEED_TIMEOUT_S)
             curl.setopt(pycurl.NOPROGRESS, 0)
             curl.setopt(pycurl.XFERINFOFUNCTION, self._check_progress)
 
@@ -113,7 +117,7 @@
     def _check_silence(self) -> None:
         left_s = self._last_chunk_s + self._idle_timeout_s - self._loop.time()
         if left_s <= 0:
-            self._end(Loss.TIMED_OUT)
+            self._end(Loss.TIMED_OUT if self._request.sent else Loss.NOT_SENT)
         elif not self._ended.done():
             self._loop.call_later(left_s, self._check_silence)
 
@@ -163,8 +167,9 @@
         :raises OutcomeUnknown: lost, silent, cut short, or another run's answer.
         """
         reader = AnswerReader(order, deliver)
-        transfer = _Transfer(reader, self._idle_timeout_s)
-        result = await transfer.run(self._client, f"{self._url}/v1/runs", order)
+        url = f"{self._url}/v1/runs"
+        transfer = _Transfer(url, order, reader, self._idle_timeout_s)
+        result = await transfer.run(self._client)
         if reader.failure is not None:
             raise reader.failure
         match result:
@@ -180,19 +185,15 @@
     async def cancel(self, run_id: str) -> None:
         """Stop a run; a run that is not known is no error."""
         body = encode_json({"run_id": run_id})
-        await self._ask("/v1/cancel", method="POST", body=body)
+        await self._ask("/v1/cancel", bool, method="POST", body=body)
 
     async def read_load(self) -> EngineLoad:
         """Return the reported load."""
-        return EngineLoad(**await self._ask("/v1/load"))
+        return await self._ask("/v1/load", lambda fields: EngineLoad(**fields))
 
     async def read_cache_events(self, after: int) -> tuple[CacheEvent, ...]:
         """Return the events behind a sequence number that are published so far."""
-        fields = await self._ask(f"/v1/cache_events?after={after}")
-        return tuple(
-            CacheEvent(event["sequence"], CacheEventKind(event["kind"]), event["block"])
-            for event in fields["events"]
-        )
+        return await self._ask(f"/v1/cache_events?after={after}", _decode_cache_events)
 
     async def export_block(self, name: str) -> bytes:
         """
@@ -245,15 +246,23 @@
             raise _read_refusal(response)
 
     async def _ask(
-        self, path: str, *, method: str = "GET", body: bytes | None = None
-    ) -> dict[str, Any]:
+        self,
+        path: str,
+        build: Callable[[Any], Built],
+        *,
+        method: str = "GET",
+        body: bytes | None = None,
+    ) -> Built:
         request = Request(
             self._url + path, method=method, body=body, content_type=JSON_TYPE
         )
         response = await self._exchange(request)
         if response.code != 200:
             raise _read_refusal(response)
-        return json.loads(response.body)
+        try:
+            return decode_json(response.body, build)
+        except ValueError as error:
+            raise OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, str(error)) from error
 
     async def _exchange(self, request: Request) -> HTTPResponse:
         match await exchange(self._client, request):
@@ -263,11 +272,16 @@
                 return response
 
 
+def _decode_cache_events(fields: Any) -> tuple[CacheEvent, ...]:
+    return tuple(
+        CacheEvent(event["sequence"], CacheEventKind(event["kind"]), event["block"])
+        for event in fields["events"]
+    )
+
+
 def _read_refusal(response: HTTPResponse) -> FerryError:
     """Return the error that an answer other than 200 stands for."""
     try:
-        refused = json.loads(response.body)["refused"]
-        code = find_refusal_code(refused["code"])
-        return make_error(code, str(refused["reason"]), refused.get("retry_after_s"))
-    except (ValueError, KeyError, TypeError):
+        return decode_json(response.body, decode_refusal)
+    except ValueError:
         return OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {response.code}")
--- a/packages/adapters/tests/test_engine.py
+++ b/packages/adapters/tests/test_engine.py
@@ -87,6 +87,21 @@
     run_scenario(scenario)
 
 
+def test_many_runs_at_once_get_their_own_answers():
+    async def scenario(adapter, engine, control):
+        async def run_one(number):
+            prompt = f"{ORDER.prompt} {number}"
+            order = replace(ORDER, run_id=str(number), prompt=prompt, block_names=())
+            batches = []
+            end = await adapter.run(order, batches.append)
+            assert end.run_id == order.run_id
+            assert join(batches) == answer_tokens(prompt, "v1", 20)
+
+        await asyncio.gather(*(run_one(number) for number in range(200)))
+
+    run_scenario(scenario, slots=150)
+
+
 def test_a_resumed_run_goes_on_behind_the_delivered_tokens():
     async def scenario(adapter, engine, control):
         batches = []
@@ -411,3 +426,82 @@
         await server.stop()
 
     asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
+def test_an_end_mark_under_another_status_than_200_is_no_answer():
+    whole = make_answer(chunked=False).replace(b"200 OK", b"500 Fault")
+
+    async def scenario():
+        server = RawServer(lambda _: RawAnswer(whole))
+        await server.start()
+        async with open_session() as client:
+            adapter = HttpEngine(client, server.url)
+            with pytest.raises(OutcomeUnknown) as caught:
+                await adapter.run(replace(ORDER, max_tokens=3), lambda batch: None)
+            assert caught.value.code is ResultCode.UPSTREAM_LOST
+        await server.stop()
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_the_connection_of_a_run_that_was_given_up_is_closed():
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"
+
+    async def scenario():
+        server = RawServer(lambda _: RawAnswer(head, close=False))
+        await server.start()
+        async with open_session() as client:
+            adapter = HttpEngine(client, server.url, SHORT_TIMEOUT_S)
+            with pytest.raises(OutcomeUnknown) as caught:
+                await adapter.run(ORDER, lambda batch: None)
+            assert caught.value.code is ResultCode.UPSTREAM_TIMEOUT
+            while server.connections:
+                await asyncio.sleep(0.05)
+        await server.stop()
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_a_run_that_waits_in_the_client_too_long_is_not_run_and_never_sent():
+    async def scenario():
+        server = RawServer(lambda _: RawAnswer(b"", close=len(server.requests) > 1))
+        await server.start()
+        async with open_session(max_clients=1) as client:
+            patient = HttpEngine(client, server.url, IDLE_TIMEOUT_S)
+            first = asyncio.ensure_future(patient.run(ORDER, lambda batch: None))
+            while not server.requests:
+                await asyncio.sleep(0.01)
+            adapter = HttpEngine(client, server.url, SHORT_TIMEOUT_S)
+            with pytest.raises(NotRun):
+                await adapter.run(ORDER, lambda batch: None)
+            first.cancel()
+            # The next one goes out only after the client is through with both.
+            with pytest.raises(OutcomeUnknown):
+                await patient.run(ORDER, lambda batch: None)
+        await server.stop()
+        assert len(server.requests) == 2
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_an_answer_that_stalls_anywhere_is_given_up_as_unknown():
+    whole = make_answer(chunked=True)
+    order = replace(ORDER, max_tokens=3)
+
+    async def expect_timeout(adapter):
+        with pytest.raises(OutcomeUnknown) as caught:
+            await adapter.run(order, lambda batch: None)
+        assert caught.value.code is ResultCode.UPSTREAM_TIMEOUT
+
+    async def scenario():
+        server = RawServer(
+            lambda _: RawAnswer(whole[: len(server.requests) - 1], close=False)
+        )
+        await server.start()
+        async with open_session(max_clients=len(whole)) as client:
+            adapter = HttpEngine(client, server.url, 2.0)
+            await asyncio.gather(*(expect_timeout(adapter) for _ in whole))
+        await server.stop()
+        assert len(server.requests) == len(whole)
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
--- a/packages/adapters/tests/test_plain.py
+++ b/packages/adapters/tests/test_plain.py
@@ -150,6 +150,8 @@
     "no content": b"HTTP/1.1 204 Gone\r\nX-Run-Id: run\r\n\r\n",
     "mark": b"HTTP/1.1 503 Busy\r\nX-Not-Run: run-2\r\nX-Run-Id: run\r\n"
     b"Content-Length: 0\r\n\r\n",
+    "interim": b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Run-Id: run\r\n"
+    b"Content-Length: 0\r\n\r\n",
     "unframed": b"HTTP/1.0 200 OK\r\nX-Run-Id: run\r\n\r\nreservation!",
 }
 
@@ -221,3 +223,21 @@
         assert b"content-type" not in server.requests[0].lower()
 
     asyncio.run(asyncio.wait_for(scenario(), 20))
+
+
+def test_a_call_that_is_given_up_in_the_queue_of_the_client_is_never_sent():
+    whole = b"HTTP/1.1 200 OK\r\nX-Run-Id: run\r\nContent-Length: 0\r\n\r\n"
+
+    async def scenario():
+        server = RawServer(lambda _: RawAnswer(whole))
+        await server.start()
+        async with open_session(max_clients=1) as client:
+            adapter = HttpPlainService(client, server.url)
+            calls = [asyncio.ensure_future(adapter.call(ORDER)) for _ in range(3)]
+            await asyncio.sleep(0)
+            calls[1].cancel()
+            await calls[2]
+        await server.stop()
+        assert len(server.requests) == 2
+
+    asyncio.run(asyncio.wait_for(scenario(), 20))
