--- a/packages/daemon/src/persimmonferry_daemon/forwarding.py
+++ b/packages/daemon/src/persimmonferry_daemon/forwarding.py
@@ -80,6 +80,10 @@
         self._read_clock = read_clock
         self._avoided_until_s: dict[str, float] = {}
 
+    def is_writer(self, partition: int) -> bool:
+        """Tell whether this entry had best write a partition."""
+        return self._choose(partition) == self._identity
+
     async def commit(
         self,
         place: Place,
