Ask the platform about an earlier call only when no upstream is left

A refusal for too many waiting claims made one read each, which adds load when there is too much. A failed claim now looks only at what the entry knows. The probe of the platform's service survives any error of the adapter; before, one of another kind would have kept the outage gate shut for good.

--- a/packages/daemon/src/persimmonferry_daemon/claimed.py
+++ b/packages/daemon/src/persimmonferry_daemon/claimed.py
@@ -109,11 +109,15 @@
 
     async def _claim_and_attempt(self) -> CallAnswer | None:
         try:
-            claim = self._build_claim(self._choose())
-            replaces = self._disproved.run_id if self._disproved is not None else ""
+            handle = self._choose()
+        except NotRun as error:
+            return await self._follow_without_upstream(error)
+        claim = self._build_claim(handle)
+        replaces = self._disproved.run_id if self._disproved is not None else ""
+        try:
             entry = await self._claims.claim(self._place, claim, replaces)
         except NotRun as error:
-            return await self._follow_without_claim(error)
+            return await self._follow_known(error)
         if entry.claim.run_id == claim.run_id:
             return await self._attempt(claim)
         return await self._follow(entry)
@@ -136,28 +140,32 @@
             attempt=attempt,
         )
 
-    async def _follow_without_claim(self, error: NotRun) -> CallAnswer | None:
-        """Look for an earlier call of the key when no claim could be made."""
+    async def _follow_without_upstream(self, error: NotRun) -> CallAnswer | None:
+        """Look for an earlier call of the key, since none can be started now."""
         if self._disproved is not None:
             raise error
-        entry = await self._find_entry()
+        try:
+            entry = await self._claims.find(self._place, self._key_digest)
+        except NotRun as unavailable:
+            # Unlike the first error, it leaves open whether an earlier call has run.
+            return await self._follow_known(unavailable)
         if entry is None:
             raise error
+        return await self._follow_or_raise(entry, error)
+
+    async def _follow_known(self, error: NotRun) -> CallAnswer | None:
+        """Follow an earlier call that this process knows of, without the platform."""
+        entry = self._claims.find_known(self._place, self._key_digest)
+        if entry is None or self._disproved is not None:
+            raise error
+        return await self._follow_or_raise(entry, error)
+
+    async def _follow_or_raise(self, entry: JournalEntry, error: NotRun) -> CallAnswer:
         answer = await self._follow(entry)
         if answer is None:
             raise error
         return answer
 
-    async def _find_entry(self) -> JournalEntry | None:
-        try:
-            return await self._claims.find(self._place, self._key_digest)
-        except NotRun:
-            known = self._claims.find_known(self._place, self._key_digest)
-            if known is None:
-                # Its code leaves open whether an earlier call has run.
-                raise
-            return known
-
     async def _attempt(self, claim: Claim) -> CallAnswer | None:
         """Send the attempt that the claim permits; this is called once for a claim."""
         attempt = claim.attempt
@@ -193,7 +201,7 @@
             raise error from None
         match state:
             case Running() | NeverSeen():
-                raise error
+                raise OutcomeUnknown(error.code, error.detail, RETRY_AFTER_S)
         return self._settle(claim, state)
 
     async def _follow(self, entry: JournalEntry) -> CallAnswer | None:
--- a/packages/daemon/src/persimmonferry_daemon/journals.py
+++ b/packages/daemon/src/persimmonferry_daemon/journals.py
@@ -4,7 +4,11 @@
 import logging
 from dataclasses import dataclass
 
-from persimmonferry_core.exceptions import PlatformAnswerLost, PlatformUnavailable
+from persimmonferry_core.exceptions import (
+    FerryError,
+    PlatformAnswerLost,
+    PlatformUnavailable,
+)
 from persimmonferry_core.interfaces import Platform, Versioned
 from persimmonferry_core.journal import Place, Segment
 
@@ -112,7 +116,10 @@
             try:
                 async with asyncio.timeout(PLATFORM_TIMEOUT_S):
                     await self._platform.read(PROBE_KEY)
-            except (TimeoutError, PlatformUnavailable):
+            except (TimeoutError, FerryError):
+                continue
+            except Exception:
+                _log.exception("the probe of the platform's service failed")
                 continue
             break
         _log.info("the platform's service is back")
--- a/packages/daemon/tests/test_calls.py
+++ b/packages/daemon/tests/test_calls.py
@@ -65,13 +65,6 @@
 ORDERS = Service("orders", ServiceKind.PLAIN)
 SHAPE = JournalShape(partitions=1, segment_s=1000.0)
 START_S = 1_800_000_000.0
-# These speak of the call alone: the journal could not be asked about earlier calls,
-# or they had another body.
-WEAK_REFUSALS = {
-    ResultCode.PLATFORM_UNAVAILABLE,
-    ResultCode.IDEMPOTENCY_KEY_EXPIRED,
-    ResultCode.IDEMPOTENCY_KEY_REUSED,
-}
 
 
 class Process:
@@ -338,7 +331,7 @@
                 answer = self.task.result().body
                 assert answer.endswith(self.body), "another request's answer"
                 end = AnsweredCall(answer)
-            case NotRun(code=code) if code not in WEAK_REFUSALS:
+            case NotRun(code=code) if not code.earlier_unknown:
                 end = NotRunCall()
             case RanBefore(code=ResultCode.ANSWER_NOT_HELD):
                 end = RanCall()
