--- a/packages/daemon/tests/test_calls.py
+++ b/packages/daemon/tests/test_calls.py
@@ -65,13 +65,6 @@
 ORDERS = Service("orders", ServiceKind.PLAIN)
 SHAPE = JournalShape(partitions=1, segment_s=1000.0)
 START_S = 1_800_000_000.0
-# These speak of the call alone: the journal could not be asked about earlier calls,
-# or they had another body.
-WEAK_REFUSALS = {
-    ResultCode.PLATFORM_UNAVAILABLE,
-    ResultCode.IDEMPOTENCY_KEY_EXPIRED,
-    ResultCode.IDEMPOTENCY_KEY_REUSED,
-}
 
 
 class Process:
@@ -112,6 +105,7 @@
         self.lost = lost
         self.refused = refused
         self.cut = False
+        self.sent = False
 
     def reply(self, result):
         if self.future.done() or self.cut:
@@ -124,17 +118,18 @@
     def deliver(self, fault):
         pending = self.world.messages
         match fault:
-            case "refuse" if not self.cut:
+            case "refuse" if not self.sent:
                 pending.remove(self)
                 self.reply(self.refused)
             case "cut":
                 self.reply(self.lost)
-                self.cut = True
+                self.sent = self.cut = True
             case "lose answer":
                 pending.remove(self)
                 self.reply(self.lost)
                 self.serve(self)
             case "copy":
+                self.sent = True
                 self.serve(self)
             case "hold":
                 pending.remove(self)
@@ -259,7 +254,7 @@
         def serve(message):
             agent = self.world.agents[handle.name]
             if not agent.alive:
-                return message.reply(refused if not message.cut else lost)
+                return message.reply(lost if message.sent else refused)
             self.world.spawn(agent, agent.gate.call, request, message)
 
         return await self.world.send("call", serve, lost, refused)
@@ -336,7 +331,7 @@
                 answer = self.task.result().body
                 assert answer.endswith(self.body), "another request's answer"
                 end = AnsweredCall(answer)
-            case NotRun(code=code) if code not in WEAK_REFUSALS:
+            case NotRun(code=code) if not code.earlier_unknown:
                 end = NotRunCall()
             case RanBefore(code=ResultCode.ANSWER_NOT_HELD):
                 end = RanCall()
