Wire the tracked engine, turns of loading and the store's own fault code

Change: one TrackedEngine for all parts of the agent, peers take turns, STORE_UNAVAILABLE 5020 from the adapter; a run that ends with another weight version is told to the keeper of blocks. The test of the retry budget speaks of attempts that ran; those that did not are always tried elsewhere, which has its own test.

--- a/packages/adapters/src/persimmonferry_adapters/store.py
+++ b/packages/adapters/src/persimmonferry_adapters/store.py
@@ -134,7 +134,7 @@
     async def _ask(self, request: Request) -> HTTPResponse:
         match await exchange(self._client, request):
             case Loss() as loss:
-                raise StoreError(ResultCode.BLOCK_INVALID, f"store VM: {loss.value}")
+                raise StoreError(ResultCode.STORE_UNAVAILABLE, loss.value)
             case response if response.code == 200:
                 return response
             case response if response.code == ResultCode.STORE_FULL.http_status:
--- a/packages/daemon/src/persimmonferry_daemon/modelwork.py
+++ b/packages/daemon/src/persimmonferry_daemon/modelwork.py
@@ -25,6 +25,7 @@
 from persimmonferry_daemon.loads import LoadPoller
 from persimmonferry_daemon.paths import ANSWER_PATH, CANCEL_PATH, RUN_PATH
 from persimmonferry_daemon.promptruns import PromptRuns, RunHandler
+from persimmonferry_daemon.trackedengine import TrackedEngine
 from persimmonferry_daemon.vms import VMWatch
 from persimmonferry_daemon.weights import WeightKeeper
 
@@ -51,6 +52,7 @@
     ) -> None:
         role: AgentSettings = settings.role
         self._client = client
+        self._name = settings.name
         self._service_name = role.service
         self._failure_domain = settings.failure_domain
         self._vms = vms
@@ -58,7 +60,7 @@
         self._stores: dict[str, Store] = {}
         self._reported: frozenset[str] = frozenset()
         holder = f"{settings.name}-{uuid.uuid4().hex}"
-        engine = HttpEngine(client, role.upstream_url)
+        engine = TrackedEngine(HttpEngine(client, role.upstream_url), time.monotonic)
         self._load: LoadPoller[EngineLoad] = LoadPoller(engine.read_load)
         self._blocks = BlockKeeper(
             engine,
@@ -77,7 +79,8 @@
             settings.name,
             settings.team,
             self._find_service,
-            time.monotonic,
+            _read_boot_clock,
+            self._list_engines,
         )
         self._runs = PromptRuns(engine, gate, self._blocks, self._find_held, time.time)
         self.rules = [(RUN_PATH, RunHandler, {"runs": self._runs})]
@@ -145,6 +148,11 @@
         document = self._configuration.document
         return document.find_service(self._service_name) if document else None
 
+    def _list_engines(self) -> tuple[str, ...]:
+        """Return the names of the upstreams that may load weights too."""
+        names = {vm.name for vm in self._vms.list_role(Role.UPSTREAM)}
+        return tuple(sorted(names | {self._name}))
+
     def _find_weights(self) -> RoutingWeights:
         service = self._find_service()
         return service.weights if service else RoutingWeights()
@@ -170,3 +178,8 @@
 
     async def _answer_cancel(self, request: CancelRequest) -> Acknowledgement:
         return Acknowledgement(await self._runs.cancel(request.run_id))
+
+
+def _read_boot_clock() -> float:
+    """Return seconds that go on while the VM is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/daemon/src/persimmonferry_daemon/promptruns.py
+++ b/packages/daemon/src/persimmonferry_daemon/promptruns.py
@@ -131,6 +131,9 @@
             _add(answer, batch)
 
         end = await self._engine.run(order, deliver)
+        if end.version != order.version:
+            # The blocks must learn of it: they may be of the other version.
+            await self._blocks.retain(order, end)
         _check_end(order, answer, end)
         return end
 
--- a/packages/daemon/src/persimmonferry_daemon/servers.py
+++ b/packages/daemon/src/persimmonferry_daemon/servers.py
@@ -17,6 +17,7 @@
 
 _log = logging.getLogger(__name__)
 
+BACKLOG = 1024
 MAX_HEADER_BYTES = 64 * 1024
 IDLE_CONNECTION_TIMEOUT_S = 120
 MAX_PEER_BODY_BYTES = 64 * 1024 * 1024
@@ -103,7 +104,7 @@
     ) -> None:
         self._is_ready = is_ready
         self._max_body_bytes = max_body_bytes
-        self._sockets = bind_sockets(address.port, address.host)
+        self._sockets = bind_sockets(address.port, address.host, backlog=BACKLOG)
         self._server: HTTPServer | None = None
         port = self._sockets[0].getsockname()[1]
         self.address = Address(address.host, port)
