--- a/packages/standins/src/persimmonferry_standins/batching.py
+++ b/packages/standins/src/persimmonferry_standins/batching.py
@@ -87,7 +87,7 @@
             next_index=len(order.delivered),
         )
         self.waiting.append(run)
-        self.waiting.sort(key=lambda item: (item.order.priority, item.arrival))
+        self.waiting.sort(key=_rank)
         return run
 
     def remove(self, run: Run) -> None:
@@ -117,9 +117,9 @@
 
     def _prefill(self, elapsed_s: float, now: float) -> None:
         budget = self._rates.prefill_tokens_per_s * elapsed_s
-        for run in self.running:
-            if run.prefilled:
-                continue
+        unfilled = [run for run in self.running if not run.prefilled]
+        # Prefill comes in chunks, so that an urgent run passes one under way.
+        for run in sorted(unfilled, key=_rank):
             share = min(budget, run.prefill_left)
             run.prefill_left -= share
             budget -= share
@@ -143,3 +143,7 @@
             self.running.remove(run)
         if tokens or run.done:
             run.emit(run, tokens, run.done)
+
+
+def _rank(run: Run) -> tuple[int, int]:
+    return run.order.priority, run.arrival
