--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -403,11 +403,15 @@
     def expire(self, now):
         if self._promises is None:
             return ()
-        late = [r for r in self._queue if now > r.arrival_s + self._promises[r.tier]]
+        late = [request for request in self._queue if now > self._latest(request)]
         for request in late:
             self._queue.remove(request)
         return late
 
+    def _latest(self, request):
+        prefill_s = request.prompt_tokens / EngineKind.prefill_tokens_per_s
+        return request.arrival_s + self._promises[request.tier] - 2 * prefill_s
+
     def started(self, request_id, now): ...
 
     def finished(self, request_id, end, now):
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -174,25 +174,25 @@
     document = make_document(ACCOUNTS)
     capacity = measure_capacity(document, duration_s)
     rows = []
-    unloaded = run_overload(
-        "dispatcher", document, capacity, 1.0, duration_s, ("door",)
-    )
-    base = percentile(first_token_times(unloaded, "door"), 0.95)
+    base = None
     for factor in (1.0, 2.0, 4.0):
         alone = run_overload(
             "dispatcher", document, capacity, factor, duration_s, ("door",)
         )
         p95 = percentile(first_token_times(alone, "door"), 0.95)
-        cells = (f"{p95 * 1000:.0f} ms", f"{p95 / base:.2f}")
-        rows.append(
-            ("door tier alone", f"{factor:g}x", *cells, "-", "-", "-", "-", "-")
-        )
+        base = base or p95
+        cells = (f"{p95 * 1000:.0f} ms", f"{p95 / base:.2f}", *["-"] * 5)
+        rows.append(("door tier alone", f"{factor:g}x", *cells))
     for factor in (0.8, 2.0, 4.0):
         for name in ("dispatcher", "first come, expiring", "least-loaded", "random"):
             calls = run_overload(name, document, capacity, factor, duration_s)
-            rows.append(
-                (name, f"{factor:g}x", *describe(calls, base, capacity, duration_s))
-            )
+            cells = describe(calls, base, capacity, duration_s)
+            rows.append((name, f"{factor:g}x", *cells))
+    calls = run_overload(
+        "dispatcher", document, capacity, 2.0, duration_s, preemptive=False
+    )
+    cells = describe(calls, base, capacity, duration_s)
+    rows.append(("dispatcher, engines ignore priorities in a prefill", "2x", *cells))
     header = (
         "policy",
         "load",
@@ -215,9 +215,11 @@
     return sum(tokens_of(call) for call in late) / (duration_s / 2)
 
 
-def run_overload(name, document, capacity, factor, duration_s, tiers=None):
+def run_overload(
+    name, document, capacity, factor, duration_s, tiers=None, preemptive=True
+):
     generator = random.Random(SEED)
-    fleet = Fleet(SEED, ENGINES, 4, EngineKind())
+    fleet = Fleet(SEED, ENGINES, 4, EngineKind(preemptive=preemptive))
     mixes = [mix for mix in DAWN_MIX if tiers is None or mix.tier in tiers]
     policies = make_policies(name, document, SEED, ENTRIES)
     entries = [Entry(fleet, policy) for policy in policies]
