--- a/bench/policy.py
+++ b/bench/policy.py
@@ -636,7 +636,8 @@
     """
     Measure the decisions under load.
 
-    :param questions: overload, shares, returns, weights, slow, limits, cost; all when empty.
+    :param questions: any of overload, shares, returns, weights, slow, limits and cost;
+        all when empty.
     :param seed: of all that is drawn at random.
     """
     globals()["SEED"] = seed
