--- /dev/null
+++ b/packages/adapters/src/persimmonferry_adapters/engine.py
@@ -0,0 +1,287 @@
+"""HTTP adapter to a model engine."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import pycurl
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import (
+    FerryError,
+    OutcomeUnknown,
+    StoreError,
+)
+from persimmonferry_core.runs import (
+    CacheEvent,
+    CacheEventKind,
+    EngineLoad,
+    EngineOrder,
+    RunEnd,
+    RunOrder,
+    TokenBatch,
+)
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+
+from persimmonferry_adapters.answer import AnswerReader
+from persimmonferry_adapters.exchange import (
+    Loss,
+    Request,
+    Reuse,
+    exchange,
+    fetch,
+    raise_upstream_loss,
+)
+from persimmonferry_adapters.forms import (
+    BLOCK_NAME_HEADER,
+    JSON_TYPE,
+    OCTETS_TYPE,
+    decode_json,
+    decode_refusal,
+    encode_engine_order,
+    encode_json,
+    encode_run_order,
+    quote_segment,
+)
+
+__all__ = ["HttpEngine"]
+
+Built = TypeVar("Built")
+
+RUN_IDLE_TIMEOUT_S = 2.0
+LOW_SPEED_TIMEOUT_S = 60
+ORDER_TIMEOUT_S = 120.0
+BLOCK_TIMEOUT_S = 30.0
+
+
+class _Transfer:
+    """
+    One streamed run on the wire, watched for silence.
+
+    Tornado's curl client can't abort a request, so libcurl's progress callback does.
+
+    :param idle_timeout_s: longest time between two chunks.
+    """
+
+    def __init__(
+        self, url: str, order: RunOrder, reader: AnswerReader, idle_timeout_s: float
+    ) -> None:
+        self._reader = reader
+        self._idle_timeout_s = idle_timeout_s
+        self._loop = asyncio.get_running_loop()
+        self._last_chunk_s = self._loop.time()
+        self._ended: asyncio.Future[HTTPResponse | Loss] = self._loop.create_future()
+        self._request = self._make_request(url, order)
+
+    async def run(self, client: AsyncHTTPClient) -> HTTPResponse | Loss:
+        """Send the order; return at the end of the answer, a fault, or silence."""
+        fetching = asyncio.ensure_future(fetch(client, self._request))
+        fetching.add_done_callback(self._end_with)
+        watch = self._loop.call_later(self._idle_timeout_s, self._check_silence)
+        try:
+            return await self._ended
+        finally:
+            self._request.abandon()
+            self._ended.cancel()
+            watch.cancel()
+
+    def _make_request(self, url: str, order: RunOrder) -> Request:
+        request = Request(
+            url,
+            method="POST",
+            body=encode_run_order(order),
+            content_type=JSON_TYPE,
+            reuse=Reuse.NEVER,
+            timeout_s=0,
+            streaming_callback=self._receive,
+        )
+
+        def prepare(curl: pycurl.Curl) -> None:
+            request.prepare(curl)
+            # Makes libcurl call the progress callback each second, also in silence.
+            curl.setopt(pycurl.LOW_SPEED_LIMIT, 1)
+            curl.setopt(pycurl.LOW_SPEED_TIME, LOW_SPEED_TIMEOUT_S)
+            curl.setopt(pycurl.NOPROGRESS, 0)
+            curl.setopt(pycurl.XFERINFOFUNCTION, self._check_progress)
+
+        request.http.prepare_curl_callback = prepare
+        return request
+
+    def _receive(self, chunk: bytes) -> None:
+        if self._ended.done():
+            return
+        self._last_chunk_s = self._loop.time()
+        self._reader.feed(chunk)
+        if self._reader.failure is not None:
+            self._end(Loss.LOST)
+
+    def _check_silence(self) -> None:
+        left_s = self._last_chunk_s + self._idle_timeout_s - self._loop.time()
+        if left_s <= 0:
+            self._end(Loss.TIMED_OUT if self._request.sent else Loss.NOT_SENT)
+        elif not self._ended.done():
+            self._loop.call_later(left_s, self._check_silence)
+
+    def _check_progress(self, *_totals: int) -> int:
+        """Tell libcurl to abort a transfer that nobody waits for."""
+        return 1 if self._ended.done() else 0
+
+    def _end_with(self, fetching: asyncio.Future[HTTPResponse | Loss]) -> None:
+        if not fetching.cancelled():
+            self._end(fetching.result())
+
+    def _end(self, result: HTTPResponse | Loss) -> None:
+        if not self._ended.done():
+            self._ended.set_result(result)
+
+
+class HttpEngine:
+    """
+    A model engine that speaks HTTP.
+
+    Every method raises NotRun when no connection could be made, and OutcomeUnknown
+    when the request may have arrived but no whole answer came back.
+
+    :param url: base URL without a slash at the end.
+    :param idle_timeout_s: longest silence of a running answer, heartbeats included.
+    """
+
+    def __init__(
+        self,
+        client: AsyncHTTPClient,
+        url: str,
+        idle_timeout_s: float = RUN_IDLE_TIMEOUT_S,
+    ) -> None:
+        self._client = client
+        self._url = url
+        self._idle_timeout_s = idle_timeout_s
+
+    async def run(
+        self, order: RunOrder, deliver: Callable[[TokenBatch], None]
+    ) -> RunEnd:
+        """
+        Run a prompt and return the end mark; see ``Engine.run``.
+
+        Cancelling the coroutine closes the connection; ``cancel`` frees the slot.
+
+        :raises NotRun: the engine refused the run or could not be reached.
+        :raises OutcomeUnknown: lost, silent, cut short, or another run's answer.
+        """
+        reader = AnswerReader(order, deliver)
+        url = f"{self._url}/v1/runs"
+        transfer = _Transfer(url, order, reader, self._idle_timeout_s)
+        result = await transfer.run(self._client)
+        if reader.failure is not None:
+            raise reader.failure
+        match result:
+            case Loss() as loss:
+                raise_upstream_loss(loss, "engine")
+            case response if response.code != 200:
+                detail = f"status {response.code}"
+                raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, detail)
+        if reader.end is None:
+            raise OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, "no end mark")
+        return reader.end
+
+    async def cancel(self, run_id: str) -> None:
+        """Stop a run; a run that is not known is no error."""
+        body = encode_json({"run_id": run_id})
+        await self._ask("/v1/cancel", bool, method="POST", body=body)
+
+    async def read_load(self) -> EngineLoad:
+        """Return the reported load."""
+        return await self._ask("/v1/load", lambda fields: EngineLoad(**fields))
+
+    async def read_cache_events(self, after: int) -> tuple[CacheEvent, ...]:
+        """Return the events behind a sequence number that are published so far."""
+        return await self._ask(f"/v1/cache_events?after={after}", _decode_cache_events)
+
+    async def export_block(self, name: str) -> bytes:
+        """
+        Return the bytes of a cached block.
+
+        :raises StoreError: the engine holds no such block.
+        """
+        request = Request(
+            f"{self._url}/v1/blocks/{quote_segment(name)}", timeout_s=BLOCK_TIMEOUT_S
+        )
+        response = await self._exchange(request)
+        if response.code != 200 or response.headers.get(BLOCK_NAME_HEADER) != name:
+            raise StoreError(ResultCode.BLOCK_INVALID, "the engine holds no such block")
+        return response.body
+
+    async def import_block(self, name: str, data: bytes) -> None:
+        """
+        Put a block into the engine's cache.
+
+        :raises StoreError: the engine refused it.
+        """
+        request = Request(
+            f"{self._url}/v1/blocks/{quote_segment(name)}",
+            method="PUT",
+            body=data,
+            content_type=OCTETS_TYPE,
+            timeout_s=BLOCK_TIMEOUT_S,
+        )
+        response = await self._exchange(request)
+        if response.code != 200:
+            raise StoreError(ResultCode.BLOCK_INVALID, f"status {response.code}")
+
+    async def give_order(self, order: EngineOrder) -> None:
+        """
+        Give an order; returns when it is done.
+
+        :raises NotRun: with FENCING_REFUSED when the engine refuses the number.
+        :raises OutcomeUnknown: the order may have been carried out.
+        """
+        request = Request(
+            f"{self._url}/v1/orders",
+            method="POST",
+            body=encode_engine_order(order),
+            content_type=JSON_TYPE,
+            reuse=Reuse.NEVER,
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+        response = await self._exchange(request)
+        if response.code != 200:
+            raise _read_refusal(response)
+
+    async def _ask(
+        self,
+        path: str,
+        build: Callable[[Any], Built],
+        *,
+        method: str = "GET",
+        body: bytes | None = None,
+    ) -> Built:
+        request = Request(
+            self._url + path, method=method, body=body, content_type=JSON_TYPE
+        )
+        response = await self._exchange(request)
+        if response.code != 200:
+            raise _read_refusal(response)
+        try:
+            return decode_json(response.body, build)
+        except ValueError as error:
+            raise OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, str(error)) from error
+
+    async def _exchange(self, request: Request) -> HTTPResponse:
+        match await exchange(self._client, request):
+            case Loss() as loss:
+                raise_upstream_loss(loss, "engine")
+            case response:
+                return response
+
+
+def _decode_cache_events(fields: Any) -> tuple[CacheEvent, ...]:
+    return tuple(
+        CacheEvent(event["sequence"], CacheEventKind(event["kind"]), event["block"])
+        for event in fields["events"]
+    )
+
+
+def _read_refusal(response: HTTPResponse) -> FerryError:
+    """Return the error that an answer other than 200 stands for."""
+    try:
+        return decode_json(response.body, decode_refusal)
+    except ValueError:
+        return OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {response.code}")
--- /dev/null
+++ b/packages/adapters/src/persimmonferry_adapters/exchange.py
@@ -0,0 +1,192 @@
+"""One HTTP exchange, and how far a request got when no whole answer came back."""
+
+import enum
+from typing import Any, NoReturn
+
+import pycurl
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
+from tornado.curl_httpclient import CurlError
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest, HTTPResponse
+
+__all__ = [
+    "CONNECT_TIMEOUT_S",
+    "Loss",
+    "Request",
+    "Reuse",
+    "exchange",
+    "fetch",
+    "is_framed",
+    "make_upstream_error",
+    "raise_upstream_loss",
+]
+
+CONNECT_TIMEOUT_S = 0.5
+DEFAULT_TIMEOUT_S = 5.0
+
+
+class Loss(enum.Enum):
+    """How far a request got that brought no whole answer."""
+
+    NOT_SENT = "no connection was made"
+    LOST = "the connection broke"
+    TIMED_OUT = "no answer in time"
+    TRUNCATED = "the answer was cut short"
+
+
+_LOSSES = {
+    pycurl.E_OPERATION_TIMEDOUT: Loss.TIMED_OUT,
+    pycurl.E_PARTIAL_FILE: Loss.TRUNCATED,
+}
+
+
+class Reuse(enum.Enum):
+    """
+    Whether a request may travel on a connection that is already open.
+
+    libcurl sends a request a second time, unasked, when a reused connection closes
+    before the first byte of the answer. A request that must go out at most once, or
+    whose refusal must be true, needs a connection of its own. With ``ONCE`` the second
+    sending is prevented, and such a request counts as lost.
+    """
+
+    ALLOWED = "allowed"
+    ONCE = "allowed, but the request is not sent a second time"
+    NEVER = "never"
+
+
+class Request:
+    """
+    One request that follows no redirect and passes no proxy.
+
+    ``sent`` tells whether a byte of it may have gone out, ``head_ended`` whether the
+    headers of the answer came whole: libcurl takes an answer that is cut within its
+    headers for a whole one.
+
+    :param timeout_s: for the whole exchange; 0 means no limit.
+    :param options: further ones of Tornado's ``HTTPRequest``.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        *,
+        method: str = "GET",
+        body: bytes | None = None,
+        content_type: str = "",
+        headers: dict[str, str] | None = None,
+        reuse: Reuse = Reuse.ALLOWED,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+        **options: Any,
+    ) -> None:
+        # An empty value keeps libcurl from adding a content type of its own.
+        all_headers = {"Content-Type": content_type, **(headers or {})}
+        self._reuse = reuse
+        self._abandoned = False
+        self.sent = False
+        self.head_ended = False
+        self.http = HTTPRequest(
+            url,
+            method=method,
+            body=body,
+            headers=all_headers,
+            connect_timeout=CONNECT_TIMEOUT_S,
+            request_timeout=timeout_s,
+            follow_redirects=False,
+            decompress_response=False,
+            allow_nonstandard_methods=True,
+            header_callback=self._read_header,
+            prepare_curl_callback=self.prepare,
+            **options,
+        )
+
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Set the options of libcurl that Tornado does not know."""
+        curl.setopt(pycurl.NOPROXY, "*")
+        curl.setopt(pycurl.PATH_AS_IS, 1)
+        curl.setopt(pycurl.PREREQFUNCTION, self._allow_sending)
+        if self._reuse is Reuse.NEVER:
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
+            curl.setopt(pycurl.FORBID_REUSE, 1)
+
+    def abandon(self) -> None:
+        """Forbid sending from now on, also if the client still has it in its queue."""
+        self._abandoned = True
+
+    def _read_header(self, line: str) -> None:
+        """Note the end of the headers; each interim answer starts them anew."""
+        if line.startswith("HTTP/"):
+            self.head_ended = False
+        elif line in ("\r\n", "\n"):
+            self.head_ended = True
+
+    def _allow_sending(self, *_addresses: Any) -> int:
+        """Note that the first byte is about to go out on an open connection."""
+        if self._abandoned or (self.sent and self._reuse is not Reuse.ALLOWED):
+            return pycurl.PREREQFUNC_ABORT
+        self.sent = True
+        return pycurl.PREREQFUNC_OK
+
+
+async def fetch(client: AsyncHTTPClient, request: Request) -> HTTPResponse | Loss:
+    """
+    Make one exchange and return the answer as it came, or how it was lost.
+
+    A coroutine that is cancelled while the client has the request in its queue keeps
+    it from being sent later.
+    """
+    try:
+        return await client.fetch(request.http, raise_error=False)
+    except CurlError as error:
+        if not request.sent:
+            return Loss.NOT_SENT
+        return _LOSSES.get(error.errno, Loss.LOST)
+    except (ValueError, KeyError, pycurl.error):
+        # Tornado could not set the request up.
+        return Loss.LOST if request.sent else Loss.NOT_SENT
+    finally:
+        request.abandon()
+
+
+def is_framed(response: HTTPResponse) -> bool:
+    """Return whether the end of the body was marked, so that a cut would show."""
+    if response.code in (204, 304) or response.request.method == "HEAD":
+        return True
+    if response.headers.get("Transfer-Encoding", "").lower() == "chunked":
+        return True
+    length = response.headers.get("Content-Length", "")
+    return length.isdigit() and int(length) == len(response.body)
+
+
+async def exchange(client: AsyncHTTPClient, request: Request) -> HTTPResponse | Loss:
+    """Make one exchange and return the whole answer, or how it was lost."""
+    match await fetch(client, request):
+        case Loss() as loss:
+            return loss
+        case response if request.head_ended and is_framed(response):
+            return response
+    return Loss.TRUNCATED
+
+
+def make_upstream_error(loss: Loss, detail: str) -> FerryError:
+    """Return the error of an exchange with an upstream."""
+    text = f"{detail}: {loss.value}"
+    match loss:
+        case Loss.NOT_SENT:
+            return NotRun(ResultCode.UPSTREAM_REFUSED, text)
+        case Loss.LOST:
+            return OutcomeUnknown(ResultCode.UPSTREAM_LOST, text)
+        case Loss.TIMED_OUT:
+            return OutcomeUnknown(ResultCode.UPSTREAM_TIMEOUT, text)
+        case Loss.TRUNCATED:
+            return OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, text)
+
+
+def raise_upstream_loss(loss: Loss, detail: str) -> NoReturn:
+    """
+    Raise the error of an exchange with an upstream.
+
+    :raises NotRun: no connection was made.
+    :raises OutcomeUnknown: anything else.
+    """
+    raise make_upstream_error(loss, detail)
--- /dev/null
+++ b/packages/adapters/src/persimmonferry_adapters/plain.py
@@ -0,0 +1,107 @@
+"""HTTP adapter to a plain service."""
+
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import NotRun, OutcomeUnknown
+from persimmonferry_core.runs import CallAnswer, CallOrder, PlainLoad
+from tornado.httpclient import AsyncHTTPClient
+
+from persimmonferry_adapters.exchange import (
+    Loss,
+    Request,
+    Reuse,
+    exchange,
+    raise_upstream_loss,
+)
+from persimmonferry_adapters.forms import NOT_RUN_HEADER, RUN_ID_HEADER, decode_json
+
+__all__ = ["HttpPlainService"]
+
+CALL_TIMEOUT_S = 30.0
+_BODILESS_METHODS = ("GET", "HEAD")
+
+
+class HttpPlainService:
+    """
+    A plain service that speaks HTTP and returns the run id in a header.
+
+    A status alone, also 503, is an answer like any other: only the explicit mark
+    that the call was not run counts as a refusal.
+
+    :param url: base URL without a slash at the end.
+    :param call_timeout_s: longest time of one call.
+    """
+
+    def __init__(
+        self,
+        client: AsyncHTTPClient,
+        url: str,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+    ) -> None:
+        self._client = client
+        self._url = url
+        self._call_timeout_s = call_timeout_s
+
+    async def call(self, order: CallOrder) -> CallAnswer:
+        """
+        Make one call; the request goes out at most once.
+
+        :raises NotRun: no byte of the call reached the service, or it refused.
+        :raises OutcomeUnknown: bytes went out and no whole answer came back.
+        """
+        _check_form(order)
+        request = Request(
+            self._url + order.path,
+            method=order.method,
+            body=None if order.method in _BODILESS_METHODS else order.body,
+            content_type=order.content_type,
+            headers={RUN_ID_HEADER: order.run_id},
+            reuse=Reuse.NEVER,
+            timeout_s=self._call_timeout_s,
+        )
+        match await exchange(self._client, request):
+            case Loss() as loss:
+                raise_upstream_loss(loss, "plain service")
+            case response:
+                headers = response.headers
+        if headers.get(RUN_ID_HEADER) != order.run_id:
+            raise OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "another run's id")
+        if headers.get(NOT_RUN_HEADER) == order.run_id:
+            raise NotRun(ResultCode.UPSTREAM_REFUSED, "refused by the plain service")
+        content_type = headers.get("Content-Type", "")
+        return CallAnswer(order.run_id, response.code, content_type, response.body)
+
+    async def read_load(self) -> PlainLoad:
+        """
+        Return the reported load.
+
+        :raises NotRun: no connection was made.
+        :raises OutcomeUnknown: no whole answer came back.
+        """
+        match await exchange(self._client, Request(f"{self._url}/v1/load")):
+            case Loss() as loss:
+                raise_upstream_loss(loss, "plain service")
+            case response if response.code == 200:
+                return _decode_load(response.body)
+            case response:
+                detail = f"status {response.code}"
+                raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, detail)
+
+
+def _decode_load(body: bytes) -> PlainLoad:
+    try:
+        return decode_json(body, lambda fields: PlainLoad(**fields))
+    except ValueError as error:
+        raise OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, str(error)) from error
+
+
+def _check_form(order: CallOrder) -> None:
+    """
+    Check what libcurl would take for something else.
+
+    :raises NotRun: when a path would become part of the host, or a body turn HEAD
+        into another method.
+    """
+    if not order.path.startswith("/"):
+        raise NotRun(ResultCode.MALFORMED_REQUEST, "the path has no leading slash")
+    if order.body and order.method in _BODILESS_METHODS:
+        raise NotRun(ResultCode.MALFORMED_REQUEST, f"{order.method} with a body")
--- a/packages/core/src/persimmonferry_core/exceptions.py
+++ b/packages/core/src/persimmonferry_core/exceptions.py
@@ -11,8 +11,10 @@
     "PlatformError",
     "PlatformUnavailable",
     "RanBefore",
+    "RevisionConflict",
     "StoreError",
     "SwapConflict",
+    "make_error",
 ]
 
 
@@ -64,6 +66,21 @@
     """The request ran, or still runs, under an earlier attempt."""
 
 
+def make_error(
+    code: ResultCode, detail: str = "", retry_after_s: float | None = None
+) -> FerryError:
+    """
+    Return the error that says of the run what its code says.
+
+    >>> type(make_error(ResultCode.NO_UPSTREAM)).__name__
+    'NotRun'
+    >>> type(make_error(ResultCode.DUPLICATE_RUN)).__name__
+    'OutcomeUnknown'
+    """
+    kinds = {Ran.NO: NotRun, Ran.UNKNOWN: OutcomeUnknown, Ran.YES: RanBefore}
+    return kinds[code.ran](code, detail, retry_after_s)
+
+
 class ConfigurationFaulty(FerryError):
     """
     A document or a settings file has faults.
@@ -107,5 +124,20 @@
         super().__init__(ResultCode.REVISION_CONFLICT, detail)
 
 
+class RevisionConflict(FerryError):
+    """
+    Another change of the document was accepted since the operator read it.
+
+    :param revision: the revision that the document has now.
+    :param difference: unified diff that shows what the operator has not seen.
+    """
+
+    def __init__(self, expected: int, revision: int, difference: str) -> None:
+        self.revision = revision
+        self.difference = difference
+        detail = f"revision {expected} was read, {revision} is accepted"
+        super().__init__(ResultCode.REVISION_CONFLICT, detail)
+
+
 class StoreError(FerryError):
     """A store VM refused, is full, or holds no readable block of that name."""
--- a/packages/core/src/persimmonferry_core/retries.py
+++ b/packages/core/src/persimmonferry_core/retries.py
@@ -12,12 +12,13 @@
     How much may be tried again.
 
     :param share: retries as a share of the requests in the window.
-    :param floor: retries that are allowed in a window without any requests.
+    :param floor: retries that are allowed in a window without any requests; enough
+        for the runs of two upstreams that fail at once.
     :param attempts: of one request, the first included.
     """
 
     share: float = 0.1
-    floor: int = 3
+    floor: int = 16
     window_s: float = 10.0
     attempts: int = 3
     base_delay_s: float = 0.02
@@ -46,19 +47,27 @@
         self._advance(now)
         self._requests[0] += 1
 
-    def allow(self, attempts: int, now: float) -> float | None:
+    def allow(self, attempts: int, now: float, *, ran: bool) -> float | None:
         """
         Take one retry from the budget.
 
+        An attempt that did not run put no load on an upstream: trying elsewhere is
+        bounded by the number of attempts alone, so that an upstream that stops or is
+        gone costs no request its answer.
+
         :param attempts: attempts of the request so far.
+        :param ran: whether the failed attempt may have run.
         :returns: the delay before the retry in seconds, None when it is not allowed.
         """
         self._advance(now)
         policy = self.policy
-        allowed = policy.floor + policy.share * sum(self._requests)
-        if attempts >= policy.attempts or sum(self._retries) + 1 > allowed:
+        if attempts >= policy.attempts:
             return None
-        self._retries[0] += 1
+        if ran:
+            allowed = policy.floor + policy.share * sum(self._requests)
+            if sum(self._retries) + 1 > allowed:
+                return None
+            self._retries[0] += 1
         ceiling = min(policy.max_delay_s, policy.base_delay_s * 2 ** (attempts - 1))
         return ceiling * self._random.random()
 
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -73,7 +73,9 @@
         self.accounts = {}
         self.waiting = {}
         self.running = {}
-        self.peaks = {name: 0 for name in NAMES}
+        self.begun = {}
+        self.versions = {}
+        self.failed_at = {}
 
     def _running_at(self, name):
         return sum(1 for upstream in self.running.values() if upstream == name)
@@ -117,6 +119,8 @@
         for _ in range(count):
             # The number of an ended request may come again.
             free = [n for n in range(30) if f"r{n}" not in self.accounts]
+            self.begun.pop(f"r{free[0]}", None)
+            self.failed_at.pop(f"r{free[0]}", None)
             request = make_request(
                 free[0], self.now, tier, account, tokens, block_names=names
             )
@@ -151,12 +155,28 @@
             del self.waiting[request_id]
             report = self.reports[assignment.upstream]
             assert not report.leaving
-            assert report.version == "v1"
+            self._check_version(assignment, report)
             self.running[request_id] = assignment.upstream
+            self.versions[request_id] = assignment.version
         for name, count in before.items():
             if self._running_at(name) > count:
                 assert self._running_at(name) <= self.reports[name].slots
 
+    def _check_version(self, assignment, report):
+        request_id = assignment.request.request_id
+        assert assignment.version == report.version
+        if request_id in self.begun:
+            assert assignment.version == self.begun[request_id]
+        elif report.version != "v1":
+            # Another version is for the time when the wanted one can't start.
+            idle = [
+                name
+                for name, other in self.reports.items()
+                if (other.version, other.leaving, other.running) == ("v1", False, 0)
+                and self._running_at(name) == 0
+            ]
+            assert set(idle) <= self.failed_at.get(request_id, set())
+
     @precondition(lambda self: self.running)
     @rule(data=st.data(), how=st.sampled_from(("finish", "start", "refuse", "lose")))
     def go_on(self, data, how):
@@ -165,6 +185,8 @@
             case "start":
                 self.dispatcher.started(request_id, self.now)
                 self.dispatcher.progressed(request_id, 3, self.now)
+                version = self.versions[request_id]
+                self.begun.setdefault(request_id, version)
             case "finish":
                 del self.running[request_id], self.accounts[request_id]
                 self.dispatcher.finished(request_id, make_end(request_id), self.now)
@@ -172,7 +194,8 @@
                 self._fail(request_id, ran=how == "lose")
 
     def _fail(self, request_id, ran):
-        del self.running[request_id]
+        upstream = self.running.pop(request_id)
+        self.failed_at.setdefault(request_id, set()).add(upstream)
         answer = self.dispatcher.failed(request_id, ran, self.now)
         if isinstance(answer, Queued):
             self.waiting[request_id] = answer.latest_start_s
@@ -213,11 +236,12 @@
         """A fleet that is free again starts everything that still waits."""
         for request_id in sorted(self.running):
             self.dispatcher.cancel(request_id, self.now)
-        for index in range(2):
-            report = make_report(f"spare{index}", slots=500)
+        for index, version in enumerate(("v1", "v1", "v2", "v2")):
+            report = make_report(f"spare{index}", slots=500, version=version)
             self.dispatcher.report(report, self.now)
-        for step in range(200):
-            moment = min([self.now, *self.waiting.values()]) + step * 1e-6
+        for step in range(400):
+            # The longest delay of a retry passes on the way.
+            moment = min([self.now, *self.waiting.values()]) + step * 2e-4
             for assignment in self.dispatcher.assign(moment):
                 request_id = assignment.request.request_id
                 del self.waiting[request_id]
@@ -263,28 +287,51 @@
     assert dispatcher.choose_plain("orders", 9.0, frozenset({"o0", "o2"})) == "o1"
 
 
-def test_retries_are_delayed_go_elsewhere_and_end_with_the_budget():
+def retry_each(requests, ran):
+    """Let the first attempt of each request fail, and return what was said of it."""
     dispatcher = Dispatcher(DOCUMENT, seed=1)
-    for name in NAMES:
-        dispatcher.report(make_report(name), 0.0)
     answers = []
-    for number in range(8):
-        request = make_request(number, 0.0, tier="dawn", tokens=10)
-        assert isinstance(dispatcher.offer(request, 0.0), Queued)
-        (first,) = dispatcher.assign(0.0)
-        answer = dispatcher.failed(request.request_id, False, 0.0)
+    now = 0.0
+    for number in range(requests):
+        now += 0.1
+        for name in NAMES:
+            dispatcher.report(make_report(name, sequence=number + 1), now)
+        request = make_request(number, now, tier="dawn", tokens=10)
+        assert isinstance(dispatcher.offer(request, now), Queued)
+        first, now = assign_later(dispatcher, now)
+        answer = dispatcher.failed(request.request_id, ran, now)
         answers.append(answer)
         if isinstance(answer, Queued):
-            assert dispatcher.next_event(0.0) is not None
-            (second,) = dispatcher.assign(0.1)
+            assert dispatcher.next_event(now) is not None
+            second, now = assign_later(dispatcher, now)
             assert second.upstream != first.upstream
             assert second.attempt == 2
-            dispatcher.cancel(request.request_id, 0.1)
+            dispatcher.cancel(request.request_id, now)
+    return answers
+
+
+def assign_later(dispatcher, now):
+    """Return the next assignment and its time; slots are kept for urgent runs."""
+    for step in range(50):
+        made = dispatcher.assign(now + step * 0.1)
+        if made:
+            (assignment,) = made
+            return assignment, now + step * 0.1
+    raise AssertionError("the retry was not assigned")
+
+
+def test_retries_of_attempts_that_ran_are_delayed_go_elsewhere_and_have_a_budget():
+    answers = retry_each(requests=40, ran=True)
     codes = [answer.code for answer in answers if isinstance(answer, Refused)]
     assert set(codes) == {ResultCode.RETRIES_EXHAUSTED}
     assert len(codes) >= 4
 
 
+def test_an_attempt_that_did_not_run_is_always_tried_elsewhere():
+    answers = retry_each(requests=40, ran=False)
+    assert all(isinstance(answer, Queued) for answer in answers)
+
+
 def test_a_slow_upstream_is_ejected_probed_with_one_run_and_taken_back():
     dispatcher = Dispatcher(DOCUMENT, seed=1)
     for name in NAMES:
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -143,7 +143,7 @@
         homes = []
         for entry in entries:
             router, _ = make_router(names)
-            router.add(make_report("old", version="v0"), 0.0)
+            router.add(make_report("old", version=""), 0.0)
             router.set_homes(entry, entries)
             assert set(router.summarize().names) == set(names)
             own = [name for name in names if router.upstreams[name].is_home]
@@ -180,3 +180,11 @@
             router.end_run(make_waiting(name="filler"), "u0", True, now)
         waited = chosen.index(("u1", True)) * 0.1
         assert limit_s <= waited <= limit_s + 0.1
+
+
+def test_blocks_are_not_planned_for_an_upstream_with_another_version():
+    router, index = make_router([])
+    router.add(make_report("old", version="v0"), 0.0)
+    index.add_stored("east", BLOCKS)
+    route = router.choose(make_waiting(), 0.0)
+    assert (route.upstream, route.plan) == ("old", None)
--- a/packages/wire/src/persimmonferry_wire/__init__.py
+++ b/packages/wire/src/persimmonferry_wire/__init__.py
@@ -1,6 +1,11 @@
 """Thrift messages between the processes of persimmonferry."""
 
-from persimmonferry_wire.carrier import PeerClient, PeerHandler, PeerLost, PeerRoute
+from persimmonferry_wire.carrier import (
+    PeerClient,
+    PeerHandler,
+    PeerLost,
+    PeerRoute,
+)
 from persimmonferry_wire.codec import FrameReader, decode, encode, encode_frame
 
 __all__ = [
