--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -429,7 +429,7 @@
             self._where[request.request_id] = name
             self._own[name].add(request.request_id)
             self._sent_since[name] += 1
-            made.append(Assignment(request, name, None, 0, 1))
+            made.append(Assignment(request, name, "v1", None, 0, 1))
         return made
 
     def next_event(self, now):
