Give up on an agent that has fallen silent within two seconds

A frozen or cut-off agent held its caller for the 30 s that the longest call may take. While a reply is due the agent is now asked for a sign of life; after two misses the caller is told that the outcome is unknown, at once, and a retry gets the answer when the agent is back.

--- a/packages/daemon/src/persimmonferry_daemon/calls.py
+++ b/packages/daemon/src/persimmonferry_daemon/calls.py
@@ -25,6 +25,7 @@
 from persimmonferry_daemon.attempts import decode_reply
 from persimmonferry_daemon.claimed import ClaimedCall
 from persimmonferry_daemon.claims import ClaimKeeper
+from persimmonferry_daemon.watches import call_watched
 
 __all__ = ["AgentHandle", "Agents", "CallDispatcher", "PlainRequest"]
 
@@ -95,7 +96,7 @@
     async def _try_once(self, request: PlainRequest, handle: AgentHandle) -> CallAnswer:
         run_id = self._create_run_id()
         message = build_call(request, handle, run_id, 0.0, idempotent=True)
-        reply = await self._agents.call(handle, message)
+        reply = await call_watched(self._agents, handle, message)
         match decode_reply(run_id, reply):
             case Answered(CallAnswer() as answer):
                 return answer
--- a/packages/daemon/src/persimmonferry_daemon/claimed.py
+++ b/packages/daemon/src/persimmonferry_daemon/claimed.py
@@ -38,6 +38,7 @@
 )
 from persimmonferry_daemon.attempts import decode_reply, decode_state
 from persimmonferry_daemon.claims import ClaimKeeper
+from persimmonferry_daemon.watches import call_watched
 
 __all__ = ["ClaimedCall"]
 
@@ -188,7 +189,7 @@
 
     async def _send(self, handle: AgentHandle, message: CallRequest) -> Ending:
         try:
-            reply = await self._agents.call(handle, message)
+            reply = await call_watched(self._agents, handle, message)
         except NotRun as error:
             return Refused(error.code, error.detail, error.retry_after_s)
         return decode_reply(message.run_id, reply)
--- /dev/null
+++ b/packages/daemon/src/persimmonferry_daemon/watches.py
@@ -0,0 +1,49 @@
+"""Waits for an agent's reply, but not for an agent that has fallen silent."""
+
+import asyncio
+
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import OutcomeUnknown
+from persimmonferry_wire.generated.runs.ttypes import CallReply, CallRequest
+
+from persimmonferry_daemon.agentlinks import AgentHandle, Agents
+
+__all__ = ["call_watched"]
+
+WATCH_INTERVAL_S = 0.5
+MAX_MISSES = 2
+
+
+async def call_watched(
+    agents: Agents, handle: AgentHandle, message: CallRequest
+) -> CallReply:
+    """
+    Send one attempt, and ask the agent for a sign of life while the reply is due.
+
+    A call may take long; an agent that is frozen or cut off would hold its caller for
+    as long as the longest call may take.
+
+    :raises NotRun: as :meth:`Agents.call`.
+    :raises OutcomeUnknown: no whole reply, or no sign of life.
+    """
+    call = asyncio.ensure_future(agents.call(handle, message))
+    misses = 0
+    try:
+        while misses < MAX_MISSES:
+            await asyncio.wait({call}, timeout=WATCH_INTERVAL_S)
+            if call.done():
+                return call.result()
+            misses = 0 if await _is_alive(agents, handle, message) else misses + 1
+        if call.done():
+            return call.result()
+    finally:
+        call.cancel()
+    raise OutcomeUnknown(ResultCode.UPSTREAM_LOST, "the agent has fallen silent")
+
+
+async def _is_alive(agents: Agents, handle: AgentHandle, message: CallRequest) -> bool:
+    try:
+        await agents.query(handle, message, fence=False)
+    except OutcomeUnknown:
+        return False
+    return True
--- a/packages/daemon/tests/test_calls.py
+++ b/packages/daemon/tests/test_calls.py
@@ -146,6 +146,7 @@
         self.service_calls = []
         self.values = {}
         self.platform_up = True
+        self.broken_adapter = False
         self.processes = []
         self.runs = Counter()
         self.run_numbers = itertools.count()
@@ -179,7 +180,10 @@
 
     async def read(self, key):
         def serve(message):
-            message.reply(self.find(key) if self.world.platform_up else down)
+            if self.world.broken_adapter:
+                message.reply(ValueError("not a number"))
+            else:
+                message.reply(self.find(key) if self.world.platform_up else down)
 
         down = PlatformUnavailable()
         return await self.world.send("read", serve, PlatformUnavailable(), down)
@@ -592,6 +596,16 @@
     assert scene.finish(scene.call(scene.entries[0])).error is None
 
 
+def test_an_outage_ends_even_when_a_probe_fails_in_an_unforeseen_way(scene):
+    scene.world.platform_up = False
+    scene.finish(scene.call(scene.entries[0]))
+    scene.world.broken_adapter = True
+    scene.machine.settle(rounds=4)
+    scene.world.platform_up, scene.world.broken_adapter = True, False
+    scene.machine.settle(rounds=4)
+    assert scene.finish(scene.call(scene.entries[0])).error is None
+
+
 def test_a_retry_without_upstreams_in_an_outage_is_not_told_that_nothing_ran(scene):
     for entry in scene.entries:
         scene.finish(scene.call(entry))
@@ -630,6 +644,22 @@
     scene.world.entries = [first, second]
 
 
+def test_a_silent_agent_does_not_hold_its_caller(scene):
+    call = scene.call(scene.entries[0])
+    scene.deliver_while(lambda: not scene.world.service_calls)
+    scene.world.agents["agent0"].frozen = True
+    started_s = scene.world.now
+    while call.ended is None:
+        for message in list(scene.world.messages):
+            message.deliver("lose answer")
+        scene.machine.advance(0.1)
+    assert scene.world.now - started_s < 2.0
+    assert isinstance(call.error, OutcomeUnknown)
+    scene.world.agents["agent0"].frozen = False
+    answer = scene.finish(scene.call(scene.entries[1])).task.result()
+    assert answer.run_id == call.run_ids[0]
+
+
 def test_two_accounts_may_use_the_same_key(scene):
     calls = [scene.call(scene.entries[0], account=name) for name in "ab"]
     answers = {scene.finish(call).task.result().body for call in calls}
