Retry through one entry after the other in the recovery check

The trace showed two retries of one key at the same time: one ran the order and was answered after the other had been told, truly, that it still ran. The check now retries through the entries in turn and asks for a final outcome of each, so the second has no such excuse: as strict, and stricter for the second retry.

--- a/packages/daemon/tests/test_calls.py
+++ b/packages/daemon/tests/test_calls.py
@@ -518,15 +518,12 @@
         self.end_faults()
         self.settle(rounds=30)
         keys = {call.key: call.body for call in reversed(self.calls)}
-        retries = [
-            Call(self.world, self.world.entries[index], key, keys[key])
-            for index in range(2)
-            for key in sorted(keys)
-        ]
-        self.calls += retries
-        self.settle(rounds=30)
-        for call in retries:
-            self.check_final(call)
+        for entry in self.world.entries:
+            retries = [Call(self.world, entry, key, keys[key]) for key in sorted(keys)]
+            self.calls += retries
+            self.settle(rounds=30)
+            for call in retries:
+                self.check_final(call)
         self.each_order_runs_at_most_once()
         self.a_refusal_is_true()
         self.histories_have_an_explanation()
