Import blocks from the failure domain that the entry chose, and learn from it

Cause: the dispatcher planned imports over links, but the agent looked only at the stores of its own failure domain, block sizes were 0 to the router, and no link rate was ever learned. Change: the run names the domain of its plan; the end mark tells blocks, bytes and seconds of the import, from which the entry learns block size and link. Beside it: errors that come before the claims are asked say nothing of earlier calls with the key ('earlier': 'unknown'), found by reading; the demo no longer stops the agent that it has killed. Test: blocks come from the chosen domain (0 without it, 4 with it).

--- a/bench/cache.py
+++ b/bench/cache.py
@@ -226,7 +226,8 @@
         keeper, engine = self.keepers[index], self.engines[index]
         order = RunOrder(f"run{number}", "m", "v1", "", "", 1, 0, (), visit.names)
         start_s = self.loop.time()
-        self.imported += await keeper.prepare(order, start_s)
+        result = await keeper.prepare(order, start_s)
+        self.imported += result.blocks
         end = await engine.run(order)
         keeper.finish_prefill(order.run_id)
         self.first_tokens_s.append(self.loop.time() - start_s)
--- a/demo/demo.py
+++ b/demo/demo.py
@@ -90,7 +90,12 @@
             for n in range(8)
         ]
         await asyncio.sleep(0.3)
-        names = ("entry-1", "notes-1", "orders-1")
+        agent = next(
+            plan.name
+            for plan in self.fleet.plan.models
+            if self.fleet.processes[plan.name].is_running
+        )
+        names = ("entry-1", agent, "orders-1")
         statuses = await asyncio.gather(
             *(self.fleet.processes[name].stop() for name in names)
         )
--- a/packages/core/src/persimmonferry_core/runs.py
+++ b/packages/core/src/persimmonferry_core/runs.py
@@ -85,6 +85,8 @@
     :param total_tokens: length of the whole answer, tokens delivered before included.
     :param prompt_tokens: length of the prompt.
     :param cached_tokens: prompt tokens that were not computed again.
+    :param imported_blocks: cache blocks that the agent brought before the run.
+    :param import_s: how long that took, in seconds.
     """
 
     run_id: str
@@ -93,6 +95,9 @@
     prompt_tokens: int
     cached_tokens: int
     finish_reason: str
+    imported_blocks: int = 0
+    imported_bytes: int = 0
+    import_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/daemon/src/persimmonferry_daemon/blocks.py
+++ b/packages/daemon/src/persimmonferry_daemon/blocks.py
@@ -13,7 +13,6 @@
 from persimmonferry_core.imports import (
     ByteBudget,
     ImportOffer,
-    LinkEstimate,
     PrefillTable,
     StoredHints,
     plan_import,
@@ -21,10 +20,11 @@
 from persimmonferry_core.interfaces import Engine, Platform, Store
 from persimmonferry_core.runs import EngineLoad, RunEnd, RunOrder
 
-from persimmonferry_daemon.blockstores import OUTSIDE_FAULTS, BlockStores
+from persimmonferry_daemon.blocksources import BlockSource
+from persimmonferry_daemon.blockstores import OUTSIDE_FAULTS
 from persimmonferry_daemon.eviction import StoreEvictor
 
-__all__ = ["BlockKeeper", "BlockSettings"]
+__all__ = ["BlockKeeper", "BlockSettings", "ImportResult"]
 
 ENGINE_CALL_TIMEOUT_S = 0.5
 EVENT_INTERVAL_S = 1.0
@@ -57,6 +57,15 @@
     export_burst_bytes: float = 4e7
 
 
+@dataclass(frozen=True)
+class ImportResult:
+    """What was imported before a run, and how long it took."""
+
+    blocks: int = 0
+    total_bytes: int = 0
+    elapsed_s: float = 0.0
+
+
 @dataclass(frozen=True)
 class _Prompt:
     """
@@ -89,6 +98,7 @@
     :param scope: names the stores' team and failure domain in the platform's keys.
     :param find_weights: returns what seconds and links count in the service.
     :param clock: returns seconds since the epoch, comparable between VMs.
+    :param find_remote: returns the stores of another failure domain, by its name.
     """
 
     def __init__(
@@ -101,12 +111,15 @@
         find_weights: Callable[[], RoutingWeights],
         clock: Callable[[], float],
         settings: BlockSettings = BlockSettings(),
+        find_remote: Callable[[str], Mapping[str, Store]] | None = None,
     ) -> None:
         self._engine = engine
         self._find_weights = find_weights
         self._clock = clock
         self._settings = settings
-        self._stores = BlockStores(find_stores, clock)
+        self._find_remote = find_remote
+        self._local = self._make_source(find_stores)
+        self._remotes: dict[str, BlockSource] = {}
         self._history = UseHistory()
         self._evictor = StoreEvictor(
             find_stores, platform, holder, scope, self._history, clock
@@ -116,8 +129,6 @@
         self._prompts: dict[str, _Prompt] = {}
         self._stored = StoredHints()
         self._tainted_versions: set[str] = set()
-        rate = settings.link_bytes_per_s
-        self._link = LinkEstimate(start_bytes_per_s=rate, bytes_per_s=rate)
         self._block_bytes = settings.block_bytes
         self._budget = ByteBudget(
             settings.export_bytes_per_s, settings.export_burst_bytes
@@ -145,7 +156,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def prepare(self, order: RunOrder, now: float) -> int:
+    async def prepare(
+        self, order: RunOrder, now: float, source_domain: str = ""
+    ) -> ImportResult:
         """
         Import blocks that the engine lacks, as far as that pays.
 
@@ -153,37 +166,62 @@
         ``abandon``, and calls ``finish_prefill`` at its first token.
 
         :param now: present time in seconds, of the same clock as the keeper's.
-        :return: how many blocks were imported.
+        :param source_domain: failure domain whose stores the entry chose; empty for
+            the own one.
         """
         if not order.block_names:
-            return 0
+            return ImportResult()
         self._history.note(order.block_names[0], now)
         self._prefills.begin(order.run_id, order.block_names, order.priority)
         self._prompts[order.run_id] = _Prompt(order.block_names, order.version)
         try:
-            imported = await self._import_missing(order, now)
+            source = self._find_source(source_domain)
+            imported = await self._import_missing(order, now, source)
         except OUTSIDE_FAULTS as error:
             _log.warning("run %s: no import: %s", order.run_id, error)
-            imported = 0
+            imported = ImportResult()
         held = self.holdings.count_prefix(order.block_names)
         prompt = self._prompts.get(order.run_id)
         if prompt:
             self._prompts[order.run_id] = replace(prompt, held_blocks=held)
         return imported
 
-    async def _import_missing(self, order: RunOrder, now: float) -> int:
+    def _make_source(
+        self, find_stores: Callable[[], Mapping[str, Store]]
+    ) -> BlockSource:
+        settings = self._settings
+        return BlockSource(
+            find_stores,
+            settings.link_bytes_per_s,
+            settings.link_price_per_gb,
+            self._clock,
+        )
+
+    def _find_source(self, domain: str) -> BlockSource:
+        if not domain or self._find_remote is None:
+            return self._local
+        source = self._remotes.get(domain)
+        if source is None:
+            find_remote = self._find_remote
+            source = self._make_source(lambda: find_remote(domain))
+            self._remotes[domain] = source
+        return source
+
+    async def _import_missing(
+        self, order: RunOrder, now: float, source: BlockSource
+    ) -> ImportResult:
         load = await self._read_load()
         if not _serves(load, order):
-            return 0
+            return ImportResult()
         missing = self._find_missing(order)
-        offer = self._make_offer(order, load, len(missing))
+        offer = self._make_offer(order, load, len(missing), source)
         computed_s = now + offer.queue_s + offer.missing_blocks * offer.prefill_s
         await self._await_earlier(order, missing, computed_s)
         missing = self._find_missing(order)
         offer = replace(offer, missing_blocks=len(missing))
         plan = plan_import(offer, self._find_weights(), self._clock())
         planned = missing[: plan.block_count]
-        return await self._import_until(order, planned, plan.deadline_s)
+        return await self._import_until(order, planned, plan.deadline_s, source)
 
     async def _read_load(self) -> EngineLoad:
         reading = self._engine.read_load()
@@ -199,17 +237,21 @@
         )
 
     def _make_offer(
-        self, order: RunOrder, load: EngineLoad, missing_blocks: int
+        self,
+        order: RunOrder,
+        load: EngineLoad,
+        missing_blocks: int,
+        source: BlockSource,
     ) -> ImportOffer:
         rate = max(load.prefill_tokens_per_s, 1.0)
         return ImportOffer(
             missing_blocks=missing_blocks,
             block_tokens=order.block_tokens,
             block_bytes=self._block_bytes,
-            link_bytes_per_s=self._link.read_rate(self._clock()),
+            link_bytes_per_s=source.read_rate(),
             prefill_tokens_per_s=rate,
             queue_s=load.waiting_prefill_tokens / rate,
-            link_price_per_gb=self._settings.link_price_per_gb,
+            link_price_per_gb=source.price_per_gb,
         )
 
     async def _await_earlier(
@@ -228,50 +270,56 @@
                 return
 
     async def _import_until(
-        self, order: RunOrder, names: Sequence[str], deadline_s: float
-    ) -> int:
+        self,
+        order: RunOrder,
+        names: Sequence[str],
+        deadline_s: float,
+        source: BlockSource,
+    ) -> ImportResult:
         """Import blocks in order until one is missing or the deadline has passed."""
         imported = 0
+        imported_bytes = 0
         start_s = self._clock()
         rest_s = max(0.0, deadline_s - start_s)
         try:
             async with asyncio.timeout(rest_s) as limit:
                 for start in range(0, len(names), IMPORT_WINDOW):
                     window = names[start : start + IMPORT_WINDOW]
-                    blocks = await self._fetch_window(window)
+                    blocks = await self._fetch_window(window, source)
                     for name, data in zip(window, blocks, strict=True):
                         if data is None or not await self._import(order, name, data):
-                            return imported
+                            elapsed_s = self._clock() - start_s
+                            return ImportResult(imported, imported_bytes, elapsed_s)
                         imported += 1
+                        imported_bytes += len(data)
         except TimeoutError:
             if not limit.expired():
                 raise
-            self._note_abandoned(imported, len(names), rest_s)
-        return imported
-
-    def _note_abandoned(self, imported: int, planned: int, elapsed_s: float) -> None:
-        tried = min(planned, imported + IMPORT_WINDOW)
-        size_bytes = tried * self._block_bytes
-        self._link = self._link.add_abandoned(size_bytes, elapsed_s, self._clock())
+            tried = min(len(names), imported + IMPORT_WINDOW)
+            source.note_abandoned(tried * self._block_bytes, rest_s)
+        return ImportResult(imported, imported_bytes, self._clock() - start_s)
 
-    async def _fetch_window(self, names: Sequence[str]) -> list[bytes | None]:
+    async def _fetch_window(
+        self, names: Sequence[str], source: BlockSource
+    ) -> list[bytes | None]:
         start_s = self._clock()
-        blocks = await asyncio.gather(*(self._fetch(name) for name in names))
+        blocks = await asyncio.gather(*(self._fetch(name, source) for name in names))
         sizes = [len(data) for data in blocks if data is not None]
         if sizes:
-            now = self._clock()
-            self._link = self._link.add_transfer(sum(sizes), now - start_s, now)
+            source.note_transfer(sum(sizes), self._clock() - start_s)
             mean_bytes = sum(sizes) / len(sizes)
             self._block_bytes += _SIZE_GAIN * (mean_bytes - self._block_bytes)
         return blocks
 
-    async def _fetch(self, name: str) -> bytes | None:
+    async def _fetch(self, name: str, source: BlockSource) -> bytes | None:
         try:
-            data = await self._stores.fetch(name)
+            data = await source.stores.fetch(name)
         except StoreError:
-            self._stored.forget(name)
+            if source is self._local:
+                self._stored.forget(name)
             return None
-        self._stored.note(name, self._clock())
+        if source is self._local:
+            self._stored.note(name, self._clock())
         return data
 
     async def _import(self, order: RunOrder, name: str, data: bytes) -> bool:
@@ -339,14 +387,14 @@
                 self._exports.task_done()
 
     async def _export(self, export: _Export) -> None:
-        if await self._stores.holds(export.name):
+        if await self._local.stores.holds(export.name):
             return
         if not await self._may_export(export):
             self._stored.forget(export.name)
             return
         data = await self._engine.export_block(export.name)
         await asyncio.sleep(self._budget.reserve(len(data), self._clock()))
-        if not await self._stores.put(export.name, data):
+        if not await self._local.stores.put(export.name, data):
             self._stored.forget(export.name)
 
     async def _may_export(self, export: _Export) -> bool:
--- a/packages/daemon/src/persimmonferry_daemon/edge.py
+++ b/packages/daemon/src/persimmonferry_daemon/edge.py
@@ -282,6 +282,11 @@
         super().initialize(edge)
         self._account: ClientAccount | None = None
         self._service_name = ""
+        self._claims_asked = False
+
+    def knows_earlier(self) -> bool:
+        """Whether the claims of earlier calls were asked."""
+        return self._claims_asked
 
     async def _handle(self, service: str, path: str) -> None:
         self._service_name = service
@@ -317,6 +322,7 @@
             body=self.end_body(),
             idempotency_key=self.read_request_id() or None,
         )
+        self._claims_asked = True
         return await self._edge.calls.call(request, time.time())
 
     get = post = put = patch = delete = _handle
--- a/packages/daemon/src/persimmonferry_daemon/modelwork.py
+++ b/packages/daemon/src/persimmonferry_daemon/modelwork.py
@@ -9,7 +9,7 @@
 from persimmonferry_core.interfaces import Platform, Store
 from persimmonferry_core.runs import EngineLoad, LoadVersion
 from persimmonferry_core.settings import AgentSettings, ProcessSettings
-from persimmonferry_core.world import Role, VMState
+from persimmonferry_core.world import FailureDomain, Role, VMState
 from persimmonferry_wire import PeerRoute
 from persimmonferry_wire.generated.membership.ttypes import CacheReport, LoadReport
 from persimmonferry_wire.generated.runs.ttypes import (
@@ -57,7 +57,6 @@
         self._failure_domain = settings.failure_domain
         self._vms = vms
         self._configuration = configuration
-        self._stores: dict[str, Store] = {}
         self._reported: frozenset[str] = frozenset()
         holder = f"{settings.name}-{uuid.uuid4().hex}"
         engine = TrackedEngine(HttpEngine(client, role.upstream_url), time.monotonic)
@@ -70,6 +69,7 @@
             f"{settings.team}/{settings.failure_domain.name}",
             self._find_weights,
             time.time,
+            find_remote=self._find_stores_of,
         )
         self._weights = WeightKeeper(
             engine,
@@ -168,17 +168,18 @@
         return LoadVersion(self.model, self.version)
 
     def _find_stores(self) -> Mapping[str, Store]:
-        """Return the stores of this failure domain; each keeps its adapter."""
-        listed = {
-            vm.name: vm.address.url
+        """Return the stores of this failure domain."""
+        return self._find_stores_of(self._failure_domain.name)
+
+    def _find_stores_of(self, domain: str) -> Mapping[str, Store]:
+        """Return the stores of a failure domain of this region."""
+        region = self._failure_domain.region
+        return {
+            vm.name: HttpStore(self._client, vm.address.url)
             for vm in self._vms.list_role(Role.STORE)
-            if vm.state is VMState.LIVE and vm.failure_domain == self._failure_domain
+            if vm.state is VMState.LIVE
+            and vm.failure_domain == FailureDomain(region, domain)
         }
-        self._stores = {
-            name: self._stores.get(name) or HttpStore(self._client, url)
-            for name, url in listed.items()
-        }
-        return self._stores
 
     async def _answer_query(self, query: AnswerQuery) -> Acknowledgement:
         return Acknowledgement(self._runs.has_answer(query.answer_key))
--- a/packages/daemon/src/persimmonferry_daemon/promptruns.py
+++ b/packages/daemon/src/persimmonferry_daemon/promptruns.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 
 from persimmonferry_core.answers import Answer, AnswerTable
 from persimmonferry_core.codes import ResultCode
@@ -83,7 +84,8 @@
         answer = self._answers.open(
             request.answer_key, request.run_id, tuple(request.delivered)
         )
-        task = asyncio.create_task(self._run(_read_order(request), answer))
+        run = self._run(_read_order(request), answer, request.import_domain)
+        task = asyncio.create_task(run)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return answer
@@ -111,10 +113,10 @@
         if not answer.is_followed and not answer.is_over:
             await self._engine.cancel(answer.run_id)
 
-    async def _run(self, order: RunOrder, answer: Answer) -> None:
+    async def _run(self, order: RunOrder, answer: Answer, import_domain: str) -> None:
         try:
             with self._gate.count_work():
-                end = await self._generate(order, answer)
+                end = await self._generate(order, answer, import_domain)
                 answer.finish(end, self._read_clock())
         except FerryError as error:
             self._blocks.abandon(order.run_id)
@@ -127,8 +129,10 @@
         else:
             await self._blocks.retain(order, end)
 
-    async def _generate(self, order: RunOrder, answer: Answer) -> RunEnd:
-        await self._blocks.prepare(order, self._read_clock())
+    async def _generate(
+        self, order: RunOrder, answer: Answer, import_domain: str
+    ) -> RunEnd:
+        result = await self._blocks.prepare(order, self._read_clock(), import_domain)
 
         def deliver(batch: TokenBatch) -> None:
             self._blocks.finish_prefill(order.run_id)
@@ -139,7 +143,12 @@
             # The blocks must learn of it: they may be of the other version.
             await self._blocks.retain(order, end)
         _check_end(order, answer, end)
-        return end
+        return replace(
+            end,
+            imported_blocks=result.blocks,
+            imported_bytes=result.total_bytes,
+            import_s=result.elapsed_s,
+        )
 
     def _check_new_run(self, request: RunRequest) -> None:
         refusal = self._gate.find_refusal()
@@ -262,5 +271,8 @@
         end.prompt_tokens,
         end.cached_tokens,
         end.finish_reason,
+        end.imported_blocks,
+        end.imported_bytes,
+        end.import_s,
     )
     return RunFrame(run_id, sent, tokens, end=mark)
--- a/packages/daemon/src/persimmonferry_daemon/prompts.py
+++ b/packages/daemon/src/persimmonferry_daemon/prompts.py
@@ -25,6 +25,8 @@
 
 __all__ = ["CallerGone", "Prompt", "PromptAnswer", "PromptService"]
 
+FIRST_BLOCK_BYTES = 1_000_000
+
 _log = logging.getLogger(__name__)
 
 
@@ -86,6 +88,7 @@
         self._agents = agents
         self._histograms = histograms
         self._cancels: set[asyncio.Task] = set()
+        self._block_bytes: dict[str, float] = {}
 
     async def run(self, prompt: Prompt) -> PromptAnswer:
         """
@@ -97,7 +100,8 @@
         document = self._read_document()
         service = document.find_service(prompt.body.service)
         tier = _find_tier(document, prompt.body.tier)
-        work = _Work(prompt, service, tier)
+        block_bytes = self._block_bytes.get(service.name, FIRST_BLOCK_BYTES)
+        work = _Work(prompt, service, tier, int(block_bytes))
         prompt.task = asyncio.ensure_future(self._run(work))
         try:
             return await prompt.task
@@ -127,19 +131,35 @@
         while True:
             end = await self._attempt(work, assignment)
             if end is not None:
+                self._learn_import(work, assignment, end)
                 self._scheduler.finish(work.name, end)
                 return self._conclude(work, end)
             assignment = await self._retry(work)
 
+    def _learn_import(self, work: "_Work", assignment: Assignment, end: RunEnd) -> None:
+        """Learn from an import how large blocks are and what the link carries."""
+        if not end.imported_blocks:
+            return
+        self._block_bytes[work.service.name] = end.imported_bytes / end.imported_blocks
+        presence = self._members.find(assignment.upstream)
+        if assignment.plan is not None and presence is not None:
+            self._scheduler.note_import(
+                assignment.plan.source_domain,
+                presence.report.failure_domain,
+                end.imported_bytes,
+                end.import_s,
+            )
+
     async def _attempt(self, work: "_Work", assignment: Assignment) -> RunEnd | None:
         """Run one attempt; None when it failed and may be tried elsewhere."""
         presence = self._members.find(assignment.upstream)
         if presence is None:
             work.failure = NotRun(ResultCode.NO_UPSTREAM, "", 0.5)
             return None
-        request = work.make_run_request(
-            assignment.priority, assignment.version, assignment.keep_free
-        )
+        request = work.make_run_request(assignment.version)
+        request.priority = assignment.priority
+        request.keep_free = assignment.keep_free
+        request.import_domain = assignment.plan.source_domain if assignment.plan else ""
         work.running_at = presence
         work.run_id = request.run_id
         try:
@@ -205,7 +225,7 @@
 
     async def _follow(self, work: "_Work", holder: Presence) -> RunEnd | None:
         """Take over a run that an earlier request of this caller began."""
-        request = work.make_run_request(0, holder.report.version)
+        request = work.make_run_request(holder.report.version)
         try:
             return await self._agents.run(
                 holder.address, request, lambda tokens: self._take(work, tokens)
@@ -256,7 +276,9 @@
 class _Work:
     """What the entry knows of one prompt under way."""
 
-    def __init__(self, prompt: Prompt, service: Service, tier: str) -> None:
+    def __init__(
+        self, prompt: Prompt, service: Service, tier: str, block_bytes: int
+    ) -> None:
         self.prompt = prompt
         self.service = service
         self.name = uuid.uuid4().hex
@@ -267,6 +289,7 @@
         self.run_id = ""
         self.answer_key = _make_answer_key(prompt)
         self._attempts = 0
+        self._block_bytes = block_bytes
         self._tokens = split_tokens(prompt.body.prompt)
         self.request = self._make_request(tier)
 
@@ -281,6 +304,7 @@
             max_tokens=body.max_tokens,
             arrival_s=self.prompt.arrived_at,
             block_names=self._name_blocks(self.service.version),
+            block_bytes=self._block_bytes,
             block_tokens=BLOCK_TOKENS,
         )
 
@@ -293,9 +317,7 @@
             self._tokens,
         )
 
-    def make_run_request(
-        self, priority: int, version: str, keep_free: int = -1
-    ) -> RunRequest:
+    def make_run_request(self, version: str) -> RunRequest:
         """
         Return the next attempt; its run id is its own.
 
@@ -313,12 +335,13 @@
             adapter=self.service.adapter,
             prompt=self.prompt.body.prompt,
             max_tokens=self.prompt.body.max_tokens,
-            priority=priority,
+            priority=0,
             delivered=list(self.tokens),
             block_names=list(names),
             block_tokens=BLOCK_TOKENS,
             answer_key=self.answer_key,
-            keep_free=keep_free,
+            keep_free=-1,
+            import_domain="",
         )
 
 
--- a/packages/daemon/src/persimmonferry_daemon/scheduling.py
+++ b/packages/daemon/src/persimmonferry_daemon/scheduling.py
@@ -65,6 +65,14 @@
             self.dispatcher.started(request_id, now)
         self.dispatcher.progressed(request_id, tokens, now)
 
+    def note_import(
+        self, source: str, target: str, total_bytes: int, elapsed_s: float
+    ) -> None:
+        """Tell the dispatcher of blocks that came over a link."""
+        self.dispatcher.record_import(
+            source, target, total_bytes, elapsed_s, self._read_clock()
+        )
+
     def finish(self, request_id: str, end: RunEnd) -> None:
         """Tell the dispatcher of a whole answer."""
         self.dispatcher.finished(request_id, end, self._read_clock())
--- a/packages/daemon/src/persimmonferry_daemon/servers.py
+++ b/packages/daemon/src/persimmonferry_daemon/servers.py
@@ -23,12 +23,14 @@
 MAX_PEER_BODY_BYTES = 64 * 1024 * 1024
 
 
-def describe_error(error: FerryError) -> dict[str, Any]:
+def describe_error(error: FerryError, *, earlier_known: bool = True) -> dict[str, Any]:
     """
     Return the JSON body that callers and operators get for an error.
 
     ``ran`` speaks of this call; ``earlier`` is there when nothing is known of earlier
     calls with the same idempotency key.
+
+    :param earlier_known: False when the error came before the claims were asked.
     """
     fields = {
         "code": error.code.number,
@@ -37,7 +39,7 @@
         "ran": error.code.ran.value,
         "retry_after_s": error.retry_after_s,
     }
-    if error.code.earlier_unknown:
+    if error.code.earlier_unknown or not earlier_known:
         fields["earlier"] = Ran.UNKNOWN.value
     return {"error": fields}
 
@@ -45,6 +47,10 @@
 class ErrorHandler(RequestHandler):
     """Base of the handlers that answer errors as JSON with a numbered code."""
 
+    def knows_earlier(self) -> bool:
+        """Whether the claims of earlier calls were asked."""
+        return True
+
     def send_failure(self, error: FerryError) -> None:
         """Answer with the error's code, whether it ran, and when to come back."""
         self.set_status(error.code.http_status)
@@ -52,7 +58,8 @@
             # The header takes whole seconds; the body has the exact time.
             self.set_header("Retry-After", str(max(1, round(error.retry_after_s))))
         self.set_header("Content-Type", "application/json")
-        self.finish(json.dumps(describe_error(error)))
+        body = describe_error(error, earlier_known=self.knows_earlier())
+        self.finish(json.dumps(body))
 
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
         """Log a fault without the request: its path may tell of a caller's call."""
--- a/packages/daemon/src/persimmonferry_daemon/upstreams.py
+++ b/packages/daemon/src/persimmonferry_daemon/upstreams.py
@@ -238,6 +238,9 @@
             mark.prompt_tokens,
             mark.cached_tokens,
             mark.finish_reason,
+            mark.imported_blocks,
+            mark.imported_bytes,
+            mark.import_s,
         )
         self._result.set_result(end)
 
--- a/packages/daemon/tests/test_blocks.py
+++ b/packages/daemon/tests/test_blocks.py
@@ -15,7 +15,7 @@
     RunEnd,
     RunOrder,
 )
-from persimmonferry_daemon.blocks import BlockKeeper, BlockSettings
+from persimmonferry_daemon.blocks import BlockKeeper, BlockSettings, ImportResult
 from persimmonferry_daemon.blockstores import (
     DEAD_PAUSE_S,
     SLOW_FAULT_S,
@@ -319,13 +319,35 @@
     preparing = asyncio.create_task(world.keepers[1].prepare(order, world.loop.time()))
     await asyncio.sleep(0.05)
     swapping = asyncio.create_task(world.engines[1].swap("v2"))
-    assert await preparing == 0
+    assert (await preparing).blocks == 0
     await swapping
     calls = [store.calls for store in world.stores.values()]
-    assert await world.keepers[1].prepare(order, world.loop.time()) == 0
+    assert await world.keepers[1].prepare(order, world.loop.time()) == ImportResult()
     assert calls == [store.calls for store in world.stores.values()]
 
 
+def test_blocks_come_from_the_failure_domain_that_the_entry_chose(world):
+    serve_first(world, blocks=4)
+    stores = dict(world.stores)
+    keeper = BlockKeeper(
+        world.engines[1],
+        dict,
+        MemoryPlatform(world.loop.time),
+        "holder",
+        "team/other",
+        RoutingWeights,
+        world.loop.time,
+        BlockSettings(block_bytes=100.0, link_bytes_per_s=1e4),
+        {"domain": stores}.__getitem__,
+    )
+    order = world.make_order()
+    now = world.loop.time()
+    assert world.loop.run(keeper.prepare(order, now)) == ImportResult()
+    result = world.loop.run(keeper.prepare(order, now, "domain"))
+    assert result.blocks == 4
+    assert result.total_bytes > 0
+
+
 @pytest.mark.parametrize("reused", [False, True])
 def test_a_block_freed_while_it_is_read_is_not_imported(world, reused):
     serve_first(world)
--- a/packages/wire/messages/runs.thrift
+++ b/packages/wire/messages/runs.thrift
@@ -1,6 +1,7 @@
 namespace py persimmonferry_wire.generated.runs
 
 // keep_free: slots that the run has to leave free, negative when it may wait for one.
+// import_domain: failure domain whose stores have the blocks, empty for the own one.
 struct RunRequest {
   1: string run_id
   2: string service_name
@@ -15,6 +16,7 @@
   11: i32 block_tokens
   12: string answer_key
   13: i32 keep_free
+  14: string import_domain
 }
 
 struct EndMark {
@@ -23,6 +25,9 @@
   3: i32 prompt_tokens
   4: i32 cached_tokens
   5: string finish_reason
+  6: i32 imported_blocks
+  7: i64 imported_bytes
+  8: double import_s
 }
 
 struct Failure {
