Fuzz the frames of an answer, and cut and cross answers at the engines

Change: 400 derandomized streams with frames dropped, doubled, crossed with another run's, swapped and cut at any byte; real processes with engines that cut or cross an answer once.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,10 +1,13 @@
 """Runs every benchmark, each beside its baseline, one after the other."""
 
+import asyncio
 import importlib
+import inspect
 
 MODULES = (
     "path",
     "recovery",
+    "load",
     "claims",
     "configuration",
     "cache",
@@ -18,7 +21,9 @@
     """Run the modules that have a ``main``."""
     for name in MODULES:
         print(f"\n## {name}")
-        importlib.import_module(f"bench.{name}").main()
+        result = importlib.import_module(f"bench.{name}").main()
+        if inspect.iscoroutine(result):
+            asyncio.run(result)
 
 
 if __name__ == "__main__":
--- a/packages/daemon/src/persimmonferry_daemon/upstreams.py
+++ b/packages/daemon/src/persimmonferry_daemon/upstreams.py
@@ -38,7 +38,7 @@
     RUN_PATH,
 )
 
-__all__ = ["AgentClient"]
+__all__ = ["AgentClient", "RunningAnswer"]
 
 SILENCE_TIMEOUT_S = 1.2
 RUN_TIMEOUT_S = 600.0
@@ -68,7 +68,7 @@
         :raises NotRun: the agent provably did not start it.
         :raises OutcomeUnknown: the agent fell silent, or the answer broke off.
         """
-        answer = _RunningAnswer(request, deliver)
+        answer = RunningAnswer(request, deliver)
         http_request = _AbortableRequest(
             address.url + RUN_PATH,
             method="POST",
@@ -164,7 +164,7 @@
         return 1 if self.aborted else 0
 
 
-class _RunningAnswer:
+class RunningAnswer:
     """One streamed answer of an agent, checked frame by frame."""
 
     def __init__(
--- a/packages/daemon/tests/test_prompts.py
+++ b/packages/daemon/tests/test_prompts.py
@@ -4,6 +4,7 @@
 import signal
 
 import pytest
+from persimmonferry_standins.faults import CrossAnswer, CutAnswer, CutStream
 from persimmonferry_standins.scenarios import (
     count_started,
     find_busy,
@@ -40,6 +41,28 @@
     run_with_fleet(plan_small(), scenario)
 
 
+@pytest.mark.parametrize(
+    "fault",
+    [
+        CutStream(after_tokens=20, times=1),
+        CrossAnswer(times=1),
+        CutAnswer(path="/v1/runs", after_bytes=900, times=1),
+    ],
+)
+def test_an_engine_that_cuts_or_crosses_an_answer_is_never_taken_for_whole(fault):
+    async def scenario(fleet):
+        for plan in fleet.plan.models:
+            await fleet.control(f"{plan.name}-upstream").set_fault(fault)
+        for stream in (True, False):
+            receipt = await make_caller(fleet).complete(
+                "notes", PROMPT, max_tokens=60, tier="standard", stream=stream
+            )
+            assert receipt.whole
+            assert receipt.text == right_text(60)
+
+    run_with_fleet(plan_small(), scenario)
+
+
 def test_a_retry_through_another_entry_finds_the_running_answer():
     async def scenario(fleet):
         started = await count_started(fleet)
--- /dev/null
+++ b/packages/daemon/tests/test_upstreams.py
@@ -0,0 +1,98 @@
+"""Frames of a running answer, whatever happens to them on the way."""
+
+import asyncio
+
+from hypothesis import given, settings, strategies as st
+from persimmonferry_adapters.exchange import Loss
+from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
+from persimmonferry_daemon.upstreams import RunningAnswer
+from persimmonferry_wire import encode_frame
+from persimmonferry_wire.generated.runs.ttypes import (
+    EndMark,
+    Failure,
+    RunFrame,
+    RunRequest,
+)
+
+RIGHT = [f" word{index}" for index in range(8)]
+FOREIGN = [f" other{index}" for index in range(8)]
+END = EndMark("v1", len(RIGHT), 3, 0, "length", 0, 0, 0.0)
+
+
+def make_frames(run_id, tokens, sizes, delivered):
+    frames = []
+    index = delivered
+    for size in sizes:
+        frames.append(RunFrame(run_id, index, tokens[index : index + size]))
+        index = min(len(tokens), index + size)
+    frames.append(RunFrame(run_id, index, tokens[index:], end=END))
+    return frames
+
+
+async def receive(data_parts, delivered, end):
+    """Feed parts of a stream; return what was delivered and how it ended."""
+    request = RunRequest(run_id="mine", delivered=RIGHT[:delivered])
+    tokens = list(RIGHT[:delivered])
+    answer = RunningAnswer(request, tokens.extend)
+    for part in data_parts:
+        answer.feed(part)
+    exchange = asyncio.get_running_loop().create_future()
+    exchange.set_result(end)
+    answer.close(exchange)
+    try:
+        return tokens, await answer.wait()
+    except FerryError as error:
+        return tokens, error
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(
+    sizes=st.lists(st.integers(0, 4), max_size=6),
+    delivered=st.integers(0, 8),
+    damage=st.lists(
+        st.tuples(
+            st.sampled_from(["drop", "double", "cross", "swap"]), st.integers(0, 9)
+        ),
+        max_size=3,
+    ),
+    cut=st.integers(0, 2000),
+    chunk=st.integers(1, 200),
+    end=st.sampled_from([Loss.LOST, Loss.TIMED_OUT, Loss.TRUNCATED, None]),
+)
+def test_only_the_whole_right_answer_counts_as_whole(
+    sizes, delivered, damage, cut, chunk, end
+):
+    frames = make_frames("mine", RIGHT, sizes, delivered)
+    foreign = make_frames("other", FOREIGN, sizes, delivered)
+    for kind, place in damage:
+        place %= max(1, len(frames))
+        match kind:
+            case "drop" if frames:
+                del frames[place]
+            case "double" if frames:
+                frames.insert(place, frames[place])
+            case "cross":
+                frames.insert(place, foreign[place % len(foreign)])
+            case "swap" if frames:
+                frames.insert(0, frames.pop(place))
+    stream = b"".join(encode_frame(frame) for frame in frames)[:cut]
+    parts = [stream[start : start + chunk] for start in range(0, len(stream), chunk)]
+    tokens, ending = asyncio.run(receive(parts, delivered, end))
+    assert tokens == RIGHT[: len(tokens)]
+    if isinstance(ending, FerryError):
+        assert isinstance(ending, OutcomeUnknown)
+    else:
+        assert tokens == RIGHT
+        assert ending.run_id == "mine"
+
+
+def test_a_refusal_before_the_first_token_says_not_run():
+    frame = RunFrame("mine", 0, [], failure=Failure(2011, "agent", 0.5))
+    tokens, ending = asyncio.run(receive([encode_frame(frame)], 0, None))
+    assert tokens == []
+    assert isinstance(ending, NotRun)
+
+
+def test_a_connection_that_was_refused_says_not_run():
+    _, ending = asyncio.run(receive([], 0, Loss.NOT_SENT))
+    assert isinstance(ending, NotRun)
