--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 EDITABLE = $(foreach package,$(PACKAGES),-e packages/$(package))
 STAMP = $(VENV)/.installed
 
-.PHONY: install demo test bench check format generate clean
+.PHONY: install demo serve test bench check format generate clean
 
 install: $(STAMP)
 
@@ -18,6 +18,9 @@
 demo: install
 	$(BIN)/python demo/demo.py
 
+serve: install
+	$(BIN)/python demo/demo.py --serve
+
 test: install
 	$(BIN)/python tools/run_tests.py
 
--- a/demo/demo.py
+++ b/demo/demo.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 import sys
 from collections import Counter
 from pathlib import Path
@@ -178,5 +179,21 @@
     return 1 if demo.failures else 0
 
 
+async def serve() -> int:
+    """Keep the deployment running until a signal comes."""
+    stopped = asyncio.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    plan = plan_kovanci(ROOT / "examples" / "kovanci.ini")
+    async with Fleet(plan, AsyncHTTPClient()) as fleet:
+        entry = fleet.processes["entry-1"]
+        print(f"export PERSIMMONFERRY_ENTRY={entry.addresses['callers'].url}")
+        print(f"export PERSIMMONFERRY_ADMIN={entry.addresses['peers'].url}")
+        print("export PERSIMMONFERRY_ACCOUNT_KEY=demo-key-drivers")
+        print("export PERSIMMONFERRY_KEY=demo-operator-key", flush=True)
+        await stopped.wait()
+    return 0
+
+
 if __name__ == "__main__":
-    sys.exit(asyncio.run(run()))
+    sys.exit(asyncio.run(serve() if "--serve" in sys.argv[1:] else run()))
