Repeat work in one way, and leave when the VM list says so

Cause: reading as a newcomer: six modules had the same task, loop and cancel, each of which would have ended for good at its first exception; an upstream whose VM is listed as leaving was used on until its process was stopped; 2,000 entries writing usage each 30 s would cost 67 writes and 19 MB/s (worked out). Change: Periodic logs a failure and goes on; agent and entry look for their own row in the VM list; the ledger's interval grows with the entries (3 writes a second for the fleet). Test: a VM marked as leaving gets no run after 3 s (8 prompts).

--- a/packages/daemon/src/persimmonferry_daemon/agent.py
+++ b/packages/daemon/src/persimmonferry_daemon/agent.py
@@ -20,6 +20,7 @@
 from persimmonferry_daemon.configuration import ConfigurationKeeper
 from persimmonferry_daemon.gate import CloseReason, Gate
 from persimmonferry_daemon.modelwork import ModelWork
+from persimmonferry_daemon.periodic import Periodic
 from persimmonferry_daemon.plainwork import PlainWork
 from persimmonferry_daemon.reports import Reporter
 from persimmonferry_daemon.servers import Listener, list_peer_rules
@@ -28,6 +29,7 @@
 __all__ = ["Agent"]
 
 LINGER_AFTER_STOP_S = 1.0
+LEAVING_INTERVAL_S = 0.5
 MS_PER_S = 1000
 
 _log = logging.getLogger(__name__)
@@ -63,6 +65,7 @@
         self._reporter = Reporter(peers, self._vms, self._describe)
         self._gate.on_change.append(self._reporter.plan_report)
         self._work = self._build_work(client, platform)
+        self._leaving = Periodic(self._check_leaving, lambda: LEAVING_INTERVAL_S)
 
     async def start(self) -> None:
         """Begin to serve, and tell the entries."""
@@ -71,6 +74,7 @@
         await self._work.start()
         self._listener.start(self._list_rules())
         self._reporter.start()
+        self._leaving.start()
         _log.info("agent started", extra={"address": str(self.address)})
 
     async def drain(self) -> None:
@@ -100,6 +104,7 @@
         await self._gate.wait_idle()
         await self._work.stop()
         await asyncio.sleep(LINGER_AFTER_STOP_S)
+        await self._leaving.stop()
         await self._reporter.stop()
         await self._configuration.stop()
         await self._vms.stop()
@@ -107,6 +112,13 @@
         await self._listener.close()
         _log.info("agent stopped")
 
+    async def _check_leaving(self) -> None:
+        """Refuse new work while the VM list says that this VM is leaving."""
+        if self._vms.is_leaving(self._settings.name):
+            self._gate.close(CloseReason.LEAVING)
+        else:
+            self._gate.open(CloseReason.LEAVING)
+
     def _list_rules(self) -> list[tuple]:
         routes = (
             *self._configuration.routes,
--- a/packages/daemon/src/persimmonferry_daemon/entry.py
+++ b/packages/daemon/src/persimmonferry_daemon/entry.py
@@ -32,6 +32,7 @@
 from persimmonferry_daemon.ledgers import LedgerWriter
 from persimmonferry_daemon.limitshares import LimitShares
 from persimmonferry_daemon.members import Members
+from persimmonferry_daemon.periodic import Periodic
 from persimmonferry_daemon.prompts import PromptService
 from persimmonferry_daemon.scheduling import Scheduler
 from persimmonferry_daemon.servers import Listener, list_peer_rules
@@ -98,7 +99,11 @@
         )
         self._usage_lines: tuple[UsageLine, ...] = ()
         self._ledger = LedgerWriter(
-            self._dispatcher.usage, platform, settings.team, settings.name
+            self._dispatcher.usage,
+            platform,
+            settings.team,
+            settings.name,
+            count_writers=lambda: len(self._list_entries()),
         )
         self._edge = self._build_edge(agents)
         self._caller_listener = Listener(
@@ -106,7 +111,7 @@
             lambda: self.is_ready,
             self._role.max_body_bytes,
         )
-        self._refresh_task: asyncio.Task | None = None
+        self._refreshing = Periodic(self._refresh, lambda: REFRESH_INTERVAL_S)
 
     @property
     def is_ready(self) -> bool:
@@ -119,6 +124,8 @@
         document = self._configuration.document
         if self._gate.closed or self._is_leaving or document is None:
             return False
+        if self._vms.is_leaving(self._settings.name):
+            return False
         if time.monotonic() - self._started_at > FIRST_REPORTS_TIMEOUT_S:
             return True
         known = {item.report.service for item in self._members.list_all()}
@@ -136,7 +143,8 @@
         self._peer_listener.start(self._list_peer_rules())
         self._configuration.start()
         await self._members.start(self._peer_listener.address)
-        self._refresh_task = asyncio.create_task(self._refresh_forever())
+        await self._refresh()
+        self._refreshing.start()
         self._limit_shares.start()
         self._ledger.start()
         self._caller_listener.start(self._edge.rules)
@@ -171,7 +179,7 @@
         _log.info("entry stopped")
 
     async def _stop_parts(self) -> None:
-        self._refresh_task.cancel()
+        await self._refreshing.stop()
         await self._members.stop()
         await self._configuration.stop()
         await self._vms.stop()
@@ -258,15 +266,13 @@
         }
         return tuple(listed | {self._identity})
 
-    async def _refresh_forever(self) -> None:
+    async def _refresh(self) -> None:
         """Tell the dispatcher what the VM list says."""
-        while True:
-            names = tuple(entry.name for entry in self._list_entries())
-            self._dispatcher.set_entries(names)
-            stores = self._vms.list_role(Role.STORE)
-            domains = frozenset(vm.failure_domain.name for vm in stores)
-            self._dispatcher.set_store_domains(domains)
-            await asyncio.sleep(REFRESH_INTERVAL_S)
+        names = tuple(entry.name for entry in self._list_entries())
+        self._dispatcher.set_entries(names)
+        stores = self._vms.list_role(Role.STORE)
+        domains = frozenset(vm.failure_domain.name for vm in stores)
+        self._dispatcher.set_store_domains(domains)
 
 
 def _make_empty(settings: ProcessSettings) -> TeamDocument:
--- a/packages/daemon/src/persimmonferry_daemon/gate.py
+++ b/packages/daemon/src/persimmonferry_daemon/gate.py
@@ -19,6 +19,7 @@
     STOPPING = "the process is stopping"
     DRAINED = "an operator drained it"
     LOADING = "weights are being loaded"
+    LEAVING = "its VM is leaving"
 
 
 class Gate:
@@ -48,13 +49,15 @@
 
     def close(self, reason: CloseReason) -> None:
         """Refuse new work until the reason is gone."""
-        self._reasons.add(reason)
-        self._notify()
+        if reason not in self._reasons:
+            self._reasons.add(reason)
+            self._notify()
 
     def open(self, reason: CloseReason) -> None:
         """Take new work again, unless there is another reason not to."""
-        self._reasons.discard(reason)
-        self._notify()
+        if reason in self._reasons:
+            self._reasons.discard(reason)
+            self._notify()
 
     def _notify(self) -> None:
         for notify in self.on_change:
--- a/packages/daemon/src/persimmonferry_daemon/ledgers.py
+++ b/packages/daemon/src/persimmonferry_daemon/ledgers.py
@@ -21,10 +21,13 @@
 )
 from persimmonferry_core.usage import UsageBatch, UsageLine, UsageMeter
 
+from persimmonferry_daemon.periodic import Periodic
+
 __all__ = ["LedgerWriter"]
 
 SHARDS = 8
 WRITE_INTERVAL_S = 30.0
+FLEET_WRITES_PER_S = 3.0
 MAX_TRIES = 5
 STOP_TIMEOUT_S = 3.0
 S_PER_DAY = 86_400
@@ -41,6 +44,8 @@
 
     :param writer: name of this process.
     :param read_clock: seconds since 1970.
+    :param count_writers: returns how many entries of the team write; the more there
+        are, the less often each does, so that the platform's writes stay few.
     """
 
     def __init__(
@@ -50,24 +55,25 @@
         team: str,
         writer: str,
         read_clock: Callable[[], float] = time.time,
+        count_writers: Callable[[], int] = lambda: 1,
     ) -> None:
         self._meter = meter
         self._platform = platform
         self._team = team
         self._shard = zlib.crc32(writer.encode()) % SHARDS
         self._read_clock = read_clock
-        self._task: asyncio.Task | None = None
+        self._count_writers = count_writers
+        self._writing = Periodic(self._write_or_log, self._choose_interval)
         self._open_id = ""
         self._open_key = ""
 
     def start(self) -> None:
         """Write at intervals."""
-        self._task = asyncio.create_task(self._run())
+        self._writing.start()
 
     async def stop(self) -> None:
         """Write what is left, if the platform's service answers in time."""
-        if self._task is not None:
-            self._task.cancel()
+        await self._writing.stop()
         try:
             async with asyncio.timeout(STOP_TIMEOUT_S):
                 while await self.write():
@@ -109,13 +115,15 @@
         day = int(self._read_clock() // S_PER_DAY)
         return f"teams/{self._team}/usage/{day}/{shard}"
 
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(WRITE_INTERVAL_S * random.uniform(0.5, 1.5))
-            try:
-                await self.write()
-            except PlatformError as error:
-                _log.warning("usage not written yet", extra={"why": str(error)})
+    def _choose_interval(self) -> float:
+        fleet_s = self._count_writers() / FLEET_WRITES_PER_S
+        return max(WRITE_INTERVAL_S, fleet_s) * random.uniform(0.5, 1.5)
+
+    async def _write_or_log(self) -> None:
+        try:
+            await self.write()
+        except PlatformError as error:
+            _log.warning("usage not written yet", extra={"why": str(error)})
 
     async def _add(self, batch: UsageBatch, key: str) -> None:
         for _ in range(MAX_TRIES):
--- a/packages/daemon/src/persimmonferry_daemon/limitshares.py
+++ b/packages/daemon/src/persimmonferry_daemon/limitshares.py
@@ -14,6 +14,7 @@
 
 from persimmonferry_daemon.forwarding import EntryPeer
 from persimmonferry_daemon.paths import LIMIT_PATH
+from persimmonferry_daemon.periodic import Periodic
 
 __all__ = ["LimitShares"]
 
@@ -42,27 +43,25 @@
         self._peers = peers
         self._list_entries = list_entries
         self._read_clock = read_clock
-        self._task: asyncio.Task | None = None
+        self._checking = Periodic(self._ask_peers, lambda: CHECK_INTERVAL_S)
         self._asking: set[asyncio.Task] = set()
         self.routes = (PeerRoute(LIMIT_PATH, LimitAsk, self._answer),)
 
     def start(self) -> None:
         """Ask peers at intervals for what is short here."""
-        self._task = asyncio.create_task(self._run())
+        self._checking.start()
 
     async def stop(self) -> None:
         """Ask no more."""
-        for task in (self._task, *self._asking):
-            if task is not None:
-                task.cancel()
-
-    async def _run(self) -> None:
-        while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            for peer, ask in self._book.make_asks(self._read_clock()):
-                task = asyncio.create_task(self._ask(peer, ask))
-                self._asking.add(task)
-                task.add_done_callback(self._asking.discard)
+        await self._checking.stop()
+        for task in self._asking:
+            task.cancel()
+
+    async def _ask_peers(self) -> None:
+        for peer, ask in self._book.make_asks(self._read_clock()):
+            task = asyncio.create_task(self._ask(peer, ask))
+            self._asking.add(task)
+            task.add_done_callback(self._asking.discard)
 
     async def _ask(self, peer: str, ask: ShareAsk) -> None:
         entry = next((item for item in self._list_entries() if item.name == peer), None)
--- a/packages/daemon/src/persimmonferry_daemon/loads.py
+++ b/packages/daemon/src/persimmonferry_daemon/loads.py
@@ -1,11 +1,12 @@
 """The upstream's load, read at intervals."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Generic, TypeVar
 
 from persimmonferry_core.exceptions import FerryError
 
+from persimmonferry_daemon.periodic import Periodic
+
 __all__ = ["LoadPoller"]
 
 Load = TypeVar("Load")
@@ -24,23 +25,17 @@
     def __init__(self, read: Callable[[], Awaitable[Load]]) -> None:
         self._read = read
         self._failed_reads = 0
-        self._task: asyncio.Task | None = None
+        self._polling = Periodic(self._refresh, lambda: LOAD_INTERVAL_S)
         self.latest: Load | None = None
 
     async def start(self) -> None:
         """Read once and go on in the background."""
         await self._refresh()
-        self._task = asyncio.create_task(self._poll())
+        self._polling.start()
 
     async def stop(self) -> None:
         """Read no more."""
-        if self._task is not None:
-            self._task.cancel()
-
-    async def _poll(self) -> None:
-        while True:
-            await asyncio.sleep(LOAD_INTERVAL_S)
-            await self._refresh()
+        await self._polling.stop()
 
     async def _refresh(self) -> None:
         try:
--- a/packages/daemon/src/persimmonferry_daemon/members.py
+++ b/packages/daemon/src/persimmonferry_daemon/members.py
@@ -15,6 +15,7 @@
 )
 
 from persimmonferry_daemon.paths import INTRODUCTION_PATH, REPORT_PATH
+from persimmonferry_daemon.periodic import Periodic
 from persimmonferry_daemon.scheduling import Scheduler
 from persimmonferry_daemon.vms import VMWatch
 
@@ -47,7 +48,7 @@
         self._read_clock = read_clock
         self._read_revision = read_revision
         self._table = UpstreamTable()
-        self._task: asyncio.Task | None = None
+        self._expiry = Periodic(self._expire, lambda: EXPIRY_INTERVAL_S)
         self.routes = (PeerRoute(REPORT_PATH, AgentReport, self._answer_report),)
 
     async def start(self, address: Address) -> None:
@@ -61,12 +62,11 @@
         introduction = Introduction(address.host, address.port)
         vms = self._vms.list_role(Role.UPSTREAM)
         await asyncio.gather(*(self._introduce(vm, introduction) for vm in vms))
-        self._task = asyncio.create_task(self._watch())
+        self._expiry.start()
 
     async def stop(self) -> None:
         """Look for silent upstreams no more."""
-        if self._task is not None:
-            self._task.cancel()
+        await self._expiry.stop()
 
     def find(self, name: str) -> Presence | None:
         """Return an upstream as last reported, or None."""
@@ -127,11 +127,9 @@
         dispatcher.record_held(report.name, tuple(message.cache.stored))
         self._scheduler.plan_pump()
 
-    async def _watch(self) -> None:
-        while True:
-            await asyncio.sleep(EXPIRY_INTERVAL_S)
-            for name in self._table.expire(self._read_clock()):
-                self._drop(name, "silent")
+    async def _expire(self) -> None:
+        for name in self._table.expire(self._read_clock()):
+            self._drop(name, "silent")
 
     def _drop(self, name: str, reason: str) -> None:
         _log.warning("upstream avoided", extra={"upstream": name, "reason": reason})
--- a/packages/daemon/src/persimmonferry_daemon/promptruns.py
+++ b/packages/daemon/src/persimmonferry_daemon/promptruns.py
@@ -17,6 +17,7 @@
 from persimmonferry_daemon.blocks import BlockKeeper
 from persimmonferry_daemon.failures import to_failure
 from persimmonferry_daemon.gate import Gate
+from persimmonferry_daemon.periodic import Periodic
 
 __all__ = ["PromptRuns", "RunHandler"]
 
@@ -58,16 +59,15 @@
         self._read_clock = read_clock
         self._answers = AnswerTable()
         self._tasks: set[asyncio.Task] = set()
-        self._trim_task: asyncio.Task | None = None
+        self._trimming = Periodic(self._trim, lambda: TRIM_INTERVAL_S)
 
     def start(self) -> None:
         """Drop old answers at intervals."""
-        self._trim_task = asyncio.create_task(self._trim_forever())
+        self._trimming.start()
 
     async def stop(self) -> None:
         """End the background work."""
-        if self._trim_task is not None:
-            self._trim_task.cancel()
+        await self._trimming.stop()
 
     def follow(self, request: RunRequest) -> Answer:
         """
@@ -164,10 +164,8 @@
             # an entry knows of other entries' runs by reports only.
             raise NotRun(ResultCode.UPSTREAM_BUSY, "", BUSY_RETRY_S)
 
-    async def _trim_forever(self) -> None:
-        while True:
-            await asyncio.sleep(TRIM_INTERVAL_S)
-            self._answers.trim(self._read_clock())
+    async def _trim(self) -> None:
+        self._answers.trim(self._read_clock())
 
 
 def _read_order(request: RunRequest) -> RunOrder:
--- a/packages/daemon/src/persimmonferry_daemon/vms.py
+++ b/packages/daemon/src/persimmonferry_daemon/vms.py
@@ -1,12 +1,13 @@
 """The process's view of the platform's VM list."""
 
-import asyncio
 import logging
 import random
 
 from persimmonferry_core.exceptions import PlatformError
 from persimmonferry_core.interfaces import VMList
-from persimmonferry_core.world import VM, Role
+from persimmonferry_core.world import VM, Role, VMState
+
+from persimmonferry_daemon.periodic import Periodic
 
 __all__ = ["VMWatch"]
 
@@ -23,7 +24,7 @@
     def __init__(self, source: VMList) -> None:
         self._source = source
         self._vms: tuple[VM, ...] = ()
-        self._task: asyncio.Task | None = None
+        self._polling = Periodic(self._refresh, self._choose_interval)
 
     def list_vms(self) -> tuple[VM, ...]:
         """Return the last list that was read."""
@@ -33,20 +34,18 @@
         """Return the VMs of one role."""
         return tuple(vm for vm in self._vms if vm.role is role)
 
+    def is_leaving(self, name: str) -> bool:
+        """Tell whether the list says that a VM is leaving."""
+        return any(vm.name == name and vm.state is VMState.LEAVING for vm in self._vms)
+
     async def start(self) -> None:
         """Read the list once and go on in the background."""
         await self._refresh()
-        self._task = asyncio.create_task(self._poll())
+        self._polling.start()
 
     async def stop(self) -> None:
         """Stop reading."""
-        if self._task is not None:
-            self._task.cancel()
-
-    async def _poll(self) -> None:
-        while True:
-            await asyncio.sleep(self._choose_interval())
-            await self._refresh()
+        await self._polling.stop()
 
     def _choose_interval(self) -> float:
         """Return when to read again: a long list is read less often, in few bytes."""
--- a/packages/daemon/tests/test_prompts.py
+++ b/packages/daemon/tests/test_prompts.py
@@ -128,6 +128,25 @@
     run_with_fleet(plan_small(), scenario)
 
 
+def test_an_upstream_whose_vm_is_listed_as_leaving_gets_no_new_work():
+    async def scenario(fleet):
+        fleet.mark_leaving("notes-0")
+        await fleet.list_vms()
+        await asyncio.sleep(3.0)
+        control = fleet.control("notes-0-upstream")
+        before = (await control.read_report()).counters["runs_started"]
+        answers = [
+            make_caller(fleet, f"entry-{number % 2 + 1}").complete("notes", PROMPT)
+            for number in range(8)
+        ]
+        receipts = await asyncio.gather(*answers)
+        assert all(receipt.whole for receipt in receipts)
+        after = (await control.read_report()).counters["runs_started"]
+        assert after == before
+
+    run_with_fleet(plan_small(), scenario)
+
+
 def test_a_leaving_upstream_gets_no_new_work_though_an_entry_missed_the_news():
     async def scenario(fleet):
         fleet.processes["entry-2"].freeze()
