--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -67,7 +67,7 @@
     plan: ImportPlan | None
     priority: int
     attempt: int
-    keep_free: int
+    keep_free: int = -1
 
 
 @dataclass
--- /dev/null
+++ b/packages/core/tests/test_codes.py
@@ -0,0 +1,26 @@
+"""The table of result codes in the docs is the one of the code."""
+
+import re
+from pathlib import Path
+
+from persimmonferry_core.codes import Ran, ResultCode
+
+PAGE = Path(__file__).resolve().parents[3] / "docs" / "RESULT-CODES.md"
+ROW = re.compile(r"\| (\d{4}) \| (\w+) \| (\d{3}) \| (\w+)")
+
+
+def test_every_code_stands_in_the_table_as_it_is():
+    rows = ROW.findall(PAGE.read_text())
+    codes = [
+        (str(code.number), code.name.lower(), str(code.http_status), code.ran.value)
+        for code in ResultCode
+    ]
+    assert rows == codes
+
+
+def test_numbers_are_unique_and_tell_the_ending():
+    numbers = [code.number for code in ResultCode]
+    assert len(set(numbers)) == len(numbers)
+    for code in ResultCode:
+        if code.number // 1000 == 2:
+            assert code.ran is Ran.NO
--- a/packages/daemon/src/persimmonferry_daemon/prompts.py
+++ b/packages/daemon/src/persimmonferry_daemon/prompts.py
@@ -237,8 +237,13 @@
 
     def _take(self, work: "_Work", tokens: list[str]) -> None:
         first = not work.tokens
+        now = time.monotonic()
         if first:
             self._record(work, Measure.FIRST_TOKEN)
+        else:
+            gap_s = now - work.last_tokens_at
+            self._record_duration(work, Measure.BETWEEN_TOKENS, gap_s)
+        work.last_tokens_at = now
         work.tokens += tokens
         self._scheduler.note_progress(work.name, len(tokens), first=first)
         work.prompt.deliver(tokens)
@@ -259,8 +264,13 @@
 
     def _record(self, work: "_Work", measure: Measure) -> None:
         elapsed_s = time.monotonic() - work.prompt.arrived_at
+        self._record_duration(work, measure, elapsed_s)
+
+    def _record_duration(
+        self, work: "_Work", measure: Measure, duration_s: float
+    ) -> None:
         account = work.prompt.account.name
-        self._histograms.record(account, work.request.tier, measure, elapsed_s)
+        self._histograms.record(account, work.request.tier, measure, duration_s)
 
 
 _SUSPICIOUS = frozenset(
@@ -283,6 +293,7 @@
         self.service = service
         self.name = uuid.uuid4().hex
         self.tokens: list[str] = []
+        self.last_tokens_at = 0.0
         self.failure: FerryError | None = None
         self.may_have_run = False
         self.running_at: Presence | None = None
--- a/packages/daemon/tests/test_prompts.py
+++ b/packages/daemon/tests/test_prompts.py
@@ -22,6 +22,12 @@
     return "".join(answer_tokens(prompt, "v1", tokens))
 
 
+async def count_at(fleet, name):
+    """Return how many runs one engine has started."""
+    report = await fleet.control(f"{name}-upstream").read_report()
+    return report.counters.get("runs_started", 0)
+
+
 @pytest.mark.parametrize("fault", [signal.SIGKILL, signal.SIGSTOP])
 def test_an_answer_goes_on_elsewhere_when_its_agent_dies_or_freezes(fault):
     async def scenario(fleet):
@@ -133,16 +139,14 @@
         fleet.mark_leaving("notes-0")
         await fleet.list_vms()
         await asyncio.sleep(3.0)
-        control = fleet.control("notes-0-upstream")
-        before = (await control.read_report()).counters["runs_started"]
+        before = await count_at(fleet, "notes-0")
         answers = [
             make_caller(fleet, f"entry-{number % 2 + 1}").complete("notes", PROMPT)
             for number in range(8)
         ]
         receipts = await asyncio.gather(*answers)
         assert all(receipt.whole for receipt in receipts)
-        after = (await control.read_report()).counters["runs_started"]
-        assert after == before
+        assert await count_at(fleet, "notes-0") == before
 
     run_with_fleet(plan_small(), scenario)
 
@@ -157,13 +161,11 @@
         stop = asyncio.ensure_future(fleet.processes[busy].stop())
         await asyncio.sleep(0.3)
         fleet.processes["entry-2"].thaw()
-        control = fleet.control(f"{busy}-upstream")
-        before = (await control.read_report()).counters["runs_started"]
+        before = await count_at(fleet, busy)
         for entry in ("entry-1", "entry-2"):
             receipt = await make_caller(fleet, entry).complete("notes", PROMPT)
             assert receipt.whole
-        after = (await control.read_report()).counters["runs_started"]
-        assert after == before
+        assert await count_at(fleet, busy) == before
         assert (await long).whole
         assert await stop == 0
 
