Catch three guards whose removal no test had noticed

Cause: 14 guards were removed in turn; 4 survived: the length in the end mark (the gap check came first), the agent's wait for its runs (the entry resumed them elsewhere, unseen), the refusal of a leaving agent and 'leaving' in its report (each covers the other). Change: an end mark of another length alone; no run may start twice in a planned stop; a leaving agent is asked directly. 'leaving' in the report stays redundant: it saves a refused attempt.

--- a/packages/daemon/tests/test_prompts.py
+++ b/packages/daemon/tests/test_prompts.py
@@ -4,6 +4,9 @@
 import signal
 
 import pytest
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.exceptions import NotRun
+from persimmonferry_daemon.upstreams import AgentClient
 from persimmonferry_standins.faults import CrossAnswer, CutAnswer, CutStream
 from persimmonferry_standins.scenarios import (
     count_started,
@@ -13,6 +16,8 @@
     run_with_fleet,
 )
 from persimmonferry_standins.tokens import answer_tokens
+from persimmonferry_wire import PeerClient
+from persimmonferry_wire.generated.runs.ttypes import RunRequest
 
 PROMPT = "which stems go to the shop at the harbour?"
 LONG = 300
@@ -105,6 +110,7 @@
 
 def test_planned_stops_cut_no_answer():
     async def scenario(fleet):
+        started = await count_started(fleet)
         callers = [make_caller(fleet), make_caller(fleet, "entry-2")]
         answers = [
             asyncio.ensure_future(
@@ -129,6 +135,8 @@
         assert [receipt.code for receipt in receipts] == [0] * len(receipts)
         assert all(receipt.whole for receipt in receipts)
         assert all(receipt.text == right_text() for receipt in receipts)
+        # None had to go on elsewhere: the stopping agent ended its own runs.
+        assert await count_started(fleet) == started + len(receipts)
         assert await asyncio.gather(*stops) == [0, 0]
 
     run_with_fleet(plan_small(), scenario)
@@ -151,6 +159,20 @@
     run_with_fleet(plan_small(), scenario)
 
 
+async def check_refused(fleet, name):
+    """Ask an agent for a run as an entry does that has missed the news."""
+    client = AgentClient(fleet.client, PeerClient(fleet.client))
+    request = RunRequest("late", "notes", "route-notes", "v1", "", PROMPT, 4, 0)
+    request.delivered = request.block_names = []
+    request.block_tokens = 1000
+    request.answer_key = request.import_domain = ""
+    request.keep_free = -1
+    address = fleet.processes[name].addresses["peers"]
+    with pytest.raises(NotRun) as caught:
+        await client.run(address, request, lambda tokens: None)
+    assert caught.value.code is ResultCode.STOPPING
+
+
 def test_a_leaving_upstream_gets_no_new_work_though_an_entry_missed_the_news():
     async def scenario(fleet):
         fleet.processes["entry-2"].freeze()
@@ -161,6 +183,7 @@
         stop = asyncio.ensure_future(fleet.processes[busy].stop())
         await asyncio.sleep(0.3)
         fleet.processes["entry-2"].thaw()
+        await check_refused(fleet, busy)
         before = await count_at(fleet, busy)
         for entry in ("entry-1", "entry-2"):
             receipt = await make_caller(fleet, entry).complete("notes", PROMPT)
--- a/packages/daemon/tests/test_upstreams.py
+++ b/packages/daemon/tests/test_upstreams.py
@@ -86,6 +86,14 @@
         assert ending.run_id == "mine"
 
 
+def test_an_end_mark_of_another_length_is_not_whole():
+    for total in (len(RIGHT) - 1, len(RIGHT) + 1):
+        end = EndMark("v1", total, 3, 0, "length", 0, 0, 0.0)
+        frame = RunFrame("mine", 0, RIGHT, end=end)
+        _, ending = asyncio.run(receive([encode_frame(frame)], 0, None))
+        assert isinstance(ending, OutcomeUnknown)
+
+
 def test_a_refusal_before_the_first_token_says_not_run():
     frame = RunFrame("mine", 0, [], failure=Failure(2011, "agent", 0.5))
     tokens, ending = asyncio.run(receive([encode_frame(frame)], 0, None))
