--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,15 @@
 PYTHON ?= python3
 VENV = .venv
 BIN = $(VENV)/bin
-PACKAGES = core wire adapters daemon cli standins
-EDITABLE = $(foreach package,$(PACKAGES),-e packages/$(package))
+PACKAGES = packages/core packages/wire packages/adapters packages/daemon packages/gateway packages/cli packages/standins platform
+EDITABLE = $(foreach package,$(PACKAGES),-e $(package))
 STAMP = $(VENV)/.installed
 
 .PHONY: install demo serve test bench check format generate clean
 
 install: $(STAMP)
 
-$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements.txt
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(EDITABLE)
--- a/packages/core/src/persimmonferry_core/codes.py
+++ b/packages/core/src/persimmonferry_core/codes.py
@@ -73,6 +73,8 @@
     WRONG_VERSION = _Meaning(2019, 503, Ran.NO, "the upstream has another version")
     NOT_FOUND = _Meaning(2020, 404, Ran.NO, "no such address")
     UPSTREAM_BUSY = _Meaning(2022, 503, Ran.NO, "the upstream has no free slot")
+    HEAD_TOO_LARGE = _Meaning(2023, 431, Ran.NO, "the head of the request is too large")
+    UNKNOWN_ROUTE = _Meaning(2024, 404, Ran.NO, "no such route")
     FENCING_REFUSED = _Meaning(2021, 409, Ran.NO, "the fencing number is old")
 
     UPSTREAM_LOST = _Meaning(3001, 502, Ran.UNKNOWN, "the upstream was lost")
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -15,7 +15,7 @@
     Refused,
     WaitingRequest,
 )
-from persimmonferry_core.retries import RetryBudget
+from persimmonferry_core.retries import RetryBudget, RetryPolicy
 from persimmonferry_core.routing import (
     BlockIndex,
     ImportPlan,
@@ -95,6 +95,7 @@
     :param seed: of the choices that are made at random.
     :param entry: name of this entry.
     :param incarnation: grows with each start of an entry of that name.
+    :param retry_policy: of each service.
     """
 
     def __init__(
@@ -104,11 +105,14 @@
         seed: int = 0,
         entry: str = "",
         incarnation: int = 0,
+        retry_policy: RetryPolicy | None = None,
     ) -> None:
         self.limits = LimitBook(entry, incarnation << 32)
         self.usage = UsageMeter(f"{entry}-{incarnation}")
         self._random = random.Random(seed)
-        self._retries = RetryBudget(seed=seed)
+        self._seed = seed
+        self._retry_policy = retry_policy
+        self._retries: dict[str, RetryBudget] = {}
         self._index = BlockIndex()
         self._links = LinkTable()
         self._store_domains = store_domains
@@ -222,7 +226,7 @@
         self._attempts[request.request_id] = _Attempt(
             waiting, model.queue.find_tier(request.tier)
         )
-        self._retries.record_request(now)
+        self._find_budget(request.service).record_request(now)
         return answer
 
     def assign(self, now: float) -> tuple[Assignment, ...]:
@@ -288,7 +292,8 @@
         if ran and attempt.delivered_tokens:
             # The promised wait was kept; the caller is in the middle of the answer.
             latest_s = max(latest_s, now + RESUMPTION_WAIT_S)
-        delay_s = self._retries.allow(attempt.number, now, ran=ran)
+        budget = self._find_budget(waiting.request.service)
+        delay_s = budget.allow(attempt.number, now, ran=ran)
         if delay_s is None or now + delay_s > latest_s:
             self._close(attempt, waiting.request.max_tokens)
             code = ResultCode.RETRIES_EXHAUSTED
@@ -393,6 +398,29 @@
         if plain is not None:
             plain.finish(call_id, upstream, whole, now)
 
+    def set_retry_policy(self, policy: RetryPolicy) -> None:
+        """Take over how much may be tried again at each service."""
+        self._retry_policy = policy
+        for budget in self._retries.values():
+            budget.policy = policy
+
+    def plain_offered(self, service: str, now: float) -> None:
+        """Count a call of a plain service, whose repeats are a share of the calls."""
+        self._find_budget(service).record_request(now)
+
+    def allow_repeat(
+        self, service: str, attempts: int, now: float, *, ran: bool
+    ) -> float | None:
+        """Take one retry of a plain service's call, as ``RetryBudget.allow`` does."""
+        return self._find_budget(service).allow(attempts, now, ran=ran)
+
+    def _find_budget(self, service: str) -> RetryBudget:
+        budget = self._retries.get(service)
+        if budget is None:
+            budget = RetryBudget(self._retry_policy, self._seed)
+            self._retries[service] = budget
+        return budget
+
     def _configure_model(self, service: Service, tiers: tuple[Tier, ...]) -> None:
         model = self._models.get(service.name)
         urgent = sum(1 for tier in tiers if tier.promised_wait_s <= URGENT_WAIT_S)
--- a/packages/core/src/persimmonferry_core/exceptions.py
+++ b/packages/core/src/persimmonferry_core/exceptions.py
@@ -5,6 +5,8 @@
 __all__ = [
     "ConfigurationFaulty",
     "FerryError",
+    "HistoryLost",
+    "LeaseEnded",
     "NotRun",
     "OutcomeUnknown",
     "PlatformAnswerLost",
@@ -124,6 +126,20 @@
         super().__init__(ResultCode.REVISION_CONFLICT, detail)
 
 
+class HistoryLost(PlatformError):
+    """The platform no longer knows the changes since a revision; list anew."""
+
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(ResultCode.PLATFORM_DOWN, detail)
+
+
+class LeaseEnded(PlatformError):
+    """The platform knows no such lease: it lapsed or was ended."""
+
+    def __init__(self, lease: int) -> None:
+        super().__init__(ResultCode.PLATFORM_DOWN, f"lease {lease} has ended")
+
+
 class RevisionConflict(FerryError):
     """
     Another change of the document was accepted since the operator read it.
--- a/packages/core/src/persimmonferry_core/patience.py
+++ b/packages/core/src/persimmonferry_core/patience.py
@@ -32,6 +32,7 @@
     :param block_bytes: bytes of one exported cache block.
     :param arrival_s: when the entry received it.
     :param block_tokens: tokens in one cache block.
+    :param block_sizes: tokens of each block, where they are not all alike.
     """
 
     request_id: str
@@ -44,6 +45,27 @@
     block_names: tuple[str, ...] = ()
     block_bytes: int = 0
     block_tokens: int = 1000
+    block_sizes: tuple[int, ...] = ()
+
+    def count_tokens(self, depth: int) -> int:
+        """
+        Return the tokens in the first blocks of the prompt.
+
+        >>> sizes = (40, 30)
+        >>> request = PromptRequest("r", "a", "t", "s", 90, 9, 0.0, block_sizes=sizes)
+        >>> request.count_tokens(1), request.count_tokens(2)
+        (40, 70)
+        """
+        if self.block_sizes:
+            return sum(self.block_sizes[:depth])
+        return depth * self.block_tokens
+
+    def count_bytes(self, first: int, last: int) -> int:
+        """Return the bytes of the blocks from one depth to a larger one."""
+        if not self.block_sizes:
+            return (last - first) * self.block_bytes
+        tokens = self.count_tokens(last) - self.count_tokens(first)
+        return tokens * self.block_bytes // max(1, self.block_tokens)
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/persimmonferry_core/retries.py
+++ b/packages/core/src/persimmonferry_core/retries.py
@@ -15,6 +15,8 @@
     :param floor: retries that are allowed in a window without any requests; enough
         for the runs of two upstreams that fail at once.
     :param attempts: of one request, the first included.
+    :param counts_refusals: whether an attempt that provably did not run takes from the
+        budget too, where upstreams count every arrival.
     """
 
     share: float = 0.1
@@ -23,6 +25,7 @@
     attempts: int = 3
     base_delay_s: float = 0.02
     max_delay_s: float = 1.0
+    counts_refusals: bool = False
 
 
 class RetryBudget:
@@ -51,9 +54,9 @@
         """
         Take one retry from the budget.
 
-        An attempt that did not run put no load on an upstream: trying elsewhere is
-        bounded by the number of attempts alone, so that an upstream that stops or is
-        gone costs no request its answer.
+        An attempt that did not run put no load on an upstream: unless the policy counts
+        refusals, trying elsewhere is bounded by the number of attempts alone, so that
+        an upstream that stops or is gone costs no request its answer.
 
         :param attempts: attempts of the request so far.
         :param ran: whether the failed attempt may have run.
@@ -63,7 +66,7 @@
         policy = self.policy
         if attempts >= policy.attempts:
             return None
-        if ran:
+        if ran or policy.counts_refusals:
             allowed = policy.floor + policy.share * sum(self._requests)
             if sum(self._retries) + 1 > allowed:
                 return None
--- a/packages/core/src/persimmonferry_core/rollout.py
+++ b/packages/core/src/persimmonferry_core/rollout.py
@@ -13,6 +13,7 @@
     "LOAD_TIMEOUT_S",
     "RetryDelay",
     "Turn",
+    "WeightOrder",
     "choose_order",
     "choose_slot",
     "choose_turn",
@@ -128,3 +129,18 @@
         0.5
         """
         return min(LAST_RETRY_S, FIRST_RETRY_S * RETRY_GROWTH ** min(self.attempts, 16))
+
+
+@dataclass(frozen=True)
+class WeightOrder:
+    """
+    An order to an engine to take other weights.
+
+    :param holder: the process that gives it.
+    :param fence: grows with each new holder of the duty.
+    """
+
+    model: str
+    version: int
+    holder: str
+    fence: int
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -467,14 +467,15 @@
         request = context.waiting.request
         import_s = price = 0.0
         if source:
-            size = (cached - place.depth) * request.block_bytes
+            size = request.count_bytes(place.depth, cached)
             target = place.upstream.report.failure_domain
             import_s = self.links.estimate_transfer(source, target, size, context.now)
             price = self.links.price(source, target, size)
-        missing_tokens = request.prompt_tokens - cached * request.block_tokens
+        cached_tokens = request.count_tokens(cached)
+        missing_tokens = request.prompt_tokens - cached_tokens
         prefill_s = max(1, missing_tokens) / place.rate
         first_token_s = max(import_s, place.backlog_s) + prefill_s + place.slot_wait_s
-        again_tokens = (context.known_depth - cached) * request.block_tokens
+        again_tokens = request.count_tokens(context.known_depth) - cached_tokens
         weights = self.service.weights
         score = weights.first_token * (first_token_s + place.doubt_s)
         score += weights.recomputed * again_tokens / place.rate
@@ -503,7 +504,7 @@
         plan = None
         request = context.waiting.request
         if option.source:
-            size = (option.cached - option.depth) * request.block_bytes
+            size = request.count_bytes(option.depth, option.cached)
             target = option.upstream.report.failure_domain
             plan = ImportPlan(
                 option.source,
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -0,0 +1,237 @@
+"""The server that callers connect to: whole requests in, answers out as they come."""
+
+import json
+import logging
+from collections.abc import Awaitable, Callable
+
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.deployment import CallerLimits
+from persimmonferry_core.exceptions import FerryError, NotRun
+from persimmonferry_daemon.servers import describe_error
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+
+__all__ = ["CallerConnection", "CallerServer", "ReceivedRequest"]
+
+BACKLOG = 1024
+# Tornado closes without an answer above these, so its own bounds lie above the
+# configured ones, which are answered with a status.
+HARD_HEADER_BYTES = 256 * 1024
+HARD_BODY_BYTES = 64 * 1024 * 1024
+HARD_IDLE_TIMEOUT_S = 60.0
+MIN_RETRY_AFTER_S = 0.05
+
+_log = logging.getLogger(__name__)
+
+
+class ReceivedRequest:
+    """A request that was read whole."""
+
+    def __init__(
+        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+
+
+class CallerConnection:
+    """
+    The way back to a caller, for one request.
+
+    :param announce_close: whether answers tell that the connection closes.
+    """
+
+    def __init__(self, connection: HTTP1Connection, announce_close: bool) -> None:
+        self._connection = connection
+        self._announce_close = announce_close
+        self.is_closed = False
+        self.has_head = False
+        self._on_leave: Callable[[], None] | None = None
+        connection.set_close_callback(self._note_close)
+
+    def call_on_leave(self, callback: Callable[[], None]) -> None:
+        """Have a function called when the caller closes before the answer's end."""
+        self._on_leave = callback
+        if self.is_closed:
+            callback()
+
+    def send_head(
+        self, status: int, reason: str, headers: list[tuple[str, str]]
+    ) -> None:
+        """Send the head of an answer."""
+        if self.is_closed:
+            return
+        self.has_head = True
+        fields = HTTPHeaders()
+        for name, value in headers:
+            fields.add(name, value)
+        if self._announce_close:
+            fields["Connection"] = "close"
+        line = ResponseStartLine("HTTP/1.1", status, reason)
+        _ignore_closed(self._connection.write_headers(line, fields))
+
+    def send_piece(self, data: bytes) -> None:
+        """Send a piece of the body."""
+        if not self.is_closed and data:
+            _ignore_closed(self._connection.write(data))
+
+    def finish(self) -> None:
+        """End the answer as a whole one."""
+        self._on_leave = None
+        if not self.is_closed:
+            self._connection.finish()
+
+    def send_whole(
+        self, status: int, reason: str, headers: list[tuple[str, str]], body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        fields = [item for item in headers if item[0].lower() != "content-length"]
+        fields.append(("Content-Length", str(len(body))))
+        self.send_head(status, reason, fields)
+        self.send_piece(body)
+        self.finish()
+
+    def send_error(self, error: FerryError, reason: str = "") -> None:
+        """Answer with an error and, where it has one, the time to come back."""
+        headers = [("Content-Type", "application/json")]
+        if error.retry_after_s is not None:
+            after_s = max(MIN_RETRY_AFTER_S, error.retry_after_s)
+            headers.append(("Retry-After", f"{after_s:.3f}"))
+        body = json.dumps(describe_error(error)).encode()
+        status = error.code.http_status
+        self.send_whole(status, reason or error.code.name.title(), headers, body)
+
+    def abort(self) -> None:
+        """Close the connection, so that what was sent does not look complete."""
+        self._on_leave = None
+        self.is_closed = True
+        self._connection.close()
+
+    def _note_close(self) -> None:
+        self.is_closed = True
+        callback, self._on_leave = self._on_leave, None
+        if callback is not None:
+            callback()
+
+
+def _ignore_closed(future: Awaitable[None]) -> None:
+    # The close callback tells of it; the write itself needs no second report.
+    future.add_done_callback(_read_write_error)
+
+
+def _read_write_error(future: Awaitable[None]) -> None:
+    error = None if future.cancelled() else future.exception()
+    if error is not None and not isinstance(error, StreamClosedError):
+        _log.error("write to a caller failed", extra={"cause": repr(error)})
+
+
+class _Reader(HTTPMessageDelegate):
+    """Reads one request and refuses what is larger than allowed."""
+
+    def __init__(self, server: "CallerServer", connection: HTTP1Connection) -> None:
+        self._server = server
+        self._connection = connection
+        self._line: RequestStartLine | None = None
+        self._headers: list[tuple[str, str]] = []
+        self._pieces: list[bytes] = []
+        self._size = 0
+        self._is_refused = False
+
+    def headers_received(
+        self, start_line: RequestStartLine, headers: HTTPHeaders
+    ) -> None:
+        self._line = start_line
+        self._headers = list(headers.get_all())
+        limits = self._server.limits
+        if limits is None:
+            return
+        head_bytes = sum(len(name) + len(value) + 4 for name, value in self._headers)
+        if head_bytes + len(start_line.path) > limits.header_bytes:
+            self._refuse(ResultCode.HEAD_TOO_LARGE)
+            return
+        length = headers.get("Content-Length", "")
+        if length.isdecimal() and int(length) > limits.body_bytes:
+            self._refuse(ResultCode.BODY_TOO_LARGE)
+
+    def data_received(self, chunk: bytes) -> None:
+        limits = self._server.limits
+        self._size += len(chunk)
+        if self._is_refused:
+            return
+        if limits is not None and self._size > limits.body_bytes:
+            self._pieces.clear()
+            self._refuse(ResultCode.BODY_TOO_LARGE)
+            return
+        self._pieces.append(chunk)
+
+    def finish(self) -> None:
+        if self._is_refused:
+            return
+        request = ReceivedRequest(
+            self._line.method, self._line.path, self._headers, b"".join(self._pieces)
+        )
+        caller = CallerConnection(self._connection, self._server.is_stopping)
+        self._server.accept(request, caller)
+
+    def on_connection_close(self) -> None:
+        self._pieces.clear()
+
+    def _refuse(self, code: ResultCode) -> None:
+        self._is_refused = True
+        CallerConnection(self._connection, True).send_error(NotRun(code))
+
+
+class CallerServer(HTTPServerConnectionDelegate):
+    """
+    Reads callers' requests.
+
+    :param accept: called with each whole request and the way back.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        accept: Callable[[ReceivedRequest, CallerConnection], None],
+    ) -> None:
+        self.accept = accept
+        self.limits: CallerLimits | None = None
+        self.is_stopping = False
+        self._sockets = bind_sockets(port, host, backlog=BACKLOG)
+        self.port = self._sockets[0].getsockname()[1]
+        self._open: set[HTTP1Connection] = set()
+        self._server = HTTPServer(
+            self,
+            max_header_size=HARD_HEADER_BYTES,
+            max_body_size=HARD_BODY_BYTES,
+            idle_connection_timeout=HARD_IDLE_TIMEOUT_S,
+        )
+
+    def start(self) -> None:
+        """Begin to accept connections."""
+        self._server.add_sockets(self._sockets)
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTP1Connection
+    ) -> HTTPMessageDelegate:
+        """Return the reader of a connection's next request."""
+        return _Reader(self, request_conn)
+
+    def stop_accepting(self) -> None:
+        """Accept no more connections; those open go on."""
+        self._server.stop()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._server.close_all_connections()
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/duty.py
@@ -0,0 +1,161 @@
+"""A duty that one gateway at a time holds, by a lease and a fencing number."""
+
+import asyncio
+import logging
+import random
+import time
+from dataclasses import dataclass
+
+from persimmonferry_core.exceptions import (
+    LeaseEnded,
+    PlatformAnswerLost,
+    PlatformError,
+    SwapConflict,
+)
+
+from persimmonferry_gateway.interfaces import Registry
+
+__all__ = ["Duty", "Holding", "read_boot_clock"]
+
+# Renewals at a third of the lease leave time for two more tries.
+RENEWALS_PER_LEASE = 3
+# The holder stops before the registry can have given the duty to another one.
+SAFETY_SHARE = 0.25
+MAX_STAGGER_S = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+def read_boot_clock() -> float:
+    """Return seconds on a clock that goes on while the process is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@dataclass(frozen=True)
+class Holding:
+    """
+    The duty as its holder has it.
+
+    :param fence: greater than that of each earlier holder.
+    :param since_s: when it was acquired, on the boot clock.
+    :param until_s: when the holder must stop unless it renews.
+    """
+
+    lease: int
+    fence: int
+    since_s: float
+    until_s: float
+
+
+class Duty:
+    """
+    Acquires and keeps a duty.
+
+    :param key: in the registry; it exists while somebody holds the duty.
+    :param holder: name of this process.
+    """
+
+    def __init__(
+        self, registry: Registry, key: str, holder: str, lease_s: float
+    ) -> None:
+        self._registry = registry
+        self._key = key
+        self._holder = holder
+        self._lease_s = lease_s
+        self._holding: Holding | None = None
+        self._is_taken = True
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task | None = None
+
+    @property
+    def key(self) -> str:
+        """The key in the registry."""
+        return self._key
+
+    def find_holding(self, now: float) -> Holding | None:
+        """
+        Return the holding if it is still safe to act on it.
+
+        :param now: on the boot clock.
+        """
+        holding = self._holding
+        return holding if holding is not None and now < holding.until_s else None
+
+    def note_taken(self, is_taken: bool) -> None:
+        """Note whether the registry shows a holder."""
+        self._is_taken = is_taken
+        if not is_taken:
+            self._wake.set()
+
+    def resign(self) -> None:
+        """Act on the duty no more, as another holder has a higher number."""
+        self._holding = None
+
+    def start(self) -> None:
+        """Begin to ask for the duty whenever nobody holds it."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Give the duty back."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        holding, self._holding = self._holding, None
+        if holding is not None:
+            try:
+                await self._registry.end_lease(holding.lease)
+            except PlatformError as error:
+                _log.warning("duty not given back", extra={"cause": str(error)})
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                if self._holding is None:
+                    await self._acquire()
+                else:
+                    await self._renew()
+            except PlatformError as error:
+                _log.warning("duty call failed", extra={"cause": str(error)})
+            interval_s = self._lease_s / RENEWALS_PER_LEASE
+            await asyncio.sleep(interval_s)
+
+    async def _acquire(self) -> None:
+        if self._is_taken:
+            self._wake.clear()
+            await self._wake.wait()
+        await asyncio.sleep(random.uniform(0.0, MAX_STAGGER_S))
+        if self._is_taken:
+            return
+        asked_s = read_boot_clock()
+        lease = await self._registry.open_lease(self._lease_s)
+        try:
+            fence = await self._registry.write(
+                self._key, self._holder.encode(), 0, lease
+            )
+        except SwapConflict:
+            self._is_taken = True
+            await self._registry.end_lease(lease)
+            return
+        except (PlatformAnswerLost, LeaseEnded):
+            # The key may exist under this lease; its end removes both.
+            await self._registry.end_lease(lease)
+            raise
+        until_s = asked_s + self._lease_s * (1 - SAFETY_SHARE)
+        self._holding = Holding(lease, fence, read_boot_clock(), until_s)
+        self._is_taken = True
+        _log.info("duty acquired", extra={"key": self._key, "fence": fence})
+
+    async def _renew(self) -> None:
+        holding = self._holding
+        asked_s = read_boot_clock()
+        try:
+            await self._registry.keep_lease(holding.lease)
+        except LeaseEnded:
+            self._holding = None
+            _log.warning("duty lost", extra={"key": self._key, "fence": holding.fence})
+            return
+        until_s = asked_s + self._lease_s * (1 - SAFETY_SHARE)
+        if self._holding is holding:
+            self._holding = Holding(
+                holding.lease, holding.fence, holding.since_s, until_s
+            )
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -0,0 +1,47 @@
+"""Cuts a stream of server-sent events into whole events."""
+
+import re
+
+__all__ = ["EventCutter"]
+
+_EVENT_END = re.compile(rb"\r?\n\r?\n")
+_EVENT_ID = re.compile(rb"^id:\s*(\S+)\s*$", re.MULTILINE)
+
+
+class EventCutter:
+    """
+    Hands on whole events only, so that a stream that breaks off can be resumed.
+
+    >>> cutter = EventCutter()
+    >>> cutter.cut(b"id: 4\\ndata: a\\n\\nid: 5\\nda")
+    b'id: 4\\ndata: a\\n\\n'
+    >>> cutter.last_id
+    '4'
+    >>> cutter.cut(b"ta: b\\n\\n")
+    b'id: 5\\ndata: b\\n\\n'
+    """
+
+    def __init__(self) -> None:
+        self.last_id: str | None = None
+        self._rest = b""
+
+    def cut(self, data: bytes) -> bytes:
+        """Take bytes of the stream and return the events that are whole now."""
+        data = self._rest + data
+        end = 0
+        for match in _EVENT_END.finditer(data):
+            end = match.end()
+        events, self._rest = data[:end], data[end:]
+        ids = _EVENT_ID.findall(events)
+        if ids:
+            self.last_id = ids[-1].decode("latin-1")
+        return events
+
+    def take_rest(self) -> bytes:
+        """Return what follows the last whole event, at the end of the stream."""
+        rest, self._rest = self._rest, b""
+        return rest
+
+    def drop_rest(self) -> None:
+        """Forget the part of an event that a broken stream began."""
+        self._rest = b""
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/exchange.py
@@ -0,0 +1,206 @@
+"""Exchanges with upstreams whose answers are handed on while they arrive."""
+
+import asyncio
+import socket
+from collections import deque
+
+import pycurl
+from persimmonferry_adapters.exchange import Loss, Request, Reuse, fetch
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+__all__ = ["AnswerLines", "CancellableClient", "Exchange"]
+
+# A peer that acknowledges nothing for this long is gone. Longer than two
+# retransmissions on a link that loses packets, shorter than a caller's patience.
+UNACKNOWLEDGED_TIMEOUT_MS = 1000
+MAX_HEAD_BYTES = 64 * 1024
+
+
+class CancellableClient(CurlAsyncHTTPClient):
+    """Tornado's client, with transfers that can be broken off from outside."""
+
+    def cancel(self, curl: pycurl.Curl) -> None:
+        """Break off a transfer; libcurl closes its connection."""
+        if curl in self._free_list:
+            return
+        self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
+
+
+class AnswerLines:
+    """
+    Collects the header lines of an answer; each interim answer starts them anew.
+
+    >>> lines = AnswerLines()
+    >>> for line in (b"HTTP/1.1 200 OK", b"A: 1", b""):
+    ...     lines.feed(line)
+    >>> lines.status, lines.reason, lines.fields, lines.is_whole
+    (200, 'OK', [('A', '1')], True)
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.reason = ""
+        self.fields: list[tuple[str, str]] = []
+        self.is_whole = False
+        self._size = 0
+
+    def feed(self, line: bytes) -> None:
+        """
+        Take one line.
+
+        :raises ValueError: it is no line of a head, or the head is too long.
+        """
+        self._size += len(line)
+        if self._size > MAX_HEAD_BYTES:
+            raise ValueError("the head is too long")
+        text = line.decode("latin-1").rstrip("\r\n")
+        if text.startswith("HTTP/"):
+            _, _, rest = text.partition(" ")
+            code, _, self.reason = rest.partition(" ")
+            self.status = int(code)
+            self.fields = []
+            self.is_whole = False
+        elif text:
+            name, colon, value = text.partition(":")
+            if not colon:
+                raise ValueError("a header line without a colon")
+            self.fields.append((name, value.strip()))
+        else:
+            self.is_whole = self.status >= 200
+
+
+class Exchange:
+    """
+    One call to an upstream.
+
+    :param reuse: whether it may travel on an open connection.
+    :param idle_s: open connections that were idle for longer are not used.
+    """
+
+    def __init__(
+        self,
+        client: CancellableClient,
+        address: str,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        reuse: Reuse,
+        idle_s: float,
+        timeout_s: float,
+    ) -> None:
+        self.lines = AnswerLines()
+        self.loss: Loss | None = None
+        self._client = client
+        self._target = target
+        self._headers = [f"{name}: {value}" for name, value in headers]
+        self._idle_s = max(1, int(idle_s))
+        self._curl: pycurl.Curl | None = None
+        self._pieces: deque[bytes] = deque()
+        self._is_over = False
+        self._is_cancelled = False
+        self._news = asyncio.Event()
+        has_body = bool(body) or method in ("POST", "PUT", "PATCH")
+        self._request = Request(
+            f"http://{address}/",
+            method=method,
+            body=body if has_body else None,
+            reuse=reuse,
+            timeout_s=timeout_s,
+        )
+        self._request.http.prepare_curl_callback = self._prepare
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether a byte of the call may have reached the upstream."""
+        return self._request.sent
+
+    async def wait_for_head(self) -> bool:
+        """Return whether the head of the answer came whole."""
+        while not self.lines.is_whole and not self._is_over:
+            self._news.clear()
+            await self._news.wait()
+        return self.lines.is_whole
+
+    async def read_piece(self) -> bytes | None:
+        """Return what came of the body since the last call, None at its end."""
+        while not self._pieces:
+            if self._is_over:
+                return None
+            self._news.clear()
+            await self._news.wait()
+        data = b"".join(self._pieces)
+        self._pieces.clear()
+        return data
+
+    async def read_body(self) -> bytes:
+        """Return the rest of the body; ``loss`` tells whether it is whole."""
+        pieces = []
+        while (piece := await self.read_piece()) is not None:
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def cancel(self) -> None:
+        """Break the exchange off, so that the upstream stops its work."""
+        if self._is_over or self._is_cancelled:
+            return
+        self._is_cancelled = True
+        self._request.abandon()
+        if self._curl is not None:
+            self._client.cancel(self._curl)
+
+    async def _run(self) -> None:
+        result = await fetch(self._client, self._request)
+        self._curl = None
+        if isinstance(result, Loss):
+            self.loss = result
+        elif not self.lines.is_whole:
+            self.loss = Loss.TRUNCATED
+        self._is_over = True
+        self._news.set()
+
+    def _prepare(self, curl: pycurl.Curl) -> None:
+        self._curl = curl
+        self._request.prepare(curl)
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        curl.setopt(pycurl.REQUEST_TARGET, self._target)
+        # An empty value keeps libcurl from adding headers of its own.
+        own = ["User-Agent:", "Accept:", "Expect:", "Pragma:"]
+        if not any(line.lower().startswith("content-type:") for line in self._headers):
+            own.append("Content-Type:")
+        if any(line.lower().startswith("accept:") for line in self._headers):
+            own.remove("Accept:")
+        if any(line.lower().startswith("user-agent:") for line in self._headers):
+            own.remove("User-Agent:")
+        lines = [line.encode("latin-1") for line in (*own, *self._headers)]
+        curl.setopt(pycurl.HTTPHEADER, lines)
+        curl.setopt(pycurl.MAXAGE_CONN, self._idle_s)
+        curl.setopt(pycurl.HEADERFUNCTION, self._read_line)
+        curl.setopt(pycurl.WRITEFUNCTION, self._read_data)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, _set_socket_options)
+
+    def _read_line(self, line: bytes) -> int:
+        try:
+            self.lines.feed(line)
+        except ValueError:
+            return 0
+        if self.lines.is_whole:
+            self._news.set()
+        return len(line)
+
+    def _read_data(self, data: bytes) -> int:
+        self._pieces.append(data)
+        self._news.set()
+        return len(data)
+
+
+def _set_socket_options(descriptor: int, _purpose: int) -> int:
+    opened = socket.socket(fileno=descriptor)
+    try:
+        opened.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
+        )
+    finally:
+        opened.detach()
+    return pycurl.SOCKOPT_OK
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -0,0 +1,252 @@
+"""The gateway process: it owns its parts and passes news between them."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.contracts import TeamDocument
+from persimmonferry_core.deployment import CallRoute
+from persimmonferry_core.dispatch import Dispatcher
+from persimmonferry_core.exceptions import FerryError, NotRun
+from persimmonferry_core.retries import RetryPolicy
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from persimmonferry_gateway.callers import (
+    CallerConnection,
+    CallerServer,
+    ReceivedRequest,
+)
+from persimmonferry_gateway.duty import Duty
+from persimmonferry_gateway.exchange import CancellableClient
+from persimmonferry_gateway.interfaces import Changes, Dialect, Registry, Snapshot
+from persimmonferry_gateway.mirror import Mirror
+from persimmonferry_gateway.roster import Roster
+from persimmonferry_gateway.settings import GatewaySettings
+from persimmonferry_gateway.weights import WeightRollout
+from persimmonferry_gateway.work import (
+    NO_CONFIGURATION_RETRY_S,
+    CallWork,
+    ModelWork,
+    PlainWork,
+    WorkTools,
+)
+
+__all__ = ["Gateway"]
+
+OWN_PREFIX = "persimmonferry/"
+ROLLOUT_KEY = OWN_PREFIX + "rollout"
+GATEWAY_PREFIX = OWN_PREFIX + "gateways/"
+MAINTENANCE_INTERVAL_S = 0.1
+# The balancer asks each second and takes a process out after two misses.
+NOTICE_S = 2.5
+# The last answers are given up this long before the process is killed.
+KILL_MARGIN_S = 0.5
+# A gateway's part of the repeats that all may make: the others may be busier.
+RETRY_MARGIN = 0.5
+MAX_ATTEMPTS = 3
+
+_log = logging.getLogger(__name__)
+
+
+class Gateway:
+    """
+    One gateway process.
+
+    :param registry: the platform's store.
+    :param dialect: how the platform spells calls and entries.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        registry: Registry,
+        dialect: Dialect,
+        client: CancellableClient,
+    ) -> None:
+        self._settings = settings
+        self._dialect = dialect
+        self._loop = asyncio.get_running_loop()
+        self._dispatcher = Dispatcher(
+            TeamDocument("", 0, (), (), (), ()),
+            seed=random.getrandbits(32),
+            entry=settings.name,
+        )
+        self._roster = Roster(dialect, self._dispatcher)
+        self._tools = WorkTools(
+            dialect,
+            self._roster,
+            self._dispatcher,
+            client,
+            self._loop.time,
+            self._place,
+        )
+        self._mirror = Mirror(
+            registry, self._apply_snapshot, self._apply_changes, self._note_contact
+        )
+        self._duty = Duty(registry, ROLLOUT_KEY, settings.name, settings.lease_s)
+        self._rollout = WeightRollout(
+            self._duty, self._roster, dialect, client, settings
+        )
+        self._server = CallerServer(
+            settings.callers.host, settings.callers.port, self._accept
+        )
+        self._readiness = HTTPServer(
+            Application([(r"/.*", _Readiness, {"check": self._is_ready})])
+        )
+        self._tasks: set[asyncio.Task] = set()
+        self._timers: list[asyncio.TimerHandle] = []
+        self._number = 0
+        self._is_stopping = False
+        self._placing: asyncio.TimerHandle | None = None
+        self._set_retry_policy(1)
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        self._server.start()
+        ready = self._settings.readiness
+        self._readiness.add_sockets(bind_sockets(ready.port, ready.host))
+        self._mirror.start()
+        self._duty.start()
+        self._rollout.start()
+        self._maintain()
+
+    async def stop(self) -> None:
+        """Take no more callers, end what is under way, and close."""
+        self._is_stopping = True
+        self._server.is_stopping = True
+        began_s = self._loop.time()
+        await self._rollout.stop()
+        await self._duty.stop()
+        await asyncio.sleep(NOTICE_S)
+        self._server.stop_accepting()
+        left_s = self._settings.grace_s - KILL_MARGIN_S
+        while self._tasks and self._loop.time() < began_s + left_s:
+            await asyncio.wait(
+                self._tasks, timeout=max(0.0, began_s + left_s - self._loop.time())
+            )
+        await self._mirror.stop()
+        await self._server.close()
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._is_stopping
+            and self._roster.deployment is not None
+            and bool(self._roster.fleet.records)
+        )
+
+    def _accept(self, request: ReceivedRequest, caller: CallerConnection) -> None:
+        try:
+            work = self._open_work(request, caller)
+        except FerryError as error:
+            caller.send_error(error)
+            return
+        task = asyncio.create_task(work.run())
+        self._tasks.add(task)
+        caller.call_on_leave(task.cancel)
+        task.add_done_callback(self._tasks.discard)
+
+    def _open_work(
+        self, request: ReceivedRequest, caller: CallerConnection
+    ) -> CallWork:
+        """
+        Find the route and the account of a request.
+
+        :raises NotRun: it may not pass.
+        """
+        call = self._dialect.decode_call(
+            request.method, request.target, request.headers, request.body
+        )
+        deployment = self._roster.deployment
+        if deployment is None:
+            raise NotRun(ResultCode.NO_CONFIGURATION, "", NO_CONFIGURATION_RETRY_S)
+        route = deployment.find_route(call.host, call.path)
+        if route is None:
+            raise NotRun(ResultCode.UNKNOWN_ROUTE)
+        account = None
+        if route.needs_key and deployment.accounts:
+            account = deployment.find_account(call.key or "")
+            if account is None:
+                raise NotRun(ResultCode.INVALID_KEY)
+        self._number += 1
+        kind = PlainWork
+        if call.prompt is not None and self._is_model_route(route):
+            kind = ModelWork
+        return kind(self._tools, self._number, call, route, account, caller)
+
+    def _is_model_route(self, route: CallRoute) -> bool:
+        service = self._roster.deployment.find_service(route.targets[0].service)
+        return service is not None and service.engine is not None
+
+    def _place(self) -> None:
+        """Start what can start now, and come back while anything waits."""
+        now = self._loop.time()
+        for refusal in self._dispatcher.expire(now):
+            self._resolve(refusal.request_id, refusal)
+        for assignment in self._dispatcher.assign(now):
+            self._resolve(assignment.request.request_id, assignment)
+        if self._placing is not None:
+            self._placing.cancel()
+            self._placing = None
+        next_s = self._dispatcher.next_event(now)
+        if next_s is not None:
+            self._placing = self._loop.call_at(next_s, self._place)
+
+    def _resolve(self, request_id: str, answer: object) -> None:
+        future = self._tools.waiting.get(request_id)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    def _apply_snapshot(self, snapshot: Snapshot) -> None:
+        self._roster.apply_snapshot(snapshot, self._loop.time())
+        keys = {item.key for item in snapshot.items}
+        self._duty.note_taken(ROLLOUT_KEY in keys)
+        self._after_news()
+
+    def _apply_changes(self, changes: Changes) -> None:
+        self._roster.apply_changes(changes, self._loop.time())
+        for item in changes.items:
+            if item.key == ROLLOUT_KEY:
+                self._duty.note_taken(item.value is not None)
+        self._after_news()
+
+    def _after_news(self) -> None:
+        deployment = self._roster.deployment
+        self._server.limits = deployment.limits if deployment else None
+        self._rollout.wake()
+        self._place()
+
+    def _note_contact(self, is_there: bool) -> None:
+        if is_there:
+            self._roster.fleet.regain_registry(self._loop.time())
+        else:
+            self._roster.fleet.lose_registry()
+
+    def _maintain(self) -> None:
+        self._roster.expire(self._loop.time())
+        self._loop.call_later(MAINTENANCE_INTERVAL_S, self._maintain)
+
+    def _set_retry_policy(self, gateways: int) -> None:
+        settings = self._settings
+        share = RETRY_MARGIN * settings.retry_share
+        floor = int(RETRY_MARGIN * settings.retry_floor / max(1, gateways))
+        policy = RetryPolicy(
+            share=share,
+            floor=floor,
+            window_s=settings.retry_window_s,
+            attempts=MAX_ATTEMPTS,
+            counts_refusals=True,
+        )
+        self._dispatcher.set_retry_policy(policy)
+
+
+class _Readiness(RequestHandler):
+    def initialize(self, check: Callable[[], bool]) -> None:
+        self._check = check
+
+    def get(self) -> None:
+        self.set_status(200 if self._check() else 503)
+        self.finish()
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -0,0 +1,231 @@
+"""Interfaces to the platform, which an adapter implements."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from persimmonferry_core.deployment import Deployment, UpstreamRecord
+from persimmonferry_core.incoming import IncomingCall
+from persimmonferry_core.rollout import WeightOrder
+
+__all__ = [
+    "AnswerHead",
+    "Changes",
+    "Dialect",
+    "Item",
+    "OrderOutcome",
+    "Registry",
+    "Snapshot",
+    "UpstreamCall",
+    "UpstreamLoad",
+]
+
+
+@dataclass(frozen=True)
+class Item:
+    """
+    An item of the registry.
+
+    :param value: None when the item was removed.
+    :param revision: of its last change.
+    """
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """All items under a prefix, complete up to a revision."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+@dataclass(frozen=True)
+class Changes:
+    """What changed under a prefix up to a revision, in order."""
+
+    items: tuple[Item, ...]
+    revision: int
+
+
+class Registry(Protocol):
+    """The platform's key-value store; every method is one call or one a page."""
+
+    async def list_items(self, prefix: str) -> Snapshot:
+        """
+        Return all items under a prefix, as of now or later.
+
+        :raises PlatformUnavailable: no answer.
+        """
+
+    async def watch(self, prefix: str, after: int, wait_s: float) -> Changes:
+        """
+        Return what changed after a revision, as soon as there is something.
+
+        :raises HistoryLost: changes since then are not known any more.
+        :raises PlatformUnavailable: no answer.
+        """
+
+    async def write(self, key: str, value: bytes, expected: int, lease: int) -> int:
+        """
+        Write a value if the key has the expected revision, and return the new one.
+
+        :param expected: 0 when the key must not exist.
+        :param lease: at whose end the key is removed, 0 for none.
+        :raises SwapConflict: it has another revision.
+        :raises LeaseEnded: there is no such lease.
+        :raises PlatformUnavailable: the write provably took no effect.
+        :raises PlatformAnswerLost: the write may have taken effect.
+        """
+
+    async def open_lease(self, ttl_s: float) -> int:
+        """
+        Return a new lease.
+
+        :raises PlatformUnavailable: no answer.
+        """
+
+    async def keep_lease(self, lease: int) -> None:
+        """
+        Renew a lease; it counts from the arrival of the call.
+
+        :raises LeaseEnded: there is no such lease.
+        :raises PlatformUnavailable: no answer.
+        """
+
+    async def end_lease(self, lease: int) -> None:
+        """
+        End a lease; its keys are removed.
+
+        :raises PlatformUnavailable: no answer.
+        """
+
+
+@dataclass(frozen=True)
+class UpstreamCall:
+    """
+    What an entry adds to a call that it sends to an upstream.
+
+    :param upstream: name of the upstream; another one at its address refuses the call.
+    :param budget_s: time that is left.
+    :param version: of the weights, None for a plain service; an upstream with another
+        version refuses the call.
+    :param cache_scope: cached parts are found only under the same text.
+    :param rank: urgency at the engine, 0 is the most urgent.
+    :param resumes_after: last event that was delivered, or None.
+    """
+
+    upstream: str
+    budget_s: float
+    account: str | None = None
+    version: int | None = None
+    cache_scope: str | None = None
+    rank: int | None = None
+    resumes_after: str | None = None
+    fetch_from: str | None = None
+    save_to: str | None = None
+
+
+@dataclass(frozen=True)
+class UpstreamLoad:
+    """Load that an upstream tells with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(frozen=True)
+class AnswerHead:
+    """
+    The head of an upstream's answer.
+
+    :param headers: that go on to the caller.
+    :param call_id: the id of the call that it answers, None when it names none.
+    :param did_not_run: whether the upstream states that it did not run the call.
+    :param is_genuine: whether it bears the mark of an upstream that ran the call.
+    :param version: of the weights that it began on.
+    :param idle_s: for which the upstream keeps the idle connection, None if not told.
+    """
+
+    status: int
+    reason: str
+    headers: tuple[tuple[str, str], ...]
+    call_id: str | None
+    did_not_run: bool
+    is_genuine: bool
+    load: UpstreamLoad | None = None
+    version: int | None = None
+    idle_s: float | None = None
+
+
+@dataclass(frozen=True)
+class OrderOutcome:
+    """
+    What came of an order to an engine.
+
+    :param is_accepted: whether it is or was carried out; None when not known.
+    :param is_fenced_off: whether a later holder has given orders already.
+    """
+
+    is_accepted: bool | None
+    is_fenced_off: bool = False
+
+
+class Dialect(Protocol):
+    """How calls, orders and registry entries are spelled on the platform."""
+
+    configuration_key: str
+    upstream_prefix: str
+    weights_prefix: str
+
+    def decode_deployment(self, body: bytes) -> Deployment:
+        """
+        Read the operators' configuration.
+
+        :raises ValueError: it can't be read.
+        """
+
+    def decode_upstream(self, name: str, body: bytes) -> UpstreamRecord:
+        """
+        Read an upstream's entry.
+
+        :raises ValueError: it names no upstream to use.
+        """
+
+    def decode_weights(self, body: bytes) -> tuple[str, int]:
+        """
+        Read a model and the version of its weights that operators want.
+
+        :raises ValueError: it can't be read.
+        """
+
+    def decode_call(
+        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
+    ) -> IncomingCall:
+        """
+        Read a caller's call.
+
+        :raises FerryError: it is malformed.
+        """
+
+    def encode_call(
+        self, call: IncomingCall, addition: UpstreamCall
+    ) -> list[tuple[str, str]]:
+        """Return the headers of a call to an upstream."""
+
+    def decode_answer(
+        self, status: int, reason: str, headers: list[tuple[str, str]]
+    ) -> AnswerHead:
+        """Read the head of an upstream's answer."""
+
+    def name_upstream(self, upstream: str) -> list[tuple[str, str]]:
+        """Return the headers by which any other upstream refuses an order."""
+
+    def encode_order(self, order: WeightOrder) -> tuple[str, str, bytes]:
+        """Return the path, the content type and the body of an order to an engine."""
+
+    def decode_order_outcome(self, status: int) -> OrderOutcome:
+        """Read the answer to an order."""
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/mirror.py
@@ -0,0 +1,99 @@
+"""A copy of the registry that follows it: one list, then one watch after the other."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from persimmonferry_core.exceptions import HistoryLost, PlatformError
+
+from persimmonferry_gateway.interfaces import Changes, Registry, Snapshot
+
+__all__ = ["Mirror"]
+
+# Upstreams register every second or so, so a watch that hears nothing for this long
+# is renewed: its connection may be silent for good.
+WATCH_WAIT_S = 1.5
+# Heartbeats would answer each watch at once; the pause gathers them in one call.
+WATCH_PAUSE_S = 0.25
+MIN_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 0.8
+EVERYTHING = ""
+
+_log = logging.getLogger(__name__)
+
+
+class Mirror:
+    """
+    Follows all items of the registry.
+
+    :param apply_snapshot: takes over all items; those not in it are gone.
+    :param apply_changes: takes over what changed since.
+    :param note_contact: told whether the registry answers, when that changes.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        apply_snapshot: Callable[[Snapshot], None],
+        apply_changes: Callable[[Changes], None],
+        note_contact: Callable[[bool], None],
+    ) -> None:
+        self._registry = registry
+        self._apply_snapshot = apply_snapshot
+        self._apply_changes = apply_changes
+        self._note_contact = note_contact
+        self._revision: int | None = None
+        self._failures = 0
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """End, also in the middle of a call."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._step()
+            except HistoryLost as error:
+                _log.warning("registry history lost", extra={"cause": str(error)})
+                self._revision = None
+            except PlatformError as error:
+                await self._back_off(error)
+            except Exception:
+                _log.exception("registry answer could not be taken over")
+                self._revision = None
+                await asyncio.sleep(MAX_BACKOFF_S)
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            snapshot = await self._registry.list_items(EVERYTHING)
+            self._regain()
+            self._apply_snapshot(snapshot)
+            self._revision = snapshot.revision
+            return
+        changes = await self._registry.watch(EVERYTHING, self._revision, WATCH_WAIT_S)
+        self._regain()
+        self._apply_changes(changes)
+        self._revision = max(self._revision, changes.revision)
+        await asyncio.sleep(WATCH_PAUSE_S)
+
+    def _regain(self) -> None:
+        if self._failures:
+            _log.warning("registry regained", extra={"failures": self._failures})
+            self._note_contact(True)
+        self._failures = 0
+
+    async def _back_off(self, error: PlatformError) -> None:
+        self._failures += 1
+        if self._failures == 1:
+            _log.warning("registry lost", extra={"cause": str(error)})
+            self._note_contact(False)
+        ceiling = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**self._failures)
+        await asyncio.sleep(random.uniform(MIN_BACKOFF_S, ceiling))
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/process.py
@@ -0,0 +1,55 @@
+"""Runs a gateway as a process, until a signal asks for a stop."""
+
+import asyncio
+import gc
+import logging
+import signal
+from collections.abc import Callable
+
+from persimmonferry_daemon.logs import set_up_logs
+
+from persimmonferry_gateway.exchange import CancellableClient
+from persimmonferry_gateway.gateway import Gateway
+from persimmonferry_gateway.settings import GatewaySettings
+
+__all__ = ["run_gateway"]
+
+MAX_CONNECTIONS = 512
+GC_THRESHOLD_OBJECTS = 20_000
+
+_log = logging.getLogger(__name__)
+
+
+def run_gateway(
+    settings: GatewaySettings, build: Callable[[CancellableClient], Gateway]
+) -> None:
+    """Run one gateway process."""
+    set_up_logs(settings.name, "INFO")
+    asyncio.run(_serve(settings, build))
+
+
+async def _serve(
+    settings: GatewaySettings, build: Callable[[CancellableClient], Gateway]
+) -> None:
+    stop_asked = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # A second signal changes nothing: a stop under way must cut no request.
+        loop.add_signal_handler(number, stop_asked.set)
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    client = CancellableClient(force_instance=True, max_clients=MAX_CONNECTIONS)
+    gateway = build(client)
+    await gateway.start()
+    # What lives as long as the process is left out of garbage collections.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD_OBJECTS)
+    _log.info("started", extra={"callers": str(settings.callers)})
+    await stop_asked.wait()
+    _log.info("stopping")
+    await gateway.stop()
+    _log.info("stopped")
+
+
+def _note_reload() -> None:
+    _log.info("settings reloaded", extra={"changed": False})
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/roster.py
@@ -0,0 +1,193 @@
+"""What a gateway knows from the registry and from answers, and whom it tells."""
+
+import logging
+
+from persimmonferry_core.deployment import Deployment, UpstreamRecord
+from persimmonferry_core.dispatch import Dispatcher
+
+from persimmonferry_gateway.fleet import Fleet
+from persimmonferry_gateway.interfaces import (
+    Changes,
+    Dialect,
+    Item,
+    Snapshot,
+    UpstreamLoad,
+)
+from persimmonferry_gateway.team import make_document, make_report
+
+__all__ = ["Roster"]
+
+_log = logging.getLogger(__name__)
+
+
+class Roster:
+    """
+    The configuration in force, the wanted weights and the upstreams.
+
+    :param dispatcher: told of each change.
+    """
+
+    def __init__(self, dialect: Dialect, dispatcher: Dispatcher) -> None:
+        self.deployment: Deployment | None = None
+        self.weights: dict[str, int] = {}
+        self.fleet = Fleet()
+        self._dialect = dialect
+        self._dispatcher = dispatcher
+        self._loads: dict[str, UpstreamLoad] = {}
+        self._versions: dict[str, int] = {}
+        self._malformed: set[str] = set()
+        self._sequence = 0
+
+    def find_record(self, upstream: str) -> UpstreamRecord | None:
+        """Return an upstream's entry, or None."""
+        return self.fleet.records.get(upstream)
+
+    def find_version(self, upstream: str) -> int | None:
+        """Return the version of the weights that an upstream is known to hold."""
+        return self._versions.get(upstream)
+
+    def list_engines(self, model: str) -> tuple[UpstreamRecord, ...]:
+        """Return the upstreams that hold a model."""
+        records = self.fleet.records.values()
+        return tuple(item for item in records if item.find_version(model) is not None)
+
+    def apply_snapshot(self, snapshot: Snapshot, now: float) -> None:
+        """Take over all items of the registry."""
+        prefix = self._dialect.upstream_prefix
+        items = [item for item in snapshot.items if item.key.startswith(prefix)]
+        self.fleet.keep_only(
+            frozenset(item.key.removeprefix(prefix) for item in items), now
+        )
+        self._apply(snapshot.items, now)
+
+    def apply_changes(self, changes: Changes, now: float) -> None:
+        """Take over changed items of the registry."""
+        self._apply(changes.items, now)
+
+    def note_load(
+        self, upstream: str, load: UpstreamLoad | None, version: int | None, now: float
+    ) -> None:
+        """Take over what an answer told of its upstream."""
+        record = self.find_record(upstream)
+        if record is None:
+            return
+        if load is not None:
+            self._loads[upstream] = load
+        if version is not None:
+            self._versions[upstream] = version
+        if load is not None or version is not None:
+            self._report(record, now)
+
+    def expire(self, now: float) -> None:
+        """Forget the upstreams whose entries did not come back after an outage."""
+        for name in self.fleet.expire(now):
+            _log.warning("upstream gone", extra={"upstream": name})
+            self._forget(name)
+
+    def _apply(self, items: tuple[Item, ...], now: float) -> None:
+        dialect = self._dialect
+        for item in items:
+            if item.key == dialect.configuration_key:
+                self._take_configuration(item, now)
+            elif item.key.startswith(dialect.weights_prefix):
+                self._take_weights(item, now)
+            elif item.key.startswith(dialect.upstream_prefix):
+                self._take_upstream(item, now)
+
+    def _take_configuration(self, item: Item, now: float) -> None:
+        if item.value is None:
+            _log.error("configuration removed; the last one stays in force")
+            return
+        try:
+            deployment = self._dialect.decode_deployment(item.value)
+        except ValueError as error:
+            cause = {"revision": item.revision, "cause": str(error)}
+            _log.error("configuration can't be read", extra=cause)
+            return
+        if self.deployment and deployment.version < self.deployment.version:
+            return
+        self.deployment = deployment
+        self._configure(now)
+        _log.info(
+            "configuration in force",
+            extra={"version": deployment.version, "revision": item.revision},
+        )
+        for record in self.fleet.records.values():
+            self._report(record, now)
+
+    def _take_weights(self, item: Item, now: float) -> None:
+        if item.value is None:
+            return
+        try:
+            model, version = self._dialect.decode_weights(item.value)
+        except ValueError as error:
+            _log.error(
+                "wanted weights can't be read",
+                extra={"key": item.key, "cause": str(error)},
+            )
+            return
+        if version > self.weights.get(model, 0):
+            self.weights[model] = version
+            self._configure(now)
+            _log.info("weights wanted", extra={"model": model, "version": version})
+
+    def _take_upstream(self, item: Item, now: float) -> None:
+        name = item.key.removeprefix(self._dialect.upstream_prefix)
+        if item.value is None:
+            self._remove(name, now)
+            return
+        try:
+            record = self._dialect.decode_upstream(name, item.value)
+        except ValueError as error:
+            if item.key not in self._malformed:
+                self._malformed.add(item.key)
+                cause = {"key": item.key, "cause": str(error)}
+                _log.warning("upstream entry can't be read", extra=cause)
+            self._remove(name, now)
+            return
+        former = self.find_record(name)
+        self.fleet.put(record)
+        if former == record:
+            return
+        if former is None or former.incarnation != record.incarnation:
+            self._loads.pop(name, None)
+            self._versions.pop(name, None)
+        if former is None or former.weights != record.weights:
+            self._note_registered_version(record)
+        if former is not None and former.is_leaving != record.is_leaving:
+            _log.info("upstream leaving", extra={"upstream": name})
+        self._report(record, now)
+
+    def _note_registered_version(self, record: UpstreamRecord) -> None:
+        known = self._versions.get(record.name)
+        versions = [version for _, version in record.weights]
+        # An answer may have told of newer weights than the entry, which is older.
+        if versions and (known is None or versions[0] > known):
+            self._versions[record.name] = versions[0]
+
+    def _remove(self, name: str, now: float) -> None:
+        self.fleet.remove(name, now)
+        if self.find_record(name) is None:
+            self._forget(name)
+
+    def _forget(self, name: str) -> None:
+        self._loads.pop(name, None)
+        self._versions.pop(name, None)
+        self._dispatcher.remove(name)
+
+    def _configure(self, now: float) -> None:
+        if self.deployment is not None:
+            document = make_document(self.deployment, self.weights)
+            self._dispatcher.configure(document, now)
+
+    def _report(self, record: UpstreamRecord, now: float) -> None:
+        if self.deployment is None:
+            return
+        service = self.deployment.find_service(record.service)
+        if service is None:
+            return
+        self._sequence += 1
+        name = record.name
+        load, version = self._loads.get(name), self._versions.get(name)
+        report = make_report(record, service, load, version, self._sequence)
+        self._dispatcher.report(report, now)
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/settings.py
@@ -0,0 +1,48 @@
+"""Settings of a gateway process."""
+
+from dataclasses import dataclass
+
+from persimmonferry_core.world import Address
+
+__all__ = ["GatewaySettings", "RegistryRates"]
+
+
+@dataclass(frozen=True)
+class RegistryRates:
+    """Calls a second that the registry takes from all processes together."""
+
+    writes_per_s: int
+    reads_per_s: int
+
+
+@dataclass(frozen=True)
+class GatewaySettings:
+    """
+    What a gateway learns before it starts.
+
+    :param callers: address that callers connect to.
+    :param readiness: address that the balancer asks.
+    :param metrics: address of metrics; port 0 for any.
+    :param lease_s: for which a holder of a duty keeps it without a renewal.
+    :param grace_s: from the stop signal to the kill.
+    :param drain_s: after which a leaving upstream gets no more calls.
+    :param heartbeat_s: interval in which upstreams register anew.
+    :param retry_share: repeats of all gateways, as a share of a service's calls.
+    :param retry_window_s: in which repeats are counted.
+    :param retry_floor: repeats that all gateways may make besides in a window.
+    """
+
+    name: str
+    failure_domain: str
+    callers: Address
+    readiness: Address
+    registry: Address
+    registry_rates: RegistryRates
+    metrics: Address
+    lease_s: float
+    grace_s: float
+    drain_s: float
+    heartbeat_s: float
+    retry_share: float
+    retry_window_s: float
+    retry_floor: int
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/team.py
@@ -0,0 +1,107 @@
+"""The operators' configuration as the dispatcher takes it."""
+
+from persimmonferry_core.contracts import (
+    ClientAccount,
+    Service,
+    ServiceKind,
+    TeamDocument,
+    Tier,
+)
+from persimmonferry_core.deployment import (
+    CallRoute,
+    Deployment,
+    UpstreamRecord,
+    UpstreamService,
+)
+from persimmonferry_core.upstreams import UpstreamReport
+
+from persimmonferry_gateway.interfaces import UpstreamLoad
+
+__all__ = ["make_document", "make_report", "name_tier"]
+
+# Rates of an engine before any was measured; estimates compare engines, so only their
+# ratio to each other matters until then.
+ASSUMED_PREFILL_TOKENS_PER_S = 60_000.0
+ASSUMED_DECODE_TOKENS_PER_S = 120.0
+
+
+def name_tier(route: CallRoute, rank: int) -> str:
+    """
+    Return the tier of a route's calls.
+
+    :param rank: the account's, where it has one of its own.
+    """
+    return f"{rank}/{route.objective_s:g}"
+
+
+def make_document(deployment: Deployment, weights: dict[str, int]) -> TeamDocument:
+    """
+    Return the document of a configuration.
+
+    :param weights: wanted version of each model.
+    """
+    ranks = {route.rank for route in deployment.routes}
+    ranks |= {item.rank for item in deployment.accounts if item.rank is not None}
+    names = {
+        name_tier(route, rank): route.objective_s
+        for route in deployment.routes
+        for rank in ranks
+    }
+    return TeamDocument(
+        team="",
+        revision=deployment.version,
+        services=tuple(
+            _make_service(service, weights) for service in deployment.services
+        ),
+        tiers=tuple(Tier(name, wait_s, 0.0, 0.0) for name, wait_s in names.items()),
+        accounts=tuple(
+            ClientAccount(item.name, (), "", 1.0, ()) for item in deployment.accounts
+        ),
+        operators=(),
+    )
+
+
+def _make_service(service: UpstreamService, weights: dict[str, int]) -> Service:
+    if service.engine is None:
+        return Service(service.name, ServiceKind.PLAIN)
+    model = service.engine.models[0] if service.engine.models else ""
+    version = str(weights.get(model, ""))
+    return Service(
+        service.name,
+        ServiceKind.MODEL,
+        model=model,
+        version=version,
+        slots_per_upstream=service.engine.slots,
+    )
+
+
+def make_report(
+    record: UpstreamRecord,
+    service: UpstreamService,
+    load: UpstreamLoad | None,
+    version: int | None,
+    sequence: int,
+) -> UpstreamReport:
+    """
+    Return what is known of an upstream as the dispatcher takes it.
+
+    :param version: of its weights, None for a plain service.
+    :param sequence: grows with each report.
+    """
+    engine = service.engine
+    return UpstreamReport(
+        name=record.name,
+        incarnation=record.incarnation,
+        sequence=sequence,
+        failure_domain=record.failure_domain,
+        service=record.service,
+        model=engine.models[0] if engine and engine.models else "",
+        version="" if version is None else str(version),
+        running=load.running if load else 0,
+        waiting=load.waiting if load else 0,
+        waiting_prefill_tokens=0,
+        slots=max(1, record.slots),
+        prefill_tokens_per_s=ASSUMED_PREFILL_TOKENS_PER_S,
+        decode_tokens_per_s=ASSUMED_DECODE_TOKENS_PER_S,
+        leaving=record.is_leaving,
+    )
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/work.py
@@ -0,0 +1,452 @@
+"""One call from its arrival to its end: answered, not run, or unknown."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from persimmonferry_adapters.exchange import Loss, Reuse, make_upstream_error
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.deployment import (
+    AccountKeys,
+    CallKind,
+    CallRoute,
+    UpstreamRecord,
+)
+from persimmonferry_core.dispatch import (
+    Assignment,
+    Dispatcher,
+    PromptRequest,
+    Refused,
+)
+from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
+from persimmonferry_core.incoming import IncomingCall
+from persimmonferry_core.runs import RunEnd
+
+from persimmonferry_gateway.callers import CallerConnection
+from persimmonferry_gateway.events import EventCutter
+from persimmonferry_gateway.exchange import CancellableClient, Exchange
+from persimmonferry_gateway.interfaces import AnswerHead, Dialect, UpstreamCall
+from persimmonferry_gateway.roster import Roster
+from persimmonferry_gateway.team import name_tier
+
+__all__ = ["CallWork", "WorkTools"]
+
+# An idle connection is not used for longer than this when the upstream names no time.
+UNKNOWN_IDLE_S = 4.0
+# Upstreams close idle connections after a time in whole seconds, which a call
+# must not meet.
+IDLE_MARGIN_S = 1.0
+# Answers are given up this long before the caller leaves, so that they reach it.
+REPLY_MARGIN_S = 0.02
+# A repeatable call that has no answer after this many objectives is sent elsewhere.
+SILENCE_OBJECTIVES = 1.5
+# Callers honour a time to come back up to this share of what they have left.
+MAX_RETURN_SHARE = 1 / 3
+NO_CONFIGURATION_RETRY_S = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass
+class WorkTools:
+    """
+    What all calls of a gateway share.
+
+    :param place: asks the dispatcher to assign now what can start.
+    :param waiting: futures of the requests that the dispatcher has queued.
+    """
+
+    dialect: Dialect
+    roster: Roster
+    dispatcher: Dispatcher
+    client: CancellableClient
+    read_clock: Callable[[], float]
+    place: Callable[[], None]
+    waiting: dict[str, asyncio.Future] = field(default_factory=dict)
+    idle_s: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass
+class CallNotes:
+    """What the log tells of a call when it has ended."""
+
+    upstreams: list[str] = field(default_factory=list)
+    started_s: float | None = None
+    first_s: float | None = None
+    outcome: str = ""
+    version: int | None = None
+
+
+class _Failed(Exception):
+    """
+    An attempt that brought no whole answer.
+
+    :param ran: whether it may have run.
+    """
+
+    def __init__(self, error: FerryError, *, ran: bool) -> None:
+        super().__init__(error)
+        self.error = error
+        self.ran = ran
+
+
+class CallWork:
+    """
+    Serves one call.
+
+    :param number: unique within the process.
+    """
+
+    def __init__(
+        self,
+        tools: WorkTools,
+        number: int,
+        call: IncomingCall,
+        route: CallRoute,
+        account: AccountKeys | None,
+        caller: CallerConnection,
+    ) -> None:
+        self.notes = CallNotes()
+        self._tools = tools
+        self._id = str(number)
+        self._call = call
+        self._route = route
+        self._account = account
+        self._caller = caller
+        self._service = _draw_service(route)
+        self._arrival_s = tools.read_clock()
+        budget_s = route.timeout_s
+        if call.budget_s is not None:
+            budget_s = min(budget_s, call.budget_s)
+        self._deadline_s = self._arrival_s + budget_s
+        self._cutter = EventCutter()
+        self._attempts = 0
+        self._may_have_run = False
+        self._avoid: frozenset[str] = frozenset()
+        self._exchange: Exchange | None = None
+
+    async def run(self) -> None:
+        """Serve the call, whatever happens on the way."""
+        limit_s = self._deadline_s - REPLY_MARGIN_S - self._tools.read_clock()
+        try:
+            async with asyncio.timeout(max(0.0, limit_s)):
+                await self._serve()
+            self.notes.outcome = self.notes.outcome or "answered"
+        except TimeoutError:
+            self._give_up()
+        except FerryError as error:
+            self._end_with(error)
+        except asyncio.CancelledError:
+            self.notes.outcome = "caller left"
+            self._caller.abort()
+        except Exception:
+            _log.exception("a call failed in the gateway")
+            self._end_with(OutcomeUnknown(ResultCode.INTERNAL_FAULT))
+        finally:
+            if self._exchange is not None:
+                self._exchange.cancel()
+            self._release()
+
+    async def _serve(self) -> None:
+        raise NotImplementedError
+
+    def _release(self) -> None:
+        raise NotImplementedError
+
+    def _give_up(self) -> None:
+        if self._may_have_run:
+            self._end_with(OutcomeUnknown(ResultCode.UPSTREAM_TIMEOUT))
+        else:
+            self._end_with(NotRun(ResultCode.WAIT_NOT_KEPT))
+
+    def _end_with(self, error: FerryError) -> None:
+        self.notes.outcome = error.code.name.lower()
+        if self._caller.has_head:
+            self._caller.abort()
+            return
+        if isinstance(error, NotRun) and self._may_have_run:
+            error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, error.detail)
+        if error.retry_after_s is not None:
+            left_s = self._deadline_s - self._tools.read_clock()
+            error.retry_after_s = min(error.retry_after_s, left_s * MAX_RETURN_SHARE)
+        self._caller.send_error(error)
+
+    async def _attempt(self, record: UpstreamRecord, version: int | None) -> None:
+        """
+        Send the call to an upstream and hand its answer on.
+
+        :raises _Failed: no whole answer came.
+        """
+        tools = self._tools
+        now = tools.read_clock()
+        self._attempts += 1
+        self.notes.upstreams.append(record.name)
+        self.notes.started_s = self.notes.started_s or now
+        addition = UpstreamCall(
+            upstream=record.name,
+            budget_s=max(0.0, self._deadline_s - now),
+            account=self._account.name if self._account else None,
+            version=version,
+            cache_scope=self._name_scope(version),
+            rank=self._rank if self._call.prompt else None,
+            resumes_after=self._cutter.last_id or self._call.resumes_after,
+        )
+        repeatable = self._route.may_repeat
+        exchange = self._exchange = Exchange(
+            tools.client,
+            record.address,
+            self._call.method,
+            self._call.target,
+            tools.dialect.encode_call(self._call, addition),
+            self._call.body,
+            Reuse.ONCE,
+            tools.idle_s.get(record.name, UNKNOWN_IDLE_S),
+            addition.budget_s + 1.0,
+        )
+        silence_s = None
+        if repeatable and self._attempts < self._route.max_attempts:
+            silence_s = SILENCE_OBJECTIVES * self._route.objective_s
+        was_possible = self._may_have_run
+        # Until the upstream has stated otherwise: a timeout may come at any moment.
+        self._may_have_run = True
+        try:
+            async with asyncio.timeout(silence_s):
+                await exchange.wait_for_head()
+        except TimeoutError:
+            if asyncio.current_task().cancelling():
+                raise
+            exchange.cancel()
+            error = OutcomeUnknown(ResultCode.UPSTREAM_TIMEOUT)
+            raise _Failed(error, ran=True) from None
+        if not exchange.lines.is_whole:
+            if not exchange.was_sent:
+                self._may_have_run = was_possible
+            error = make_upstream_error(exchange.loss or Loss.LOST, record.name)
+            raise _Failed(error, ran=exchange.was_sent)
+        head = tools.dialect.decode_answer(
+            exchange.lines.status, exchange.lines.reason, exchange.lines.fields
+        )
+        self._note_head(record, head)
+        if head.call_id is not None and head.call_id != self._call.call_id:
+            exchange.cancel()
+            error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, record.name)
+            raise _Failed(error, ran=True)
+        if head.did_not_run:
+            self._may_have_run = was_possible
+            await exchange.read_body()
+            error = NotRun(ResultCode.UPSTREAM_REFUSED, f"status {head.status}")
+            raise _Failed(error, ran=False)
+        self.notes.version = head.version
+        if head.status == 200 and self._route.kind is CallKind.STREAM:
+            await self._relay_stream(exchange, head)
+        else:
+            await self._relay_whole(exchange, head)
+
+    def _note_head(self, record: UpstreamRecord, head: AnswerHead) -> None:
+        tools = self._tools
+        now = tools.read_clock()
+        if head.idle_s is not None:
+            tools.idle_s[record.name] = head.idle_s - IDLE_MARGIN_S
+        tools.roster.note_load(record.name, head.load, head.version, now)
+
+    async def _relay_whole(self, exchange: Exchange, head: AnswerHead) -> None:
+        body = await exchange.read_body()
+        if exchange.loss is not None:
+            error = make_upstream_error(exchange.loss, "in the answer")
+            raise _Failed(error, ran=True)
+        if not head.is_genuine and head.status < 300:
+            error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "no genuine answer")
+            raise _Failed(error, ran=True)
+        if head.status >= 500 and self._can_repeat():
+            error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
+            raise _Failed(error, ran=True)
+        self.notes.first_s = self._tools.read_clock()
+        self.notes.outcome = (
+            "answered" if head.status < 300 else f"status {head.status}"
+        )
+        self._caller.send_whole(head.status, head.reason, list(head.headers), body)
+
+    async def _relay_stream(self, exchange: Exchange, head: AnswerHead) -> None:
+        if not head.is_genuine:
+            error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "no genuine answer")
+            raise _Failed(error, ran=True)
+        while (piece := await exchange.read_piece()) is not None:
+            events = self._cutter.cut(piece)
+            if not events:
+                continue
+            if not self._caller.has_head:
+                self.notes.first_s = self._tools.read_clock()
+                self._note_first_event()
+                self._caller.send_head(head.status, head.reason, list(head.headers))
+            self._caller.send_piece(events)
+        if exchange.loss is not None:
+            self._cutter.drop_rest()
+            error = make_upstream_error(exchange.loss, "in the stream")
+            raise _Failed(error, ran=True)
+        rest = self._cutter.take_rest()
+        if not self._caller.has_head:
+            self._caller.send_head(head.status, head.reason, list(head.headers))
+        self._caller.send_piece(rest)
+        self._caller.finish()
+
+    def _note_first_event(self) -> None:
+        """Note that the first event came."""
+
+    def _can_repeat(self) -> bool:
+        return self._route.may_repeat and self._attempts < self._route.max_attempts
+
+    @property
+    def _rank(self) -> int:
+        if self._account is not None and self._account.rank is not None:
+            return self._account.rank
+        return self._route.rank
+
+    def _name_scope(self, version: int | None) -> str | None:
+        """Return the text under which the call's cache is kept."""
+        if version is None:
+            return None
+        if self._account is not None and self._account.is_isolated:
+            return f"{version}.{self._account.name}"
+        return f"{version}"
+
+
+class ModelWork(CallWork):
+    """Serves a prompt at a model engine."""
+
+    async def _serve(self) -> None:
+        tools = self._tools
+        self._queue(tools.dispatcher.offer(self._make_request(), self._arrival_s))
+        while True:
+            assignment = await self._wait_for_place()
+            record = tools.roster.find_record(assignment.upstream)
+            now = tools.read_clock()
+            if record is None:
+                self._queue(tools.dispatcher.failed(self._id, False, now))
+                continue
+            try:
+                await self._attempt(record, int(assignment.version))
+            except _Failed as failure:
+                self._fail(failure)
+                continue
+            self._finish(assignment.version)
+            return
+
+    def _fail(self, failure: _Failed) -> None:
+        """Queue the call again where that is allowed, or end it."""
+        now = self._tools.read_clock()
+        answer = self._tools.dispatcher.failed(self._id, failure.ran, now)
+        is_begun = self._caller.has_head
+        if failure.ran and not (self._route.is_resumable and self._can_repeat()):
+            raise failure.error
+        if isinstance(answer, Refused):
+            if is_begun or failure.ran:
+                raise failure.error
+            raise NotRun(answer.code, failure.error.detail, answer.retry_after_s)
+        self._queue(answer)
+
+    def _queue(self, answer: object) -> None:
+        if isinstance(answer, Refused):
+            raise NotRun(answer.code, "", answer.retry_after_s)
+        self._tools.waiting[self._id] = asyncio.get_running_loop().create_future()
+        self._tools.place()
+
+    async def _wait_for_place(self) -> Assignment:
+        try:
+            answer = await self._tools.waiting[self._id]
+        finally:
+            self._tools.waiting.pop(self._id, None)
+        if isinstance(answer, Refused):
+            raise NotRun(answer.code, "", answer.retry_after_s)
+        return answer
+
+    def _finish(self, version: str) -> None:
+        tools = self._tools
+        prompt = self._call.prompt
+        end = RunEnd(self._id, version, prompt.max_tokens, prompt.prompt_tokens, 0, "")
+        tools.dispatcher.finished(self._id, end, tools.read_clock())
+        tools.place()
+
+    def _note_first_event(self) -> None:
+        now = self._tools.read_clock()
+        dispatcher = self._tools.dispatcher
+        dispatcher.started(self._id, now)
+        dispatcher.progressed(self._id, 1, now)
+        if self.notes.upstreams:
+            dispatcher.record_held(self.notes.upstreams[-1], self._block_names())
+
+    def _release(self) -> None:
+        self._tools.dispatcher.cancel(self._id, self._tools.read_clock())
+        self._tools.place()
+
+    def _make_request(self) -> PromptRequest:
+        prompt = self._call.prompt
+        engine = self._tools.roster.deployment.find_service(self._service).engine
+        return PromptRequest(
+            self._id,
+            self._account.name if self._account else "",
+            name_tier(self._route, self._rank),
+            self._service,
+            prompt.prompt_tokens,
+            prompt.max_tokens,
+            self._arrival_s,
+            block_names=self._block_names(),
+            block_bytes=int(engine.token_bytes),
+            block_tokens=1,
+            block_sizes=tuple(part.tokens for part in prompt.parts),
+        )
+
+    def _block_names(self) -> tuple[str, ...]:
+        prompt = self._call.prompt
+        wanted = self._tools.roster.weights.get(prompt.model)
+        scope = self._name_scope(wanted)
+        return tuple(f"{scope}/{part.name}" for part in prompt.parts)
+
+
+class PlainWork(CallWork):
+    """Serves a call at a plain service."""
+
+    async def _serve(self) -> None:
+        tools = self._tools
+        tools.dispatcher.plain_offered(self._service, self._arrival_s)
+        while True:
+            now = tools.read_clock()
+            name = tools.dispatcher.choose_plain(self._service, now, self._avoid)
+            record = tools.roster.find_record(name) if name else None
+            if record is None:
+                raise NotRun(ResultCode.NO_UPSTREAM, "", NO_CONFIGURATION_RETRY_S)
+            tools.dispatcher.plain_started(self._id, record.name, now)
+            try:
+                await self._attempt(record, None)
+            except _Failed as failure:
+                await self._fail(failure, record)
+                continue
+            tools.dispatcher.plain_finished(self._id, tools.read_clock())
+            return
+
+    async def _fail(self, failure: _Failed, record: UpstreamRecord) -> None:
+        tools = self._tools
+        now = tools.read_clock()
+        tools.dispatcher.plain_finished(self._id, now, whole=False)
+        if failure.ran and not self._can_repeat():
+            raise failure.error
+        delay_s = tools.dispatcher.allow_repeat(
+            self._service, self._attempts, now, ran=failure.ran
+        )
+        if delay_s is None:
+            raise failure.error
+        self._avoid |= {record.name}
+        await asyncio.sleep(delay_s)
+
+    def _release(self) -> None:
+        self._tools.dispatcher.plain_finished(
+            self._id, self._tools.read_clock(), whole=self.notes.first_s is not None
+        )
+
+
+def _draw_service(route: CallRoute) -> str:
+    weights = [target.weight for target in route.targets]
+    if len(weights) == 1 or sum(weights) <= 0:
+        return route.targets[0].service
+    return random.choices(route.targets, weights)[0].service
