Share work in flight between gateways and learn the prefill rate of engines

Cause: four gateways saw only their own prompts, took engines with a queue for free ones and estimated with an assumed rate; streams were cut after 1.5 objectives of silence. Change: datagrams between gateways (Thrift, each 40 ms) tell runs, memory and waiting tokens at each engine and newly computed blocks; the prefill rate is a ratio of sums of first tokens; memory of runs bounds what starts; the block index drops the least recently used. Large prompts and refused prompts that come back are next.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -20,6 +20,7 @@
     BlockIndex,
     ImportPlan,
     LinkTable,
+    PeerWork,
     Route,
     Router,
     UpstreamReport,
@@ -45,6 +46,8 @@
 URGENT_WAIT_S = 2.0
 RESUMPTION_WAIT_S = 5.0
 MIN_INTERVAL_S = 0.001
+# Part of an engine's memory that cached parts are taken to fill; runs need the rest.
+CACHED_SHARE = 0.7
 EXCESS_INTERVAL_S = 0.25
 
 
@@ -178,12 +181,24 @@
         """Forget an upstream: the lists say that it is gone."""
         self._drop_upstream(upstream)
 
-    def record_held(self, upstream: str, block_names: tuple[str, ...]) -> None:
-        """Note blocks that an upstream's engine holds; a hint."""
+    def record_held(
+        self,
+        upstream: str,
+        block_names: tuple[str, ...],
+        sizes: tuple[int, ...] = (),
+    ) -> None:
+        """
+        Note blocks that an upstream's engine holds; a hint.
+
+        :param sizes: in tokens, where blocks differ.
+        """
         pool = self._find_pool(self._services_of.get(upstream, ""))
         if pool is None:
             return
-        self._index.add_held(upstream, block_names)
+        memory_tokens = pool.upstreams[upstream].report.memory_tokens
+        if memory_tokens:
+            self._index.set_capacity(upstream, int(CACHED_SHARE * memory_tokens))
+        self._index.add_held(upstream, block_names, sizes)
         failure_domain = pool.upstreams[upstream].report.failure_domain
         if failure_domain in self._store_domains:
             self._index.add_stored(failure_domain, block_names)
@@ -398,6 +413,25 @@
         if plain is not None:
             plain.finish(call_id, upstream, whole, now)
 
+    def set_peer_work(self, peer: str, work: dict[str, PeerWork]) -> None:
+        """
+        Take over what another entry has at each upstream, by its own word.
+
+        :param work: by upstream; nothing where an upstream is missing.
+        """
+        for model in self._models.values():
+            for name, upstream in model.router.upstreams.items():
+                upstream.set_peer_work(peer, work.get(name))
+
+    def summarise_own_work(self, now: float) -> dict[str, PeerWork]:
+        """Return what this entry has at each upstream that it uses."""
+        return {
+            name: upstream.summarise_own_work(now)
+            for model in self._models.values()
+            for name, upstream in model.router.upstreams.items()
+            if upstream.runs
+        }
+
     def set_retry_policy(self, policy: RetryPolicy) -> None:
         """Take over how much may be tried again at each service."""
         self._retry_policy = policy
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/registration.py
@@ -0,0 +1,86 @@
+"""Registers a gateway, so that the others find it."""
+
+import asyncio
+import logging
+
+from persimmonferry_core.exceptions import (
+    LeaseEnded,
+    PlatformAnswerLost,
+    PlatformError,
+    SwapConflict,
+)
+
+from persimmonferry_gateway.interfaces import Registry
+
+__all__ = ["Registration"]
+
+RENEWALS_PER_LEASE = 3
+RETRY_S = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+class Registration:
+    """
+    A key that exists while its process renews a lease.
+
+    :param lease_s: after which the key of a process that has ended is gone.
+    """
+
+    def __init__(
+        self, registry: Registry, key: str, value: bytes, lease_s: float
+    ) -> None:
+        self._registry = registry
+        self._key = key
+        self._value = value
+        self._lease_s = lease_s
+        self._lease: int | None = None
+        self._known_revision = 0
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to register and to renew."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """Remove the key."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self._lease is not None:
+            try:
+                await self._registry.end_lease(self._lease)
+            except PlatformError as error:
+                _log.warning("registration not ended", extra={"cause": str(error)})
+
+    async def _run(self) -> None:
+        while True:
+            pause_s = self._lease_s / RENEWALS_PER_LEASE
+            try:
+                if self._lease is None:
+                    await self._register()
+                else:
+                    await self._registry.keep_lease(self._lease)
+            except LeaseEnded:
+                self._lease = None
+                pause_s = 0.0
+            except SwapConflict as conflict:
+                # An earlier process of this name left the key, or a write whose
+                # answer was lost took effect.
+                self._known_revision = conflict.revision
+                pause_s = 0.0
+            except PlatformError as error:
+                _log.warning("registration call failed", extra={"cause": str(error)})
+                pause_s = RETRY_S
+            await asyncio.sleep(pause_s)
+
+    async def _register(self) -> None:
+        lease = await self._registry.open_lease(self._lease_s)
+        try:
+            await self._registry.write(
+                self._key, self._value, self._known_revision, lease
+            )
+        except (SwapConflict, PlatformAnswerLost):
+            await self._registry.end_lease(lease)
+            raise
+        self._lease = lease
--- a/packages/gateway/src/persimmonferry_gateway/team.py
+++ b/packages/gateway/src/persimmonferry_gateway/team.py
@@ -19,9 +19,7 @@
 
 __all__ = ["make_document", "make_report", "name_tier"]
 
-# Rates of an engine before any was measured; estimates compare engines, so only their
-# ratio to each other matters until then.
-ASSUMED_PREFILL_TOKENS_PER_S = 60_000.0
+# Of one run, until its engine has shown more; it enters only the cost of requests.
 ASSUMED_DECODE_TOKENS_PER_S = 120.0
 
 
@@ -101,7 +99,8 @@
         waiting=load.waiting if load else 0,
         waiting_prefill_tokens=0,
         slots=max(1, record.slots),
-        prefill_tokens_per_s=ASSUMED_PREFILL_TOKENS_PER_S,
+        prefill_tokens_per_s=0.0,
         decode_tokens_per_s=ASSUMED_DECODE_TOKENS_PER_S,
         leaving=record.is_leaving,
+        memory_tokens=engine.cache_tokens if engine else 0,
     )
--- /dev/null
+++ b/packages/wire/messages/peers.thrift
@@ -0,0 +1,26 @@
+namespace py persimmonferry_wire.generated.peers
+
+// What the sender has at one upstream.
+struct OwnWork {
+  1: string upstream
+  2: i32 runs
+  3: i64 memory_tokens
+  // Prompt tokens that have to be computed before first tokens, by priority.
+  4: map<i32, i64> waiting_tokens
+}
+
+// Blocks that an upstream's engine has computed for the sender since its last message.
+struct NewlyHeld {
+  1: string upstream
+  2: list<string> names
+  3: list<i64> sizes
+}
+
+// From each gateway to each other one, several times a second; a later one replaces it.
+struct PeerNews {
+  1: string sender
+  2: i64 incarnation
+  3: i64 sequence
+  4: list<OwnWork> work
+  5: list<NewlyHeld> held
+}
