Give late prompts a lane of their own, and tell peers which engines load

Cause: prompts past their objective were refused though callers still waited; during a rollout engines refused what other gateways sent them; stale versions led to 421 loops; the rate learned as a ratio took fixed time for a low rate. Change: late lane behind all others, bounded by the callers' patience with silent streams; pauses and seen versions in the peers' messages; reports polled while engines load; versions move forward only, a 421 asks the engine; pace as a line with an intercept; idle connections closed on stop.

--- a/packages/core/src/persimmonferry_core/blockindex.py
+++ b/packages/core/src/persimmonferry_core/blockindex.py
@@ -13,21 +13,21 @@
     def __init__(self) -> None:
         self.sizes: OrderedDict[str, int] = OrderedDict()
         self.capacity = 0
-        self._total = 0
+        self.total = 0
 
     def add(self, name: str, size: int) -> None:
         self.discard(name)
         self.sizes[name] = size
-        self._total += size
+        self.total += size
 
     def discard(self, name: str) -> None:
-        self._total -= self.sizes.pop(name, 0)
+        self.total -= self.sizes.pop(name, 0)
 
     def drop_excess(self) -> list[str]:
         dropped = []
-        while self.capacity and self._total > self.capacity:
+        while self.capacity and self.total > self.capacity:
             name, size = self.sizes.popitem(last=False)
-            self._total -= size
+            self.total -= size
             dropped.append(name)
         return dropped
 
@@ -90,6 +90,11 @@
         for name in names:
             _discard(self._stored, name, failure_domain)
 
+    def count_tokens(self, upstream: str) -> int:
+        """Return the tokens of the blocks that an upstream's engine holds."""
+        held = self._held.get(upstream)
+        return held.total if held else 0
+
     def remove_upstream(self, upstream: str) -> None:
         """Forget all that an upstream held."""
         held = self._held.pop(upstream, None)
--- a/packages/core/src/persimmonferry_core/deployment.py
+++ b/packages/core/src/persimmonferry_core/deployment.py
@@ -17,6 +17,12 @@
 ]
 
 
+# Callers abandon a stream, also before its first event, after the longest of these.
+MIN_SILENCE_S = 2.0
+SILENCE_OBJECTIVES = 4
+SILENCE_GAPS = 8
+
+
 class CallKind(enum.Enum):
     """What may be repeated of a call, and how it is answered."""
 
@@ -45,6 +51,7 @@
     :param max_attempts: upstreams that one call may be sent to.
     :param needs_key: whether callers must show a key.
     :param is_resumable: whether a stream may go on at another upstream.
+    :param gap_s: longest pause between events for which a stream is in time.
     """
 
     name: str
@@ -58,6 +65,18 @@
     max_attempts: int
     needs_key: bool
     is_resumable: bool
+    gap_s: float = 0.0
+
+    @property
+    def silence_limit_s(self) -> float | None:
+        """How long callers stay with a silent stream, None for other calls."""
+        if self.kind is not CallKind.STREAM:
+            return None
+        return max(
+            MIN_SILENCE_S,
+            SILENCE_OBJECTIVES * self.objective_s,
+            SILENCE_GAPS * self.gap_s,
+        )
 
     @property
     def may_repeat(self) -> bool:
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -309,7 +309,7 @@
             latest_s = max(latest_s, now + RESUMPTION_WAIT_S)
         budget = self._find_budget(waiting.request.service)
         delay_s = budget.allow(attempt.number, now, ran=ran)
-        if delay_s is None or now + delay_s > latest_s:
+        if delay_s is None or now + delay_s > max(latest_s, waiting.last_start_s):
             self._close(attempt, waiting.request.max_tokens)
             code = ResultCode.RETRIES_EXHAUSTED
             return Refused(request_id, code, NO_UPSTREAM_RETRY_S)
@@ -423,6 +423,19 @@
             for name, upstream in model.router.upstreams.items():
                 upstream.set_peer_work(peer, work.get(name))
 
+    def set_paused(self, source: str, upstreams: frozenset[str]) -> None:
+        """
+        Take over which upstreams take no new runs for now.
+
+        :param source: who says so; its former word is replaced.
+        """
+        for model in self._models.values():
+            model.router.set_paused(source, upstreams)
+
+    def count_held(self, upstream: str) -> int:
+        """Return the tokens that an upstream's engine seems to hold in its cache."""
+        return self._index.count_tokens(upstream)
+
     def summarise_own_work(self, now: float) -> dict[str, PeerWork]:
         """Return what this entry has at each upstream that it uses."""
         return {
@@ -486,7 +499,10 @@
         latest = request.arrival_s + max(0.0, tier.promised_wait_s - prefill_s)
         cost_s = model.estimate_cost(request)
         priority = model.queue.rank(request.tier)
-        return WaitingRequest(request, latest, cost_s, priority)
+        last = latest
+        if request.give_up_s is not None:
+            last = max(latest, request.give_up_s - prefill_s)
+        return WaitingRequest(request, latest, cost_s, priority, last_start_s=last)
 
     def _assign_scanned(self, model: ModelService, now: float) -> list[Assignment]:
         router = model.router
@@ -511,6 +527,7 @@
         attempt.upstream = route.upstream
         attempt.number += 1
         model.router.add_run(waiting, route, now)
+        model.note_computed(route.missing_tokens, request.prompt_tokens)
         version = model.router.upstreams[route.upstream].report.version
         attempt.version = version
         return Assignment(
--- a/packages/core/src/persimmonferry_core/pace.py
+++ b/packages/core/src/persimmonferry_core/pace.py
@@ -6,27 +6,41 @@
 
 # Enough to follow a slowdown within seconds, and to even out single requests.
 MEMORY_S = 8.0
-# Weight of the assumed rate, as tokens that were seen computed at it.
-PRIOR_TOKENS = 20_000.0
-MIN_SECONDS_PER_TOKEN = 1e-6
+# Assumed of an engine until first tokens have come: time of a prompt without tokens,
+# and the samples that the assumption weighs, of a short and of a long prompt.
+ASSUMED_FIRST_S = 0.04
+PRIOR_WEIGHT = 1.0
+PRIOR_SHORT_TOKENS = 500.0
+PRIOR_LONG_TOKENS = 12_000.0
+MIN_TOKENS_PER_S = 1_000.0
+MAX_TOKENS_PER_S = 10_000_000.0
 
 
 class PrefillPace:
     """
-    A ratio of sums: seconds until first tokens over the tokens computed for them.
+    A line through recent first tokens: seconds over tokens that had to be computed.
 
     Load pattern: engines whose rate nobody reports and that differ in speed, whose
-    prompts wait for each other. The time of a single request says little; the sums
-    take in decoding, slow engines and prompts whose cached part was misjudged.
+    prompts wait for each other. A single request says little; the line takes in slow
+    engines and the work of other runs, and its intercept the time that even a prompt
+    without tokens takes, which must not be taken for a low rate.
 
     :param tokens_per_s: assumed until first tokens have come.
     """
 
     def __init__(self, tokens_per_s: float) -> None:
-        self._prior_s = PRIOR_TOKENS / tokens_per_s
+        self._weight = 0.0
         self._tokens = 0.0
         self._seconds = 0.0
+        self._tokens_squared = 0.0
+        self._product = 0.0
         self._updated_s: float | None = None
+        self.first_s = ASSUMED_FIRST_S
+        self.tokens_per_s = tokens_per_s
+        self._prior = [
+            (tokens, ASSUMED_FIRST_S + tokens / tokens_per_s)
+            for tokens in (PRIOR_SHORT_TOKENS, PRIOR_LONG_TOKENS)
+        ]
 
     def record(self, tokens: float, seconds: float, now: float) -> None:
         """
@@ -34,27 +48,42 @@
 
         :param tokens: of the prompt and of those before it that had to be computed.
         :param seconds: from the dispatch to the first token.
+
+        >>> pace = PrefillPace(50_000.0)
+        >>> for step in range(200):
+        ...     pace.record(2_000.0 if step % 2 else 9_000.0,
+        ...                 0.03 + (0.02 if step % 2 else 0.09), step * 0.1)
+        >>> 85_000 < pace.tokens_per_s < 100_000, round(pace.first_s, 2)
+        (True, 0.03)
         """
         if self._updated_s is not None:
-            kept = math.exp(-max(0.0, now - self._updated_s) / MEMORY_S)
-            self._tokens *= kept
-            self._seconds *= kept
+            self._fade(math.exp(-max(0.0, now - self._updated_s) / MEMORY_S))
         self._updated_s = now
-        self._tokens += tokens
-        self._seconds += max(0.0, seconds)
+        self._add(tokens, max(0.0, seconds), 1.0)
+        self._fit()
 
-    @property
-    def tokens_per_s(self) -> float:
-        """
-        The learned rate.
+    def _fade(self, kept: float) -> None:
+        self._weight *= kept
+        self._tokens *= kept
+        self._seconds *= kept
+        self._tokens_squared *= kept
+        self._product *= kept
 
-        >>> pace = PrefillPace(50_000.0)
-        >>> round(pace.tokens_per_s)
-        50000
-        >>> for second in range(60):
-        ...     pace.record(10_000.0, 1.0, float(second))
-        >>> 10_000 < pace.tokens_per_s < 15_000
-        True
-        """
-        per_token = (self._seconds + self._prior_s) / (self._tokens + PRIOR_TOKENS)
-        return 1.0 / max(MIN_SECONDS_PER_TOKEN, per_token)
+    def _add(self, tokens: float, seconds: float, weight: float) -> None:
+        self._weight += weight
+        self._tokens += weight * tokens
+        self._seconds += weight * seconds
+        self._tokens_squared += weight * tokens * tokens
+        self._product += weight * tokens * seconds
+
+    def _fit(self) -> None:
+        for tokens, seconds in self._prior:
+            self._add(tokens, seconds, PRIOR_WEIGHT)
+        spread = self._weight * self._tokens_squared - self._tokens**2
+        slope = (self._weight * self._product - self._tokens * self._seconds) / spread
+        slope = min(max(slope, 1 / MAX_TOKENS_PER_S), 1 / MIN_TOKENS_PER_S)
+        intercept = (self._seconds - slope * self._tokens) / self._weight
+        self.first_s = max(0.0, intercept)
+        self.tokens_per_s = 1.0 / slope
+        for tokens, seconds in self._prior:
+            self._add(tokens, seconds, -PRIOR_WEIGHT)
--- a/packages/core/src/persimmonferry_core/patience.py
+++ b/packages/core/src/persimmonferry_core/patience.py
@@ -33,6 +33,8 @@
     :param arrival_s: when the entry received it.
     :param block_tokens: tokens in one cache block.
     :param block_sizes: tokens of each block, where they are not all alike.
+    :param give_up_s: when the caller does not wait any more, None when an answer that
+        is later than promised is of no use.
     """
 
     request_id: str
@@ -46,6 +48,7 @@
     block_bytes: int = 0
     block_tokens: int = 1000
     block_sizes: tuple[int, ...] = ()
+    give_up_s: float | None = None
 
     def count_tokens(self, depth: int) -> int:
         """
@@ -104,6 +107,8 @@
     :param avoid: upstreams that failed it before.
     :param version: weight version that it has to go on with, empty before its answer
         has begun.
+    :param last_start_s: when its run has to start to be of any use; not before
+        ``latest_start_s``.
     """
 
     request: PromptRequest
@@ -112,6 +117,12 @@
     priority: int
     avoid: frozenset[str] = frozenset()
     version: str = ""
+    last_start_s: float = 0.0
+
+    @property
+    def may_be_late(self) -> bool:
+        """Whether it is of use after its promised wait."""
+        return self.last_start_s > self.latest_start_s
 
 
 class _WaitModel:
@@ -155,6 +166,11 @@
     its promised wait can be kept with a margin, so that patient requests don't come
     near their latest start and urgent ones stay first.
 
+    Load pattern: bursts that no order can serve in time. Requests whose promised wait
+    has passed but whose callers still wait go into a late lane behind all others, so
+    that they neither delay those that can be in time nor are turned away while
+    engines have time for them.
+
     :param tiers: of the team's document.
     """
 
@@ -164,10 +180,11 @@
         self._waits: dict[str, _WaitModel] = {}
         self._tiers: dict[str, Tier] = {}
         self._ranks: dict[str, int] = {}
+        self._late: FairQueue[WaitingRequest] = FairQueue()
         self.configure(tiers)
 
     def __len__(self) -> int:
-        return sum(len(queue) for queue in self._queues.values())
+        return sum(len(queue) for queue in self._queues.values()) + len(self._late)
 
     def configure(self, tiers: tuple[Tier, ...]) -> None:
         """Take over the tiers of a new document; waiting requests stay."""
@@ -229,7 +246,7 @@
         wait = plain_wait * model.factor
         slack = waiting.latest_start_s - now
         allowed = ADMISSION_MARGIN * slack
-        if wait > allowed and wait > 0:
+        if wait > allowed and wait > 0 and not self._fits_late(waiting, capacity, now):
             retry_after = max(MIN_RETRY_AFTER_S, min(wait - allowed, 60.0))
             return Refused(request.request_id, ResultCode.WAIT_NOT_KEPT, retry_after)
         self.push(waiting, weight)
@@ -237,20 +254,29 @@
         self._demands[request.tier].add(waiting.cost_s, now)
         return Queued(request.request_id, waiting.latest_start_s, wait)
 
+    def _fits_late(self, waiting: WaitingRequest, capacity: float, now: float) -> bool:
+        """Whether a request that can't be in time is expected to be of use late."""
+        if not waiting.may_be_late:
+            return False
+        demand = sum(rate.estimate(now) for rate in self._demands.values())
+        free = max(capacity - demand, MIN_FREE_SHARE * capacity)
+        ahead = self._late.total_cost
+        ahead += sum(queue.total_cost for queue in self._queues.values())
+        return ahead / free <= ADMISSION_MARGIN * (waiting.last_start_s - now)
+
     def push(self, waiting: WaitingRequest, weight: float) -> None:
         """Put a request into the queue without an admission check."""
-        request = waiting.request
-        self._queues[request.tier].push(
-            QueueEntry(
-                request.request_id,
-                request.account,
-                waiting.cost_s,
-                waiting.latest_start_s,
-                waiting,
-            ),
-            weight,
+        self._queues[waiting.request.tier].push(
+            _make_entry(waiting, waiting.latest_start_s), weight
         )
 
+    def _make_late(self, waiting: WaitingRequest) -> None:
+        """Move a request into the late lane, where accounts are alike."""
+        queue = self._queues[waiting.request.tier]
+        if waiting.request.request_id in queue:
+            queue.remove(waiting.request.request_id)
+        self._late.push(_make_entry(waiting, waiting.last_start_s), 1.0)
+
     def iterate(self, priorities: frozenset[int], limit: int) -> list[WaitingRequest]:
         """
         Return waiting requests in the order in which they should start.
@@ -263,34 +289,51 @@
             for tier, queue in self._queues.items()
             if len(queue) and self.rank(tier) in priorities
         )
-        return [entry.item for entry in merge(*streams, key=_start_order)]
+        on_time = [entry.item for entry in merge(*streams, key=_start_order)]
+        late = (entry.item for entry in islice(self._late.iterate(), limit))
+        return on_time + [item for item in late if item.priority in priorities]
 
     def find_priorities(self) -> list[int]:
         """Return the ranks of the tiers that have waiting requests, urgent first."""
-        ranks = (self.rank(tier) for tier, queue in self._queues.items() if len(queue))
+        ranks = {self.rank(tier) for tier, queue in self._queues.items() if len(queue)}
+        ranks |= {entry.item.priority for entry in self._late.iterate()}
         return sorted(ranks)
 
     def take(self, waiting: WaitingRequest, now: float) -> None:
         """Remove a request that was assigned and charge its account's fair share."""
         request = waiting.request
         self._waits[request.tier].learn(request.request_id, now)
-        self._queues[request.tier].take(request.request_id)
+        self._find_queue(waiting).take(request.request_id)
 
     def remove(self, waiting: WaitingRequest) -> None:
         """Remove a request that was given up; nothing is charged."""
         request = waiting.request
         self._waits[request.tier].forget(request.request_id)
-        self._queues[request.tier].remove(request.request_id)
+        self._find_queue(waiting).remove(request.request_id)
+
+    def _find_queue(self, waiting: WaitingRequest) -> FairQueue[WaitingRequest]:
+        if waiting.request.request_id in self._late:
+            return self._late
+        return self._queues[waiting.request.tier]
 
     def expire(self, now: float) -> tuple[WaitingRequest, ...]:
-        """Remove and return the requests whose latest start has passed."""
-        late = []
+        """
+        Remove and return the requests that are of no use any more.
+
+        Those that are only late move to the late lane.
+        """
+        gone = [entry.item for entry in self._late.find_late(now)]
         for queue in self._queues.values():
-            late += [entry.item for entry in queue.find_late(now)]
-        for waiting in late:
+            for entry in queue.find_late(now):
+                if entry.item.may_be_late:
+                    self._learn_late(entry.item)
+                    self._make_late(entry.item)
+                else:
+                    gone.append(entry.item)
+        for waiting in gone:
             self._learn_late(waiting)
             self.remove(waiting)
-        return tuple(late)
+        return tuple(gone)
 
     def drop_excess(self, capacity: float, now: float) -> tuple[WaitingRequest, ...]:
         """
@@ -307,9 +350,15 @@
             free = max(capacity - urgent_rate, MIN_FREE_SHARE * capacity)
             for entry in queue.find_excess(ahead, EXCESS_TOLERANCE * free, now):
                 self._learn_late(entry.item)
-                dropped.append(entry.item)
+                if entry.item.may_be_late:
+                    self._make_late(entry.item)
+                else:
+                    dropped.append(entry.item)
             ahead += queue.total_cost
             urgent_rate += self._demands[tier].estimate(now)
+        free = max(capacity - urgent_rate, MIN_FREE_SHARE * capacity)
+        excess = self._late.find_excess(ahead, EXCESS_TOLERANCE * free, now)
+        dropped += [entry.item for entry in excess]
         return tuple(dropped)
 
     def _learn_late(self, waiting: WaitingRequest) -> None:
@@ -317,5 +366,14 @@
         self._waits[request.tier].learn(request.request_id, waiting.latest_start_s)
 
 
+def _make_entry(
+    waiting: WaitingRequest, latest_start_s: float
+) -> QueueEntry[WaitingRequest]:
+    request = waiting.request
+    return QueueEntry(
+        request.request_id, request.account, waiting.cost_s, latest_start_s, waiting
+    )
+
+
 def _start_order(entry: QueueEntry[WaitingRequest]) -> float:
     return entry.latest_start_s
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -208,6 +208,8 @@
         self.upstreams: dict[str, Upstream] = {}
         self._summary: FleetSummary | None = None
         self._summarised_s = 0.0
+        self._pauses: dict[str, frozenset[str]] = {}
+        self._paused: frozenset[str] = frozenset()
 
     def configure(self, service: Service, urgent_ranks: int) -> None:
         """
@@ -228,7 +230,16 @@
         """
         report = upstream.report
         holds_weights = report.model == self.service.model and report.version != ""
-        return holds_weights and not report.leaving
+        is_open = not report.leaving and upstream.name not in self._paused
+        return holds_weights and is_open
+
+    def set_paused(self, source: str, upstreams: frozenset[str]) -> None:
+        """Take over from a source which upstreams take no new runs for now."""
+        if self._pauses.get(source, frozenset()) == upstreams:
+            return
+        self._pauses[source] = upstreams
+        self._paused = frozenset().union(*self._pauses.values())
+        self._summary = None
 
     def set_homes(self, entry: str, entries: tuple[str, ...]) -> None:
         """
@@ -491,6 +502,7 @@
         missing_tokens = request.prompt_tokens - cached_tokens
         prefill_s = max(1, missing_tokens) / place.rate
         first_token_s = max(import_s, place.backlog_s) + prefill_s + place.slot_wait_s
+        first_token_s += place.upstream.first_s
         again_tokens = request.count_tokens(context.known_depth) - cached_tokens
         weights = self.service.weights
         score = weights.first_token * (first_token_s + place.doubt_s)
--- a/packages/core/src/persimmonferry_core/services.py
+++ b/packages/core/src/persimmonferry_core/services.py
@@ -14,6 +14,7 @@
 PACE_WINDOW_S = 10.0
 PACE_PRIOR_S = 2.0
 MIN_CALL_S = 0.005
+COMPUTED_SMOOTHING = 0.05
 
 
 class _Pace:
@@ -55,6 +56,7 @@
         self.queue = queue
         self.router = router
         self.answer_share = 1.0
+        self.computed_share = 1.0
         self.pace = _Pace()
 
     def estimate_capacity(self, entries: int) -> float:
@@ -62,10 +64,16 @@
         nominal = len(self.router.summarize().names) / max(1, entries)
         return self.pace.estimate(nominal) if nominal else 0.0
 
+    def note_computed(self, missing_tokens: int, prompt_tokens: int) -> None:
+        """Learn which part of prompts has to be computed."""
+        if missing_tokens:
+            share = min(1.0, missing_tokens / max(1, prompt_tokens))
+            self.computed_share += COMPUTED_SMOOTHING * (share - self.computed_share)
+
     def estimate_cost(self, request: PromptRequest) -> float:
         """Return the share of one upstream's time that a request is expected to use."""
         fleet = self.router.summarize()
-        prefill_s = self.router.estimate_prefill(request)
+        prefill_s = self.computed_share * self.router.estimate_prefill(request)
         answer_tokens = request.max_tokens * self.answer_share
         decode_s = answer_tokens / max(1.0, fleet.decode_tokens_per_s)
         return max(prefill_s, (prefill_s + decode_s) / max(1.0, fleet.slots))
--- a/packages/core/src/persimmonferry_core/shares.py
+++ b/packages/core/src/persimmonferry_core/shares.py
@@ -85,6 +85,9 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def __contains__(self, entry_id: str) -> bool:
+        return entry_id in self._entries
+
     def push(self, entry: QueueEntry[Item], weight: float) -> None:
         """Add an entry; the weight is its account's from now on."""
         flow = self._flows.get(entry.account)
--- a/packages/core/src/persimmonferry_core/upstreams.py
+++ b/packages/core/src/persimmonferry_core/upstreams.py
@@ -179,6 +179,11 @@
         """The reported rate, or the learned one of an engine that reports none."""
         return self.report.prefill_tokens_per_s or self._pace.tokens_per_s
 
+    @property
+    def first_s(self) -> float:
+        """Learned time of a prompt without tokens, 0 where the rate is reported."""
+        return 0.0 if self.report.prefill_tokens_per_s else self._pace.first_s
+
     def fits_memory(self, tokens: int) -> bool:
         """
         Whether the memory of a run is free besides that of the runs there.
--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -139,8 +139,14 @@
 class _Reader(HTTPMessageDelegate):
     """Reads one request and refuses what is larger than allowed."""
 
-    def __init__(self, server: "CallerServer", connection: HTTP1Connection) -> None:
+    def __init__(
+        self,
+        server: "CallerServer",
+        server_connection: object,
+        connection: HTTP1Connection,
+    ) -> None:
         self._server = server
+        self._server_connection = server_connection
         self._connection = connection
         self._line: RequestStartLine | None = None
         self._headers: list[tuple[str, str]] = []
@@ -151,6 +157,7 @@
     def headers_received(
         self, start_line: RequestStartLine, headers: HTTPHeaders
     ) -> None:
+        self._server.note_busy(self._server_connection)
         self._line = start_line
         self._headers = list(headers.get_all())
         limits = self._server.limits
@@ -210,7 +217,7 @@
         self.is_stopping = False
         self._sockets = bind_sockets(port, host, backlog=BACKLOG)
         self.port = self._sockets[0].getsockname()[1]
-        self._open: set[HTTP1Connection] = set()
+        self._idle: dict[object, HTTP1Connection] = {}
         self._server = HTTPServer(
             self,
             max_header_size=HARD_HEADER_BYTES,
@@ -226,11 +233,23 @@
         self, server_conn: object, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Return the reader of a connection's next request."""
-        return _Reader(self, request_conn)
+        self._idle[server_conn] = request_conn
+        return _Reader(self, server_conn, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection that was closed."""
+        self._idle.pop(server_conn, None)
+
+    def note_busy(self, server_connection: object) -> None:
+        """Note that a request begins to come on a connection."""
+        self._idle.pop(server_connection, None)
 
     def stop_accepting(self) -> None:
-        """Accept no more connections; those open go on."""
+        """Accept no more connections and close the idle ones; others go on."""
         self._server.stop()
+        idle, self._idle = self._idle, {}
+        for connection in idle.values():
+            connection.close()
 
     async def close(self) -> None:
         """Close all connections."""
--- a/packages/gateway/src/persimmonferry_gateway/duty.py
+++ b/packages/gateway/src/persimmonferry_gateway/duty.py
@@ -21,7 +21,8 @@
 RENEWALS_PER_LEASE = 3
 # The holder stops before the registry can have given the duty to another one.
 SAFETY_SHARE = 0.25
-MAX_STAGGER_S = 0.5
+MAX_STAGGER_S = 0.25
+RETRY_S = 0.5
 
 _log = logging.getLogger(__name__)
 
@@ -68,9 +69,13 @@
         self._task: asyncio.Task | None = None
 
     @property
-    def key(self) -> str:
-        """The key in the registry."""
-        return self._key
+    def takeover_wait_s(self) -> float:
+        """
+        How long a new holder waits before it acts.
+
+        The one before may have acted until shortly before its lease lapsed.
+        """
+        return self._lease_s * (1 - SAFETY_SHARE)
 
     def find_holding(self, now: float) -> Holding | None:
         """
@@ -116,8 +121,9 @@
                     await self._renew()
             except PlatformError as error:
                 _log.warning("duty call failed", extra={"cause": str(error)})
-            interval_s = self._lease_s / RENEWALS_PER_LEASE
-            await asyncio.sleep(interval_s)
+                await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S))
+            if self._holding is not None:
+                await asyncio.sleep(self._lease_s / RENEWALS_PER_LEASE)
 
     async def _acquire(self) -> None:
         if self._is_taken:
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -8,7 +8,7 @@
 
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.contracts import TeamDocument
-from persimmonferry_core.deployment import CallRoute
+from persimmonferry_core.deployment import CallRoute, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.exceptions import FerryError, NotRun
 from persimmonferry_core.retries import RetryPolicy
@@ -33,6 +33,7 @@
 )
 from persimmonferry_gateway.mirror import Mirror
 from persimmonferry_gateway.peers import PeerExchange
+from persimmonferry_gateway.probes import Prober
 from persimmonferry_gateway.registration import Registration
 from persimmonferry_gateway.roster import Roster
 from persimmonferry_gateway.settings import GatewaySettings
@@ -94,6 +95,7 @@
             time.time_ns() // NS_PER_MS,
             settings.internal,
             self._dispatcher,
+            self._roster.note_version,
         )
         self._registration = Registration(
             registry,
@@ -102,6 +104,7 @@
             REGISTRATION_LEASE_S,
         )
         self._gateways: dict[str, Address] = {}
+        self._prober = Prober(dialect, client)
         self._tools = WorkTools(
             dialect,
             self._roster,
@@ -110,13 +113,22 @@
             self._loop.time,
             self._place,
             self._peers.note_held,
+            self._check_version,
         )
         self._mirror = Mirror(
             registry, self._apply_snapshot, self._apply_changes, self._note_contact
         )
         self._duty = Duty(registry, ROLLOUT_KEY, settings.name, settings.lease_s)
         self._rollout = WeightRollout(
-            self._duty, self._roster, dialect, client, settings
+            self._duty,
+            self._roster,
+            dialect,
+            client,
+            settings,
+            self._peers.announce_loading,
+            self._dispatcher.count_held,
+            self._prober,
+            self._loop.time,
         )
         self._server = CallerServer(
             settings.callers.host, settings.callers.port, self._accept
@@ -226,6 +238,21 @@
         if next_s is not None:
             self._placing = self._loop.call_at(next_s, self._place)
 
+    def _check_version(self, upstream: str) -> None:
+        """Ask an engine that refused a call which weights it holds."""
+        record = self._roster.find_record(upstream)
+        if record is None:
+            return
+        task = asyncio.create_task(self._ask_version(record))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _ask_version(self, record: UpstreamRecord) -> None:
+        news = await self._prober.ask(record)
+        for _, version in news.versions if news else ():
+            self._roster.note_version(record.name, version, self._loop.time())
+            self._place()
+
     def _resolve(self, request_id: str, answer: object) -> None:
         future = self._tools.waiting.get(request_id)
         if future is not None and not future.done():
@@ -266,7 +293,6 @@
     def _after_news(self) -> None:
         deployment = self._roster.deployment
         self._server.limits = deployment.limits if deployment else None
-        self._rollout.wake()
         self._place()
 
     def _note_contact(self, is_there: bool) -> None:
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -11,6 +11,7 @@
     "AnswerHead",
     "Changes",
     "Dialect",
+    "EngineNews",
     "Item",
     "OrderOutcome",
     "Registry",
@@ -145,6 +146,8 @@
     :param headers: that go on to the caller.
     :param call_id: the id of the call that it answers, None when it names none.
     :param did_not_run: whether the upstream states that it did not run the call.
+    :param is_other_upstream: whether the call was meant for another upstream, or for
+        other weights.
     :param is_genuine: whether it bears the mark of an upstream that ran the call.
     :param version: of the weights that it began on.
     :param idle_s: for which the upstream keeps the idle connection, None if not told.
@@ -156,11 +159,27 @@
     call_id: str | None
     did_not_run: bool
     is_genuine: bool
+    is_other_upstream: bool = False
     load: UpstreamLoad | None = None
     version: int | None = None
     idle_s: float | None = None
 
 
+@dataclass(frozen=True)
+class EngineNews:
+    """
+    What an engine reports when asked; it lags.
+
+    :param versions: of its weights, by model.
+    :param is_busy: whether it is carrying out an order.
+    :param accepted_orders: since its start.
+    """
+
+    versions: tuple[tuple[str, int], ...]
+    is_busy: bool
+    accepted_orders: int
+
+
 @dataclass(frozen=True)
 class OrderOutcome:
     """
@@ -180,6 +199,7 @@
     configuration_key: str
     upstream_prefix: str
     weights_prefix: str
+    report_path: str
 
     def decode_deployment(self, body: bytes) -> Deployment:
         """
@@ -221,6 +241,13 @@
     ) -> AnswerHead:
         """Read the head of an upstream's answer."""
 
+    def decode_report(self, body: bytes) -> EngineNews:
+        """
+        Read an engine's report.
+
+        :raises ValueError: it can't be read.
+        """
+
     def name_upstream(self, upstream: str) -> list[tuple[str, str]]:
         """Return the headers by which any other upstream refuses an order."""
 
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from persimmonferry_core.dispatch import Dispatcher
@@ -42,11 +43,18 @@
     which are hints.
 
     :param incarnation: grows with each start of a gateway of that name.
+    :param note_version: told of weights that the holder of the rollout has seen.
     """
 
     def __init__(
-        self, name: str, incarnation: int, address: Address, dispatcher: Dispatcher
+        self,
+        name: str,
+        incarnation: int,
+        address: Address,
+        dispatcher: Dispatcher,
+        note_version: Callable[[str, int, float], None],
     ) -> None:
+        self._note_version = note_version
         self._name = name
         self._incarnation = incarnation
         self._address = address
@@ -55,6 +63,8 @@
         self._addresses: dict[str, Address] = {}
         self._heard: dict[str, _Peer] = {}
         self._held: dict[str, dict[str, int]] = {}
+        self._paused: frozenset[str] = frozenset()
+        self._versions: dict[str, int] = {}
         self._sequence = 0
         self._was_idle = False
         self._transport: asyncio.DatagramTransport | None = None
@@ -97,6 +107,19 @@
             held = self._held.setdefault(upstream, {})
             held.update(zip(names, sizes, strict=True))
 
+    def announce_loading(
+        self, paused: frozenset[str], versions: dict[str, int]
+    ) -> None:
+        """
+        Tell all gateways, this one too, which engines take no prompts now.
+
+        :param versions: of the weights of engines that were loading.
+        """
+        if (paused, versions) == (self._paused, self._versions):
+            return
+        self._paused, self._versions = paused, versions
+        self._dispatcher.set_paused(self._name, paused)
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take over a peer's news unless a later one came before."""
         try:
@@ -118,6 +141,9 @@
             for item in news.work
         }
         self._dispatcher.set_peer_work(news.sender, work)
+        self._dispatcher.set_paused(news.sender, frozenset(news.paused))
+        for name, version in news.versions.items():
+            self._note_version(name, version, self._loop.time())
         for item in news.held:
             self._dispatcher.record_held(
                 item.upstream, tuple(item.names), tuple(item.sizes)
@@ -138,7 +164,7 @@
 
     def _send(self, now: float) -> None:
         work = self._dispatcher.summarise_own_work(now)
-        is_idle = not work and not self._held
+        is_idle = not (work or self._held or self._paused)
         if is_idle and self._was_idle:
             # One empty message has told of it; a lost one is repeated by time-out.
             return
@@ -156,6 +182,8 @@
                 NewlyHeld(name, list(held), list(held.values()))
                 for name, held in self._held.items()
             ],
+            list(self._paused),
+            self._versions,
         )
         self._held.clear()
         data = encode(news)
@@ -168,3 +196,4 @@
     def _forget(self, name: str) -> None:
         self._heard.pop(name, None)
         self._dispatcher.set_peer_work(name, {})
+        self._dispatcher.set_paused(name, frozenset())
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/probes.py
@@ -0,0 +1,52 @@
+"""Asks engines for their report."""
+
+import logging
+
+from persimmonferry_adapters.exchange import Loss, Request, exchange
+from persimmonferry_core.deployment import UpstreamRecord
+
+from persimmonferry_gateway.exchange import CancellableClient
+from persimmonferry_gateway.interfaces import Dialect, EngineNews
+
+__all__ = ["Prober"]
+
+REPORT_CALL_TIMEOUT_S = 0.5
+
+_log = logging.getLogger(__name__)
+
+
+class Prober:
+    """Asks one engine at a time, and never the same one twice at once."""
+
+    def __init__(self, dialect: Dialect, client: CancellableClient) -> None:
+        self._dialect = dialect
+        self._client = client
+        self._asking: set[str] = set()
+
+    async def ask(self, record: UpstreamRecord) -> EngineNews | None:
+        """Return what an engine reports, None when it does not answer."""
+        if record.name in self._asking:
+            return None
+        self._asking.add(record.name)
+        try:
+            return await self._ask(record)
+        finally:
+            self._asking.discard(record.name)
+
+    async def _ask(self, record: UpstreamRecord) -> EngineNews | None:
+        request = Request(
+            f"http://{record.address}{self._dialect.report_path}",
+            headers=dict(self._dialect.name_upstream(record.name)),
+            timeout_s=REPORT_CALL_TIMEOUT_S,
+        )
+        result = await exchange(self._client, request)
+        if isinstance(result, Loss) or result.code != 200:
+            cause = result.value if isinstance(result, Loss) else result.code
+            _log.info("no report", extra={"upstream": record.name, "cause": cause})
+            return None
+        try:
+            return self._dialect.decode_report(result.body)
+        except ValueError as error:
+            cause = {"upstream": record.name, "cause": str(error)}
+            _log.warning("engine report can't be read", extra=cause)
+            return None
--- a/packages/gateway/src/persimmonferry_gateway/roster.py
+++ b/packages/gateway/src/persimmonferry_gateway/roster.py
@@ -78,6 +78,11 @@
         if load is not None or version is not None:
             self._report(record, now)
 
+    def note_version(self, upstream: str, version: int, now: float) -> None:
+        """Take over what an engine, or the one that gives it orders, told of it."""
+        if self._versions.get(upstream, 0) < version:
+            self.note_load(upstream, None, version, now)
+
     def expire(self, now: float) -> None:
         """Forget the upstreams whose entries did not come back after an outage."""
         for name in self.fleet.expire(now):
--- a/packages/gateway/src/persimmonferry_gateway/weights.py
+++ b/packages/gateway/src/persimmonferry_gateway/weights.py
@@ -2,31 +2,49 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
+from dataclasses import dataclass
 
 from persimmonferry_adapters.exchange import Loss, Request, Reuse, exchange
 from persimmonferry_core.deployment import UpstreamRecord
-from persimmonferry_core.rollout import WeightOrder
+from persimmonferry_core.rollout import (
+    EngineState,
+    WeightOrder,
+    choose_loads,
+    is_loading,
+)
 
 from persimmonferry_gateway.duty import Duty, Holding, read_boot_clock
 from persimmonferry_gateway.exchange import CancellableClient
 from persimmonferry_gateway.interfaces import Dialect, OrderOutcome
+from persimmonferry_gateway.probes import Prober
 from persimmonferry_gateway.roster import Roster
 from persimmonferry_gateway.settings import GatewaySettings
 
 __all__ = ["WeightRollout"]
 
-ORDER_TIMEOUT_S = 1.0
-# An engine that has not shown the wanted weights this long after an order is asked
-# again: the order may be lost, or be carried out seconds late.
-LOAD_TIMEOUT_S = 8.0
-CHECK_INTERVAL_S = 0.1
-MAX_LOADING_SHARE = 1 / 3
+ORDER_CALL_TIMEOUT_S = 1.0
+CHECK_INTERVAL_S = 0.15
+# The other gateways learn of a pause with the next message; prompts that are on their
+# way then still reach the engine before the order.
+ANNOUNCE_S = 0.12
 
 _log = logging.getLogger(__name__)
 
 
+@dataclass
+class _Order:
+    version: int
+    given_s: float
+
+
 class WeightRollout:
-    """Gives the orders for new weights, a few engines at a time."""
+    """
+    Gives the orders for new weights, a few engines at a time.
+
+    :param announce: tells all gateways which engines take no prompts meanwhile.
+    :param count_held: returns the tokens that an engine holds in its cache.
+    """
 
     def __init__(
         self,
@@ -35,14 +53,22 @@
         dialect: Dialect,
         client: CancellableClient,
         settings: GatewaySettings,
+        announce: Callable[[frozenset[str], dict[str, int]], None],
+        count_held: Callable[[str], int],
+        prober: Prober,
+        read_clock: Callable[[], float],
     ) -> None:
+        self._prober = prober
         self._duty = duty
         self._roster = roster
         self._dialect = dialect
         self._client = client
         self._settings = settings
-        self._ordered: dict[str, tuple[int, float]] = {}
-        self._news = asyncio.Event()
+        self._announce = announce
+        self._count_held = count_held
+        self._read_clock = read_clock
+        self._orders: dict[str, _Order] = {}
+        self._seen: dict[str, int] = {}
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -55,10 +81,6 @@
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
 
-    def wake(self) -> None:
-        """Look again now."""
-        self._news.set()
-
     async def _run(self) -> None:
         while True:
             try:
@@ -70,58 +92,96 @@
     async def _step(self) -> None:
         now = read_boot_clock()
         holding = self._duty.find_holding(now)
-        if holding is None or now < holding.since_s + self._settings.lease_s:
+        if holding is None:
+            self._orders.clear()
+            self._seen.clear()
+            self._announce(frozenset(), {})
             return
+        paused: set[str] = set()
         for model, version in tuple(self._roster.weights.items()):
-            await self._order_some(holding, model, version)
-
-    async def _order_some(self, holding: Holding, model: str, version: int) -> None:
-        engines = self._roster.list_engines(model)
-        behind = [
-            item
-            for item in engines
-            if (self._roster.find_version(item.name) or 0) < version
-            and not item.is_leaving
-        ]
+            paused |= await self._bring_forward(holding, model, version)
+        self._announce(frozenset(paused), dict(self._seen))
+
+    async def _bring_forward(
+        self, holding: Holding, model: str, version: int
+    ) -> frozenset[str]:
+        """Give the orders that are due and return the engines that are loading."""
+        records = {
+            item.name: item
+            for item in self._roster.list_engines(model)
+            if not item.is_leaving
+        }
+        await self._look_at_loading(records, model)
         now = read_boot_clock()
-        loading = [item for item in behind if self._is_loading(item, version, now)]
-        room = max(1, round(MAX_LOADING_SHARE * len(engines))) - len(loading)
-        orders = [
-            self._give_order(holding, item, model, version)
-            for item in behind
-            if item not in loading
-        ]
-        for order in orders[max(0, room) :]:
-            order.close()
-        if room > 0:
-            await asyncio.gather(*orders[:room])
+        states = [self._make_state(item) for item in records.values()]
+        chosen: tuple[str, ...] = ()
+        if now >= holding.since_s + self._duty.takeover_wait_s:
+            chosen = choose_loads(states, version, now)
+        loading = {state.name for state in states if is_loading(state, version, now)}
+        if chosen:
+            self._announce(frozenset(loading | set(chosen)), dict(self._seen))
+            await asyncio.sleep(ANNOUNCE_S)
+            await asyncio.gather(
+                *(
+                    self._give_order(holding, records[name], model, version)
+                    for name in chosen
+                )
+            )
+        return frozenset(loading | set(chosen))
+
+    def _make_state(self, record: UpstreamRecord) -> EngineState:
+        order = self._orders.get(record.name)
+        return EngineState(
+            record.name,
+            self._roster.find_version(record.name) or 0,
+            order.version if order else 0,
+            order.given_s if order else 0.0,
+            self._count_held(record.name),
+        )
 
-    def _is_loading(self, record: UpstreamRecord, version: int, now: float) -> bool:
-        ordered = self._ordered.get(record.name)
-        if ordered is None or ordered[0] != version:
-            return False
-        return now < ordered[1] + LOAD_TIMEOUT_S
+    async def _look_at_loading(
+        self, records: dict[str, UpstreamRecord], model: str
+    ) -> None:
+        """Ask the engines with an order whether they hold the weights now."""
+        loading = [
+            record
+            for name, record in records.items()
+            if name in self._orders
+            and (self._roster.find_version(name) or 0) < self._orders[name].version
+        ]
+        found = await asyncio.gather(*(self._prober.ask(record) for record in loading))
+        for record, news in zip(loading, found, strict=True):
+            version = dict(news.versions).get(model) if news else None
+            if version is not None and not news.is_busy:
+                self._seen[record.name] = version
+                self._roster.note_version(record.name, version, self._read_clock())
 
     async def _give_order(
         self, holding: Holding, record: UpstreamRecord, model: str, version: int
     ) -> None:
+        before = await self._prober.ask(record)
         if self._duty.find_holding(read_boot_clock()) is None:
             return
-        self._ordered[record.name] = (version, read_boot_clock())
-        order = WeightOrder(model, version, self._settings.name, holding.fence)
+        self._orders[record.name] = _Order(version, read_boot_clock())
+        expected = before.accepted_orders if before else None
+        order = WeightOrder(
+            model, version, self._settings.name, holding.fence, expected
+        )
         outcome = await self._send(record, order)
-        extra = {
-            "upstream": record.name,
-            "model": model,
-            "version": version,
-            "fence": holding.fence,
-            "accepted": outcome.is_accepted,
-        }
-        _log.info("weights ordered", extra=extra)
+        _log.info(
+            "weights ordered",
+            extra={
+                "upstream": record.name,
+                "model": model,
+                "version": version,
+                "fence": holding.fence,
+                "accepted": outcome.is_accepted,
+            },
+        )
         if outcome.is_fenced_off:
             self._duty.resign()
         if outcome.is_accepted is False:
-            self._ordered.pop(record.name, None)
+            self._orders.pop(record.name, None)
 
     async def _send(self, record: UpstreamRecord, order: WeightOrder) -> OrderOutcome:
         path, content_type, body = self._dialect.encode_order(order)
@@ -132,7 +192,7 @@
             content_type=content_type,
             headers=dict(self._dialect.name_upstream(record.name)),
             reuse=Reuse.NEVER,
-            timeout_s=ORDER_TIMEOUT_S,
+            timeout_s=ORDER_CALL_TIMEOUT_S,
         )
         result = await exchange(self._client, request)
         if isinstance(result, Loss):
--- a/packages/gateway/src/persimmonferry_gateway/work.py
+++ b/packages/gateway/src/persimmonferry_gateway/work.py
@@ -44,6 +44,11 @@
 SILENCE_OBJECTIVES = 3.0
 # Callers honour a time to come back up to this share of what they have left.
 MAX_RETURN_SHARE = 1 / 3
+# Part of a caller's patience that a prompt may wait; the rest is for its first event.
+PATIENCE_SHARE = 0.75
+MS_PER_S = 1000
+# Added to the rank of late calls; above the ranks that routes have.
+LATE_RANKS = 5
 NO_CONFIGURATION_RETRY_S = 0.5
 
 _log = logging.getLogger(__name__)
@@ -56,6 +61,7 @@
 
     :param place: asks the dispatcher to assign now what can start.
     :param announce_held: tells the other gateways of blocks that an engine holds.
+    :param check_version: asks an engine which weights it holds.
     :param waiting: futures of the requests that the dispatcher has queued.
     """
 
@@ -66,6 +72,7 @@
     read_clock: Callable[[], float]
     place: Callable[[], None]
     announce_held: Callable[[str, tuple[str, ...], tuple[int, ...]], None]
+    check_version: Callable[[str], None]
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
     idle_s: dict[str, float] = field(default_factory=dict)
 
@@ -78,6 +85,7 @@
     started_s: float | None = None
     first_s: float | None = None
     outcome: str = ""
+    cause: str = ""
     version: int | None = None
 
 
@@ -122,6 +130,7 @@
         budget_s = route.timeout_s
         if call.budget_s is not None:
             budget_s = min(budget_s, call.budget_s)
+        self._budget_s = budget_s
         self._deadline_s = self._arrival_s + budget_s
         self._cutter = EventCutter()
         self._attempts = 0
@@ -150,6 +159,25 @@
             if self._exchange is not None:
                 self._exchange.cancel()
             self._release()
+            self._log_end()
+
+    def _log_end(self) -> None:
+        notes, begin_s = self.notes, self._arrival_s
+        fields = {
+            "call": self._call.call_id,
+            "route": self._route.name,
+            "service": self._service,
+            "account": self._account.name if self._account else None,
+            "outcome": notes.outcome,
+            "cause": notes.cause,
+            "upstreams": notes.upstreams,
+            "version": notes.version,
+            "budget_ms": _to_ms(self._budget_s),
+            "started_ms": notes.started_s and _to_ms(notes.started_s - begin_s),
+            "first_ms": notes.first_s and _to_ms(notes.first_s - begin_s),
+            "total_ms": _to_ms(self._tools.read_clock() - begin_s),
+        }
+        _log.info("call ended", extra=fields)
 
     async def _serve(self) -> None:
         raise NotImplementedError
@@ -165,6 +193,7 @@
 
     def _end_with(self, error: FerryError) -> None:
         self.notes.outcome = error.code.name.lower()
+        self.notes.cause = error.detail
         if self._caller.has_head:
             self._caller.abort()
             return
@@ -192,7 +221,7 @@
             account=self._account.name if self._account else None,
             version=version,
             cache_scope=self._name_scope(version),
-            rank=self._rank if self._call.prompt else None,
+            rank=self._engine_rank(now) if self._call.prompt else None,
             resumes_after=self._cutter.last_id or self._call.resumes_after,
         )
         repeatable = self._route.may_repeat
@@ -237,6 +266,8 @@
             raise _Failed(error, ran=True)
         if head.did_not_run:
             self._may_have_run = was_possible
+            if head.is_other_upstream and version is not None:
+                tools.check_version(record.name)
             await exchange.read_body()
             error = NotRun(ResultCode.UPSTREAM_REFUSED, f"status {head.status}")
             raise _Failed(error, ran=False)
@@ -299,6 +330,15 @@
     def _can_repeat(self) -> bool:
         return self._route.may_repeat and self._attempts < self._route.max_attempts
 
+    def _engine_rank(self, now: float) -> int:
+        """
+        Return the urgency at the engine.
+
+        A call that is late already must not hold up those that can be in time.
+        """
+        is_late = now > self._arrival_s + self._route.objective_s
+        return self._rank + (LATE_RANKS if is_late else 0)
+
     @property
     def _rank(self) -> int:
         if self._account is not None and self._account.rank is not None:
@@ -400,8 +440,14 @@
             block_bytes=int(engine.token_bytes),
             block_tokens=1,
             block_sizes=tuple(part.tokens for part in prompt.parts),
+            give_up_s=self._arrival_s + self._find_patience(),
         )
 
+    def _find_patience(self) -> float:
+        """Return how long the call may wait for its start."""
+        silence_s = self._route.silence_limit_s or self._budget_s
+        return PATIENCE_SHARE * min(self._budget_s, silence_s)
+
     def _block_names(self) -> tuple[str, ...]:
         prompt = self._call.prompt
         wanted = self._tools.roster.weights.get(prompt.model)
@@ -450,6 +496,10 @@
         )
 
 
+def _to_ms(seconds: float) -> int:
+    return round(seconds * MS_PER_S)
+
+
 def _draw_service(route: CallRoute) -> str:
     weights = [target.weight for target in route.targets]
     if len(weights) == 1 or sum(weights) <= 0:
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -23,4 +23,8 @@
   3: i64 sequence
   4: list<OwnWork> work
   5: list<NewlyHeld> held
+  // Engines that take no prompts, as they get other weights.
+  6: list<string> paused
+  // Weights that the sender has seen at engines that got orders from it.
+  7: map<string, i32> versions
 }
