Keep shared parts in the store VMs: saved once, fetched while whole, freed when obsolete

Cause: engines hold 0.8 M tokens, shared parts come to some 5 M: 1.68 M tokens were read again. Change: KeptParts (pure) decides home, freshness and what is obsolete; StoreWatch follows lists and events on the boot clock; a part is fetched only when whole in a view confirmed 1.2 s ago, for the wanted weights, with the registry heard 3 s ago and a limit on the engines' clock; parts of older weights are freed 7 s after newer ones are wanted.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -207,6 +207,10 @@
         """Note blocks that an upstream's engine dropped; a hint."""
         self._index.remove_held(upstream, block_names)
 
+    def record_stored(self, source: str, block_names: tuple[str, ...]) -> None:
+        """Note blocks that the stores of a source hold whole."""
+        self._index.add_stored(source, block_names)
+
     def record_not_stored(self, domain: str, block_names: tuple[str, ...]) -> None:
         """Note blocks that the stores of a failure domain were found not to hold."""
         self._index.remove_stored(domain, block_names)
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/keptparts.py
@@ -0,0 +1,178 @@
+"""Which parts of prompts lie whole in store VMs, and where a new part is saved."""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from persimmonferry_core.deployment import KeptStore
+from persimmonferry_core.placement import rank_stores
+
+__all__ = ["KeptParts", "PartEvent", "StoreView"]
+
+# A view that was not confirmed for this long is not used: the store may have come
+# back empty, and the part may be half written again.
+MAX_VIEW_AGE_S = 1.2
+# A save that is not reported whole after this time was lost.
+SAVE_TIMEOUT_S = 3.0
+# Room that is left for saves which other gateways have under way.
+FILL_LIMIT = 0.97
+
+
+@dataclass(frozen=True)
+class PartEvent:
+    """A part that became whole at a store, or was freed there."""
+
+    name: str
+    tokens: int
+    is_whole: bool
+
+
+@dataclass
+class StoreView:
+    """
+    What is known of one store.
+
+    :param epoch: changes with each start of the store.
+    :param confirmed_s: when the last answer that agrees with it was asked for.
+    """
+
+    store: KeptStore
+    epoch: int | None = None
+    confirmed_s: float = float("-inf")
+    parts: dict[str, int] = field(default_factory=dict)
+    used_tokens: int = 0
+
+    def is_fresh(self, now: float) -> bool:
+        """Whether the view may be relied on."""
+        return self.epoch is not None and now - self.confirmed_s <= MAX_VIEW_AGE_S
+
+
+class KeptParts:
+    """
+    The views of all stores of a deployment.
+
+    Load pattern: shared parts that together are larger than the memory of all engines
+    come back after they were evicted there. Each part has one home by rendezvous
+    hashing, the next one when that is full or away, so gateways agree without talking.
+
+    A part is read only from a store whose view was confirmed a moment ago and says
+    that it is whole; a store that restarts or falls silent is not named any more.
+    """
+
+    def __init__(self) -> None:
+        self.views: dict[str, StoreView] = {}
+        self._saving: dict[str, float] = {}
+
+    def configure(self, stores: Iterable[KeptStore]) -> None:
+        """Take over the stores of a new configuration; unchanged ones keep theirs."""
+        views = {}
+        for store in stores:
+            known = self.views.get(store.name)
+            is_same = known is not None and known.store == store
+            views[store.name] = known if is_same else StoreView(store)
+        self.views = views
+
+    def take_list(
+        self,
+        store: str,
+        epoch: int,
+        parts: Mapping[str, int],
+        partial_tokens: int,
+        asked_s: float,
+    ) -> None:
+        """
+        Replace a view.
+
+        :param parts: tokens of each whole part.
+        :param partial_tokens: reserved for parts that are not whole.
+        :param asked_s: when the list was asked for.
+        """
+        view = self.views.get(store)
+        if view is None:
+            return
+        view.epoch = epoch
+        view.parts = dict(parts)
+        view.used_tokens = sum(parts.values()) + partial_tokens
+        view.confirmed_s = asked_s
+
+    def take_events(
+        self, store: str, epoch: int, events: Iterable[PartEvent], asked_s: float
+    ) -> bool:
+        """
+        Bring a view forward.
+
+        :returns: False when the store has restarted; the view is dropped then.
+        """
+        view = self.views.get(store)
+        if view is None or view.epoch != epoch:
+            self.lose(store)
+            return False
+        for event in events:
+            view.used_tokens -= view.parts.pop(event.name, 0)
+            if event.is_whole:
+                view.parts[event.name] = event.tokens
+                view.used_tokens += event.tokens
+                self._saving.pop(event.name, None)
+        view.confirmed_s = asked_s
+        return True
+
+    def lose(self, store: str) -> None:
+        """Drop a view: the store does not answer or has restarted."""
+        view = self.views.get(store)
+        if view is not None:
+            view.epoch = None
+            view.parts = {}
+            view.used_tokens = 0
+
+    def find(self, name: str, now: float) -> KeptStore | None:
+        """Return a store from which a part may be read, or None."""
+        for view in self.views.values():
+            if name in view.parts and view.is_fresh(now):
+                return view.store
+        return None
+
+    def choose_home(self, name: str, tokens: int, now: float) -> KeptStore | None:
+        """
+        Return where to save a part, None when it lies somewhere or nowhere has room.
+
+        The choice is remembered, so that the same part is not sent twice.
+        """
+        if now < self._saving.get(name, float("-inf")) + SAVE_TIMEOUT_S:
+            return None
+        open_views = {
+            view.store.name: view
+            for view in self.views.values()
+            if view.is_fresh(now)
+            and view.used_tokens + tokens <= FILL_LIMIT * view.store.capacity_tokens
+        }
+        if any(name in view.parts for view in self.views.values()) or not open_views:
+            return None
+        home = open_views[_rank_by_size(name, open_views)]
+        self._saving[name] = now
+        return home.store
+
+    def list_obsolete(self, is_obsolete: Callable[[str], bool]) -> dict[str, list[str]]:
+        """Return for each store the parts that nobody may read any more."""
+        found = {}
+        for name, view in self.views.items():
+            parts = [part for part in view.parts if is_obsolete(part)]
+            if parts:
+                found[name] = parts
+        return found
+
+    def forget_saves(self, now: float) -> None:
+        """Forget the saves that were lost."""
+        limit_s = now - SAVE_TIMEOUT_S
+        self._saving = {
+            name: begun_s for name, begun_s in self._saving.items() if begun_s > limit_s
+        }
+
+
+def _rank_by_size(name: str, views: Mapping[str, StoreView]) -> str:
+    """Return the first choice for a part, in proportion to the stores' sizes."""
+    smallest = min(view.store.capacity_tokens for view in views.values())
+    shares = [
+        f"{store}#{copy}"
+        for store, view in views.items()
+        for copy in range(max(1, round(view.store.capacity_tokens / smallest)))
+    ]
+    return rank_stores(name, shares, 1)[0].rpartition("#")[0]
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -11,6 +11,7 @@
 from persimmonferry_core.deployment import CallRoute, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.exceptions import FerryError, NotRun
+from persimmonferry_core.keptparts import KeptParts
 from persimmonferry_core.retries import RetryPolicy
 from persimmonferry_core.world import Address
 from tornado.httpserver import HTTPServer
@@ -37,6 +38,8 @@
 from persimmonferry_gateway.registration import Registration
 from persimmonferry_gateway.roster import Roster
 from persimmonferry_gateway.settings import GatewaySettings
+from persimmonferry_gateway.stores import StoreWatch
+from persimmonferry_gateway.team import KEPT_SOURCE
 from persimmonferry_gateway.weights import WeightRollout
 from persimmonferry_gateway.work import (
     NO_CONFIGURATION_RETRY_S,
@@ -50,6 +53,8 @@
 
 OWN_PREFIX = "persimmonferry/"
 ROLLOUT_KEY = OWN_PREFIX + "rollout"
+# Parts of older weights are freed some seconds after newer ones are wanted.
+MAX_SILENCE_FOR_FETCH_S = 3.0
 GATEWAY_PREFIX = OWN_PREFIX + "gateways/"
 # A gateway that was killed is forgotten after this time; its news stop at once.
 REGISTRATION_LEASE_S = 5.0
@@ -105,6 +110,8 @@
         )
         self._gateways: dict[str, Address] = {}
         self._prober = Prober(dialect, client)
+        self._kept = KeptParts()
+        self._stores = StoreWatch(self._kept, dialect, client, self._note_kept)
         self._tools = WorkTools(
             dialect,
             self._roster,
@@ -114,6 +121,8 @@
             self._place,
             self._peers.note_held,
             self._check_version,
+            self._kept,
+            self._find_fetch_limit,
         )
         self._mirror = Mirror(
             registry, self._apply_snapshot, self._apply_changes, self._note_contact
@@ -128,6 +137,7 @@
             self._peers.announce_loading,
             self._dispatcher.count_held,
             self._prober,
+            self._stores,
             self._loop.time,
         )
         self._server = CallerServer(
@@ -171,6 +181,7 @@
                 self._tasks, timeout=max(0.0, began_s + left_s - self._loop.time())
             )
         self._peers.stop()
+        await self._stores.stop()
         await self._mirror.stop()
         await self._server.close()
 
@@ -292,9 +303,30 @@
 
     def _after_news(self) -> None:
         deployment = self._roster.deployment
-        self._server.limits = deployment.limits if deployment else None
+        if deployment is not None:
+            self._server.limits = deployment.limits
+            self._stores.configure(deployment.stores)
         self._place()
 
+    def _note_kept(self, names: tuple[str, ...], is_whole: bool) -> None:
+        if not names:
+            return
+        if is_whole:
+            self._dispatcher.record_stored(KEPT_SOURCE, names)
+        else:
+            self._dispatcher.record_not_stored(KEPT_SOURCE, names)
+
+    def _find_fetch_limit(self) -> float | None:
+        """
+        Return until when a fetch must end, None when none may begin.
+
+        Without the registry it is not known whether newer weights are wanted, whose
+        coming lets older parts be freed.
+        """
+        if self._mirror.measure_silence() > MAX_SILENCE_FOR_FETCH_S:
+            return None
+        return self._stores.find_fetch_limit()
+
     def _note_contact(self, is_there: bool) -> None:
         if is_there:
             self._roster.fleet.regain_registry(self._loop.time())
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -5,6 +5,7 @@
 
 from persimmonferry_core.deployment import Deployment, UpstreamRecord
 from persimmonferry_core.incoming import IncomingCall
+from persimmonferry_core.keptparts import PartEvent
 from persimmonferry_core.rollout import WeightOrder
 
 __all__ = [
@@ -16,6 +17,7 @@
     "OrderOutcome",
     "Registry",
     "Snapshot",
+    "StoreNews",
     "UpstreamCall",
     "UpstreamLoad",
 ]
@@ -116,6 +118,9 @@
     :param cache_scope: cached parts are found only under the same text.
     :param rank: urgency at the engine, 0 is the most urgent.
     :param resumes_after: last event that was delivered, or None.
+    :param fetch_from: address of a store for each part of the prompt.
+    :param save_to: the same, to which the engine sends a part it has computed.
+    :param fetch_until_s: a fetch that ends later is thrown away, on the engines' clock.
     """
 
     upstream: str
@@ -125,8 +130,9 @@
     cache_scope: str | None = None
     rank: int | None = None
     resumes_after: str | None = None
-    fetch_from: str | None = None
-    save_to: str | None = None
+    fetch_from: tuple[str | None, ...] = ()
+    save_to: tuple[str | None, ...] = ()
+    fetch_until_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -180,6 +186,26 @@
     accepted_orders: int
 
 
+@dataclass(frozen=True)
+class StoreNews:
+    """
+    A store's list of whole parts, or what changed there.
+
+    :param epoch: changes with each start of the store.
+    :param cursor: behind which the next events are.
+    :param has_gap: whether events before these are not known any more.
+    :param clock_s: time on the clock of the engines and stores, None if not told.
+    :param partial_tokens: reserved for parts that are not whole.
+    """
+
+    epoch: int
+    cursor: int
+    has_gap: bool
+    events: tuple[PartEvent, ...]
+    clock_s: float | None
+    partial_tokens: int = 0
+
+
 @dataclass(frozen=True)
 class OrderOutcome:
     """
@@ -200,6 +226,7 @@
     upstream_prefix: str
     weights_prefix: str
     report_path: str
+    store_list_path: str
 
     def decode_deployment(self, body: bytes) -> Deployment:
         """
@@ -248,6 +275,23 @@
         :raises ValueError: it can't be read.
         """
 
+    def encode_events_call(
+        self, cursor: int, wait_s: float
+    ) -> tuple[str, tuple[tuple[str, str], ...]]:
+        """Return the path and the headers of a call for a store's next events."""
+
+    def decode_store_news(self, body: bytes) -> StoreNews:
+        """
+        Read a store's list or events.
+
+        :raises ValueError: they can't be read.
+        """
+
+    def encode_free(
+        self, names: tuple[str, ...], epoch: int, until_s: float
+    ) -> tuple[str, str, bytes]:
+        """Return the path, the content type and the body of a call that frees parts."""
+
     def name_upstream(self, upstream: str) -> list[tuple[str, str]]:
         """Return the headers by which any other upstream refuses an order."""
 
--- a/packages/gateway/src/persimmonferry_gateway/mirror.py
+++ b/packages/gateway/src/persimmonferry_gateway/mirror.py
@@ -7,6 +7,7 @@
 
 from persimmonferry_core.exceptions import HistoryLost, PlatformError
 
+from persimmonferry_gateway.duty import read_boot_clock
 from persimmonferry_gateway.interfaces import Changes, Registry, Snapshot
 
 __all__ = ["Mirror"]
@@ -45,6 +46,7 @@
         self._note_contact = note_contact
         self._revision: int | None = None
         self._failures = 0
+        self._heard_s = float("-inf")
         self._task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -84,7 +86,12 @@
         self._revision = max(self._revision, changes.revision)
         await asyncio.sleep(WATCH_PAUSE_S)
 
+    def measure_silence(self) -> float:
+        """Return the seconds since the registry answered, on the boot clock."""
+        return read_boot_clock() - self._heard_s
+
     def _regain(self) -> None:
+        self._heard_s = read_boot_clock()
         if self._failures:
             _log.warning("registry regained", extra={"failures": self._failures})
             self._note_contact(True)
--- a/packages/gateway/src/persimmonferry_gateway/roster.py
+++ b/packages/gateway/src/persimmonferry_gateway/roster.py
@@ -17,6 +17,9 @@
 
 __all__ = ["Roster"]
 
+# Versions of weights begin here.
+FIRST_VERSION = 1
+
 _log = logging.getLogger(__name__)
 
 
@@ -35,6 +38,7 @@
         self._dispatcher = dispatcher
         self._loads: dict[str, UpstreamLoad] = {}
         self._versions: dict[str, int] = {}
+        self._initial: dict[str, int] = {}
         self._malformed: set[str] = set()
         self._sequence = 0
 
@@ -46,6 +50,14 @@
         """Return the version of the weights that an upstream is known to hold."""
         return self._versions.get(upstream)
 
+    def find_wanted(self, model: str) -> int:
+        """
+        Return the version of a model's weights that new prompts are to use.
+
+        Before operators have named one, it is the one that engines came with.
+        """
+        return self.weights.get(model) or self._initial.get(model, FIRST_VERSION)
+
     def list_engines(self, model: str) -> tuple[UpstreamRecord, ...]:
         """Return the upstreams that hold a model."""
         records = self.fleet.records.values()
@@ -157,12 +169,20 @@
         if former is None or former.incarnation != record.incarnation:
             self._loads.pop(name, None)
             self._versions.pop(name, None)
+        self._note_initial(record)
         if former is None or former.weights != record.weights:
             self._note_registered_version(record)
         if former is not None and former.is_leaving != record.is_leaving:
             _log.info("upstream leaving", extra={"upstream": name})
+        if former is None:
+            self._configure(now)
         self._report(record, now)
 
+    def _note_initial(self, record: UpstreamRecord) -> None:
+        for model, version in record.weights:
+            if version > self._initial.get(model, 0):
+                self._initial[model] = version
+
     def _note_registered_version(self, record: UpstreamRecord) -> None:
         known = self._versions.get(record.name)
         versions = [version for _, version in record.weights]
@@ -182,7 +202,9 @@
 
     def _configure(self, now: float) -> None:
         if self.deployment is not None:
-            document = make_document(self.deployment, self.weights)
+            domains = {item.failure_domain for item in self.fleet.records.values()}
+            wanted = {**self._initial, **self.weights}
+            document = make_document(self.deployment, wanted, frozenset(domains))
             self._dispatcher.configure(document, now)
 
     def _report(self, record: UpstreamRecord, now: float) -> None:
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/stores.py
@@ -0,0 +1,181 @@
+"""Follows the store VMs that keep parts of prompts, and frees what is obsolete."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+from persimmonferry_adapters.exchange import Loss, Request, exchange
+from persimmonferry_core.deployment import KeptStore
+from persimmonferry_core.keptparts import KeptParts
+
+from persimmonferry_gateway.duty import read_boot_clock
+from persimmonferry_gateway.exchange import CancellableClient
+from persimmonferry_gateway.interfaces import Dialect, StoreNews
+
+__all__ = ["StoreWatch"]
+
+# Calls that wait at least 0.2 s cost nothing; the view stays younger than its limit.
+EVENTS_WAIT_S = 0.4
+EVENTS_PAUSE_S = 0.1
+CALL_TIMEOUT_S = 0.6
+RETRY_S = 0.4
+# Some events never come; a new list brings what they would have told.
+RELIST_INTERVAL_S = 10.0
+# A fetch that has not ended after this time is thrown away by the engine, so that a
+# part can be freed some time after the last fetch that may name it.
+FETCH_LIMIT_S = 2.0
+FREE_BATCH_PARTS = 200
+
+_log = logging.getLogger(__name__)
+
+
+class StoreWatch:
+    """
+    Keeps the views of all stores up to date, on the boot clock.
+
+    A process that was suspended must not take its views for fresh.
+
+    :param note_change: told of parts that became readable or ceased to be.
+    """
+
+    def __init__(
+        self,
+        kept: KeptParts,
+        dialect: Dialect,
+        client: CancellableClient,
+        note_change: Callable[[tuple[str, ...], bool], None],
+    ) -> None:
+        self._kept = kept
+        self._dialect = dialect
+        self._client = client
+        self._note_change = note_change
+        self._tasks: dict[str, asyncio.Task] = {}
+        self._clock_offset_s: float | None = None
+
+    def configure(self, stores: tuple[KeptStore, ...]) -> None:
+        """Take over the stores of a new configuration."""
+        self._kept.configure(stores)
+        wanted = {store.name: store for store in stores}
+        for name in tuple(self._tasks):
+            if name not in wanted:
+                self._tasks.pop(name).cancel()
+        for name, store in wanted.items():
+            if name not in self._tasks:
+                self._tasks[name] = asyncio.create_task(self._follow(store))
+
+    async def stop(self) -> None:
+        """End all calls."""
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+    def find_fetch_limit(self) -> float | None:
+        """Return until when a fetch that begins now must end, on the engines' clock."""
+        if self._clock_offset_s is None:
+            return None
+        return read_boot_clock() + self._clock_offset_s + FETCH_LIMIT_S
+
+    async def free_obsolete(self, is_obsolete: Callable[[str], bool]) -> None:
+        """Free the parts that nobody may read any more, a batch at each store."""
+        found = self._kept.list_obsolete(is_obsolete)
+        await asyncio.gather(
+            *(
+                self._free(self._kept.views[name].store, tuple(parts))
+                for name, parts in found.items()
+            )
+        )
+
+    async def _free(self, store: KeptStore, names: tuple[str, ...]) -> None:
+        names = names[:FREE_BATCH_PARTS]
+        view = self._kept.views.get(store.name)
+        until_s = self.find_fetch_limit()
+        if view is None or view.epoch is None or until_s is None:
+            return
+        free_call = self._dialect.encode_free(names, view.epoch, until_s)
+        path, content_type, body = free_call
+        request = Request(
+            f"http://{store.address}{path}",
+            method="POST",
+            body=body,
+            content_type=content_type,
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        result = await exchange(self._client, request)
+        outcome = result.value if isinstance(result, Loss) else result.code
+        _log.info(
+            "parts freed",
+            extra={"store": store.name, "parts": len(names), "outcome": outcome},
+        )
+
+    async def _follow(self, store: KeptStore) -> None:
+        await asyncio.sleep(random.uniform(0.0, RETRY_S))
+        while True:
+            try:
+                await self._follow_list(store)
+            except Exception:
+                _log.exception("store could not be followed")
+            self._lose(store)
+            await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S))
+
+    async def _follow_list(self, store: KeptStore) -> None:
+        """Read a list, then events until they have a gap or the store is lost."""
+        asked_s = read_boot_clock()
+        news = await self._ask(store, self._dialect.store_list_path, ())
+        if news is None:
+            return
+        before = frozenset(self._kept.views[store.name].parts)
+        parts = {event.name: event.tokens for event in news.events}
+        self._kept.take_list(
+            store.name, news.epoch, parts, news.partial_tokens, asked_s
+        )
+        self._note_change(tuple(before - parts.keys()), False)
+        self._note_change(tuple(parts), True)
+        while read_boot_clock() < asked_s + RELIST_INTERVAL_S:
+            await asyncio.sleep(EVENTS_PAUSE_S)
+            call_s = read_boot_clock()
+            path, headers = self._dialect.encode_events_call(news.cursor, EVENTS_WAIT_S)
+            timeout_s = EVENTS_WAIT_S + CALL_TIMEOUT_S
+            news = await self._ask(store, path, headers, timeout_s)
+            if news is None or news.has_gap:
+                return
+            if not self._kept.take_events(store.name, news.epoch, news.events, call_s):
+                return
+            for event in news.events:
+                self._note_change((event.name,), event.is_whole)
+        # The view stays in use while the next list is read.
+        await self._follow_list(store)
+
+    def _lose(self, store: KeptStore) -> None:
+        view = self._kept.views.get(store.name)
+        if view is None:
+            return
+        names = tuple(view.parts)
+        self._kept.lose(store.name)
+        self._note_change(names, False)
+
+    async def _ask(
+        self,
+        store: KeptStore,
+        path: str,
+        headers: tuple[tuple[str, str], ...],
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> StoreNews | None:
+        request = Request(
+            f"http://{store.address}{path}", headers=dict(headers), timeout_s=timeout_s
+        )
+        result = await exchange(self._client, request)
+        if isinstance(result, Loss) or result.code != 200:
+            cause = result.value if isinstance(result, Loss) else result.code
+            _log.info("store lost", extra={"store": store.name, "cause": cause})
+            return None
+        try:
+            news = self._dialect.decode_store_news(result.body)
+        except ValueError as error:
+            cause = {"store": store.name, "cause": str(error)}
+            _log.warning("store answer can't be read", extra=cause)
+            return None
+        if news.clock_s is not None:
+            # The answer was on its way since, so limits come rather too early.
+            self._clock_offset_s = news.clock_s - read_boot_clock()
+        return news
--- a/packages/gateway/src/persimmonferry_gateway/team.py
+++ b/packages/gateway/src/persimmonferry_gateway/team.py
@@ -2,6 +2,7 @@
 
 from persimmonferry_core.contracts import (
     ClientAccount,
+    RoutingWeights,
     Service,
     ServiceKind,
     TeamDocument,
@@ -14,13 +15,21 @@
     UpstreamService,
 )
 from persimmonferry_core.upstreams import UpstreamReport
+from persimmonferry_core.world import Link
 
 from persimmonferry_gateway.interfaces import UpstreamLoad
 
-__all__ = ["make_document", "make_report", "name_tier"]
+# The stores as one source of parts: each part has one home among them.
+KEPT_SOURCE = "stores"
+# Transfers from another failure domain take twice as long.
+FAR_SHARE = 0.5
+
+__all__ = ["KEPT_SOURCE", "make_document", "make_report", "name_tier"]
 
 # Of one run, until its engine has shown more; it enters only the cost of requests.
 ASSUMED_DECODE_TOKENS_PER_S = 120.0
+# Computing again what lies elsewhere takes engine time from later prompts.
+ENGINE_WEIGHTS = RoutingWeights(first_token=1.0, recomputed=0.5)
 
 
 def name_tier(route: CallRoute, rank: int) -> str:
@@ -32,11 +41,14 @@
     return f"{rank}/{route.objective_s:g}"
 
 
-def make_document(deployment: Deployment, weights: dict[str, int]) -> TeamDocument:
+def make_document(
+    deployment: Deployment, weights: dict[str, int], failure_domains: frozenset[str]
+) -> TeamDocument:
     """
     Return the document of a configuration.
 
     :param weights: wanted version of each model.
+    :param failure_domains: that have upstreams.
     """
     ranks = {route.rank for route in deployment.routes}
     ranks |= {item.rank for item in deployment.accounts if item.rank is not None}
@@ -56,6 +68,21 @@
             ClientAccount(item.name, (), "", 1.0, ()) for item in deployment.accounts
         ),
         operators=(),
+        links=_make_links(deployment, failure_domains),
+    )
+
+
+def _make_links(
+    deployment: Deployment, failure_domains: frozenset[str]
+) -> tuple[Link, ...]:
+    """Return links from the stores as a whole, at the rate of the slowest of them."""
+    if not deployment.stores:
+        return ()
+    slowest = min(store.bytes_per_s for store in deployment.stores)
+    first_s = max(store.first_s for store in deployment.stores)
+    return tuple(
+        Link(KEPT_SOURCE, domain, first_s, FAR_SHARE * slowest, 0.0)
+        for domain in sorted(failure_domains)
     )
 
 
@@ -70,6 +97,7 @@
         model=model,
         version=version,
         slots_per_upstream=service.engine.slots,
+        weights=ENGINE_WEIGHTS,
     )
 
 
--- a/packages/gateway/src/persimmonferry_gateway/weights.py
+++ b/packages/gateway/src/persimmonferry_gateway/weights.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -20,6 +21,7 @@
 from persimmonferry_gateway.probes import Prober
 from persimmonferry_gateway.roster import Roster
 from persimmonferry_gateway.settings import GatewaySettings
+from persimmonferry_gateway.stores import StoreWatch
 
 __all__ = ["WeightRollout"]
 
@@ -29,6 +31,11 @@
 # way then still reach the engine before the order.
 ANNOUNCE_S = 0.12
 
+# A part of older weights is named by no gateway that hears the registry for this long
+# after newer ones were wanted, and the last fetch has ended.
+OBSOLETE_AFTER_S = 7.0
+FREE_INTERVAL_S = 1.0
+
 _log = logging.getLogger(__name__)
 
 
@@ -56,9 +63,13 @@
         announce: Callable[[frozenset[str], dict[str, int]], None],
         count_held: Callable[[str], int],
         prober: Prober,
+        stores: StoreWatch,
         read_clock: Callable[[], float],
     ) -> None:
         self._prober = prober
+        self._stores = stores
+        self._wanted_since: dict[tuple[str, int], float] = {}
+        self._freed_s = 0.0
         self._duty = duty
         self._roster = roster
         self._dialect = dialect
@@ -101,6 +112,19 @@
         for model, version in tuple(self._roster.weights.items()):
             paused |= await self._bring_forward(holding, model, version)
         self._announce(frozenset(paused), dict(self._seen))
+        await self._free_obsolete(now)
+
+    async def _free_obsolete(self, now: float) -> None:
+        """Free what was saved under weights that nobody may name any more."""
+        newest = 0
+        for item in self._roster.weights.items():
+            since_s = self._wanted_since.setdefault(item, now)
+            if now >= since_s + OBSOLETE_AFTER_S:
+                newest = max(newest, item[1])
+        if not newest or now < self._freed_s + FREE_INTERVAL_S:
+            return
+        self._freed_s = now
+        await self._stores.free_obsolete(lambda name: _read_version(name) < newest)
 
     async def _bring_forward(
         self, holding: Holding, model: str, version: int
@@ -198,3 +222,15 @@
         if isinstance(result, Loss):
             return OrderOutcome(is_accepted=None if request.sent else False)
         return self._dialect.decode_order_outcome(result.code)
+
+
+def _read_version(name: str) -> int:
+    """
+    Return the version of the weights of a saved part.
+
+    >>> _read_version("3/5c1e"), _read_version("4.bozi/5c1e")
+    (3, 4)
+    """
+    version = name.partition("/")[0].partition(".")[0]
+    # A part that another writer saved is not ours to free.
+    return int(version) if version.isdecimal() else sys.maxsize
--- a/packages/gateway/src/persimmonferry_gateway/work.py
+++ b/packages/gateway/src/persimmonferry_gateway/work.py
@@ -4,7 +4,7 @@
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from persimmonferry_adapters.exchange import Loss, Reuse, make_upstream_error
 from persimmonferry_core.codes import ResultCode
@@ -22,9 +22,11 @@
 )
 from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
 from persimmonferry_core.incoming import IncomingCall
+from persimmonferry_core.keptparts import KeptParts
 from persimmonferry_core.runs import RunEnd
 
 from persimmonferry_gateway.callers import CallerConnection
+from persimmonferry_gateway.duty import read_boot_clock
 from persimmonferry_gateway.events import EventCutter
 from persimmonferry_gateway.exchange import CancellableClient, Exchange
 from persimmonferry_gateway.interfaces import AnswerHead, Dialect, UpstreamCall
@@ -62,6 +64,9 @@
     :param place: asks the dispatcher to assign now what can start.
     :param announce_held: tells the other gateways of blocks that an engine holds.
     :param check_version: asks an engine which weights it holds.
+    :param kept: which parts of prompts lie in store VMs.
+    :param find_fetch_limit: returns until when a fetch must end, None when parts must
+        not be fetched now.
     :param waiting: futures of the requests that the dispatcher has queued.
     """
 
@@ -73,6 +78,8 @@
     place: Callable[[], None]
     announce_held: Callable[[str, tuple[str, ...], tuple[int, ...]], None]
     check_version: Callable[[str], None]
+    kept: KeptParts
+    find_fetch_limit: Callable[[], float | None]
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
     idle_s: dict[str, float] = field(default_factory=dict)
 
@@ -224,6 +231,8 @@
             rank=self._engine_rank(now) if self._call.prompt else None,
             resumes_after=self._cutter.last_id or self._call.resumes_after,
         )
+        if version is not None:
+            addition = self._add_stores(addition, version)
         repeatable = self._route.may_repeat
         exchange = self._exchange = Exchange(
             tools.client,
@@ -277,6 +286,29 @@
         else:
             await self._relay_whole(exchange, head)
 
+    def _add_stores(self, addition: UpstreamCall, version: int) -> UpstreamCall:
+        """Name the stores for the shared parts of a prompt of the wanted weights."""
+        prompt, kept = self._call.prompt, self._tools.kept
+        limit_s = self._tools.find_fetch_limit()
+        if limit_s is None or self._tools.roster.find_wanted(prompt.model) != version:
+            return addition
+        now = read_boot_clock()
+        fetches: list[str | None] = []
+        saves: list[str | None] = []
+        for part in prompt.shared_parts:
+            name = f"{addition.cache_scope}/{part.name}"
+            source = kept.find(name, now)
+            home = None if source else kept.choose_home(name, part.tokens, now)
+            fetches.append(source.address if source else None)
+            saves.append(home.address if home else None)
+        # The last part is the call's own.
+        return replace(
+            addition,
+            fetch_from=(*fetches, None),
+            save_to=(*saves, None),
+            fetch_until_s=limit_s if any(fetches) else None,
+        )
+
     def _note_head(self, record: UpstreamRecord, head: AnswerHead) -> None:
         tools = self._tools
         now = tools.read_clock()
@@ -450,7 +482,7 @@
 
     def _block_names(self) -> tuple[str, ...]:
         prompt = self._call.prompt
-        wanted = self._tools.roster.weights.get(prompt.model)
+        wanted = self._tools.roster.find_wanted(prompt.model)
         scope = self._name_scope(wanted)
         return tuple(f"{scope}/{part.name}" for part in prompt.parts)
 
