--- a/packages/core/src/persimmonferry_core/rollout.py
+++ b/packages/core/src/persimmonferry_core/rollout.py
@@ -184,8 +184,8 @@
     """
     Return the engines that are to get an order now.
 
-    Load pattern: new weights at full load. A third loads at a time, those first that
-    lose the least cache.
+    Load pattern: new weights at full load. Some load at a time, those first that are
+    furthest behind, and of these the ones that lose the least cache.
 
     >>> engines = [EngineState(name, 1, 0, 0.0, 10 - index)
     ...            for index, name in enumerate("abcdef")]
@@ -193,14 +193,14 @@
     ('f', 'e')
     """
     behind = [engine for engine in engines if engine.version < wanted]
-    loading = [engine for engine in behind if is_loading(engine, wanted, now)]
+    loading = [engine for engine in behind if is_loading(engine, now)]
     room = max(1, round(LOADING_SHARE * len(engines))) - len(loading)
     idle = [engine for engine in behind if engine not in loading]
-    idle.sort(key=lambda engine: (engine.held_tokens, engine.name))
+    idle.sort(key=lambda engine: (engine.version, engine.held_tokens, engine.name))
     return tuple(engine.name for engine in idle[: max(0, room)])
 
 
-def is_loading(engine: EngineState, wanted: int, now: float) -> bool:
-    """Whether an engine is expected to have an order for these weights in hand."""
-    is_ordered = engine.ordered_version == wanted and engine.version < wanted
+def is_loading(engine: EngineState, now: float) -> bool:
+    """Whether an engine is expected to have an order in hand."""
+    is_ordered = engine.version < engine.ordered_version
     return is_ordered and now < engine.ordered_s + ORDER_TIMEOUT_S
--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -3,6 +3,7 @@
 import json
 import logging
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.deployment import CallerLimits
@@ -29,6 +30,8 @@
 HARD_BODY_BYTES = 64 * 1024 * 1024
 HARD_IDLE_TIMEOUT_S = 60.0
 MIN_RETRY_AFTER_S = 0.05
+# Longer than an answer is on its way to its caller.
+IDLE_BEFORE_CLOSE_S = 0.1
 
 _log = logging.getLogger(__name__)
 
@@ -199,6 +202,14 @@
         CallerConnection(self._connection, True).send_error(NotRun(code))
 
 
+@dataclass(frozen=True)
+class _Waiting:
+    """A connection that waits for its next request."""
+
+    connection: HTTP1Connection
+    since_s: float
+
+
 class CallerServer(HTTPServerConnectionDelegate):
     """
     Reads callers' requests.
@@ -211,13 +222,16 @@
         host: str,
         port: int,
         accept: Callable[[ReceivedRequest, CallerConnection], None],
+        read_clock: Callable[[], float],
     ) -> None:
+        self._read_clock = read_clock
         self.accept = accept
         self.limits: CallerLimits | None = None
         self.is_stopping = False
         self._sockets = bind_sockets(port, host, backlog=BACKLOG)
         self.port = self._sockets[0].getsockname()[1]
-        self._idle: dict[object, HTTP1Connection] = {}
+        self._idle: dict[object, _Waiting] = {}
+        self._busy: set[object] = set()
         self._server = HTTPServer(
             self,
             max_header_size=HARD_HEADER_BYTES,
@@ -233,23 +247,37 @@
         self, server_conn: object, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Return the reader of a connection's next request."""
-        self._idle[server_conn] = request_conn
+        self._busy.discard(server_conn)
+        self._idle[server_conn] = _Waiting(request_conn, self._read_clock())
         return _Reader(self, server_conn, request_conn)
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection that was closed."""
         self._idle.pop(server_conn, None)
+        self._busy.discard(server_conn)
 
     def note_busy(self, server_connection: object) -> None:
         """Note that a request begins to come on a connection."""
         self._idle.pop(server_connection, None)
+        self._busy.add(server_connection)
 
     def stop_accepting(self) -> None:
-        """Accept no more connections and close the idle ones; others go on."""
+        """Accept no more connections; those open go on."""
         self._server.stop()
-        idle, self._idle = self._idle, {}
-        for connection in idle.values():
-            connection.close()
+
+    def close_idle(self, now: float) -> int:
+        """
+        Close the connections that have been idle for a moment.
+
+        A caller that has just got an answer sees its end first, and then the close.
+
+        :returns: the connections that are still open.
+        """
+        for key, waiting in tuple(self._idle.items()):
+            if now >= waiting.since_s + IDLE_BEFORE_CLOSE_S:
+                del self._idle[key]
+                waiting.connection.close()
+        return len(self._idle) + len(self._busy)
 
     async def close(self) -> None:
         """Close all connections."""
--- a/packages/gateway/src/persimmonferry_gateway/duty.py
+++ b/packages/gateway/src/persimmonferry_gateway/duty.py
@@ -68,15 +68,6 @@
         self._wake = asyncio.Event()
         self._task: asyncio.Task | None = None
 
-    @property
-    def takeover_wait_s(self) -> float:
-        """
-        How long a new holder waits before it acts.
-
-        The one before may have acted until shortly before its lease lapsed.
-        """
-        return self._lease_s * (1 - SAFETY_SHARE)
-
     def find_holding(self, now: float) -> Holding | None:
         """
         Return the holding if it is still safe to act on it.
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -64,6 +64,7 @@
 NOTICE_S = 2.5
 # The last answers are given up this long before the process is killed.
 KILL_MARGIN_S = 0.5
+CLOSE_INTERVAL_S = 0.05
 # A gateway's part of the repeats that all may make: the others may be busier.
 RETRY_MARGIN = 0.5
 MAX_ATTEMPTS = 3
@@ -134,6 +135,7 @@
             dialect,
             client,
             settings,
+            self._peers.find_last_pause,
             self._peers.announce_loading,
             self._dispatcher.count_held,
             self._prober,
@@ -141,7 +143,10 @@
             self._loop.time,
         )
         self._server = CallerServer(
-            settings.callers.host, settings.callers.port, self._accept
+            settings.callers.host,
+            settings.callers.port,
+            self._accept,
+            self._loop.time,
         )
         self._readiness = HTTPServer(
             Application([(r"/.*", _Readiness, {"check": self._is_ready})])
@@ -175,15 +180,16 @@
         await self._registration.stop()
         await asyncio.sleep(NOTICE_S)
         self._server.stop_accepting()
-        left_s = self._settings.grace_s - KILL_MARGIN_S
-        while self._tasks and self._loop.time() < began_s + left_s:
-            await asyncio.wait(
-                self._tasks, timeout=max(0.0, began_s + left_s - self._loop.time())
-            )
+        end_s = began_s + self._settings.grace_s - KILL_MARGIN_S
+        while self._server.close_idle(self._loop.time()) or self._tasks:
+            if self._loop.time() >= end_s:
+                _log.warning("calls cut at the end", extra={"calls": len(self._tasks)})
+                break
+            await asyncio.sleep(CLOSE_INTERVAL_S)
+        await self._server.close()
         self._peers.stop()
         await self._stores.stop()
         await self._mirror.stop()
-        await self._server.close()
 
     def _is_ready(self) -> bool:
         return (
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -11,6 +11,8 @@
 from persimmonferry_wire import decode, encode
 from persimmonferry_wire.generated.peers.ttypes import NewlyHeld, OwnWork, PeerNews
 
+from persimmonferry_gateway.duty import read_boot_clock
+
 __all__ = ["PeerExchange"]
 
 # Requests come some ten milliseconds apart; older news would send several gateways'
@@ -65,6 +67,7 @@
         self._held: dict[str, dict[str, int]] = {}
         self._paused: frozenset[str] = frozenset()
         self._versions: dict[str, int] = {}
+        self._last_pause_s = float("-inf")
         self._sequence = 0
         self._was_idle = False
         self._transport: asyncio.DatagramTransport | None = None
@@ -120,6 +123,10 @@
         self._paused, self._versions = paused, versions
         self._dispatcher.set_paused(self._name, paused)
 
+    def find_last_pause(self) -> float:
+        """Return when a peer last told of loading engines, on the boot clock."""
+        return self._last_pause_s
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take over a peer's news unless a later one came before."""
         try:
@@ -142,6 +149,8 @@
         }
         self._dispatcher.set_peer_work(news.sender, work)
         self._dispatcher.set_paused(news.sender, frozenset(news.paused))
+        if news.paused:
+            self._last_pause_s = read_boot_clock()
         for name, version in news.versions.items():
             self._note_version(name, version, self._loop.time())
         for item in news.held:
--- a/packages/gateway/src/persimmonferry_gateway/settings.py
+++ b/packages/gateway/src/persimmonferry_gateway/settings.py
@@ -24,6 +24,7 @@
     :param readiness: address that the balancer asks.
     :param internal: address for the other gateways (UDP) and for metrics (TCP).
     :param lease_s: for which a holder of a duty keeps it without a renewal.
+    :param are_orders_fenced: whether engines refuse orders with an old fencing number.
     :param grace_s: from the stop signal to the kill.
     :param drain_s: after which a leaving upstream gets no more calls.
     :param heartbeat_s: interval in which upstreams register anew.
@@ -40,6 +41,7 @@
     registry_rates: RegistryRates
     internal: Address
     lease_s: float
+    are_orders_fenced: bool
     grace_s: float
     drain_s: float
     heartbeat_s: float
--- a/packages/gateway/src/persimmonferry_gateway/weights.py
+++ b/packages/gateway/src/persimmonferry_gateway/weights.py
@@ -49,6 +49,8 @@
     """
     Gives the orders for new weights, a few engines at a time.
 
+    :param find_last_pause: returns when another gateway last told of loading engines,
+        on the boot clock.
     :param announce: tells all gateways which engines take no prompts meanwhile.
     :param count_held: returns the tokens that an engine holds in its cache.
     """
@@ -60,6 +62,7 @@
         dialect: Dialect,
         client: CancellableClient,
         settings: GatewaySettings,
+        find_last_pause: Callable[[], float],
         announce: Callable[[frozenset[str], dict[str, int]], None],
         count_held: Callable[[str], int],
         prober: Prober,
@@ -75,6 +78,7 @@
         self._dialect = dialect
         self._client = client
         self._settings = settings
+        self._find_last_pause = find_last_pause
         self._announce = announce
         self._count_held = count_held
         self._read_clock = read_clock
@@ -139,9 +143,9 @@
         now = read_boot_clock()
         states = [self._make_state(item) for item in records.values()]
         chosen: tuple[str, ...] = ()
-        if now >= holding.since_s + self._duty.takeover_wait_s:
+        if now >= self._find_first_order(holding):
             chosen = choose_loads(states, version, now)
-        loading = {state.name for state in states if is_loading(state, version, now)}
+        loading = {state.name for state in states if is_loading(state, now)}
         if chosen:
             self._announce(frozenset(loading | set(chosen)), dict(self._seen))
             await asyncio.sleep(ANNOUNCE_S)
@@ -153,6 +157,18 @@
             )
         return frozenset(loading | set(chosen))
 
+    def _find_first_order(self, holding: Holding) -> float:
+        """
+        Return when this holder may give its first order.
+
+        Engines that don't check fencing numbers need a whole lease between the orders
+        of two holders. Others do when the holder before gave orders lately.
+        """
+        lease_s = self._settings.lease_s
+        if not self._settings.are_orders_fenced:
+            return holding.since_s + lease_s
+        return max(holding.since_s, self._find_last_pause() + lease_s)
+
     def _make_state(self, record: UpstreamRecord) -> EngineState:
         order = self._orders.get(record.name)
         return EngineState(
