Serve short calls to the end of a stop, and never pass on what comes on a closed connection

Change: the server stays open until nobody calls or time runs out; calls that may not end in time are refused with a return time; requests of closed connections are dropped unread.

--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -160,6 +160,11 @@
     def headers_received(
         self, start_line: RequestStartLine, headers: HTTPHeaders
     ) -> None:
+        if self._connection.stream.closed():
+            # Closed between the arrival of these bytes and their reading: the request
+            # must not be passed on.
+            self._is_refused = True
+            return
         self._server.note_busy(self._server_connection)
         self._line = start_line
         self._headers = list(headers.get_all())
@@ -186,7 +191,7 @@
         self._pieces.append(chunk)
 
     def finish(self) -> None:
-        if self._is_refused:
+        if self._is_refused or self._connection.stream.closed():
             return
         request = ReceivedRequest(
             self._line.method, self._line.path, self._headers, b"".join(self._pieces)
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -11,6 +11,7 @@
 from persimmonferry_core.deployment import CallRoute, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.exceptions import FerryError, NotRun
+from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.keptparts import KeptParts
 from persimmonferry_core.retries import RetryPolicy
 from persimmonferry_core.world import Address
@@ -65,6 +66,11 @@
 # The last answers are given up this long before the process is killed.
 KILL_MARGIN_S = 0.5
 CLOSE_INTERVAL_S = 0.05
+# Time for connections to be idle, be swept, and for the last short answers.
+CLOSING_S = 0.5
+# A call that comes while the process stops is taken if this many objectives are left.
+ANSWER_OBJECTIVES = 4
+STOPPING_RETRY_S = 0.3
 # A gateway's part of the repeats that all may make: the others may be busier.
 RETRY_MARGIN = 0.5
 MAX_ATTEMPTS = 3
@@ -155,6 +161,8 @@
         self._timers: list[asyncio.TimerHandle] = []
         self._number = 0
         self._is_stopping = False
+        self._last_answer_s: float | None = None
+        self._notice_over_s = float("inf")
         self._placing: asyncio.TimerHandle | None = None
         self._set_retry_policy(1)
 
@@ -175,22 +183,50 @@
         self._is_stopping = True
         self._server.is_stopping = True
         began_s = self._loop.time()
+        self._notice_over_s = began_s + NOTICE_S
         await self._rollout.stop()
         await self._duty.stop()
         await self._registration.stop()
-        await asyncio.sleep(NOTICE_S)
-        self._server.stop_accepting()
-        end_s = began_s + self._settings.grace_s - KILL_MARGIN_S
-        while self._server.close_idle(self._loop.time()) or self._tasks:
-            if self._loop.time() >= end_s:
-                _log.warning("calls cut at the end", extra={"calls": len(self._tasks)})
-                break
-            await asyncio.sleep(CLOSE_INTERVAL_S)
+        await self._drain(began_s)
         await self._server.close()
         self._peers.stop()
         await self._stores.stop()
         await self._mirror.stop()
 
+    async def _drain(self, began_s: float) -> None:
+        """
+        End what is under way.
+
+        Whoever still connects after the balancer's notice finds no other gateway, so
+        the server stays open until nobody calls any more, or time runs out.
+        """
+        self._last_answer_s = began_s + self._settings.grace_s - KILL_MARGIN_S
+        closing_s = self._last_answer_s - CLOSING_S
+        now = self._loop.time()
+        while now < closing_s and (now < began_s + NOTICE_S or self._tasks):
+            await asyncio.sleep(CLOSE_INTERVAL_S)
+            now = self._loop.time()
+        self._server.stop_accepting()
+        while self._server.close_idle(self._loop.time()) or self._tasks:
+            if self._loop.time() >= self._last_answer_s:
+                _log.warning("calls cut at the end", extra={"calls": len(self._tasks)})
+                return
+            await asyncio.sleep(CLOSE_INTERVAL_S)
+
+    def _check_time_left(self, route: CallRoute, call: IncomingCall) -> None:
+        """
+        Refuse a call that may not be answered before this process is killed.
+
+        :raises NotRun: with the time after which another gateway takes it.
+        """
+        if self._last_answer_s is None:
+            return
+        budget_s = min(route.timeout_s, call.budget_s or route.timeout_s)
+        left_s = self._last_answer_s - self._loop.time()
+        needed_s = min(budget_s, ANSWER_OBJECTIVES * route.objective_s)
+        if self._loop.time() > self._notice_over_s and needed_s > left_s:
+            raise NotRun(ResultCode.STOPPING, "", STOPPING_RETRY_S)
+
     def _is_ready(self) -> bool:
         return (
             not self._is_stopping
@@ -231,6 +267,7 @@
             account = deployment.find_account(call.key or "")
             if account is None:
                 raise NotRun(ResultCode.INVALID_KEY)
+        self._check_time_left(route, call)
         self._number += 1
         kind = PlainWork
         if call.prompt is not None and self._is_model_route(route):
