Spend less on placing: counters instead of sums, shared placements, fewer scans

A stream taken 3.4 s after SIGTERM was cut. Ruled out: the garbage collector and the logs (0.3 s of 12 s). Change: counters kept at the upstream, placements at most each 4 ms, three misses a priority; streams need ten objectives of time left while stopping.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -40,6 +40,8 @@
 ]
 
 SCANNED_REQUESTS = 8
+# Requests of one priority that found no place before the rest of it is not looked at.
+SCANNED_MISSES = 3
 POLL_INTERVAL_S = 0.02
 NO_UPSTREAM_RETRY_S = 1.0
 ANSWER_SMOOTHING = 0.05
@@ -516,10 +518,15 @@
             if router.has_room(priority, now)
         )
         made = []
+        misses: dict[int, int] = {}
         for waiting in model.queue.iterate(priorities, SCANNED_REQUESTS):
+            if misses.get(waiting.priority, 0) >= SCANNED_MISSES:
+                continue
             route = router.choose(waiting, now)
             if route is not None and route.startable:
                 made.append(self._start_attempt(model, waiting, route, now))
+            else:
+                misses[waiting.priority] = misses.get(waiting.priority, 0) + 1
         return made
 
     def _start_attempt(
--- a/packages/core/src/persimmonferry_core/upstreams.py
+++ b/packages/core/src/persimmonferry_core/upstreams.py
@@ -161,6 +161,12 @@
         self._lane_event_s = 0.0
         self._pace = PrefillPace(ASSUMED_PREFILL_TOKENS_PER_S)
         self._peers: dict[str, PeerWork] = {}
+        self._hears_peers = False
+        self._peer_runs = 0
+        self._peer_memory = 0
+        self._peer_waiting: dict[int, int] = {}
+        self._own_memory = 0
+        self._waiting: dict[str, _OwnRun] = {}
 
     @property
     def name(self) -> str:
@@ -170,9 +176,8 @@
     @property
     def in_flight(self) -> int:
         """Runs that are known to be there, of this entry and of others."""
-        if self._peers:
-            return len(self.runs) + sum(peer.runs for peer in self._peers.values())
-        return len(self.runs) + self.others
+        others = self._peer_runs if self._hears_peers else self.others
+        return len(self.runs) + others
 
     @property
     def prefill_tokens_per_s(self) -> float:
@@ -192,27 +197,36 @@
         """
         if not self.report.memory_tokens:
             return True
-        used = sum(run.memory_tokens for run in self.runs.values())
-        used += sum(peer.memory_tokens for peer in self._peers.values())
+        used = self._own_memory + self._peer_memory
         limit = RUN_MEMORY_SHARE * self.report.memory_tokens
         return not used or used + tokens <= limit
 
     def set_peer_work(self, peer: str, work: PeerWork | None) -> None:
         """Take over what another entry has there, None when it is not known."""
-        if work is None or not work.runs:
-            self._peers.pop(peer, None)
+        self._hears_peers = True
+        if self._peers.get(peer) == work:
+            return
+        if work is None:
+            del self._peers[peer]
         else:
             self._peers[peer] = work
+        peers = self._peers.values()
+        self._peer_runs = sum(item.runs for item in peers)
+        self._peer_memory = sum(item.memory_tokens for item in peers)
+        self._peer_waiting = {}
+        for item in peers:
+            for rank, tokens in item.waiting_tokens:
+                known = self._peer_waiting.get(rank, 0)
+                self._peer_waiting[rank] = known + tokens
 
     def summarise_own_work(self, now: float) -> PeerWork:
         """Return what this entry has there, to be told to the others."""
         waiting: dict[int, int] = {}
-        for run in self.runs.values():
-            if not run.started:
-                tokens = waiting.get(run.priority, 0) + run.missing_tokens
-                waiting[run.priority] = tokens
-        memory = sum(run.memory_tokens for run in self.runs.values())
-        return PeerWork(len(self.runs), memory, tuple(sorted(waiting.items())))
+        for run in self._waiting.values():
+            tokens = waiting.get(run.priority, 0) + run.missing_tokens
+            waiting[run.priority] = tokens
+        ranks = tuple(sorted(waiting.items()))
+        return PeerWork(len(self.runs), self._own_memory, ranks)
 
     @property
     def free_slots(self) -> int:
@@ -242,9 +256,7 @@
         if report.incarnation != self.report.incarnation:
             self._peak_runs = 0
         self.others = max(0, report.running + report.waiting - self._peak_runs)
-        own_prefill_s = sum(
-            run.prefill_s for run in self.runs.values() if not run.started
-        )
+        own_prefill_s = sum(run.prefill_s for run in self._waiting.values())
         reported_s = _prefill_s(report, report.waiting_prefill_tokens)
         self._others_prefill_s = max(0.0, reported_s - own_prefill_s)
         if not self.others:
@@ -292,7 +304,8 @@
             route.ahead_tokens if route else 0.0,
             memory_tokens,
         )
-        self.runs[run_id] = run
+        self.runs[run_id] = self._waiting[run_id] = run
+        self._own_memory += memory_tokens
         self._peak_runs = max(self._peak_runs, len(self.runs))
         self._unreported_runs += 1
 
@@ -306,6 +319,7 @@
         if run is None or run.started:
             return None
         run.started_s = now
+        self._waiting.pop(run_id, None)
         self._lane_event_s = now
         if not self.report.prefill_tokens_per_s and run.missing_tokens:
             tokens = run.missing_tokens + run.ahead_tokens
@@ -318,6 +332,8 @@
         run = self.runs.pop(run_id, None)
         if run is None:
             return
+        self._waiting.pop(run_id, None)
+        self._own_memory -= run.memory_tokens
         if not run.started:
             self._lane_event_s = now
         if whole:
@@ -331,24 +347,20 @@
         """
         ahead = 0.0
         since_s = now
-        for run in self.runs.values():
-            if not run.started and run.priority <= priority and run.ready_s <= now:
+        for run in self._waiting.values():
+            if run.priority <= priority and run.ready_s <= now:
                 ahead += run.prefill_s
                 since_s = min(since_s, run.ready_s)
         if ahead:
             since_s = max(since_s, self._lane_event_s)
             ahead = max(0.0, ahead - (now - since_s))
-        if self._peers:
+        if self._hears_peers:
             return ahead + self._count_peer_tokens(priority) / self.prefill_tokens_per_s
         return ahead + others_share * self._others_prefill_s
 
     def _count_peer_tokens(self, priority: int) -> int:
-        return sum(
-            tokens
-            for peer in self._peers.values()
-            for rank, tokens in peer.waiting_tokens
-            if rank <= priority
-        )
+        waiting = self._peer_waiting.items()
+        return sum(tokens for rank, tokens in waiting if rank <= priority)
 
     def estimate_slot_wait(self) -> float:
         """Return the seconds until a slot is expected to be free."""
@@ -357,7 +369,7 @@
         return max(0.0, excess * self.run_s / limit)
 
     def _computing(self) -> bool:
-        return any(not run.started for run in self.runs.values())
+        return bool(self._waiting)
 
 
 def _prefill_s(report: UpstreamReport, tokens: int) -> float:
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -66,10 +66,12 @@
 # The last answers are given up this long before the process is killed.
 KILL_MARGIN_S = 0.5
 CLOSE_INTERVAL_S = 0.05
+# Placing costs processor time for each request that waits; several events share one.
+MIN_PLACE_INTERVAL_S = 0.004
 # Time for connections to be idle, be swept, and for the last short answers.
 CLOSING_S = 0.5
 # A call that comes while the process stops is taken if this many objectives are left.
-ANSWER_OBJECTIVES = 4
+ANSWER_OBJECTIVES = 10
 STOPPING_RETRY_S = 0.3
 # A gateway's part of the repeats that all may make: the others may be busier.
 RETRY_MARGIN = 0.5
@@ -164,6 +166,7 @@
         self._last_answer_s: float | None = None
         self._notice_over_s = float("inf")
         self._placing: asyncio.TimerHandle | None = None
+        self._placed_s = 0.0
         self._set_retry_policy(1)
 
     async def start(self) -> None:
@@ -279,18 +282,24 @@
         return service is not None and service.engine is not None
 
     def _place(self) -> None:
+        """Have what can start placed, at once or a moment after the last time."""
+        if self._placing is not None:
+            self._placing.cancel()
+        self._placing = self._loop.call_at(
+            self._placed_s + MIN_PLACE_INTERVAL_S, self._place_now
+        )
+
+    def _place_now(self) -> None:
         """Start what can start now, and come back while anything waits."""
-        now = self._loop.time()
+        now = self._placed_s = self._loop.time()
+        self._placing = None
         for refusal in self._dispatcher.expire(now):
             self._resolve(refusal.request_id, refusal)
         for assignment in self._dispatcher.assign(now):
             self._resolve(assignment.request.request_id, assignment)
-        if self._placing is not None:
-            self._placing.cancel()
-            self._placing = None
         next_s = self._dispatcher.next_event(now)
         if next_s is not None:
-            self._placing = self._loop.call_at(next_s, self._place)
+            self._placing = self._loop.call_at(next_s, self._place_now)
 
     def _check_version(self, upstream: str) -> None:
         """Ask an engine that refused a call which weights it holds."""
