--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,11 @@
+"""
+Keeps Python's own module ``platform`` while tests lie in a folder of that name.
+
+Pytest names test modules after their folders and replaces a parent module that is not a
+package.
+"""
+
+import platform
+from pathlib import Path
+
+platform.__path__ = [str(Path(__file__).parent / "platform")]
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -61,8 +61,6 @@
 REGISTRATION_LEASE_S = 5.0
 MAINTENANCE_INTERVAL_S = 0.1
 NS_PER_MS = 1_000_000
-# The balancer asks each second and takes a process out after two misses.
-NOTICE_S = 2.5
 # The last answers are given up this long before the process is killed.
 KILL_MARGIN_S = 0.5
 CLOSE_INTERVAL_S = 0.05
@@ -186,7 +184,7 @@
         self._is_stopping = True
         self._server.is_stopping = True
         began_s = self._loop.time()
-        self._notice_over_s = began_s + NOTICE_S
+        self._notice_over_s = began_s + self._settings.notice_s
         await self._rollout.stop()
         await self._duty.stop()
         await self._registration.stop()
@@ -206,7 +204,9 @@
         self._last_answer_s = began_s + self._settings.grace_s - KILL_MARGIN_S
         closing_s = self._last_answer_s - CLOSING_S
         now = self._loop.time()
-        while now < closing_s and (now < began_s + NOTICE_S or self._tasks):
+        while now < closing_s and (
+            now < began_s + self._settings.notice_s or self._tasks
+        ):
             await asyncio.sleep(CLOSE_INTERVAL_S)
             now = self._loop.time()
         self._server.stop_accepting()
--- a/packages/gateway/src/persimmonferry_gateway/settings.py
+++ b/packages/gateway/src/persimmonferry_gateway/settings.py
@@ -26,6 +26,7 @@
     :param lease_s: for which a holder of a duty keeps it without a renewal.
     :param are_orders_fenced: whether engines refuse orders with an old fencing number.
     :param grace_s: from the stop signal to the kill.
+    :param notice_s: from the stop signal until the balancer sends no more callers.
     :param drain_s: after which a leaving upstream gets no more calls.
     :param heartbeat_s: interval in which upstreams register anew.
     :param retry_share: repeats of all gateways, as a share of a service's calls.
@@ -43,6 +44,7 @@
     lease_s: float
     are_orders_fenced: bool
     grace_s: float
+    notice_s: float
     drain_s: float
     heartbeat_s: float
     retry_share: float
