--- /dev/null
+++ b/packages/gateway/tests/fakeregistry.py
@@ -0,0 +1,101 @@
+"""A registry in memory, with the failures of the real one."""
+
+import asyncio
+
+from persimmonferry_core.exceptions import (
+    HistoryLost,
+    LeaseEnded,
+    PlatformAnswerLost,
+    PlatformUnavailable,
+    SwapConflict,
+)
+from persimmonferry_gateway.interfaces import Changes, Item, Snapshot
+
+
+class FakeRegistry:
+    def __init__(self):
+        self.items: dict[str, Item] = {}
+        self.leases: dict[str, int] = {}
+        self.open_leases: set[int] = set()
+        self.history: list[Item] = []
+        self.revision = 1
+        self.is_away = False
+        self.loses_answers = False
+        self.oldest = 0
+        self.calls: list[str] = []
+        self._changed = asyncio.Event()
+
+    def put(self, key, value):
+        self.revision += 1
+        item = Item(key, value, self.revision)
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = item
+        self.history.append(item)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return self.revision
+
+    def lapse(self, lease):
+        self.open_leases.discard(lease)
+        for key, holder in list(self.leases.items()):
+            if holder == lease:
+                del self.leases[key]
+                self.put(key, None)
+
+    def _note(self, call):
+        self.calls.append(call)
+        if self.is_away:
+            raise PlatformUnavailable("away")
+
+    async def list_items(self, prefix):
+        self._note("list")
+        return Snapshot(tuple(self.items.values()), self.revision)
+
+    async def watch(self, prefix, after, wait_s):
+        self._note("watch")
+        if after < self.oldest:
+            raise HistoryLost("old")
+        try:
+            async with asyncio.timeout(wait_s):
+                while not self._find(after):
+                    await self._changed.wait()
+        except TimeoutError:
+            pass
+        self._note("watch ends")
+        if after < self.oldest:
+            raise HistoryLost("old")
+        return Changes(self._find(after), self.revision)
+
+    def _find(self, after):
+        return tuple(item for item in self.history if item.revision > after)
+
+    async def write(self, key, value, expected, lease):
+        self._note("write")
+        known = self.items.get(key)
+        present = known.revision if known else 0
+        if present != expected:
+            raise SwapConflict(key, present)
+        if lease and lease not in self.open_leases:
+            raise LeaseEnded(lease)
+        revision = self.put(key, value)
+        self.leases[key] = lease
+        if self.loses_answers:
+            raise PlatformAnswerLost("lost")
+        return revision
+
+    async def open_lease(self, ttl_s):
+        self._note("open")
+        self.revision += 1
+        self.open_leases.add(self.revision)
+        return self.revision
+
+    async def keep_lease(self, lease):
+        self._note("keep")
+        if lease not in self.open_leases:
+            raise LeaseEnded(lease)
+
+    async def end_lease(self, lease):
+        self._note("end")
+        self.lapse(lease)
--- /dev/null
+++ b/packages/gateway/tests/test_fleet.py
@@ -0,0 +1,57 @@
+from persimmonferry_core.deployment import UpstreamRecord
+from persimmonferry_gateway.fleet import RETURN_TIME_S, Fleet
+
+
+def make_record(name, **changes):
+    fields = {
+        "service": "s",
+        "address": "a:1",
+        "failure_domain": "z",
+        "slots": 1,
+        "is_leaving": False,
+        "incarnation": 1,
+        **changes,
+    }
+    return UpstreamRecord(name, **fields)
+
+
+def make_fleet(*names):
+    fleet = Fleet()
+    for name in names:
+        fleet.put(make_record(name))
+    return fleet
+
+
+def test_an_entry_that_goes_while_the_registry_is_there_is_gone_at_once():
+    fleet = make_fleet("u1", "u2")
+    fleet.remove("u1", 10.0)
+    assert set(fleet.records) == {"u2"}
+
+
+def test_entries_that_lapsed_in_an_outage_are_used_until_they_could_be_back():
+    fleet = make_fleet("u1", "u2")
+    fleet.lose_registry()
+    fleet.regain_registry(10.0)
+    fleet.keep_only(frozenset(), 10.0)
+    fleet.put(make_record("u1"))
+    assert set(fleet.records) == {"u1", "u2"}
+    assert fleet.expire(10.0 + RETURN_TIME_S - 0.01) == ()
+    assert fleet.expire(10.0 + RETURN_TIME_S) == ("u2",)
+    assert set(fleet.records) == {"u1"}
+
+
+def test_an_upstream_that_was_leaving_before_the_outage_gets_no_grace():
+    fleet = Fleet()
+    fleet.put(make_record("u1", is_leaving=True))
+    fleet.lose_registry()
+    fleet.regain_registry(10.0)
+    fleet.keep_only(frozenset(), 10.0)
+    assert fleet.records == {}
+
+
+def test_an_entry_that_goes_long_after_an_outage_is_gone_at_once():
+    fleet = make_fleet("u1")
+    fleet.lose_registry()
+    fleet.regain_registry(10.0)
+    fleet.remove("u1", 10.0 + RETURN_TIME_S)
+    assert fleet.records == {}
--- /dev/null
+++ b/packages/gateway/tests/test_peers.py
@@ -0,0 +1,115 @@
+import asyncio
+import socket
+
+from persimmonferry_core.contracts import Service, ServiceKind, TeamDocument, Tier
+from persimmonferry_core.dispatch import Dispatcher
+from persimmonferry_core.patience import PromptRequest
+from persimmonferry_core.upstreams import UpstreamReport
+from persimmonferry_core.world import Address
+from persimmonferry_gateway.duty import read_boot_clock
+from persimmonferry_gateway.peers import PeerExchange
+
+REPORT = UpstreamReport(
+    "u0", 1, 1, "z1", "s", "m", "1", 0, 0, 0, 8, 0.0, 100.0, memory_tokens=100_000
+)
+
+
+def find_free_port():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def make_dispatcher(entry):
+    service = Service("s", ServiceKind.MODEL, "m", "1", slots_per_upstream=8)
+    document = TeamDocument("", 1, (service,), (Tier("t", 1.0, 0, 0),), (), ())
+    dispatcher = Dispatcher(document, entry=entry)
+    dispatcher.report(REPORT, 0.0)
+    return dispatcher
+
+
+class Side:
+    def __init__(self, name, incarnation=1):
+        self.address = Address("127.0.0.1", find_free_port())
+        self.dispatcher = make_dispatcher(name)
+        self.versions = {}
+        self.exchange = PeerExchange(
+            name,
+            incarnation,
+            self.address,
+            self.dispatcher,
+            lambda upstream, version, _: self.versions.update({upstream: version}),
+        )
+
+    def offer(self, name, tokens):
+        request = PromptRequest(name, "a", "t", "s", tokens, 10, 0.0, give_up_s=9.0)
+        self.dispatcher.offer(request, 0.0)
+        return len(self.dispatcher.assign(0.0))
+
+
+async def wait_until(condition, timeout_s=5.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def play(scene):
+    async def main():
+        sides = (Side("g1"), Side("g2"))
+        addresses = {"g1": sides[0].address, "g2": sides[1].address}
+        for side in sides:
+            side.exchange.set_peers(addresses)
+            await side.exchange.start()
+        try:
+            await scene(*sides)
+        finally:
+            for side in sides:
+                side.exchange.stop()
+
+    asyncio.run(main())
+
+
+def test_work_of_one_keeps_the_other_from_the_engine():
+    async def scene(one, other):
+        assert one.offer("r1", 60_000) == 1
+        await asyncio.sleep(0.2)
+        assert other.offer("r2", 60_000) == 0
+        one.dispatcher.cancel("r1", 0.3)
+        await wait_until(lambda: len(other.dispatcher.assign(0.4)) == 1)
+
+    play(scene)
+
+
+def test_a_peer_that_falls_silent_is_taken_to_have_no_work():
+    async def scene(one, other):
+        one.offer("r1", 60_000)
+        await asyncio.sleep(0.2)
+        one.exchange.stop()
+        assert other.offer("r2", 60_000) == 0
+        await wait_until(lambda: len(other.dispatcher.assign(1.0)) == 1)
+
+    play(scene)
+
+
+def test_new_blocks_pauses_and_versions_are_told():
+    async def scene(one, other):
+        one.exchange.note_held("u0", ("1/a",), (500,))
+        one.exchange.announce_loading(frozenset(("u0",)), {"u0": 2})
+        await wait_until(lambda: other.dispatcher.count_held("u0") == 500)
+        await wait_until(lambda: other.versions == {"u0": 2})
+        assert other.offer("r1", 100) == 0
+        assert read_boot_clock() - other.exchange.find_last_pause() < 1.0
+        one.exchange.announce_loading(frozenset(), {"u0": 2})
+        await asyncio.sleep(0.3)
+        assert other.offer("r2", 100) == 1
+
+    play(scene)
+
+
+def test_malformed_and_strange_messages_change_nothing():
+    async def scene(one, other):
+        for data in (b"", b"\xff" * 40, b"\x00"):
+            other.exchange.datagram_received(data, ("127.0.0.1", 1))
+        assert other.offer("r1", 100) == 1
+
+    play(scene)
