Count the memory of runs by the answers that are expected

Cause: round plans last 3 s with 12 k tokens each, so engines' memory binds: 341 ms median wait while runs were counted with the longest answer (1,115 tokens) where some 380 come.

--- a/packages/core/src/persimmonferry_core/deployment.py
+++ b/packages/core/src/persimmonferry_core/deployment.py
@@ -117,6 +117,7 @@
     :param cache_tokens: tokens that running requests and cached parts share.
     :param token_bytes: of one token's KV cache.
     :param link_bytes_per_s: of an engine's link for KV cache.
+    :param event_tokens: most tokens in one event of a stream.
     """
 
     slots: int
@@ -124,6 +125,7 @@
     token_bytes: float
     link_bytes_per_s: float
     models: tuple[str, ...]
+    event_tokens: int = 1
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -508,7 +508,16 @@
         last = latest
         if request.give_up_s is not None:
             last = max(latest, request.give_up_s - prefill_s)
-        return WaitingRequest(request, latest, cost_s, priority, last_start_s=last)
+        answer_tokens = int(model.answer_share * request.max_tokens)
+        memory_tokens = request.prompt_tokens + answer_tokens
+        return WaitingRequest(
+            request,
+            latest,
+            cost_s,
+            priority,
+            last_start_s=last,
+            memory_tokens=memory_tokens,
+        )
 
     def _assign_scanned(self, model: ModelService, now: float) -> list[Assignment]:
         router = model.router
--- a/packages/core/src/persimmonferry_core/patience.py
+++ b/packages/core/src/persimmonferry_core/patience.py
@@ -109,6 +109,7 @@
         has begun.
     :param last_start_s: when its run has to start to be of any use; not before
         ``latest_start_s``.
+    :param memory_tokens: that the run is expected to take of an engine's memory.
     """
 
     request: PromptRequest
@@ -118,6 +119,7 @@
     avoid: frozenset[str] = frozenset()
     version: str = ""
     last_start_s: float = 0.0
+    memory_tokens: int = 0
 
     @property
     def may_be_late(self) -> bool:
--- a/packages/gateway/src/persimmonferry_gateway/work.py
+++ b/packages/gateway/src/persimmonferry_gateway/work.py
@@ -438,10 +438,19 @@
     def _finish(self, version: str) -> None:
         tools = self._tools
         prompt = self._call.prompt
-        end = RunEnd(self._id, version, prompt.max_tokens, prompt.prompt_tokens, 0, "")
+        tokens = self._count_answer_tokens()
+        end = RunEnd(self._id, version, tokens, prompt.prompt_tokens, 0, "")
         tools.dispatcher.finished(self._id, end, tools.read_clock())
         tools.place()
 
+    def _count_answer_tokens(self) -> int:
+        """Return about how many tokens the answer had, by its events."""
+        engine = self._tools.roster.deployment.find_service(self._service).engine
+        last_id = self._cutter.last_id or ""
+        if not last_id.isdecimal():
+            return self._call.prompt.max_tokens
+        return min(self._call.prompt.max_tokens, int(last_id) * engine.event_tokens)
+
     def _note_first_event(self) -> None:
         now = self._tools.read_clock()
         dispatcher = self._tools.dispatcher
