--- a/packages/gateway/src/persimmonferry_gateway/fleet.py
+++ b/packages/gateway/src/persimmonferry_gateway/fleet.py
@@ -49,11 +49,13 @@
         else:
             self.drop(name)
 
-    def keep_only(self, names: frozenset[str], now: float) -> None:
-        """Note that these are all entries there are."""
-        for name in tuple(self.records):
+    def keep_only(self, names: frozenset[str], now: float) -> tuple[str, ...]:
+        """Note that these are all entries there are, and return whom it forgot."""
+        before = tuple(self.records)
+        for name in before:
             if name not in names:
                 self.remove(name, now)
+        return tuple(name for name in before if name not in self.records)
 
     def drop(self, name: str) -> None:
         """Forget an upstream at once."""
--- a/packages/gateway/src/persimmonferry_gateway/roster.py
+++ b/packages/gateway/src/persimmonferry_gateway/roster.py
@@ -67,9 +67,9 @@
         """Take over all items of the registry."""
         prefix = self._dialect.upstream_prefix
         items = [item for item in snapshot.items if item.key.startswith(prefix)]
-        self.fleet.keep_only(
-            frozenset(item.key.removeprefix(prefix) for item in items), now
-        )
+        names = frozenset(item.key.removeprefix(prefix) for item in items)
+        for name in self.fleet.keep_only(names, now):
+            self._forget(name)
         self._apply(snapshot.items, now)
 
     def apply_changes(self, changes: Changes, now: float) -> None:
