--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -101,6 +101,8 @@
     :param entry: name of this entry.
     :param incarnation: grows with each start of an entry of that name.
     :param retry_policy: of each service.
+    :param failure_domain: of this entry; upstreams there are preferred among equals,
+        empty for no preference.
     """
 
     def __init__(
@@ -111,7 +113,9 @@
         entry: str = "",
         incarnation: int = 0,
         retry_policy: RetryPolicy | None = None,
+        failure_domain: str = "",
     ) -> None:
+        self._failure_domain = failure_domain
         self.limits = LimitBook(entry, incarnation << 32)
         self.usage = UsageMeter(f"{entry}-{incarnation}")
         self._random = random.Random(seed)
@@ -144,7 +148,9 @@
                 case ServiceKind.MODEL:
                     self._configure_model(service, document.tiers)
                 case ServiceKind.PLAIN:
-                    self._plain.setdefault(service.name, PlainService(self._random))
+                    plain = PlainService(self._random)
+                    plain.entry_domain = self._failure_domain
+                    self._plain.setdefault(service.name, plain)
 
     def set_store_domains(self, failure_domains: frozenset[str]) -> None:
         """Take over the failure domains that have store VMs now."""
@@ -480,6 +486,7 @@
         if model is None:
             router = Router(service, self._links, self._index, self._random)
             router.configure(service, urgent)
+            router.entry_domain = self._failure_domain
             router.set_homes(self._entry, self._entries)
             queue = PatienceQueue(tiers)
             self._models[service.name] = ModelService(queue, router)
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -41,6 +41,9 @@
 HOLDER_WAIT_SHARE = 0.5
 MIN_WEIGHT = 0.01
 SUMMARY_INTERVAL_S = 0.5
+# A round trip between failure domains and the price of the bytes; less than a short
+# prompt takes, so that load and cache decide first.
+FAR_UPSTREAM_S = 0.02
 MIX_RETENTION = 0.99
 OCCUPANCY_WINDOW_S = 10.0
 NEGLIGIBLE_OCCUPANCY = 0.01
@@ -208,6 +211,7 @@
         self.upstreams: dict[str, Upstream] = {}
         self._summary: FleetSummary | None = None
         self._summarised_s = 0.0
+        self.entry_domain = ""
         self._pauses: dict[str, frozenset[str]] = {}
         self._paused: frozenset[str] = frozenset()
 
@@ -503,7 +507,8 @@
         first_token_s += place.upstream.first_s
         again_tokens = request.count_tokens(context.known_depth) - cached_tokens
         weights = self.service.weights
-        score = weights.first_token * (first_token_s + place.doubt_s)
+        far_s = self._measure_distance(place.upstream)
+        score = weights.first_token * (first_token_s + place.doubt_s + far_s)
         score += weights.recomputed * again_tokens / place.rate
         score += weights.link * price
         ahead_s = START_AHEAD_S + min(import_s, IMPORT_AHEAD_S)
@@ -520,6 +525,12 @@
             place.backlog_s * place.rate,
         )
 
+    def _measure_distance(self, upstream: Upstream) -> float:
+        """Return what another failure domain than the entry's counts, in seconds."""
+        domain = upstream.report.failure_domain
+        is_far = self.entry_domain and domain != self.entry_domain
+        return FAR_UPSTREAM_S if is_far else 0.0
+
     def _fits_patient(self, upstream: Upstream, reserved: int) -> bool:
         """Whether a run that is not urgent leaves the reserved slots free."""
         if not (upstream.is_home or upstream.takes_spill):
--- a/packages/core/src/persimmonferry_core/services.py
+++ b/packages/core/src/persimmonferry_core/services.py
@@ -14,6 +14,8 @@
 PACE_WINDOW_S = 10.0
 PACE_PRIOR_S = 2.0
 MIN_CALL_S = 0.005
+# Calls that an upstream in the entry's failure domain may have more than another one.
+FAR_CALLS = 2
 COMPUTED_SMOOTHING = 0.05
 
 
@@ -90,6 +92,7 @@
         self._random = generator
         self.upstreams: dict[str, Upstream] = {}
         self.ejector = Ejector()
+        self.entry_domain = ""
 
     def add(self, report: UpstreamReport, now: float) -> None:
         """Begin to use an upstream."""
@@ -116,9 +119,16 @@
         allowed = [up for up in found if up.slot_limit > len(up.runs)] or found
         # Equal choices must not lead all entries to the same upstream.
         self._random.shuffle(allowed)
-        best = min(allowed, key=_wait_of, default=None)
+        best = min(allowed, key=self._rate, default=None)
         return best.name if best else None
 
+    def _rate(self, upstream: Upstream) -> tuple[float, int]:
+        """Order upstreams by wait, then by load; one far away counts as busier."""
+        domain = upstream.report.failure_domain
+        is_far = self.entry_domain and domain != self.entry_domain
+        extra = FAR_CALLS if is_far else 0
+        return upstream.estimate_slot_wait(), upstream.in_flight + extra
+
     def start(self, call_id: str, name: str, now: float) -> None:
         """Count a call that goes to an upstream."""
         upstream = self.upstreams.get(name)
@@ -139,7 +149,3 @@
             self.ejector.record_success(name, slowness, now)
         else:
             self.ejector.record_failure(name, now)
-
-
-def _wait_of(upstream: Upstream) -> tuple[float, int]:
-    return upstream.estimate_slot_wait(), upstream.in_flight
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -100,6 +100,7 @@
             TeamDocument("", 0, (), (), (), ()),
             seed=random.getrandbits(32),
             entry=settings.name,
+            failure_domain=settings.failure_domain,
         )
         self._roster = Roster(dialect, self._dispatcher)
         self._peers = PeerExchange(
