Serve metrics and bound the log of calls

Change: /metrics on the internal address (outcomes by route, attempts, registry calls by kind, hdr histograms by account and route); at most 200 lines a second, failures first, with the number of lines left out; logs of the gateway on standard output.

--- a/packages/daemon/src/persimmonferry_daemon/logs.py
+++ b/packages/daemon/src/persimmonferry_daemon/logs.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import sys
+from typing import TextIO
 
 __all__ = ["set_up_logs"]
 
@@ -44,14 +45,15 @@
     return " > ".join(places)
 
 
-def set_up_logs(process: str, level: str) -> None:
+def set_up_logs(process: str, level: str, stream: TextIO | None = None) -> None:
     """
-    Send all records to standard error.
+    Send all records to a stream.
 
     :param process: name of this process.
     :param level: lowest level that is written.
+    :param stream: standard error when left out.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(_JSONFormatter(process))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/callog.py
@@ -0,0 +1,42 @@
+"""Log lines of calls, bounded in number so that load can't fill the log."""
+
+import logging
+from typing import Any
+
+__all__ = ["BoundedLog"]
+
+# More than a gateway ends in a second at twice its usual load.
+LINES_PER_S = 200.0
+BURST_LINES = 400.0
+
+
+class BoundedLog:
+    """
+    Passes lines on at a bounded rate and tells how many it left out.
+
+    Lines of calls that were answered are left out first: they may use half of the rate.
+    """
+
+    def __init__(self, log: logging.Logger) -> None:
+        self._log = log
+        self._tokens = BURST_LINES
+        self._updated_s: float | None = None
+        self._left_out = 0
+
+    def write(
+        self, event: str, fields: dict[str, Any], now: float, *, is_failure: bool
+    ) -> None:
+        """Log a line unless too many came before it."""
+        if self._updated_s is not None:
+            earned = (now - self._updated_s) * LINES_PER_S
+            self._tokens = min(BURST_LINES, self._tokens + earned)
+        self._updated_s = now
+        floor = 1.0 if is_failure else BURST_LINES / 2
+        if self._tokens < floor:
+            self._left_out += 1
+            return
+        self._tokens -= 1.0
+        if self._left_out:
+            fields = {**fields, "left_out": self._left_out}
+            self._left_out = 0
+        self._log.info(event, extra=fields)
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -24,6 +24,7 @@
     CallerServer,
     ReceivedRequest,
 )
+from persimmonferry_gateway.callog import BoundedLog
 from persimmonferry_gateway.duty import Duty
 from persimmonferry_gateway.exchange import CancellableClient
 from persimmonferry_gateway.interfaces import (
@@ -33,6 +34,7 @@
     Registry,
     Snapshot,
 )
+from persimmonferry_gateway.metrics import CallMetrics, MetricsServer
 from persimmonferry_gateway.mirror import Mirror
 from persimmonferry_gateway.peers import PeerExchange
 from persimmonferry_gateway.probes import Prober
@@ -118,6 +120,8 @@
         )
         self._gateways: dict[str, Address] = {}
         self._prober = Prober(dialect, client)
+        self._metrics = CallMetrics(lambda: registry.calls)
+        self._metrics_server = MetricsServer(settings.internal, self._metrics)
         self._kept = KeptParts()
         self._stores = StoreWatch(self._kept, dialect, client, self._note_kept)
         self._tools = WorkTools(
@@ -130,6 +134,8 @@
             self._peers.note_held,
             self._check_version,
             self._kept,
+            BoundedLog(_log),
+            self._metrics,
             self._find_fetch_limit,
         )
         self._mirror = Mirror(
@@ -173,6 +179,7 @@
         self._server.start()
         ready = self._settings.readiness
         self._readiness.add_sockets(bind_sockets(ready.port, ready.host))
+        self._metrics_server.start()
         await self._peers.start()
         self._mirror.start()
         self._registration.start()
@@ -192,6 +199,7 @@
         await self._drain(began_s)
         await self._server.close()
         self._peers.stop()
+        await self._metrics_server.stop()
         await self._stores.stop()
         await self._mirror.stop()
 
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -1,5 +1,6 @@
 """Interfaces to the platform, which an adapter implements."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -54,7 +55,13 @@
 
 
 class Registry(Protocol):
-    """The platform's key-value store; every method is one call or one a page."""
+    """
+    The platform's key-value store; every method is one call or one a page.
+
+    :param calls: how many were made, by kind.
+    """
+
+    calls: Mapping[str, int]
 
     async def list_items(self, prefix: str) -> Snapshot:
         """
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -0,0 +1,94 @@
+"""Counters and latency histograms of a gateway, served as text."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+from persimmonferry_core.world import Address
+from persimmonferry_daemon.histograms import Histograms, Measure
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+__all__ = ["CallMetrics", "MetricsServer"]
+
+
+class CallMetrics:
+    """
+    What became of calls, by route and outcome, and how long they took.
+
+    :param read_registry_calls: returns the calls to the registry, by kind.
+    """
+
+    def __init__(self, read_registry_calls: Callable[[], Mapping[str, int]]) -> None:
+        self.histograms = Histograms()
+        self._outcomes: Counter[tuple[str, str]] = Counter()
+        self._attempts = 0
+        self._read_registry_calls = read_registry_calls
+
+    def record(
+        self,
+        account: str,
+        route: str,
+        outcome: str,
+        attempts: int,
+        first_s: float | None,
+        total_s: float,
+    ) -> None:
+        """
+        Count a call that has ended.
+
+        :param first_s: until its first event or whole answer, None when none came.
+        """
+        self._outcomes[route, outcome] += 1
+        self._attempts += attempts
+        if first_s is not None:
+            self.histograms.record(account, route, Measure.FIRST_TOKEN, first_s)
+        self.histograms.record(account, route, Measure.WHOLE_ANSWER, total_s)
+
+    def print_text(self) -> str:
+        """Return one line for each counter and each figure of a histogram."""
+        lines = [
+            f'calls{{route="{route}",outcome="{outcome}"}} {count}'
+            for (route, outcome), count in sorted(self._outcomes.items())
+        ]
+        lines.append(f"attempts {self._attempts}")
+        lines += [
+            f'registry_calls{{kind="{kind}"}} {count}'
+            for kind, count in sorted(self._read_registry_calls().items())
+        ]
+        for row in self.histograms.list_rows():
+            labels = f'account="{row.account}",route="{row.tier}"'
+            name = f"{row.measure}_ms"
+            lines.append(f"{name}_count{{{labels}}} {row.count}")
+            for quantile in ("p50", "p95", "p99", "max"):
+                value = getattr(row, f"{quantile}_ms")
+                lines.append(f'{name}{{{labels},quantile="{quantile}"}} {value}')
+        return "\n".join(lines) + "\n"
+
+
+class MetricsServer:
+    """Serves ``/metrics`` at an address."""
+
+    def __init__(self, address: Address, metrics: CallMetrics) -> None:
+        rules = [("/metrics", _MetricsHandler, {"metrics": metrics})]
+        self._server = HTTPServer(Application(rules))
+        self._address = address
+
+    def start(self) -> None:
+        """Bind the address and begin to answer."""
+        sockets = bind_sockets(self._address.port, self._address.host)
+        self._server.add_sockets(sockets)
+
+    async def stop(self) -> None:
+        """Close the server and its connections."""
+        self._server.stop()
+        await self._server.close_all_connections()
+
+
+class _MetricsHandler(RequestHandler):
+    def initialize(self, metrics: CallMetrics) -> None:
+        self._metrics = metrics
+
+    def get(self) -> None:
+        self.set_header("Content-Type", "text/plain; charset=utf-8")
+        self.finish(self._metrics.print_text())
--- a/packages/gateway/src/persimmonferry_gateway/process.py
+++ b/packages/gateway/src/persimmonferry_gateway/process.py
@@ -4,6 +4,7 @@
 import gc
 import logging
 import signal
+import sys
 from collections.abc import Callable
 
 from persimmonferry_daemon.logs import set_up_logs
@@ -24,7 +25,7 @@
     settings: GatewaySettings, build: Callable[[CancellableClient], Gateway]
 ) -> None:
     """Run one gateway process."""
-    set_up_logs(settings.name, "INFO")
+    set_up_logs(settings.name, "INFO", sys.stdout)
     asyncio.run(_serve(settings, build))
 
 
--- a/packages/gateway/src/persimmonferry_gateway/work.py
+++ b/packages/gateway/src/persimmonferry_gateway/work.py
@@ -26,10 +26,12 @@
 from persimmonferry_core.runs import RunEnd
 
 from persimmonferry_gateway.callers import CallerConnection
+from persimmonferry_gateway.callog import BoundedLog
 from persimmonferry_gateway.duty import read_boot_clock
 from persimmonferry_gateway.events import EventCutter
 from persimmonferry_gateway.exchange import CancellableClient, Exchange
 from persimmonferry_gateway.interfaces import AnswerHead, Dialect, UpstreamCall
+from persimmonferry_gateway.metrics import CallMetrics
 from persimmonferry_gateway.roster import Roster
 from persimmonferry_gateway.team import name_tier
 
@@ -65,6 +67,7 @@
     :param announce_held: tells the other gateways of blocks that an engine holds.
     :param check_version: asks an engine which weights it holds.
     :param kept: which parts of prompts lie in store VMs.
+    :param log: of calls that have ended.
     :param find_fetch_limit: returns until when a fetch must end, None when parts must
         not be fetched now.
     :param waiting: futures of the requests that the dispatcher has queued.
@@ -79,6 +82,8 @@
     announce_held: Callable[[str, tuple[str, ...], tuple[int, ...]], None]
     check_version: Callable[[str], None]
     kept: KeptParts
+    log: BoundedLog
+    metrics: CallMetrics
     find_fetch_limit: Callable[[], float | None]
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
     idle_s: dict[str, float] = field(default_factory=dict)
@@ -184,7 +189,17 @@
             "first_ms": notes.first_s and _to_ms(notes.first_s - begin_s),
             "total_ms": _to_ms(self._tools.read_clock() - begin_s),
         }
-        _log.info("call ended", extra=fields)
+        now = self._tools.read_clock()
+        is_failure = notes.outcome != "answered"
+        self._tools.log.write("call ended", fields, now, is_failure=is_failure)
+        self._tools.metrics.record(
+            fields["account"] or "",
+            self._route.name,
+            notes.outcome,
+            len(notes.upstreams),
+            notes.first_s and notes.first_s - begin_s,
+            now - begin_s,
+        )
 
     async def _serve(self) -> None:
         raise NotImplementedError
