Split the gateway's work by kind of call, and drop what nothing reads

Change: promptwork, plainwork, clocks and loads modules; unused fields removed; no behaviour changed. Tests of core, gateway and platform pass.

--- a/packages/core/src/persimmonferry_core/deployment.py
+++ b/packages/core/src/persimmonferry_core/deployment.py
@@ -116,14 +116,12 @@
 
     :param cache_tokens: tokens that running requests and cached parts share.
     :param token_bytes: of one token's KV cache.
-    :param link_bytes_per_s: of an engine's link for KV cache.
     :param event_tokens: most tokens in one event of a stream.
     """
 
     slots: int
     cache_tokens: int
     token_bytes: float
-    link_bytes_per_s: float
     models: tuple[str, ...]
     event_tokens: int = 1
 
@@ -133,13 +131,10 @@
     """
     A service with its upstreams.
 
-    :param connection_limit: of one upstream, over all callers; 0 when not known.
     :param engine: None for a plain service.
     """
 
     name: str
-    health_path: str
-    connection_limit: int
     engine: EngineShape | None
 
 
@@ -166,7 +161,6 @@
 
     :param incarnation: start of the process, in milliseconds since 1970.
     :param weights: version of the weights that it holds, by model.
-    :param cold_s: how much longer it is slow after its start.
     """
 
     name: str
@@ -177,7 +171,6 @@
     is_leaving: bool
     incarnation: int
     weights: tuple[tuple[str, int], ...] = ()
-    cold_s: float = 0.0
 
     def find_version(self, model: str) -> int | None:
         """Return the version of a model's weights that it holds, or None."""
--- a/packages/core/tests/test_loads.py
+++ b/packages/core/tests/test_loads.py
@@ -1,6 +1,6 @@
 """Orders for new weights at full load: who loads when."""
 
-from persimmonferry_core.rollout import (
+from persimmonferry_core.loads import (
     LOADING_SHARE,
     ORDER_TIMEOUT_S,
     EngineState,
--- a/packages/gateway/src/persimmonferry_gateway/duty.py
+++ b/packages/gateway/src/persimmonferry_gateway/duty.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import random
-import time
 from dataclasses import dataclass
 
 from persimmonferry_core.exceptions import (
@@ -13,9 +12,10 @@
     SwapConflict,
 )
 
+from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.interfaces import Registry
 
-__all__ = ["Duty", "Holding", "read_boot_clock"]
+__all__ = ["Duty", "Holding"]
 
 # Renewals at a third of the lease leave time for two more tries.
 RENEWALS_PER_LEASE = 3
@@ -27,11 +27,6 @@
 _log = logging.getLogger(__name__)
 
 
-def read_boot_clock() -> float:
-    """Return seconds on a clock that goes on while the process is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @dataclass(frozen=True)
 class Holding:
     """
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -37,20 +37,16 @@
 from persimmonferry_gateway.metrics import CallMetrics, MetricsServer
 from persimmonferry_gateway.mirror import Mirror
 from persimmonferry_gateway.peers import PeerExchange
+from persimmonferry_gateway.plainwork import PlainWork
 from persimmonferry_gateway.probes import Prober
+from persimmonferry_gateway.promptwork import PromptWork
 from persimmonferry_gateway.registration import Registration
 from persimmonferry_gateway.roster import Roster
 from persimmonferry_gateway.settings import GatewaySettings
 from persimmonferry_gateway.stores import StoreWatch
 from persimmonferry_gateway.team import KEPT_SOURCE
 from persimmonferry_gateway.weights import WeightRollout
-from persimmonferry_gateway.work import (
-    NO_CONFIGURATION_RETRY_S,
-    CallWork,
-    ModelWork,
-    PlainWork,
-    WorkTools,
-)
+from persimmonferry_gateway.work import CallWork, WorkTools
 
 __all__ = ["Gateway"]
 
@@ -62,6 +58,7 @@
 # A gateway that was killed is forgotten after this time; its news stop at once.
 REGISTRATION_LEASE_S = 5.0
 MAINTENANCE_INTERVAL_S = 0.1
+NO_CONFIGURATION_RETRY_S = 0.5
 NS_PER_MS = 1_000_000
 # The last answers are given up this long before the process is killed.
 KILL_MARGIN_S = 0.5
@@ -283,7 +280,7 @@
         self._number += 1
         kind = PlainWork
         if call.prompt is not None and self._is_model_route(route):
-            kind = ModelWork
+            kind = PromptWork
         return kind(self._tools, self._number, call, route, account, caller)
 
     def _is_model_route(self, route: CallRoute) -> bool:
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -7,7 +7,7 @@
 from persimmonferry_core.deployment import Deployment, UpstreamRecord
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.keptparts import PartEvent
-from persimmonferry_core.rollout import WeightOrder
+from persimmonferry_core.loads import WeightOrder
 
 __all__ = [
     "AnswerHead",
--- a/packages/gateway/src/persimmonferry_gateway/mirror.py
+++ b/packages/gateway/src/persimmonferry_gateway/mirror.py
@@ -7,7 +7,7 @@
 
 from persimmonferry_core.exceptions import HistoryLost, PlatformError
 
-from persimmonferry_gateway.duty import read_boot_clock
+from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.interfaces import Changes, Registry, Snapshot
 
 __all__ = ["Mirror"]
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -11,7 +11,7 @@
 from persimmonferry_wire import decode, encode
 from persimmonferry_wire.generated.peers.ttypes import NewlyHeld, OwnWork, PeerNews
 
-from persimmonferry_gateway.duty import read_boot_clock
+from persimmonferry_gateway.clocks import read_boot_clock
 
 __all__ = ["PeerExchange"]
 
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/plainwork.py
@@ -0,0 +1,54 @@
+"""Calls of plain services: placed by load, repeated only where that is allowed."""
+
+import asyncio
+
+from persimmonferry_core.codes import ResultCode
+from persimmonferry_core.deployment import UpstreamRecord
+from persimmonferry_core.exceptions import NotRun
+
+from persimmonferry_gateway.work import AttemptFailed, CallWork
+
+__all__ = ["PlainWork"]
+
+NO_UPSTREAM_RETRY_S = 0.5
+
+
+class PlainWork(CallWork):
+    """Serves a call at a plain service."""
+
+    async def _serve(self) -> None:
+        tools = self._tools
+        tools.dispatcher.plain_offered(self._service, self._arrival_s)
+        while True:
+            now = tools.read_clock()
+            name = tools.dispatcher.choose_plain(self._service, now, self._avoid)
+            record = tools.roster.find_record(name) if name else None
+            if record is None:
+                raise NotRun(ResultCode.NO_UPSTREAM, "", NO_UPSTREAM_RETRY_S)
+            tools.dispatcher.plain_started(self._id, record.name, now)
+            try:
+                await self._attempt(record, None)
+            except AttemptFailed as failure:
+                await self._fail(failure, record)
+                continue
+            tools.dispatcher.plain_finished(self._id, tools.read_clock())
+            return
+
+    async def _fail(self, failure: AttemptFailed, record: UpstreamRecord) -> None:
+        tools = self._tools
+        now = tools.read_clock()
+        tools.dispatcher.plain_finished(self._id, now, whole=False)
+        if failure.ran and not self._can_repeat():
+            raise failure.error
+        delay_s = tools.dispatcher.allow_repeat(
+            self._service, self._attempts, now, ran=failure.ran
+        )
+        if delay_s is None:
+            raise failure.error
+        self._avoid |= {record.name}
+        await asyncio.sleep(delay_s)
+
+    def _release(self) -> None:
+        self._tools.dispatcher.plain_finished(
+            self._id, self._tools.read_clock(), whole=self.notes.first_s is not None
+        )
--- a/packages/gateway/src/persimmonferry_gateway/settings.py
+++ b/packages/gateway/src/persimmonferry_gateway/settings.py
@@ -4,15 +4,7 @@
 
 from persimmonferry_core.world import Address
 
-__all__ = ["GatewaySettings", "RegistryRates"]
-
-
-@dataclass(frozen=True)
-class RegistryRates:
-    """Calls a second that the registry takes from all processes together."""
-
-    writes_per_s: int
-    reads_per_s: int
+__all__ = ["GatewaySettings"]
 
 
 @dataclass(frozen=True)
@@ -27,8 +19,6 @@
     :param are_orders_fenced: whether engines refuse orders with an old fencing number.
     :param grace_s: from the stop signal to the kill.
     :param notice_s: from the stop signal until the balancer sends no more callers.
-    :param drain_s: after which a leaving upstream gets no more calls.
-    :param heartbeat_s: interval in which upstreams register anew.
     :param retry_share: repeats of all gateways, as a share of a service's calls.
     :param retry_window_s: in which repeats are counted.
     :param retry_floor: repeats that all gateways may make besides in a window.
@@ -39,14 +29,11 @@
     callers: Address
     readiness: Address
     registry: Address
-    registry_rates: RegistryRates
     internal: Address
     lease_s: float
     are_orders_fenced: bool
     grace_s: float
     notice_s: float
-    drain_s: float
-    heartbeat_s: float
     retry_share: float
     retry_window_s: float
     retry_floor: int
--- a/packages/gateway/src/persimmonferry_gateway/stores.py
+++ b/packages/gateway/src/persimmonferry_gateway/stores.py
@@ -9,7 +9,7 @@
 from persimmonferry_core.deployment import KeptStore
 from persimmonferry_core.keptparts import KeptParts
 
-from persimmonferry_gateway.duty import read_boot_clock
+from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.exchange import CancellableClient
 from persimmonferry_gateway.interfaces import Dialect, StoreNews
 
--- a/packages/gateway/src/persimmonferry_gateway/weights.py
+++ b/packages/gateway/src/persimmonferry_gateway/weights.py
@@ -8,14 +8,15 @@
 
 from persimmonferry_adapters.exchange import Loss, Request, Reuse, exchange
 from persimmonferry_core.deployment import UpstreamRecord
-from persimmonferry_core.rollout import (
+from persimmonferry_core.loads import (
     EngineState,
     WeightOrder,
     choose_loads,
     is_loading,
 )
 
-from persimmonferry_gateway.duty import Duty, Holding, read_boot_clock
+from persimmonferry_gateway.clocks import read_boot_clock
+from persimmonferry_gateway.duty import Duty, Holding
 from persimmonferry_gateway.exchange import CancellableClient
 from persimmonferry_gateway.interfaces import Dialect, OrderOutcome
 from persimmonferry_gateway.probes import Prober
--- a/packages/gateway/src/persimmonferry_gateway/work.py
+++ b/packages/gateway/src/persimmonferry_gateway/work.py
@@ -15,27 +15,22 @@
     UpstreamRecord,
 )
 from persimmonferry_core.dispatch import (
-    Assignment,
     Dispatcher,
-    PromptRequest,
-    Refused,
 )
 from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.keptparts import KeptParts
-from persimmonferry_core.runs import RunEnd
 
 from persimmonferry_gateway.callers import CallerConnection
 from persimmonferry_gateway.callog import BoundedLog
-from persimmonferry_gateway.duty import read_boot_clock
+from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.events import EventCutter
 from persimmonferry_gateway.exchange import CancellableClient, Exchange
 from persimmonferry_gateway.interfaces import AnswerHead, Dialect, UpstreamCall
 from persimmonferry_gateway.metrics import CallMetrics
 from persimmonferry_gateway.roster import Roster
-from persimmonferry_gateway.team import name_tier
 
-__all__ = ["CallWork", "WorkTools"]
+__all__ = ["AttemptFailed", "CallWork", "WorkTools"]
 
 # An idle connection is not used for longer than this when the upstream names no time.
 UNKNOWN_IDLE_S = 4.0
@@ -48,12 +43,9 @@
 SILENCE_OBJECTIVES = 3.0
 # Callers honour a time to come back up to this share of what they have left.
 MAX_RETURN_SHARE = 1 / 3
-# Part of a caller's patience that a prompt may wait; the rest is for its first event.
-PATIENCE_SHARE = 0.75
 MS_PER_S = 1000
 # Added to the rank of late calls; above the ranks that routes have.
 LATE_RANKS = 5
-NO_CONFIGURATION_RETRY_S = 0.5
 
 _log = logging.getLogger(__name__)
 
@@ -101,7 +93,7 @@
     version: int | None = None
 
 
-class _Failed(Exception):
+class AttemptFailed(Exception):
     """
     An attempt that brought no whole answer.
 
@@ -230,7 +222,7 @@
         """
         Send the call to an upstream and hand its answer on.
 
-        :raises _Failed: no whole answer came.
+        :raises AttemptFailed: no whole answer came.
         """
         tools = self._tools
         now = tools.read_clock()
@@ -274,12 +266,12 @@
                 raise
             exchange.cancel()
             error = OutcomeUnknown(ResultCode.UPSTREAM_TIMEOUT)
-            raise _Failed(error, ran=True) from None
+            raise AttemptFailed(error, ran=True) from None
         if not exchange.lines.is_whole:
             if not exchange.was_sent:
                 self._may_have_run = was_possible
             error = make_upstream_error(exchange.loss or Loss.LOST, record.name)
-            raise _Failed(error, ran=exchange.was_sent)
+            raise AttemptFailed(error, ran=exchange.was_sent)
         head = tools.dialect.decode_answer(
             exchange.lines.status, exchange.lines.reason, exchange.lines.fields
         )
@@ -287,14 +279,14 @@
         if head.call_id is not None and head.call_id != self._call.call_id:
             exchange.cancel()
             error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, record.name)
-            raise _Failed(error, ran=True)
+            raise AttemptFailed(error, ran=True)
         if head.did_not_run:
             self._may_have_run = was_possible
             if head.is_other_upstream and version is not None:
                 tools.check_version(record.name)
             await exchange.read_body()
             error = NotRun(ResultCode.UPSTREAM_REFUSED, f"status {head.status}")
-            raise _Failed(error, ran=False)
+            raise AttemptFailed(error, ran=False)
         self.notes.version = head.version
         if head.status == 200 and self._route.kind is CallKind.STREAM:
             await self._relay_stream(exchange, head)
@@ -335,13 +327,13 @@
         body = await exchange.read_body()
         if exchange.loss is not None:
             error = make_upstream_error(exchange.loss, "in the answer")
-            raise _Failed(error, ran=True)
+            raise AttemptFailed(error, ran=True)
         if not head.is_genuine and head.status < 300:
             error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "no genuine answer")
-            raise _Failed(error, ran=True)
+            raise AttemptFailed(error, ran=True)
         if head.status >= 500 and self._can_repeat():
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
-            raise _Failed(error, ran=True)
+            raise AttemptFailed(error, ran=True)
         self.notes.first_s = self._tools.read_clock()
         self.notes.outcome = (
             "answered" if head.status < 300 else f"status {head.status}"
@@ -351,7 +343,7 @@
     async def _relay_stream(self, exchange: Exchange, head: AnswerHead) -> None:
         if not head.is_genuine:
             error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "no genuine answer")
-            raise _Failed(error, ran=True)
+            raise AttemptFailed(error, ran=True)
         while (piece := await exchange.read_piece()) is not None:
             events = self._cutter.cut(piece)
             if not events:
@@ -364,7 +356,7 @@
         if exchange.loss is not None:
             self._cutter.drop_rest()
             error = make_upstream_error(exchange.loss, "in the stream")
-            raise _Failed(error, ran=True)
+            raise AttemptFailed(error, ran=True)
         rest = self._cutter.take_rest()
         if not self._caller.has_head:
             self._caller.send_head(head.status, head.reason, list(head.headers))
@@ -401,157 +393,6 @@
         return f"{version}"
 
 
-class ModelWork(CallWork):
-    """Serves a prompt at a model engine."""
-
-    async def _serve(self) -> None:
-        tools = self._tools
-        self._queue(tools.dispatcher.offer(self._make_request(), self._arrival_s))
-        while True:
-            assignment = await self._wait_for_place()
-            record = tools.roster.find_record(assignment.upstream)
-            now = tools.read_clock()
-            if record is None:
-                self._queue(tools.dispatcher.failed(self._id, False, now))
-                continue
-            try:
-                await self._attempt(record, int(assignment.version))
-            except _Failed as failure:
-                self._fail(failure)
-                continue
-            self._finish(assignment.version)
-            return
-
-    def _fail(self, failure: _Failed) -> None:
-        """Queue the call again where that is allowed, or end it."""
-        now = self._tools.read_clock()
-        answer = self._tools.dispatcher.failed(self._id, failure.ran, now)
-        is_begun = self._caller.has_head
-        if failure.ran and not (self._route.is_resumable and self._can_repeat()):
-            raise failure.error
-        if isinstance(answer, Refused):
-            if is_begun or failure.ran:
-                raise failure.error
-            raise NotRun(answer.code, failure.error.detail, answer.retry_after_s)
-        self._queue(answer)
-
-    def _queue(self, answer: object) -> None:
-        if isinstance(answer, Refused):
-            raise NotRun(answer.code, "", answer.retry_after_s)
-        self._tools.waiting[self._id] = asyncio.get_running_loop().create_future()
-        self._tools.place()
-
-    async def _wait_for_place(self) -> Assignment:
-        try:
-            answer = await self._tools.waiting[self._id]
-        finally:
-            self._tools.waiting.pop(self._id, None)
-        if isinstance(answer, Refused):
-            raise NotRun(answer.code, "", answer.retry_after_s)
-        return answer
-
-    def _finish(self, version: str) -> None:
-        tools = self._tools
-        prompt = self._call.prompt
-        tokens = self._count_answer_tokens()
-        end = RunEnd(self._id, version, tokens, prompt.prompt_tokens, 0, "")
-        tools.dispatcher.finished(self._id, end, tools.read_clock())
-        tools.place()
-
-    def _count_answer_tokens(self) -> int:
-        """Return about how many tokens the answer had, by its events."""
-        engine = self._tools.roster.deployment.find_service(self._service).engine
-        last_id = self._cutter.last_id or ""
-        if not last_id.isdecimal():
-            return self._call.prompt.max_tokens
-        return min(self._call.prompt.max_tokens, int(last_id) * engine.event_tokens)
-
-    def _note_first_event(self) -> None:
-        now = self._tools.read_clock()
-        dispatcher = self._tools.dispatcher
-        dispatcher.started(self._id, now)
-        dispatcher.progressed(self._id, 1, now)
-        if self.notes.upstreams:
-            upstream, names = self.notes.upstreams[-1], self._block_names()
-            sizes = tuple(part.tokens for part in self._call.prompt.parts)
-            dispatcher.record_held(upstream, names, sizes)
-            self._tools.announce_held(upstream, names, sizes)
-
-    def _release(self) -> None:
-        self._tools.dispatcher.cancel(self._id, self._tools.read_clock())
-        self._tools.place()
-
-    def _make_request(self) -> PromptRequest:
-        prompt = self._call.prompt
-        engine = self._tools.roster.deployment.find_service(self._service).engine
-        return PromptRequest(
-            self._id,
-            self._account.name if self._account else "",
-            name_tier(self._route, self._rank),
-            self._service,
-            prompt.prompt_tokens,
-            prompt.max_tokens,
-            self._arrival_s,
-            block_names=self._block_names(),
-            block_bytes=int(engine.token_bytes),
-            block_tokens=1,
-            block_sizes=tuple(part.tokens for part in prompt.parts),
-            give_up_s=self._arrival_s + self._find_patience(),
-        )
-
-    def _find_patience(self) -> float:
-        """Return how long the call may wait for its start."""
-        silence_s = self._route.silence_limit_s or self._budget_s
-        return PATIENCE_SHARE * min(self._budget_s, silence_s)
-
-    def _block_names(self) -> tuple[str, ...]:
-        prompt = self._call.prompt
-        wanted = self._tools.roster.find_wanted(prompt.model)
-        scope = self._name_scope(wanted)
-        return tuple(f"{scope}/{part.name}" for part in prompt.parts)
-
-
-class PlainWork(CallWork):
-    """Serves a call at a plain service."""
-
-    async def _serve(self) -> None:
-        tools = self._tools
-        tools.dispatcher.plain_offered(self._service, self._arrival_s)
-        while True:
-            now = tools.read_clock()
-            name = tools.dispatcher.choose_plain(self._service, now, self._avoid)
-            record = tools.roster.find_record(name) if name else None
-            if record is None:
-                raise NotRun(ResultCode.NO_UPSTREAM, "", NO_CONFIGURATION_RETRY_S)
-            tools.dispatcher.plain_started(self._id, record.name, now)
-            try:
-                await self._attempt(record, None)
-            except _Failed as failure:
-                await self._fail(failure, record)
-                continue
-            tools.dispatcher.plain_finished(self._id, tools.read_clock())
-            return
-
-    async def _fail(self, failure: _Failed, record: UpstreamRecord) -> None:
-        tools = self._tools
-        now = tools.read_clock()
-        tools.dispatcher.plain_finished(self._id, now, whole=False)
-        if failure.ran and not self._can_repeat():
-            raise failure.error
-        delay_s = tools.dispatcher.allow_repeat(
-            self._service, self._attempts, now, ran=failure.ran
-        )
-        if delay_s is None:
-            raise failure.error
-        self._avoid |= {record.name}
-        await asyncio.sleep(delay_s)
-
-    def _release(self) -> None:
-        self._tools.dispatcher.plain_finished(
-            self._id, self._tools.read_clock(), whole=self.notes.first_s is not None
-        )
-
-
 def _to_ms(seconds: float) -> int:
     return round(seconds * MS_PER_S)
 
--- a/packages/gateway/tests/test_duty.py
+++ b/packages/gateway/tests/test_duty.py
@@ -1,7 +1,8 @@
 import asyncio
 
 from fakeregistry import FakeRegistry
-from persimmonferry_gateway.duty import SAFETY_SHARE, Duty, read_boot_clock
+from persimmonferry_gateway.clocks import read_boot_clock
+from persimmonferry_gateway.duty import SAFETY_SHARE, Duty
 
 KEY = "duty"
 LEASE_S = 0.6
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -6,7 +6,7 @@
 from persimmonferry_core.patience import PromptRequest
 from persimmonferry_core.upstreams import UpstreamReport
 from persimmonferry_core.world import Address
-from persimmonferry_gateway.duty import read_boot_clock
+from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.peers import PeerExchange
 
 REPORT = UpstreamReport(
