Judge upstreams by their silence, not by callers that leave

Cause: a call of a plain service whose caller left counted as a failure of its upstream, so that impatient callers ejected healthy ones; an engine that kept a stream without an event until its time ran out was not counted at all. Change: a call without an answer for three objectives counts as a failure, whoever ends it; one that ends sooner says nothing.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -480,6 +480,13 @@
             self._retries[service] = budget
         return budget
 
+    def plain_abandoned(self, call_id: str, now: float) -> None:
+        """Forget a call whose caller left; that says nothing of its upstream."""
+        upstream = self._plain_runs.pop(call_id, "")
+        plain = self._plain.get(self._services_of.get(upstream, ""))
+        if plain is not None and upstream in plain.upstreams:
+            plain.upstreams[upstream].end_run(call_id, now, False)
+
     def _configure_model(self, service: Service, tiers: tuple[Tier, ...]) -> None:
         model = self._models.get(service.name)
         urgent = sum(1 for tier in tiers if tier.promised_wait_s <= URGENT_WAIT_S)
--- a/packages/gateway/src/persimmonferry_gateway/plainwork.py
+++ b/packages/gateway/src/persimmonferry_gateway/plainwork.py
@@ -49,6 +49,8 @@
         await asyncio.sleep(delay_s)
 
     def _release(self) -> None:
-        self._tools.dispatcher.plain_finished(
-            self._id, self._tools.read_clock(), whole=self.notes.first_s is not None
-        )
+        now, dispatcher = self._tools.read_clock(), self._tools.dispatcher
+        if self._has_failed_upstream(now):
+            dispatcher.plain_finished(self._id, now, whole=False)
+        else:
+            dispatcher.plain_abandoned(self._id, now)
--- a/packages/gateway/src/persimmonferry_gateway/promptwork.py
+++ b/packages/gateway/src/persimmonferry_gateway/promptwork.py
@@ -92,6 +92,9 @@
             self._tools.announce_held(upstream, names, sizes)
 
     def _release(self) -> None:
+        now = self._tools.read_clock()
+        if self._has_failed_upstream(now):
+            self._tools.dispatcher.failed(self._id, True, now)
         self._tools.dispatcher.cancel(self._id, self._tools.read_clock())
         self._tools.place()
 
--- a/packages/gateway/src/persimmonferry_gateway/work.py
+++ b/packages/gateway/src/persimmonferry_gateway/work.py
@@ -141,6 +141,7 @@
         self._may_have_run = False
         self._avoid: frozenset[str] = frozenset()
         self._exchange: Exchange | None = None
+        self._sent_s: float | None = None
 
     async def run(self) -> None:
         """Serve the call, whatever happens on the way."""
@@ -199,6 +200,12 @@
     def _release(self) -> None:
         raise NotImplementedError
 
+    def _has_failed_upstream(self, now: float) -> bool:
+        """Whether the last upstream kept the call without an answer for too long."""
+        if self.notes.first_s is not None or self._sent_s is None:
+            return False
+        return now - self._sent_s >= SILENCE_OBJECTIVES * self._route.objective_s
+
     def _give_up(self) -> None:
         if self._may_have_run:
             self._end_with(OutcomeUnknown(ResultCode.UPSTREAM_TIMEOUT))
@@ -258,6 +265,7 @@
         was_possible = self._may_have_run
         # Until the upstream has stated otherwise: a timeout may come at any moment.
         self._may_have_run = True
+        self._sent_s = now
         try:
             async with asyncio.timeout(silence_s):
                 await exchange.wait_for_head()
@@ -265,9 +273,11 @@
             if asyncio.current_task().cancelling():
                 raise
             exchange.cancel()
+            self._sent_s = None
             error = OutcomeUnknown(ResultCode.UPSTREAM_TIMEOUT)
             raise AttemptFailed(error, ran=True) from None
         if not exchange.lines.is_whole:
+            self._sent_s = None
             if not exchange.was_sent:
                 self._may_have_run = was_possible
             error = make_upstream_error(exchange.loss or Loss.LOST, record.name)
@@ -275,6 +285,7 @@
         head = tools.dialect.decode_answer(
             exchange.lines.status, exchange.lines.reason, exchange.lines.fields
         )
+        self._sent_s = None
         self._note_head(record, head)
         if head.call_id is not None and head.call_id != self._call.call_id:
             exchange.cancel()
