Ask nothing of a peer when nothing is missing

Change: nothing missing means nothing asked. A direct test fails with the same ZeroDivisionError before and passes after. Measured: tests of core pass.

--- a/packages/core/src/persimmonferry_core/limits.py
+++ b/packages/core/src/persimmonferry_core/limits.py
@@ -322,8 +322,10 @@
         }
         total = sum(borrowed.values())
         lent = borrowed.get(peer, 0.0)
+        if missing <= 0:
+            return 0.0
         if total > missing:
-            return max(0.0, missing) * lent / total
+            return missing * lent / total
         return lent + (missing - total) / len(self._peers)
 
     def _find_spare(self, known: _AccountLimits, asker: str, now: float) -> float:
--- a/packages/core/tests/test_limits.py
+++ b/packages/core/tests/test_limits.py
@@ -178,3 +178,10 @@
     assert books["e1"].find_share("a", lapsed) > 0.3
     admitted = [books["e1"].admit("a", 1, lapsed) is None for _ in range(10)]
     assert sum(admitted) <= 1 + 30.0 / 3 * BURST_S / 4
+
+
+def test_nothing_is_asked_of_a_peer_that_lent_nothing_when_nothing_is_missing():
+    book = LimitBook("e0", 0)
+    book.set_entries(("e0", "e1"))
+    book.set_limits("a", Limits(requests_per_s=10.0), 0.0)
+    assert book._find_wanted("e1", book._accounts["a"], 3.0) == 0.0
