Leave out engines whose weights were replaced long ago

Change: 1.5 s before the bound, engines on weights that were replaced then get no new prompt, unless all of them are outdated. A test of the decision fails without it.

--- a/packages/core/src/persimmonferry_core/loads.py
+++ b/packages/core/src/persimmonferry_core/loads.py
@@ -1,9 +1,15 @@
 """Decides which engines get orders for new weights, and in which order."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-__all__ = ["EngineState", "WeightOrder", "choose_loads", "is_loading"]
+__all__ = [
+    "EngineState",
+    "WeightOrder",
+    "choose_loads",
+    "find_outdated",
+    "is_loading",
+]
 
 # An engine that has not shown the wanted weights this long after an order is ordered
 # again: the order may be lost, or be carried out seconds late.
@@ -75,3 +81,29 @@
     """Whether an engine is expected to have an order in hand."""
     is_ordered = engine.version < engine.ordered_version
     return is_ordered and now < engine.ordered_s + ORDER_TIMEOUT_S
+
+
+def find_outdated(
+    versions: Mapping[str, int],
+    named: Mapping[int, float],
+    limit_s: float,
+    now: float,
+) -> frozenset[str]:
+    """
+    Return the engines that may begin nothing new, as newer weights were named long ago.
+
+    Where all are outdated, none is left out: late answers on old weights are better
+    than none.
+
+    :param versions: of the weights of each engine.
+    :param named: when each version was first heard of.
+
+    >>> sorted(find_outdated({"a": 1, "b": 2}, {2: 0.0, 3: 8.0}, 9.0, 9.5))
+    ['a']
+    >>> sorted(find_outdated({"a": 1}, {2: 0.0}, 9.0, 9.5))
+    []
+    """
+    due = [version for version, heard_s in named.items() if now >= heard_s + limit_s]
+    newest = max(due, default=0)
+    outdated = frozenset(name for name, held in versions.items() if held < newest)
+    return frozenset() if len(outdated) == len(versions) else outdated
--- a/packages/core/tests/test_loads.py
+++ b/packages/core/tests/test_loads.py
@@ -5,6 +5,7 @@
     ORDER_TIMEOUT_S,
     EngineState,
     choose_loads,
+    find_outdated,
     is_loading,
 )
 
@@ -50,3 +51,13 @@
 
 def test_one_engine_alone_loads_too():
     assert choose_loads([make_engine("a")], 2, 0.0) == ("a",)
+
+
+def test_engines_whose_weights_were_replaced_long_ago_are_left_out():
+    """Holders that freeze one after the other leave an engine behind."""
+    named = {2: 0.0, 3: 8.9}
+    versions = {"a": 1, "b": 2, "c": 3}
+    assert find_outdated(versions, named, 8.5, 8.4) == frozenset()
+    assert find_outdated(versions, named, 8.5, 8.5) == {"a"}
+    assert find_outdated(versions, named, 8.5, 17.4) == {"a", "b"}
+    assert find_outdated({"a": 1}, named, 8.5, 17.4) == frozenset()
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -58,6 +58,9 @@
 # A gateway that was killed is forgotten after this time; its news stop at once.
 REGISTRATION_LEASE_S = 5.0
 MAINTENANCE_INTERVAL_S = 0.1
+# What was sent to an engine may begin there later than this process heard of weights.
+OUTDATED_MARGIN_S = 1.5
+OUTDATED_SOURCE = "outdated weights"
 NO_CONFIGURATION_RETRY_S = 0.5
 NS_PER_MS = 1_000_000
 # The last answers are given up this long before the process is killed.
@@ -392,7 +395,11 @@
             self._roster.fleet.lose_registry()
 
     def _maintain(self) -> None:
-        self._roster.expire(self._loop.time())
+        now = self._loop.time()
+        self._roster.expire(now)
+        limit_s = self._settings.version_s - OUTDATED_MARGIN_S
+        outdated = self._roster.find_outdated(limit_s, now)
+        self._dispatcher.set_paused(OUTDATED_SOURCE, outdated)
         self._loop.call_later(MAINTENANCE_INTERVAL_S, self._maintain)
 
     def _set_retry_policy(self, gateways: int) -> None:
--- a/packages/gateway/src/persimmonferry_gateway/roster.py
+++ b/packages/gateway/src/persimmonferry_gateway/roster.py
@@ -4,6 +4,7 @@
 
 from persimmonferry_core.deployment import Deployment, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher
+from persimmonferry_core.loads import find_outdated
 
 from persimmonferry_gateway.fleet import Fleet
 from persimmonferry_gateway.interfaces import (
@@ -39,6 +40,7 @@
         self._loads: dict[str, UpstreamLoad] = {}
         self._versions: dict[str, int] = {}
         self._initial: dict[str, int] = {}
+        self._named: dict[str, dict[int, float]] = {}
         self._malformed: set[str] = set()
         self._sequence = 0
 
@@ -58,6 +60,15 @@
         """
         return self.weights.get(model) or self._initial.get(model, FIRST_VERSION)
 
+    def find_outdated(self, limit_s: float, now: float) -> frozenset[str]:
+        """Return the engines whose weights were replaced longer ago than a limit."""
+        found: set[str] = set()
+        for model, named in self._named.items():
+            names = [record.name for record in self.list_engines(model)]
+            held = {name: self._versions.get(name, 0) for name in names}
+            found |= find_outdated(held, named, limit_s, now)
+        return frozenset(found)
+
     def list_engines(self, model: str) -> tuple[UpstreamRecord, ...]:
         """Return the upstreams that hold a model."""
         records = self.fleet.records.values()
@@ -145,6 +156,7 @@
             return
         if version > self.weights.get(model, 0):
             self.weights[model] = version
+            self._named.setdefault(model, {})[version] = now
             self._configure(now)
             _log.info("weights wanted", extra={"model": model, "version": version})
 
--- a/packages/gateway/src/persimmonferry_gateway/settings.py
+++ b/packages/gateway/src/persimmonferry_gateway/settings.py
@@ -16,6 +16,7 @@
     :param readiness: address that the balancer asks.
     :param internal: address for the other gateways (UDP) and for metrics (TCP).
     :param lease_s: for which a holder of a duty keeps it without a renewal.
+    :param version_s: after which no prompt may begin on replaced weights.
     :param are_orders_fenced: whether engines refuse orders with an old fencing number.
     :param grace_s: from the stop signal to the kill.
     :param notice_s: from the stop signal until the balancer sends no more callers.
@@ -31,6 +32,7 @@
     registry: Address
     internal: Address
     lease_s: float
+    version_s: float
     are_orders_fenced: bool
     grace_s: float
     notice_s: float
