Follow each store from a few gateways, which tell the others

Change: rendezvous hashing names three gateways for each store (all, where the store holds twice as many calls); they follow its events and tell the others by datagram, with the time of the answer on the engines' clock, so that a process that was suspended does not take old news for new. The others read the list now and then. Found on the way: parts of a store that had restarted stayed in the dispatcher's index; they are dropped now. Measured: tests with eight gateways and a store that holds four calls (failed before: refused calls, views lost).

--- a/packages/core/src/persimmonferry_core/deployment.py
+++ b/packages/core/src/persimmonferry_core/deployment.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 __all__ = [
+    "DEFAULT_CALL_LIMIT",
     "AccountKeys",
     "CallKind",
     "CallRoute",
@@ -21,6 +22,8 @@
 MIN_SILENCE_S = 2.0
 SILENCE_OBJECTIVES = 4
 SILENCE_GAPS = 8
+# Calls for events that a store holds at once where the operators name no number.
+DEFAULT_CALL_LIMIT = 8
 
 
 class CallKind(enum.Enum):
@@ -144,6 +147,7 @@
     A store VM that keeps KV cache until it is told to free it.
 
     :param first_s: wait before the first byte of a transfer.
+    :param call_limit: calls for events that it holds at once.
     """
 
     name: str
@@ -152,6 +156,7 @@
     capacity_tokens: int
     bytes_per_s: float
     first_s: float
+    call_limit: int = DEFAULT_CALL_LIMIT
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/persimmonferry_core/keptparts.py
+++ b/packages/core/src/persimmonferry_core/keptparts.py
@@ -6,13 +6,24 @@
 from persimmonferry_core.deployment import KeptStore
 from persimmonferry_core.placement import rank_stores
 
-__all__ = ["KeptParts", "PartEvent", "StoreView"]
+__all__ = [
+    "KeptParts",
+    "PartEvent",
+    "StoreUpdate",
+    "StoreView",
+    "choose_followers",
+]
 
 # A view that was not confirmed for this long is not used: the store may have come
 # back empty, and the part may be half written again.
 MAX_VIEW_AGE_S = 1.2
 # A save that is not reported whole after this time was lost.
 SAVE_TIMEOUT_S = 3.0
+# Gateways of a large fleet that follow one store: one may be cut off and one suspended.
+FOLLOWERS = 3
+# Part of the calls that a store holds at once; after a change of the fleet, former and
+# new followers overlap for a while.
+CALL_SHARE = 0.5
 # Room that is left for saves which other gateways have under way.
 FILL_LIMIT = 0.97
 
@@ -26,6 +37,20 @@
     is_whole: bool
 
 
+@dataclass(frozen=True)
+class StoreUpdate:
+    """
+    What a gateway heard from a store that it follows, for the other gateways.
+
+    :param clock_s: when the store said so, on the clock of engines and stores.
+    """
+
+    store: str
+    epoch: int
+    clock_s: float
+    events: tuple[PartEvent, ...]
+
+
 @dataclass
 class StoreView:
     """
@@ -33,11 +58,13 @@
 
     :param epoch: changes with each start of the store.
     :param confirmed_s: when the last answer that agrees with it was asked for.
+    :param listed_s: when its list was asked for.
     """
 
     store: KeptStore
     epoch: int | None = None
     confirmed_s: float = float("-inf")
+    listed_s: float = float("-inf")
     parts: dict[str, int] = field(default_factory=dict)
     used_tokens: int = 0
 
@@ -92,18 +119,22 @@
         view.epoch = epoch
         view.parts = dict(parts)
         view.used_tokens = sum(parts.values()) + partial_tokens
-        view.confirmed_s = asked_s
+        view.confirmed_s = view.listed_s = asked_s
 
     def take_events(
         self, store: str, epoch: int, events: Iterable[PartEvent], asked_s: float
     ) -> bool:
         """
-        Bring a view forward.
+        Bring a view forward. News from before a restart that is known change nothing.
 
         :returns: False when the store has restarted; the view is dropped then.
         """
         view = self.views.get(store)
-        if view is None or view.epoch != epoch:
+        if view is None or view.epoch is None:
+            return False
+        if view.epoch != epoch:
+            if asked_s <= view.listed_s:
+                return True
             self.lose(store)
             return False
         for event in events:
@@ -112,7 +143,7 @@
                 view.parts[event.name] = event.tokens
                 view.used_tokens += event.tokens
                 self._saving.pop(event.name, None)
-        view.confirmed_s = asked_s
+        view.confirmed_s = max(view.confirmed_s, asked_s)
         return True
 
     def lose(self, store: str) -> None:
@@ -167,6 +198,28 @@
         }
 
 
+def choose_followers(
+    store: str, gateways: Iterable[str], call_limit: int
+) -> tuple[str, ...]:
+    """
+    Return the gateways that ask a store for its events; they tell the others.
+
+    Load pattern: a fleet with more gateways than a store holds calls. If all asked,
+    most would be refused, and would know of no part that it keeps.
+
+    :param gateways: that are known to live.
+    :param call_limit: calls for events that the store holds at once.
+
+    >>> choose_followers("s1", ["g1", "g2"], 12)
+    ('g1', 'g2')
+    """
+    names = sorted(gateways)
+    most = max(1, int(CALL_SHARE * call_limit))
+    if len(names) <= most:
+        return tuple(names)
+    return rank_stores(store, names, min(FOLLOWERS, most))
+
+
 def _rank_by_size(name: str, views: Mapping[str, StoreView]) -> str:
     """Return the first choice for a part, in proportion to the stores' sizes."""
     smallest = min(view.store.capacity_tokens for view in views.values())
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -12,7 +12,7 @@
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.exceptions import FerryError, NotRun
 from persimmonferry_core.incoming import IncomingCall
-from persimmonferry_core.keptparts import KeptParts
+from persimmonferry_core.keptparts import KeptParts, StoreUpdate
 from persimmonferry_core.retries import RetryPolicy
 from persimmonferry_core.world import Address
 from tornado.httpserver import HTTPServer
@@ -111,6 +111,7 @@
             settings.internal,
             self._dispatcher,
             self._roster.note_version,
+            self._take_store_update,
         )
         self._registration = Registration(
             registry,
@@ -123,7 +124,15 @@
         self._metrics = CallMetrics(lambda: registry.calls)
         self._metrics_server = MetricsServer(settings.internal, self._metrics)
         self._kept = KeptParts()
-        self._stores = StoreWatch(self._kept, dialect, client, self._note_kept)
+        self._stores = StoreWatch(
+            self._kept,
+            dialect,
+            client,
+            self._note_kept,
+            settings.name,
+            self._peers.list_alive,
+            self._peers.announce_update,
+        )
         self._tools = WorkTools(
             dialect,
             self._roster,
@@ -369,6 +378,9 @@
             self._stores.configure(deployment.stores)
         self._place()
 
+    def _take_store_update(self, update: StoreUpdate) -> None:
+        self._stores.take_update(update)
+
     def _note_kept(self, names: tuple[str, ...], is_whole: bool) -> None:
         if not names:
             return
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -2,14 +2,23 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from persimmonferry_core.dispatch import Dispatcher
+from persimmonferry_core.keptparts import PartEvent, StoreUpdate
 from persimmonferry_core.upstreams import PeerWork
 from persimmonferry_core.world import Address
 from persimmonferry_wire import decode, encode
-from persimmonferry_wire.generated.peers.ttypes import NewlyHeld, OwnWork, PeerNews
+from persimmonferry_wire.generated.peers.ttypes import (
+    KeptChange,
+    KeptNews,
+    KeptUpdate,
+    NewlyHeld,
+    OwnWork,
+    PeerMessage,
+    PeerNews,
+)
 
 from persimmonferry_gateway.clocks import read_boot_clock
 
@@ -24,6 +33,13 @@
 FORGET_INTERVALS = 8
 MAX_DATAGRAM_BYTES = 1400
 MAX_HELD_UPSTREAMS = 16
+# A gateway without work says so this often, so that the others know that it lives.
+IDLE_INTERVAL_S = 1.0
+# After this silence other gateways take over what a gateway followed.
+ALIVE_S = 3.0
+# Changes at stores in one datagram: a name and a size take up to some 45 bytes.
+MAX_CHANGES = 30
+MS_PER_S = 1000
 
 _log = logging.getLogger(__name__)
 
@@ -46,6 +62,7 @@
 
     :param incarnation: grows with each start of a gateway of that name.
     :param note_version: told of weights that the holder of the rollout has seen.
+    :param note_update: told what another gateway heard from a store.
     """
 
     def __init__(
@@ -55,8 +72,13 @@
         address: Address,
         dispatcher: Dispatcher,
         note_version: Callable[[str, int, float], None],
+        note_update: Callable[[StoreUpdate], None],
     ) -> None:
         self._note_version = note_version
+        self._note_update = note_update
+        self._updates: list[StoreUpdate] = []
+        self._alive_s: dict[str, float] = {}
+        self._sent_s = float("-inf")
         self._name = name
         self._incarnation = incarnation
         self._address = address
@@ -100,8 +122,21 @@
         for name in tuple(self._heard):
             if name not in self._addresses:
                 self._forget(name)
+        now = self._loop.time()
+        # One that has just registered is taken to live.
+        self._alive_s = {name: self._alive_s.get(name, now) for name in self._addresses}
         self._dispatcher.set_entries((self._name, *self._addresses))
 
+    def list_alive(self) -> tuple[str, ...]:
+        """Return the gateways that were heard lately, with this one."""
+        limit_s = self._loop.time() - ALIVE_S
+        heard = (name for name, at_s in self._alive_s.items() if at_s > limit_s)
+        return (self._name, *heard)
+
+    def announce_update(self, update: StoreUpdate) -> None:
+        """Keep for the next message what was heard from a store."""
+        self._updates.append(update)
+
     def note_held(
         self, upstream: str, names: tuple[str, ...], sizes: tuple[int, ...]
     ) -> None:
@@ -128,16 +163,35 @@
         return self._last_pause_s
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take over a peer's news unless a later one came before."""
+        """Take over a peer's news."""
         try:
-            news = decode(PeerNews, data)
+            message = decode(PeerMessage, data)
         except ValueError as error:
             _log.warning("peer message can't be read", extra={"cause": str(error)})
             return
+        news = message.work or message.kept
+        if news is None or news.sender not in self._addresses:
+            return
+        self._alive_s[news.sender] = self._loop.time()
+        if message.kept is not None:
+            self._take_kept(message.kept)
+        else:
+            self._take_work(message.work)
+
+    def _take_kept(self, news: KeptNews) -> None:
+        for item in news.updates:
+            changes = item.changes
+            events = tuple(
+                PartEvent(change.name, change.tokens, change.is_whole)
+                for change in changes
+            )
+            clock_s = item.clock_ms / MS_PER_S
+            self._note_update(StoreUpdate(item.store, item.epoch, clock_s, events))
+
+    def _take_work(self, news: PeerNews) -> None:
+        """Replace what is known of a peer's work unless later news came before."""
         known = self._heard.get(news.sender)
         order = (news.incarnation, news.sequence)
-        if news.sender not in self._addresses:
-            return
         if known is not None and order <= (known.incarnation, known.sequence):
             return
         self._heard[news.sender] = _Peer(*order, self._loop.time())
@@ -168,15 +222,16 @@
         for name, peer in tuple(self._heard.items()):
             if peer.heard_s < limit_s:
                 self._forget(name)
-        self._send(now)
+        self._send_work(now)
+        self._send_updates()
         self._timer = self._loop.call_later(self.interval_s, self._tick)
 
-    def _send(self, now: float) -> None:
+    def _send_work(self, now: float) -> None:
         work = self._dispatcher.summarise_own_work(now)
         is_idle = not (work or self._held or self._paused)
-        if is_idle and self._was_idle:
-            # One empty message has told of it; a lost one is repeated by time-out.
+        if is_idle and self._was_idle and now < self._sent_s + IDLE_INTERVAL_S:
             return
+        self._sent_s = now
         self._was_idle = is_idle
         self._sequence += 1
         news = PeerNews(
@@ -195,10 +250,30 @@
             self._versions,
         )
         self._held.clear()
-        data = encode(news)
+        data = encode(PeerMessage(work=news))
         if len(data) > MAX_DATAGRAM_BYTES:
             news.held = []
-            data = encode(news)
+            data = encode(PeerMessage(work=news))
+        self._send(data)
+
+    def _send_updates(self) -> None:
+        """Tell what was heard from stores, with a bounded number of changes each."""
+        updates, self._updates = self._updates, []
+        batch: list[KeptUpdate] = []
+        room = MAX_CHANGES
+        for update in updates:
+            for item in _split(update):
+                # An update without changes takes about as much as one change.
+                size = len(item.changes) + 1
+                if batch and size > room:
+                    self._send(encode(PeerMessage(kept=KeptNews(self._name, batch))))
+                    batch, room = [], MAX_CHANGES
+                batch.append(item)
+                room -= size
+        if batch:
+            self._send(encode(PeerMessage(kept=KeptNews(self._name, batch))))
+
+    def _send(self, data: bytes) -> None:
         for address in self._addresses.values():
             self._transport.sendto(data, (address.host, address.port))
 
@@ -206,3 +281,14 @@
         self._heard.pop(name, None)
         self._dispatcher.set_peer_work(name, {})
         self._dispatcher.set_paused(name, frozenset())
+
+
+def _split(update: StoreUpdate) -> Iterator[KeptUpdate]:
+    """Return an update as messages that fit into a datagram each."""
+    clock_ms = int(update.clock_s * MS_PER_S)
+    changes = [
+        KeptChange(event.name, event.tokens, event.is_whole) for event in update.events
+    ]
+    for first in range(0, max(1, len(changes)), MAX_CHANGES):
+        batch = changes[first : first + MAX_CHANGES]
+        yield KeptUpdate(update.store, update.epoch, clock_ms, batch)
--- a/packages/gateway/src/persimmonferry_gateway/stores.py
+++ b/packages/gateway/src/persimmonferry_gateway/stores.py
@@ -7,7 +7,12 @@
 
 from persimmonferry_adapters.exchange import Loss, Request, exchange
 from persimmonferry_core.deployment import KeptStore
-from persimmonferry_core.keptparts import KeptParts
+from persimmonferry_core.keptparts import (
+    KeptParts,
+    PartEvent,
+    StoreUpdate,
+    choose_followers,
+)
 
 from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.exchange import CancellableClient
@@ -22,6 +27,12 @@
 RETRY_S = 0.4
 # Some events never come; a new list brings what they would have told.
 RELIST_INTERVAL_S = 10.0
+# Of a store that other gateways follow: a list costs the store time, and all ask.
+RELAYED_RELIST_INTERVAL_S = 30.0
+RELAYED_RETRY_S = 2.0
+RELAYED_CHECK_S = 0.25
+# Clocks of VMs drift apart by far less than a millisecond in this time.
+CLOCK_INTERVAL_S = 20.0
 # A fetch that has not ended after this time is thrown away by the engine, so that a
 # part can be freed some time after the last fetch that may name it.
 FETCH_LIMIT_S = 2.0
@@ -34,9 +45,14 @@
     """
     Keeps the views of all stores up to date, on the boot clock.
 
-    A process that was suspended must not take its views for fresh.
+    A process that was suspended must not take its views for fresh. A store answers
+    few calls at once, so in a large fleet some gateways follow it and tell the others,
+    which read only its list now and then.
 
     :param note_change: told of parts that became readable or ceased to be.
+    :param name: of this gateway.
+    :param list_gateways: returns the gateways that live, this one among them.
+    :param announce: told what was heard from a store that this gateway follows.
     """
 
     def __init__(
@@ -45,13 +61,22 @@
         dialect: Dialect,
         client: CancellableClient,
         note_change: Callable[[tuple[str, ...], bool], None],
+        name: str,
+        list_gateways: Callable[[], tuple[str, ...]],
+        announce: Callable[[StoreUpdate], None],
     ) -> None:
+        self._name = name
+        self._list_gateways = list_gateways
+        self._announce = announce
         self._kept = kept
         self._dialect = dialect
         self._client = client
         self._note_change = note_change
         self._tasks: dict[str, asyncio.Task] = {}
+        # Of the clock of engines and stores; the true one is between the two.
         self._clock_offset_s: float | None = None
+        self._latest_clock_offset_s: float | None = None
+        self._clock_read_s = float("-inf")
 
     def configure(self, stores: tuple[KeptStore, ...]) -> None:
         """Take over the stores of a new configuration."""
@@ -76,6 +101,27 @@
             return None
         return read_boot_clock() + self._clock_offset_s + FETCH_LIMIT_S
 
+    def take_update(self, update: StoreUpdate) -> None:
+        """Take over what another gateway heard from a store."""
+        view = self._kept.views.get(update.store)
+        if view is None or view.epoch is None or self._latest_clock_offset_s is None:
+            return
+        asked_s = update.clock_s - self._latest_clock_offset_s
+        self._apply(update.store, update.epoch, update.events, asked_s)
+
+    def _apply(
+        self, store: str, epoch: int, events: tuple[PartEvent, ...], asked_s: float
+    ) -> bool:
+        """Bring a view forward; return False when the store has restarted."""
+        view = self._kept.views.get(store)
+        before = tuple(view.parts) if view is not None else ()
+        if not self._kept.take_events(store, epoch, events, asked_s):
+            self._note_change(before, False)
+            return False
+        for event in events:
+            self._note_change((event.name,), event.is_whole)
+        return True
+
     async def free_obsolete(self, is_obsolete: Callable[[str], bool]) -> None:
         """Free the parts that nobody may read any more, a batch at each store."""
         found = self._kept.list_obsolete(is_obsolete)
@@ -109,21 +155,32 @@
         )
 
     async def _follow(self, store: KeptStore) -> None:
-        await asyncio.sleep(random.uniform(0.0, RETRY_S))
+        await self._pause(store)
         while True:
             try:
-                await self._follow_list(store)
+                while await self._follow_list(store):
+                    # The view stays in use while the next list is read.
+                    pass
             except Exception:
                 _log.exception("store could not be followed")
             self._lose(store)
-            await asyncio.sleep(random.uniform(RETRY_S / 2, RETRY_S))
+            await self._pause(store)
+
+    async def _pause(self, store: KeptStore) -> None:
+        """Wait for a random time, so that not all gateways ask at once."""
+        limit_s = RETRY_S if self._is_follower(store) else RELAYED_RETRY_S
+        await asyncio.sleep(random.uniform(limit_s / 4, limit_s))
 
-    async def _follow_list(self, store: KeptStore) -> None:
-        """Read a list, then events until they have a gap or the store is lost."""
+    async def _follow_list(self, store: KeptStore) -> bool:
+        """
+        Read a list, then events until the next list is due.
+
+        :returns: False when the view can't be relied on any more.
+        """
         asked_s = read_boot_clock()
         news = await self._ask(store, self._dialect.store_list_path, ())
         if news is None:
-            return
+            return False
         before = frozenset(self._kept.views[store.name].parts)
         parts = {event.name: event.tokens for event in news.events}
         self._kept.take_list(
@@ -131,20 +188,52 @@
         )
         self._note_change(tuple(before - parts.keys()), False)
         self._note_change(tuple(parts), True)
-        while read_boot_clock() < asked_s + RELIST_INTERVAL_S:
+        cursor = news.cursor
+        if read_boot_clock() >= self._clock_read_s + CLOCK_INTERVAL_S:
+            # Lists don't tell the clock; events do.
+            cursor = await self._read_events(store, cursor)
+        while cursor is not None and self._is_follower(store):
+            if read_boot_clock() >= asked_s + RELIST_INTERVAL_S:
+                return True
             await asyncio.sleep(EVENTS_PAUSE_S)
-            call_s = read_boot_clock()
-            path, headers = self._dialect.encode_events_call(news.cursor, EVENTS_WAIT_S)
-            timeout_s = EVENTS_WAIT_S + CALL_TIMEOUT_S
-            news = await self._ask(store, path, headers, timeout_s)
-            if news is None or news.has_gap:
-                return
-            if not self._kept.take_events(store.name, news.epoch, news.events, call_s):
-                return
-            for event in news.events:
-                self._note_change((event.name,), event.is_whole)
-        # The view stays in use while the next list is read.
-        await self._follow_list(store)
+            cursor = await self._read_events(store, cursor)
+        return cursor is not None and await self._trust_peers(store, asked_s)
+
+    async def _read_events(self, store: KeptStore, cursor: int) -> int | None:
+        """Return behind which number to go on, None when the view is not sound."""
+        call_s = read_boot_clock()
+        path, headers = self._dialect.encode_events_call(cursor, EVENTS_WAIT_S)
+        timeout_s = EVENTS_WAIT_S + CALL_TIMEOUT_S
+        news = await self._ask(store, path, headers, timeout_s)
+        if news is None or news.has_gap:
+            return None
+        if not self._apply(store.name, news.epoch, news.events, call_s):
+            return None
+        if news.clock_s is not None and self._is_follower(store):
+            update = StoreUpdate(store.name, news.epoch, news.clock_s, news.events)
+            self._announce(update)
+        return news.cursor
+
+    async def _trust_peers(self, store: KeptStore, listed_s: float) -> bool:
+        """
+        Wait while other gateways tell what the store holds.
+
+        :returns: False when they have fallen silent, or the store has restarted.
+        """
+        while not self._is_follower(store):
+            await asyncio.sleep(RELAYED_CHECK_S)
+            now = read_boot_clock()
+            view = self._kept.views.get(store.name)
+            if view is None or not view.is_fresh(now):
+                return False
+            if now >= listed_s + RELAYED_RELIST_INTERVAL_S:
+                return True
+        return True
+
+    def _is_follower(self, store: KeptStore) -> bool:
+        gateways = self._list_gateways()
+        followers = choose_followers(store.name, gateways, store.call_limit)
+        return self._name in followers
 
     def _lose(self, store: KeptStore) -> None:
         view = self._kept.views.get(store.name)
@@ -164,6 +253,7 @@
         request = Request(
             f"http://{store.address}{path}", headers=dict(headers), timeout_s=timeout_s
         )
+        asked_s = read_boot_clock()
         result = await exchange(self._client, request)
         if isinstance(result, Loss) or result.code != 200:
             cause = result.value if isinstance(result, Loss) else result.code
@@ -178,4 +268,7 @@
         if news.clock_s is not None:
             # The answer was on its way since, so limits come rather too early.
             self._clock_offset_s = news.clock_s - read_boot_clock()
+            # What others heard must not seem later than it was.
+            self._latest_clock_offset_s = news.clock_s - asked_s
+            self._clock_read_s = asked_s
         return news
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -3,11 +3,12 @@
 
 from persimmonferry_core.contracts import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.dispatch import Dispatcher
+from persimmonferry_core.keptparts import PartEvent, StoreUpdate
 from persimmonferry_core.patience import PromptRequest
 from persimmonferry_core.upstreams import UpstreamReport
 from persimmonferry_core.world import Address
 from persimmonferry_gateway.clocks import read_boot_clock
-from persimmonferry_gateway.peers import PeerExchange
+from persimmonferry_gateway.peers import ALIVE_S, PeerExchange
 
 REPORT = UpstreamReport(
     "u0", 1, 1, "z1", "s", "m", "1", 0, 0, 0, 8, 0.0, 100.0, memory_tokens=100_000
@@ -33,12 +34,14 @@
         self.address = Address("127.0.0.1", find_free_port())
         self.dispatcher = make_dispatcher(name)
         self.versions = {}
+        self.updates = []
         self.exchange = PeerExchange(
             name,
             incarnation,
             self.address,
             self.dispatcher,
             lambda upstream, version, _: self.versions.update({upstream: version}),
+            self.updates.append,
         )
 
     def offer(self, name, tokens):
@@ -113,3 +116,29 @@
         assert other.offer("r1", 100) == 1
 
     play(scene)
+
+
+def test_what_a_store_told_reaches_the_other_in_full():
+    async def scene(one, other):
+        events = tuple(PartEvent(f"1/{number:x}", number, True) for number in range(90))
+        one.exchange.announce_update(StoreUpdate("s1", 7, 2.5, events))
+        one.exchange.announce_update(StoreUpdate("s2", 8, 2.6, ()))
+        await wait_until(lambda: len(other.updates) >= 4)
+        heard = [event for item in other.updates for event in item.events]
+        assert tuple(heard) == events
+        assert {(item.store, item.epoch, item.clock_s) for item in other.updates} == {
+            ("s1", 7, 2.5),
+            ("s2", 8, 2.6),
+        }
+
+    play(scene)
+
+
+def test_a_gateway_without_work_is_known_to_live():
+    async def scene(one, other):
+        await asyncio.sleep(ALIVE_S + 0.5)
+        assert set(one.exchange.list_alive()) == {"g1", "g2"}
+        other.exchange.stop()
+        await wait_until(lambda: one.exchange.list_alive() == ("g1",))
+
+    play(scene)
--- /dev/null
+++ b/packages/gateway/tests/test_storewatch.py
@@ -0,0 +1,147 @@
+import asyncio
+import socket
+
+import pytest
+from persimmonferry_core.contracts import TeamDocument
+from persimmonferry_core.deployment import KeptStore
+from persimmonferry_core.dispatch import Dispatcher
+from persimmonferry_core.keptparts import KeptParts, choose_followers
+from persimmonferry_core.world import Address
+from persimmonferry_gateway.clocks import read_boot_clock
+from persimmonferry_gateway.exchange import CancellableClient
+from persimmonferry_gateway.peers import PeerExchange
+from persimmonferry_gateway.stores import StoreWatch
+from persimmonferry_platform import PlatformDialect
+from platform_standins import KeptStoreStandIn
+
+GATEWAYS = 8
+CALL_LIMIT = 4
+
+
+def find_free_port():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Member:
+    """One gateway's view of the stores and its line to the others."""
+
+    def __init__(self, name, client):
+        self.name = name
+        self.address = Address("127.0.0.1", find_free_port())
+        self.kept = KeptParts()
+        self.told = {}
+        document = TeamDocument("", 0, (), (), (), ())
+        self.peers = PeerExchange(
+            name,
+            1,
+            self.address,
+            Dispatcher(document, entry=name),
+            lambda *_: None,
+            lambda update: self.watch.take_update(update),
+        )
+        self.watch = StoreWatch(
+            self.kept,
+            PlatformDialect(),
+            client,
+            self.note,
+            name,
+            self.peers.list_alive,
+            self.peers.announce_update,
+        )
+
+    def note(self, names, is_whole):
+        self.told.update(dict.fromkeys(names, is_whole))
+
+    def finds(self, part):
+        return self.kept.find(part, read_boot_clock()) is not None
+
+    async def stop(self):
+        await self.watch.stop()
+        self.peers.stop()
+
+
+class Fleet:
+    def __init__(self):
+        self.store = KeptStoreStandIn(call_limit=CALL_LIMIT)
+        client = CancellableClient()
+        self.members = [Member(f"g{number}", client) for number in range(GATEWAYS)]
+
+    async def start(self):
+        self.store.start()
+        shape = KeptStore("s1", self.store.address, "z1", 100_000, 1e9, 0.0, CALL_LIMIT)
+        addresses = {member.name: member.address for member in self.members}
+        for member in self.members:
+            member.peers.set_peers(addresses)
+            await member.peers.start()
+            member.watch.configure((shape,))
+
+    async def stop(self):
+        await asyncio.gather(*(member.stop() for member in self.members))
+        await self.store.stop()
+
+    async def wait_for_all(self, condition, timeout_s=9.0):
+        async with asyncio.timeout(timeout_s):
+            while not all(condition(member) for member in self.members):
+                await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+def play():
+    def run(scene):
+        async def main():
+            fleet = Fleet()
+            await fleet.start()
+            try:
+                await scene(fleet)
+            finally:
+                await fleet.stop()
+
+        asyncio.run(main())
+
+    return run
+
+
+def test_all_learn_of_a_part_though_the_store_holds_few_calls(play):
+    async def scene(fleet):
+        fleet.store.keep("1", "aa", 100)
+        await fleet.wait_for_all(lambda member: member.finds("1/aa"))
+        fleet.store.keep("1", "bb", 100)
+        await fleet.wait_for_all(lambda member: member.finds("1/bb"))
+        refused = fleet.store.refused
+        await asyncio.sleep(2.0)
+        assert all(member.finds("1/bb") for member in fleet.members)
+        assert fleet.store.refused == refused <= GATEWAYS
+        assert fleet.store.lists <= 2 * GATEWAYS
+
+    play(scene)
+
+
+def test_nobody_names_what_a_restarted_store_has_lost(play):
+    async def scene(fleet):
+        fleet.store.keep("1", "aa", 100)
+        await fleet.wait_for_all(lambda member: member.finds("1/aa"))
+        fleet.store.restart()
+        await fleet.wait_for_all(lambda member: not member.finds("1/aa"))
+        await fleet.wait_for_all(lambda member: not member.told["1/aa"])
+        fleet.store.keep("1", "bb", 100)
+        await fleet.wait_for_all(lambda member: member.finds("1/bb"))
+
+    play(scene)
+
+
+def test_others_take_over_from_a_gateway_that_is_gone(play):
+    async def scene(fleet):
+        fleet.store.keep("1", "aa", 100)
+        await fleet.wait_for_all(lambda member: member.finds("1/aa"))
+        names = tuple(member.name for member in fleet.members)
+        followers = choose_followers("s1", names, CALL_LIMIT)
+        gone = [member for member in fleet.members if member.name in followers]
+        for member in gone:
+            await member.stop()
+            fleet.members.remove(member)
+        fleet.store.keep("1", "bb", 100)
+        await fleet.wait_for_all(lambda member: member.finds("1/bb"))
+
+    play(scene)
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -28,3 +28,31 @@
   // Weights that the sender has seen at engines that got orders from it.
   7: map<string, i32> versions
 }
+
+// A part of a prompt that became whole at a store, or was freed there.
+struct KeptChange {
+  1: string name
+  2: i64 tokens
+  3: bool is_whole
+}
+
+// What the sender heard from a store that it follows.
+struct KeptUpdate {
+  1: string store
+  2: i64 epoch
+  // When the store said so, on the clock of engines and stores.
+  3: i64 clock_ms
+  4: list<KeptChange> changes
+}
+
+// From a gateway that follows stores to the others. Lost ones are made up for by lists.
+struct KeptNews {
+  1: string sender
+  2: list<KeptUpdate> updates
+}
+
+// One datagram.
+union PeerMessage {
+  1: PeerNews work
+  2: KeptNews kept
+}
