Count all prompts ahead at engines that compute in order

Engines admit by priority and then compute in order, but the estimate counted only what was at least as urgent, so urgent prompts were sent behind long ones. Ruled out: the count of running answers (it adds some ms), waits at the gateway. Change: a service says whether its engines compute in order; then the backlog counts all priorities.

--- a/packages/core/src/persimmonferry_core/contracts.py
+++ b/packages/core/src/persimmonferry_core/contracts.py
@@ -102,6 +102,8 @@
     :param loading_slots: upstreams that may load weights at the same time.
     :param fenced: whether its upstreams refuse an order with an old fencing number.
     :param safe_paths: path prefixes of a plain service that are idempotent.
+    :param prefills_in_order: whether its engines compute prompts in the order in which
+        they came, whatever their priority.
     """
 
     name: str
@@ -114,6 +116,7 @@
     fenced: bool = True
     safe_paths: tuple[str, ...] = ()
     weights: RoutingWeights = RoutingWeights()
+    prefills_in_order: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -36,6 +36,8 @@
 HOLDER_CANDIDATES = 8
 SOURCE_CANDIDATES = 4
 START_AHEAD_S = 0.1
+# Behind all priorities that tiers and late requests have.
+LAST_PRIORITY = 1_000_000
 IMPORT_AHEAD_S = 1.0
 UNKNOWN_BACKLOG_S = 0.1
 HOLDER_WAIT_SHARE = 0.5
@@ -310,15 +312,26 @@
 
     def has_room(self, priority: int, now: float) -> bool:
         """Whether any upstream could start a run of that priority about now."""
-        share = self.mix.share_ahead(priority)
+        rank = self._find_last_ahead(priority)
+        share = self.mix.share_ahead(rank)
         ahead_s = START_AHEAD_S + IMPORT_AHEAD_S
         return any(
             upstream.free_slots > 0
             and self.is_usable(upstream)
-            and upstream.estimate_backlog(priority, share, now) <= ahead_s
+            and upstream.estimate_backlog(rank, share, now) <= ahead_s
             for upstream in self.upstreams.values()
         )
 
+    def _find_last_ahead(self, priority: int) -> int:
+        """
+        Return the last priority whose prompts an engine computes before a new one.
+
+        Load pattern: short urgent prompts among long ones, at engines that admit by
+        priority and then compute in order. An urgent prompt that is sent behind a long
+        one waits for all of it, while another engine could begin at once.
+        """
+        return LAST_PRIORITY if self.service.prefills_in_order else priority
+
     def choose(self, waiting: WaitingRequest, now: float) -> Route | None:
         """
         Return the best route, or None when no upstream takes the request.
@@ -339,7 +352,7 @@
             now,
             stored,
             max((*held.values(), *stored.values()), default=0),
-            self.mix.share_ahead(waiting.priority),
+            self.mix.share_ahead(self._find_last_ahead(waiting.priority)),
             self._count_reserved(now),
         )
         options = [
@@ -484,7 +497,9 @@
             upstream,
             depth,
             max(1.0, upstream.prefill_tokens_per_s),
-            upstream.estimate_backlog(priority, context.others_share, context.now),
+            upstream.estimate_backlog(
+                self._find_last_ahead(priority), context.others_share, context.now
+            ),
             slot_wait_s,
             0.0 if upstream.is_home else UNKNOWN_BACKLOG_S,
             has_room,
--- a/packages/gateway/src/persimmonferry_gateway/team.py
+++ b/packages/gateway/src/persimmonferry_gateway/team.py
@@ -98,6 +98,7 @@
         version=version,
         slots_per_upstream=service.engine.slots,
         weights=ENGINE_WEIGHTS,
+        prefills_in_order=True,
     )
 
 
