--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -1,5 +1,4 @@
 import asyncio
-import socket
 
 from persimmonferry_core.contracts import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.dispatch import Dispatcher
@@ -9,18 +8,13 @@
 from persimmonferry_core.world import Address
 from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.peers import ALIVE_S, PeerExchange
+from ports import find_free_datagram_port
 
 REPORT = UpstreamReport(
     "u0", 1, 1, "z1", "s", "m", "1", 0, 0, 0, 8, 0.0, 100.0, memory_tokens=100_000
 )
 
 
-def find_free_port():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def make_dispatcher(entry):
     service = Service("s", ServiceKind.MODEL, "m", "1", slots_per_upstream=8)
     document = TeamDocument("", 1, (service,), (Tier("t", 1.0, 0, 0),), (), ())
@@ -31,7 +25,7 @@
 
 class Side:
     def __init__(self, name, incarnation=1):
-        self.address = Address("127.0.0.1", find_free_port())
+        self.address = Address("127.0.0.1", find_free_datagram_port())
         self.dispatcher = make_dispatcher(name)
         self.versions = {}
         self.updates = []
--- a/packages/gateway/tests/test_storewatch.py
+++ b/packages/gateway/tests/test_storewatch.py
@@ -1,5 +1,4 @@
 import asyncio
-import socket
 
 import pytest
 from persimmonferry_core.contracts import TeamDocument
@@ -13,23 +12,18 @@
 from persimmonferry_gateway.stores import StoreWatch
 from persimmonferry_platform import PlatformDialect
 from platform_standins import KeptStoreStandIn
+from ports import find_free_datagram_port
 
 GATEWAYS = 8
 CALL_LIMIT = 4
 
 
-def find_free_port():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Member:
     """One gateway's view of the stores and its line to the others."""
 
     def __init__(self, name, client):
         self.name = name
-        self.address = Address("127.0.0.1", find_free_port())
+        self.address = Address("127.0.0.1", find_free_datagram_port())
         self.kept = KeptParts()
         self.told = {}
         document = TeamDocument("", 0, (), (), (), ())
