Follow a store that moved at its new address, and tell its loss once

Cause: found on reading the change: a configuration that moves a store (same name, other address) left the task that asks the old address running, and its lists went into the view of the new one, so parts were named where they do not lie. What a store that left the configuration had held stayed in the dispatcher's index. 'store lost' was logged at each failed try, and its return not at all. Ruled out: unchanged stores (their task goes on); engines' part index (other names). Change: changed and removed stores are lost and, if still there, followed anew; what gateways tell each other bears the address, as configurations differ for a moment; one line when a store is lost, one with its call limit when it is regained.

--- a/packages/core/src/persimmonferry_core/keptparts.py
+++ b/packages/core/src/persimmonferry_core/keptparts.py
@@ -42,10 +42,12 @@
     """
     What a gateway heard from a store that it follows, for the other gateways.
 
+    :param address: of the store, which a configuration may move.
     :param clock_s: when the store said so, on the clock of engines and stores.
     """
 
     store: str
+    address: str
     epoch: int
     clock_s: float
     events: tuple[PartEvent, ...]
--- a/packages/core/src/persimmonferry_core/upstreams.py
+++ b/packages/core/src/persimmonferry_core/upstreams.py
@@ -182,7 +182,7 @@
         self._peer_memory = 0
         self._peer_waiting: dict[int, int] = {}
         self._peer_heard: dict[str, float] = {}
-        self._peer_waiting_s = 0.0
+        self._mean_heard_s = 0.0
         self._own_memory = 0
         self._waiting: dict[str, _OwnRun] = {}
 
@@ -251,7 +251,7 @@
                 total += tokens
                 heard += tokens * self._peer_heard[name]
         self._peer_waiting = waiting
-        self._peer_waiting_s = heard / total if total else 0.0
+        self._mean_heard_s = heard / total if total else 0.0
 
     def get_run_work(self, run_id: str) -> PeerWork | None:
         """Return what one run of this entry takes there, to be told to the others."""
@@ -410,7 +410,7 @@
         own = sum(run.missing_tokens for run in self._waiting.values())
         # The engine also works at this entry's prompts meanwhile.
         rate = self.prefill_tokens_per_s * tokens / (tokens + own)
-        return max(0.0, tokens - rate * max(0.0, now - self._peer_waiting_s))
+        return max(0.0, tokens - rate * max(0.0, now - self._mean_heard_s))
 
     def estimate_slot_wait(self) -> float:
         """Return the seconds until a slot is expected to be free."""
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -38,7 +38,8 @@
 IDLE_INTERVAL_S = 1.0
 # After this silence other gateways take over what a gateway followed.
 ALIVE_S = 3.0
-# Changes at stores in one datagram: a name and a size take up to some 45 bytes.
+# Changes at stores in one datagram: a name and a size take up to some 40 bytes, and
+# so does an update without changes.
 MAX_CHANGES = 30
 MS_PER_S = 1000
 
@@ -78,6 +79,7 @@
         self._note_version = note_version
         self._note_update = note_update
         self._updates: list[StoreUpdate] = []
+        # Kept longer than what a peer said of its work.
         self._alive_s: dict[str, float] = {}
         self._sent_s = float("-inf")
         self._name = name
@@ -197,13 +199,14 @@
 
     def _take_kept(self, news: KeptNews) -> None:
         for item in news.updates:
-            changes = item.changes
             events = tuple(
                 PartEvent(change.name, change.tokens, change.is_whole)
-                for change in changes
+                for change in item.changes
             )
             clock_s = item.clock_ms / MS_PER_S
-            self._note_update(StoreUpdate(item.store, item.epoch, clock_s, events))
+            self._note_update(
+                StoreUpdate(item.store, item.address, item.epoch, clock_s, events)
+            )
 
     def _take_started(self, news: StartedWork) -> None:
         """Add to what is known of a peer's work unless it is in that already."""
@@ -284,7 +287,6 @@
         room = MAX_CHANGES
         for update in updates:
             for item in _split(update):
-                # An update without changes takes about as much as one change.
                 size = len(item.changes) + 1
                 if batch and size > room:
                     self._send(encode(PeerMessage(kept=KeptNews(self._name, batch))))
@@ -312,7 +314,7 @@
     ]
     for first in range(0, max(1, len(changes)), MAX_CHANGES):
         batch = changes[first : first + MAX_CHANGES]
-        yield KeptUpdate(update.store, update.epoch, clock_ms, batch)
+        yield KeptUpdate(update.store, update.address, update.epoch, clock_ms, batch)
 
 
 def _encode_work(work: dict[str, PeerWork]) -> list[OwnWork]:
--- a/packages/gateway/src/persimmonferry_gateway/stores.py
+++ b/packages/gateway/src/persimmonferry_gateway/stores.py
@@ -70,18 +70,23 @@
         self._dialect = dialect
         self._client = client
         self._note_change = note_change
+        self._stores: dict[str, KeptStore] = {}
         self._tasks: dict[str, asyncio.Task] = {}
+        self._answers: dict[str, bool] = {}
         self._clock = ClockBounds()
 
     def configure(self, stores: tuple[KeptStore, ...]) -> None:
-        """Take over the stores of a new configuration."""
-        self._kept.configure(stores)
+        """Take over the stores of a new configuration; unchanged ones are kept."""
         wanted = {store.name: store for store in stores}
-        for name in tuple(self._tasks):
-            if name not in wanted:
+        for name, store in tuple(self._stores.items()):
+            if wanted.get(name) != store:
                 self._tasks.pop(name).cancel()
+                del self._stores[name]
+                self._lose(store)
+        self._kept.configure(stores)
         for name, store in wanted.items():
-            if name not in self._tasks:
+            if name not in self._stores:
+                self._stores[name] = store
                 self._tasks[name] = asyncio.create_task(self._follow(store))
 
     async def stop(self) -> None:
@@ -101,6 +106,9 @@
         asked_s = self._clock.find_earliest(update.clock_s)
         if view is None or view.epoch is None or asked_s is None:
             return
+        if view.store.address != update.address:
+            # The other gateway has another configuration.
+            return
         self._apply(update.store, update.epoch, update.events, asked_s)
 
     def _apply(
@@ -175,6 +183,7 @@
         news = await self._ask(store, self._dialect.store_list_path, ())
         if news is None:
             return False
+        self._note_regained(store)
         before = frozenset(self._kept.views[store.name].parts)
         parts = {event.name: event.tokens for event in news.events}
         self._kept.take_list(
@@ -193,6 +202,12 @@
             cursor = await self._read_events(store, cursor)
         return cursor is not None and await self._trust_peers(store, asked_s)
 
+    def _note_regained(self, store: KeptStore) -> None:
+        if not self._answers.get(store.name):
+            fields = {"store": store.name, "calls": store.call_limit}
+            _log.info("store regained", extra=fields)
+        self._answers[store.name] = True
+
     async def _read_events(self, store: KeptStore, cursor: int) -> int | None:
         """Return behind which number to go on, None when the view is not sound."""
         call_s = read_boot_clock()
@@ -204,8 +219,11 @@
         if not self._apply(store.name, news.epoch, news.events, call_s):
             return None
         if news.clock_s is not None and self._is_follower(store):
-            update = StoreUpdate(store.name, news.epoch, news.clock_s, news.events)
-            self._announce(update)
+            self._announce(
+                StoreUpdate(
+                    store.name, store.address, news.epoch, news.clock_s, news.events
+                )
+            )
         return news.cursor
 
     async def _trust_peers(self, store: KeptStore, listed_s: float) -> bool:
@@ -251,7 +269,9 @@
         result = await exchange(self._client, request)
         if isinstance(result, Loss) or result.code != 200:
             cause = result.value if isinstance(result, Loss) else result.code
-            _log.info("store lost", extra={"store": store.name, "cause": cause})
+            if self._answers.get(store.name) is not False:
+                _log.info("store lost", extra={"store": store.name, "cause": cause})
+            self._answers[store.name] = False
             return None
         try:
             news = self._dialect.decode_store_news(result.body)
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -115,14 +115,17 @@
 def test_what_a_store_told_reaches_the_other_in_full():
     async def scene(one, other):
         events = tuple(PartEvent(f"1/{number:x}", number, True) for number in range(90))
-        one.exchange.announce_update(StoreUpdate("s1", 7, 2.5, events))
-        one.exchange.announce_update(StoreUpdate("s2", 8, 2.6, ()))
+        one.exchange.announce_update(StoreUpdate("s1", "h:1", 7, 2.5, events))
+        one.exchange.announce_update(StoreUpdate("s2", "h:2", 8, 2.6, ()))
         await wait_until(lambda: len(other.updates) >= 4)
         heard = [event for item in other.updates for event in item.events]
         assert tuple(heard) == events
-        assert {(item.store, item.epoch, item.clock_s) for item in other.updates} == {
-            ("s1", 7, 2.5),
-            ("s2", 8, 2.6),
+        assert {
+            (item.store, item.address, item.epoch, item.clock_s)
+            for item in other.updates
+        } == {
+            ("s1", "h:1", 7, 2.5),
+            ("s2", "h:2", 8, 2.6),
         }
 
     play(scene)
--- a/packages/gateway/tests/test_storewatch.py
+++ b/packages/gateway/tests/test_storewatch.py
@@ -1,4 +1,5 @@
 import asyncio
+import logging
 
 import pytest
 from persimmonferry_core.contracts import TeamDocument
@@ -57,18 +58,24 @@
 
 
 class Fleet:
-    def __init__(self):
-        self.store = KeptStoreStandIn(call_limit=CALL_LIMIT)
+    def __init__(self, call_limit):
+        self.store = KeptStoreStandIn(call_limit=call_limit)
         client = CancellableClient()
         self.members = [Member(f"g{number}", client) for number in range(GATEWAYS)]
 
     async def start(self):
         self.store.start()
-        shape = KeptStore("s1", self.store.address, "z1", 100_000, 1e9, 0.0, CALL_LIMIT)
         addresses = {member.name: member.address for member in self.members}
         for member in self.members:
             member.peers.set_peers(addresses)
             await member.peers.start()
+        self.configure(self.store)
+
+    def configure(self, store):
+        """Tell all gateways where the store "s1" is."""
+        limit = store.call_limit
+        shape = KeptStore("s1", store.address, "z1", 100_000, 1e9, 0.0, limit)
+        for member in self.members:
             member.watch.configure((shape,))
 
     async def stop(self):
@@ -83,9 +90,9 @@
 
 @pytest.fixture
 def play():
-    def run(scene):
+    def run(scene, call_limit=CALL_LIMIT):
         async def main():
-            fleet = Fleet()
+            fleet = Fleet(call_limit)
             await fleet.start()
             try:
                 await scene(fleet)
@@ -139,3 +146,37 @@
         await fleet.wait_for_all(lambda member: member.finds("1/bb"))
 
     play(scene)
+
+
+def test_a_store_that_moved_is_followed_at_its_new_address(play):
+    async def scene(fleet):
+        fleet.store.keep("1", "aa", 100)
+        await fleet.wait_for_all(lambda member: member.finds("1/aa"))
+        moved = KeptStoreStandIn(call_limit=CALL_LIMIT)
+        moved.start()
+        moved.keep("1", "bb", 100)
+        fleet.configure(moved)
+        try:
+            await fleet.wait_for_all(lambda member: member.finds("1/bb"))
+            assert not any(member.finds("1/aa") for member in fleet.members)
+            assert not any(member.told["1/aa"] for member in fleet.members)
+        finally:
+            await moved.stop()
+
+    play(scene)
+
+
+def test_a_store_is_told_lost_and_regained_once(play, caplog):
+    async def scene(fleet):
+        caplog.set_level(logging.INFO)
+        fleet.store.keep("1", "aa", 100)
+        await fleet.wait_for_all(lambda member: member.finds("1/aa"))
+        await fleet.store.stop()
+        await fleet.wait_for_all(lambda member: not member.finds("1/aa"))
+        await asyncio.sleep(3.0)
+
+    # No call is refused, so nothing but the stop loses the store.
+    play(scene, call_limit=2 * GATEWAYS)
+    events = [record.getMessage() for record in caplog.records]
+    assert events.count("store regained") == GATEWAYS
+    assert events.count("store lost") == GATEWAYS
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -39,10 +39,11 @@
 // What the sender heard from a store that it follows.
 struct KeptUpdate {
   1: string store
-  2: i64 epoch
+  2: string address
+  3: i64 epoch
   // When the store said so, on the clock of engines and stores.
-  3: i64 clock_ms
-  4: list<KeptChange> changes
+  4: i64 clock_ms
+  5: list<KeptChange> changes
 }
 
 // From a gateway that follows stores to the others. Lost ones are made up for by lists.
