Begin scenes of processes when each entry knows each upstream

Cause: test_a_leaving_upstream_gets_no_new_work_though_an_entry_missed_the_news failed once (503, code 2010). Traced from logs of 8 x 10 plays side by side, 9 of whose prompts failed in 6 plays: the entries had heard one of two upstreams when the scene began, and the scene stops that one. Agents read the VM list each 0.8 to 1.2 s, so the other one was heard up to a second later; the wait before each scene asked for one served prompt. Change: the wait also asks that each entry has logged each upstream of the plan. The checks of the scenes are unchanged.

Also in this commit: one Background class for the four copies of start and stop of a task in the gateway and in Periodic, one figure for renewals of a lease, and one wait_until and one free port for the gateway's tests.

--- a/packages/daemon/src/persimmonferry_daemon/periodic.py
+++ b/packages/daemon/src/persimmonferry_daemon/periodic.py
@@ -1,14 +1,36 @@
-"""Work that a process repeats at intervals."""
+"""Work that goes on beside the calls of a process."""
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 
-__all__ = ["Periodic"]
+__all__ = ["Background", "Periodic"]
 
 _log = logging.getLogger(__name__)
 
 
+class Background:
+    """
+    A coroutine that runs until it is stopped.
+
+    :param run: makes the coroutine.
+    """
+
+    def __init__(self, run: Callable[[], Coroutine[None, None, None]]) -> None:
+        self._run = run
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """End, also in the middle of a call."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+
 class Periodic:
     """
     Repeats an action until it is stopped; one that fails is logged and repeated too.
@@ -22,17 +44,15 @@
     ) -> None:
         self._act = act
         self._choose_interval = choose_interval
-        self._task: asyncio.Task | None = None
+        self._background = Background(self._run)
 
     def start(self) -> None:
         """Begin; the first action comes after the first interval."""
-        self._task = asyncio.create_task(self._run())
+        self._background.start()
 
     async def stop(self) -> None:
         """End, also in the middle of an action."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.stop()
 
     async def _run(self) -> None:
         while True:
--- a/packages/gateway/src/persimmonferry_gateway/duty.py
+++ b/packages/gateway/src/persimmonferry_gateway/duty.py
@@ -11,14 +11,13 @@
     PlatformError,
     SwapConflict,
 )
+from persimmonferry_daemon.periodic import Background
 
 from persimmonferry_gateway.clocks import read_boot_clock
-from persimmonferry_gateway.interfaces import Registry
+from persimmonferry_gateway.interfaces import RENEWALS_PER_LEASE, Registry
 
 __all__ = ["Duty", "Holding"]
 
-# Renewals at a third of the lease leave time for two more tries.
-RENEWALS_PER_LEASE = 3
 # The holder stops before the registry can have given the duty to another one.
 SAFETY_SHARE = 0.25
 MAX_STAGGER_S = 0.25
@@ -61,7 +60,7 @@
         self._holding: Holding | None = None
         self._is_taken = True
         self._wake = asyncio.Event()
-        self._task: asyncio.Task | None = None
+        self._background = Background(self._run)
 
     def find_holding(self, now: float) -> Holding | None:
         """
@@ -84,13 +83,11 @@
 
     def start(self) -> None:
         """Begin to ask for the duty whenever nobody holds it."""
-        self._task = asyncio.create_task(self._run())
+        self._background.start()
 
     async def stop(self) -> None:
         """Give the duty back."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.stop()
         holding, self._holding = self._holding, None
         if holding is not None:
             try:
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -10,6 +10,7 @@
 from persimmonferry_core.loads import WeightOrder
 
 __all__ = [
+    "RENEWALS_PER_LEASE",
     "AnswerHead",
     "Changes",
     "Dialect",
@@ -23,6 +24,9 @@
     "UpstreamLoad",
 ]
 
+# Renewals at a third of a lease leave time for two more tries.
+RENEWALS_PER_LEASE = 3
+
 
 @dataclass(frozen=True)
 class Item:
--- a/packages/gateway/src/persimmonferry_gateway/mirror.py
+++ b/packages/gateway/src/persimmonferry_gateway/mirror.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from persimmonferry_core.exceptions import HistoryLost, PlatformError
+from persimmonferry_daemon.periodic import Background
 
 from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.interfaces import Changes, Registry, Snapshot
@@ -47,17 +48,15 @@
         self._revision: int | None = None
         self._failures = 0
         self._heard_s = float("-inf")
-        self._task: asyncio.Task | None = None
+        self._background = Background(self._run)
 
     def start(self) -> None:
         """Begin to follow."""
-        self._task = asyncio.create_task(self._run())
+        self._background.start()
 
     async def stop(self) -> None:
         """End, also in the middle of a call."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.stop()
 
     async def _run(self) -> None:
         while True:
--- a/packages/gateway/src/persimmonferry_gateway/registration.py
+++ b/packages/gateway/src/persimmonferry_gateway/registration.py
@@ -9,12 +9,12 @@
     PlatformError,
     SwapConflict,
 )
+from persimmonferry_daemon.periodic import Background
 
-from persimmonferry_gateway.interfaces import Registry
+from persimmonferry_gateway.interfaces import RENEWALS_PER_LEASE, Registry
 
 __all__ = ["Registration"]
 
-RENEWALS_PER_LEASE = 3
 RETRY_S = 0.5
 
 _log = logging.getLogger(__name__)
@@ -36,17 +36,15 @@
         self._lease_s = lease_s
         self._lease: int | None = None
         self._known_revision = 0
-        self._task: asyncio.Task | None = None
+        self._background = Background(self._run)
 
     def start(self) -> None:
         """Begin to register and to renew."""
-        self._task = asyncio.create_task(self._run())
+        self._background.start()
 
     async def stop(self) -> None:
         """Remove the key."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.stop()
         if self._lease is not None:
             try:
                 await self._registry.end_lease(self._lease)
--- a/packages/gateway/src/persimmonferry_gateway/weights.py
+++ b/packages/gateway/src/persimmonferry_gateway/weights.py
@@ -14,6 +14,7 @@
     choose_loads,
     is_loading,
 )
+from persimmonferry_daemon.periodic import Background
 
 from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.duty import Duty, Holding
@@ -85,17 +86,15 @@
         self._read_clock = read_clock
         self._orders: dict[str, _Order] = {}
         self._seen: dict[str, int] = {}
-        self._task: asyncio.Task | None = None
+        self._background = Background(self._run)
 
     def start(self) -> None:
         """Begin to look for engines that hold other weights."""
-        self._task = asyncio.create_task(self._run())
+        self._background.start()
 
     async def stop(self) -> None:
         """Give no more orders."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._background.stop()
 
     async def _run(self) -> None:
         while True:
--- a/packages/gateway/tests/test_duty.py
+++ b/packages/gateway/tests/test_duty.py
@@ -1,6 +1,7 @@
 import asyncio
 
 from fakeregistry import FakeRegistry
+from helpers import wait_until
 from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.duty import SAFETY_SHARE, Duty
 
@@ -8,12 +9,6 @@
 LEASE_S = 0.6
 
 
-async def wait_until(condition, timeout_s=5.0):
-    async with asyncio.timeout(timeout_s):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 def play(scene):
     async def main():
         registry = FakeRegistry()
--- a/packages/gateway/tests/test_mirror.py
+++ b/packages/gateway/tests/test_mirror.py
@@ -1,6 +1,7 @@
 import asyncio
 
 from fakeregistry import FakeRegistry
+from helpers import wait_until
 from persimmonferry_gateway.mirror import Mirror
 
 
@@ -22,12 +23,6 @@
                 self.items[item.key] = item.value
 
 
-async def wait_until(condition, timeout_s=5.0):
-    async with asyncio.timeout(timeout_s):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 def play(scene):
     async def main():
         registry, copy = FakeRegistry(), Copy()
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -1,5 +1,6 @@
 import asyncio
 
+from helpers import find_free_datagram_port, wait_until
 from persimmonferry_core.contracts import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.keptparts import PartEvent, StoreUpdate
@@ -8,7 +9,6 @@
 from persimmonferry_core.world import Address
 from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.peers import ALIVE_S, PeerExchange
-from ports import find_free_datagram_port
 
 REPORT = UpstreamReport(
     "u0", 1, 1, "z1", "s", "m", "1", 0, 0, 0, 8, 0.0, 100.0, memory_tokens=100_000
@@ -44,12 +44,6 @@
         return len(self.dispatcher.assign(0.0))
 
 
-async def wait_until(condition, timeout_s=5.0):
-    async with asyncio.timeout(timeout_s):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 def play(scene):
     async def main():
         sides = (Side("g1"), Side("g2"))
--- a/packages/gateway/tests/test_registration.py
+++ b/packages/gateway/tests/test_registration.py
@@ -1,15 +1,10 @@
 import asyncio
 
 from fakeregistry import FakeRegistry
+from helpers import wait_until
 from persimmonferry_gateway.registration import Registration
 
 
-async def wait_until(condition, timeout_s=5.0):
-    async with asyncio.timeout(timeout_s):
-        while not condition():
-            await asyncio.sleep(0.01)
-
-
 def play(scene):
     async def main():
         registry = FakeRegistry()
--- a/packages/gateway/tests/test_storewatch.py
+++ b/packages/gateway/tests/test_storewatch.py
@@ -2,6 +2,7 @@
 import logging
 
 import pytest
+from helpers import find_free_datagram_port
 from persimmonferry_core.contracts import TeamDocument
 from persimmonferry_core.deployment import KeptStore
 from persimmonferry_core.dispatch import Dispatcher
@@ -13,7 +14,6 @@
 from persimmonferry_gateway.stores import StoreWatch
 from persimmonferry_platform import PlatformDialect
 from platform_standins import KeptStoreStandIn
-from ports import find_free_datagram_port
 
 GATEWAYS = 8
 CALL_LIMIT = 4
--- a/packages/standins/src/persimmonferry_standins/scenarios.py
+++ b/packages/standins/src/persimmonferry_standins/scenarios.py
@@ -1,6 +1,7 @@
 """A small deployment of real processes for the tests that end or suspend them."""
 
 import asyncio
+import json
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -80,8 +81,19 @@
 
 
 async def wait_for_upstreams(fleet: Fleet) -> None:
-    """Wait until every entry has served a prompt."""
+    """
+    Wait until every entry knows every upstream and has served a prompt.
+
+    Agents read the VM list each second, so one of them may be heard a second after
+    another one has made its entry ready.
+    """
+    upstreams = {plan.name for plan in (*fleet.plan.models, *fleet.plan.plains)}
     for entry in fleet.plan.entries:
+
+        async def are_known(name: str = entry.name) -> bool:
+            return upstreams <= _read_known(fleet, name)
+
+        await fleet.wait_until(are_known, f"{entry.name} knows {sorted(upstreams)}")
         caller = make_caller(fleet, entry.name)
 
         async def is_served(caller: Caller = caller) -> bool:
@@ -92,6 +104,15 @@
         await fleet.wait_until(is_served, f"{entry.name} serves prompts")
 
 
+def _read_known(fleet: Fleet, entry: str) -> set[str]:
+    """Return the upstreams that an entry says in its log to have heard."""
+    lines = fleet.processes[entry].log.read_text().splitlines()
+    events = [json.loads(line) for line in lines if line.startswith("{")]
+    return {
+        event["upstream"] for event in events if event["event"] == "upstream appeared"
+    }
+
+
 async def find_busy(fleet: Fleet) -> str:
     """Return the name of the upstream that runs a prompt."""
     found = []
