Leave out engines on replaced weights also when all are, and count news by its age

Three ways led to it: the guard left none out when all engines were outdated; a gateway that was frozen or had just started took weights that were new to it for just named; its clock stood still while it was frozen. An order that got lost was given again after 6 s only, and the next holder waited for a lease of 3 s first. Change: all may be left out, callers get 503 and a time to come back. News after a gap of the registry counts from the answer before, on the boot clock. An order that the engine has not counted after 1 s is given again with the same expected count. The check find_outdated({"a": 1}, ...) == frozenset() asked for the exemption, which the rule forbids; the new one asks that all are left out, at the same limit. Ruled out: a wrong version believed of the engine (the broken requests went to engines that were known to hold the old weights).

--- a/packages/core/src/persimmonferry_core/loads.py
+++ b/packages/core/src/persimmonferry_core/loads.py
@@ -7,13 +7,21 @@
     "EngineState",
     "WeightOrder",
     "choose_loads",
+    "date_news",
     "find_outdated",
     "is_loading",
+    "is_order_lost",
 ]
 
 # An engine that has not shown the wanted weights this long after an order is ordered
 # again: the order may be lost, or be carried out seconds late.
 ORDER_TIMEOUT_S = 6.0
+# Reports of engines lag by some hundred milliseconds; an order that an engine has not
+# counted after this time was lost on the way, or is held up there.
+LOST_ORDER_S = 1.0
+# A watch of the registry that is open hears of a change at once, and is renewed within
+# this time; a longer gap means that this process was frozen or cut off.
+USUAL_GAP_S = 2.0
 # Engines that load at the same time; the others carry the load meanwhile, and engines
 # that load together slow each other down.
 LOADING_SHARE = 1 / 3
@@ -83,6 +91,48 @@
     return is_ordered and now < engine.ordered_s + ORDER_TIMEOUT_S
 
 
+def date_news(gap_s: float, unknown_age_s: float, now: float) -> float:
+    """
+    Return since when news of the registry may have been true.
+
+    Load pattern: a gateway that was frozen or cut off while new weights were named, and
+    one that has just started, hear of them late, but must not send to engines with the
+    weights before for as long as the others.
+
+    :param gap_s: since the answer before, infinite for the first one.
+    :param unknown_age_s: age that is taken where it is not known at all.
+
+    >>> date_news(1.6, 5.0, 100.0), date_news(4.2, 5.0, 100.0)
+    (100.0, 95.8)
+    >>> date_news(float("inf"), 5.0, 100.0)
+    95.0
+    """
+    if gap_s <= USUAL_GAP_S:
+        return now
+    return now - min(gap_s, unknown_age_s)
+
+
+def is_order_lost(
+    order_age_s: float, accepted_before: int | None, accepted_orders: int, *, busy: bool
+) -> bool:
+    """
+    Whether an order has to be given again, by the engine's report.
+
+    Load pattern: engines that leave orders unanswered and carry them out seconds late.
+    The next order expects the same count, so the engine carries out only one of both.
+
+    :param accepted_before: orders that the engine had accepted before this one, None
+        when it was not known.
+    :param accepted_orders: the same count now.
+
+    >>> is_order_lost(1.2, 3, 3, busy=False), is_order_lost(1.2, 3, 4, busy=False)
+    (True, False)
+    """
+    if busy or accepted_before is None or order_age_s < LOST_ORDER_S:
+        return False
+    return accepted_orders == accepted_before
+
+
 def find_outdated(
     versions: Mapping[str, int],
     named: Mapping[int, float],
@@ -92,8 +142,8 @@
     """
     Return the engines that may begin nothing new, as newer weights were named long ago.
 
-    Where all are outdated, none is left out: late answers on old weights are better
-    than none.
+    All may be left out: callers are told at once when to come back, by when orders have
+    brought the engines forward.
 
     :param versions: of the weights of each engine.
     :param named: when each version was first heard of.
@@ -101,9 +151,8 @@
     >>> sorted(find_outdated({"a": 1, "b": 2}, {2: 0.0, 3: 8.0}, 9.0, 9.5))
     ['a']
     >>> sorted(find_outdated({"a": 1}, {2: 0.0}, 9.0, 9.5))
-    []
+    ['a']
     """
     due = [version for version, heard_s in named.items() if now >= heard_s + limit_s]
     newest = max(due, default=0)
-    outdated = frozenset(name for name, held in versions.items() if held < newest)
-    return frozenset() if len(outdated) == len(versions) else outdated
+    return frozenset(name for name, held in versions.items() if held < newest)
--- a/packages/core/tests/test_loads.py
+++ b/packages/core/tests/test_loads.py
@@ -2,11 +2,15 @@
 
 from persimmonferry_core.loads import (
     LOADING_SHARE,
+    LOST_ORDER_S,
     ORDER_TIMEOUT_S,
+    USUAL_GAP_S,
     EngineState,
     choose_loads,
+    date_news,
     find_outdated,
     is_loading,
+    is_order_lost,
 )
 
 
@@ -60,4 +64,25 @@
     assert find_outdated(versions, named, 8.5, 8.4) == frozenset()
     assert find_outdated(versions, named, 8.5, 8.5) == {"a"}
     assert find_outdated(versions, named, 8.5, 17.4) == {"a", "b"}
-    assert find_outdated({"a": 1}, named, 8.5, 17.4) == frozenset()
+
+
+def test_engines_are_left_out_also_when_all_are_outdated():
+    """The giver of orders is frozen and the engines hold its orders up."""
+    assert find_outdated({"a": 1, "b": 2}, {3: 0.0}, 6.5, 6.4) == frozenset()
+    assert find_outdated({"a": 1, "b": 2}, {3: 0.0}, 6.5, 6.5) == {"a", "b"}
+
+
+def test_news_that_a_frozen_gateway_hears_late_are_as_old_as_its_freeze():
+    """Weights are named while a gateway is frozen for four seconds."""
+    named_s = date_news(gap_s=4.0, unknown_age_s=5.0, now=104.0)
+    assert find_outdated({"a": 1}, {2: named_s}, 6.5, 106.5) == {"a"}
+    assert date_news(USUAL_GAP_S, 5.0, 104.0) == 104.0
+    assert date_news(60.0, 5.0, 104.0) == 99.0
+
+
+def test_an_order_that_the_engine_has_not_counted_is_given_again():
+    assert not is_order_lost(LOST_ORDER_S - 0.1, 0, 0, busy=False)
+    assert is_order_lost(LOST_ORDER_S, 0, 0, busy=False)
+    assert not is_order_lost(LOST_ORDER_S, 0, 0, busy=True)
+    assert not is_order_lost(LOST_ORDER_S, 0, 1, busy=False)
+    assert not is_order_lost(LOST_ORDER_S, None, 0, busy=False)
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -13,6 +13,7 @@
 from persimmonferry_core.exceptions import FerryError, NotRun
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.keptparts import KeptParts, StoreUpdate
+from persimmonferry_core.loads import date_news
 from persimmonferry_core.retries import RetryPolicy
 from persimmonferry_core.world import Address
 from tornado.httpserver import HTTPServer
@@ -25,6 +26,7 @@
     ReceivedRequest,
 )
 from persimmonferry_gateway.callog import BoundedLog
+from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.duty import Duty
 from persimmonferry_gateway.exchange import CancellableClient
 from persimmonferry_gateway.interfaces import (
@@ -342,7 +344,7 @@
             future.set_result(answer)
 
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
-        self._roster.apply_snapshot(snapshot, self._loop.time())
+        self._roster.apply_snapshot(snapshot, self._loop.time(), self._date_news())
         keys = {item.key for item in snapshot.items}
         self._duty.note_taken(ROLLOUT_KEY in keys)
         self._gateways.clear()
@@ -350,13 +352,19 @@
         self._after_news()
 
     def _apply_changes(self, changes: Changes) -> None:
-        self._roster.apply_changes(changes, self._loop.time())
+        self._roster.apply_changes(changes, self._loop.time(), self._date_news())
         for item in changes.items:
             if item.key == ROLLOUT_KEY:
                 self._duty.note_taken(item.value is not None)
         self._note_gateways(changes.items)
         self._after_news()
 
+    def _date_news(self) -> float:
+        """Return since when what the registry has just told may be true."""
+        settings = self._settings
+        unknown_age_s = max(0.0, settings.version_s - settings.contact_s)
+        return date_news(self._mirror.gap_s, unknown_age_s, read_boot_clock())
+
     def _note_gateways(self, items: tuple[Item, ...]) -> None:
         news = [item for item in items if item.key.startswith(GATEWAY_PREFIX)]
         for item in news:
@@ -412,7 +420,7 @@
         now = self._loop.time()
         self._roster.expire(now)
         limit_s = self._settings.version_s - OUTDATED_MARGIN_S
-        outdated = self._roster.find_outdated(limit_s, now)
+        outdated = self._roster.find_outdated(limit_s, read_boot_clock())
         self._dispatcher.set_paused(OUTDATED_SOURCE, outdated)
         self._loop.call_later(MAINTENANCE_INTERVAL_S, self._maintain)
 
--- a/packages/gateway/src/persimmonferry_gateway/mirror.py
+++ b/packages/gateway/src/persimmonferry_gateway/mirror.py
@@ -29,6 +29,9 @@
     """
     Follows all items of the registry.
 
+    Its field ``gap_s`` holds the seconds between its last two answers, suspensions
+    included.
+
     :param apply_snapshot: takes over all items; those not in it are gone.
     :param apply_changes: takes over what changed since.
     :param note_contact: told whether the registry answers, when that changes.
@@ -48,6 +51,7 @@
         self._revision: int | None = None
         self._failures = 0
         self._heard_s = float("-inf")
+        self.gap_s = float("inf")
         self._background = Background(self._run)
 
     def start(self) -> None:
@@ -90,7 +94,8 @@
         return read_boot_clock() - self._heard_s
 
     def _regain(self) -> None:
-        self._heard_s = read_boot_clock()
+        now = read_boot_clock()
+        self.gap_s, self._heard_s = now - self._heard_s, now
         if self._failures:
             _log.warning("registry regained", extra={"failures": self._failures})
             self._note_contact(True)
--- a/packages/gateway/src/persimmonferry_gateway/roster.py
+++ b/packages/gateway/src/persimmonferry_gateway/roster.py
@@ -61,7 +61,11 @@
         return self.weights.get(model) or self._initial.get(model, FIRST_VERSION)
 
     def find_outdated(self, limit_s: float, now: float) -> frozenset[str]:
-        """Return the engines whose weights were replaced longer ago than a limit."""
+        """
+        Return the engines whose weights were replaced longer ago than a limit.
+
+        :param now: on the boot clock.
+        """
         found: set[str] = set()
         for model, named in self._named.items():
             names = [record.name for record in self.list_engines(model)]
@@ -74,18 +78,23 @@
         records = self.fleet.records.values()
         return tuple(item for item in records if item.find_version(model) is not None)
 
-    def apply_snapshot(self, snapshot: Snapshot, now: float) -> None:
-        """Take over all items of the registry."""
+    def apply_snapshot(self, snapshot: Snapshot, now: float, since_s: float) -> None:
+        """
+        Take over all items of the registry.
+
+        :param since_s: when weights that are new to this process may have been named,
+            on the boot clock.
+        """
         prefix = self._dialect.upstream_prefix
         items = [item for item in snapshot.items if item.key.startswith(prefix)]
         names = frozenset(item.key.removeprefix(prefix) for item in items)
         for name in self.fleet.keep_only(names, now):
             self._forget(name)
-        self._apply(snapshot.items, now)
+        self._apply(snapshot.items, now, since_s)
 
-    def apply_changes(self, changes: Changes, now: float) -> None:
-        """Take over changed items of the registry."""
-        self._apply(changes.items, now)
+    def apply_changes(self, changes: Changes, now: float, since_s: float) -> None:
+        """Take over changed items of the registry, as ``apply_snapshot`` does."""
+        self._apply(changes.items, now, since_s)
 
     def note_load(
         self, upstream: str, load: UpstreamLoad | None, version: int | None, now: float
@@ -112,13 +121,13 @@
             _log.warning("upstream gone", extra={"upstream": name})
             self._forget(name)
 
-    def _apply(self, items: tuple[Item, ...], now: float) -> None:
+    def _apply(self, items: tuple[Item, ...], now: float, since_s: float) -> None:
         dialect = self._dialect
         for item in items:
             if item.key == dialect.configuration_key:
                 self._take_configuration(item, now)
             elif item.key.startswith(dialect.weights_prefix):
-                self._take_weights(item, now)
+                self._take_weights(item, now, since_s)
             elif item.key.startswith(dialect.upstream_prefix):
                 self._take_upstream(item, now)
 
@@ -143,7 +152,7 @@
         for record in self.fleet.records.values():
             self._report(record, now)
 
-    def _take_weights(self, item: Item, now: float) -> None:
+    def _take_weights(self, item: Item, now: float, since_s: float) -> None:
         if item.value is None:
             return
         try:
@@ -156,7 +165,7 @@
             return
         if version > self.weights.get(model, 0):
             self.weights[model] = version
-            self._named.setdefault(model, {})[version] = now
+            self._named.setdefault(model, {})[version] = since_s
             self._configure(now)
             _log.info("weights wanted", extra={"model": model, "version": version})
 
--- a/packages/gateway/src/persimmonferry_gateway/settings.py
+++ b/packages/gateway/src/persimmonferry_gateway/settings.py
@@ -15,8 +15,13 @@
     :param callers: address that callers connect to.
     :param readiness: address that the balancer asks.
     :param internal: address for the other gateways (UDP) and for metrics (TCP).
-    :param lease_s: for which a holder of a duty keeps it without a renewal.
+    :param lease_s: after which the registry gives the duty of a silent holder to
+        another one.
+    :param turn_s: that has to lie between the orders of two holders where engines don't
+        check fencing numbers.
     :param version_s: after which no prompt may begin on replaced weights.
+    :param contact_s: that a process has to run and reach the platform before it is held
+        to bounds of time.
     :param are_orders_fenced: whether engines refuse orders with an old fencing number.
     :param grace_s: from the stop signal to the kill.
     :param notice_s: from the stop signal until the balancer sends no more callers.
@@ -32,7 +37,9 @@
     registry: Address
     internal: Address
     lease_s: float
+    turn_s: float
     version_s: float
+    contact_s: float
     are_orders_fenced: bool
     grace_s: float
     notice_s: float
--- a/packages/gateway/src/persimmonferry_gateway/weights.py
+++ b/packages/gateway/src/persimmonferry_gateway/weights.py
@@ -13,6 +13,7 @@
     WeightOrder,
     choose_loads,
     is_loading,
+    is_order_lost,
 )
 from persimmonferry_daemon.periodic import Background
 
@@ -43,8 +44,16 @@
 
 @dataclass
 class _Order:
+    """
+    An order that was sent.
+
+    :param accepted_before: orders that the engine had accepted before, None when it
+        did not tell.
+    """
+
     version: int
     given_s: float
+    accepted_before: int | None
 
 
 class WeightRollout:
@@ -161,13 +170,13 @@
         """
         Return when this holder may give its first order.
 
-        Engines that don't check fencing numbers need a whole lease between the orders
+        Engines that don't check fencing numbers need a whole turn between the orders
         of two holders. Others do when the holder before gave orders lately.
         """
-        lease_s = self._settings.lease_s
+        turn_s = self._settings.turn_s
         if not self._settings.are_orders_fenced:
-            return holding.since_s + lease_s
-        return max(holding.since_s, self._find_last_pause() + lease_s)
+            return holding.since_s + turn_s
+        return max(holding.since_s, self._find_last_pause() + turn_s)
 
     def _make_state(self, record: UpstreamRecord) -> EngineState:
         order = self._orders.get(record.name)
@@ -190,11 +199,22 @@
             and (self._roster.find_version(name) or 0) < self._orders[name].version
         ]
         found = await asyncio.gather(*(self._prober.ask(record) for record in loading))
+        now = read_boot_clock()
         for record, news in zip(loading, found, strict=True):
-            version = dict(news.versions).get(model) if news else None
+            if news is None:
+                continue
+            version = dict(news.versions).get(model)
             if version is not None and not news.is_busy:
                 self._seen[record.name] = version
                 self._roster.note_version(record.name, version, self._read_clock())
+            order = self._orders[record.name]
+            if is_order_lost(
+                now - order.given_s,
+                order.accepted_before,
+                news.accepted_orders,
+                busy=news.is_busy,
+            ):
+                del self._orders[record.name]
 
     async def _give_order(
         self, holding: Holding, record: UpstreamRecord, model: str, version: int
@@ -202,8 +222,8 @@
         before = await self._prober.ask(record)
         if self._duty.find_holding(read_boot_clock()) is None:
             return
-        self._orders[record.name] = _Order(version, read_boot_clock())
         expected = before.accepted_orders if before else None
+        self._orders[record.name] = _Order(version, read_boot_clock(), expected)
         order = WeightOrder(
             model, version, self._settings.name, holding.fence, expected
         )
