Share work at an engine with the gateways that use it, not with all

A gateway places on its engines as long as any of them takes work, tells its work to the gateways that use the same ones, and with more than eight of these only a prompt of 15 ms of prefill or more is told at once, the rest with the next news. News of stores go out each 0.4 s, whatever the number of gateways. Two checks changed with the shape: scenes of peers name the engines that they share, as gateways without a common engine don't talk; describe_started takes heavy_only.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -127,6 +127,7 @@
         self._store_domains = store_domains
         self._entry = entry
         self._entries: tuple[str, ...] = (entry,)
+        self._reach: frozenset[str] | None = None
         self._models: dict[str, ModelService] = {}
         self._plain: dict[str, PlainService] = {}
         self._attempts: dict[str, _Attempt] = {}
@@ -163,6 +164,12 @@
         for model in self._models.values():
             model.router.set_homes(self._entry, self._entries)
 
+    def set_reach(self, upstreams: frozenset[str] | None) -> None:
+        """Take over which upstreams this entry uses, None for all."""
+        self._reach = upstreams
+        for model in self._models.values():
+            model.router.set_reach(upstreams)
+
     def set_ejection(self, policy: EjectionPolicy) -> None:
         """Take over when slow and failing upstreams are ejected."""
         for model in self._models.values():
@@ -444,15 +451,19 @@
                     upstream.add_peer_work(peer, item, now)
 
     def describe_started(
-        self, assignments: tuple[Assignment, ...]
+        self, assignments: tuple[Assignment, ...], *, heavy_only: bool
     ) -> dict[str, PeerWork]:
-        """Return what attempts that have just started take, to be told to others."""
+        """
+        Return what attempts that have just started take, to be told to others.
+
+        :param heavy_only: leave out what hardly changes an upstream's backlog.
+        """
         started: dict[str, PeerWork] = {}
         for assignment in assignments:
             router = self._models[assignment.request.service].router
             upstream = router.upstreams[assignment.upstream]
             work = upstream.get_run_work(assignment.request.request_id)
-            if work is not None:
+            if work is not None and (upstream.is_heavy(work) or not heavy_only):
                 known = started.get(upstream.name)
                 started[upstream.name] = known.add(work) if known else work
         return started
@@ -517,6 +528,7 @@
             router.configure(service, urgent)
             router.entry_domain = self._failure_domain
             router.set_homes(self._entry, self._entries)
+            router.set_reach(self._reach)
             queue = PatienceQueue(tiers)
             self._models[service.name] = ModelService(queue, router)
             return
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -115,10 +115,12 @@
     The upstreams of a service that may take new runs.
 
     :param names: of them all.
+    :param reached: of those that this entry uses.
     :param prefill_tokens_per_s: of an average one, as are the other figures.
     """
 
     names: tuple[str, ...]
+    reached: tuple[str, ...]
     prefill_tokens_per_s: float
     decode_tokens_per_s: float
     slots: float
@@ -214,6 +216,7 @@
         self._summary: FleetSummary | None = None
         self._summarised_s = 0.0
         self.entry_domain = ""
+        self._reach: frozenset[str] | None = None
         self._pauses: dict[str, frozenset[str]] = {}
         self._paused: frozenset[str] = frozenset()
 
@@ -247,6 +250,21 @@
         self._paused = frozenset().union(*self._pauses.values())
         self._summary = None
 
+    def set_reach(self, upstreams: frozenset[str] | None) -> None:
+        """
+        Take over which upstreams this entry uses, None for all.
+
+        Others are used only while none of these takes work.
+        """
+        if upstreams != self._reach:
+            self._reach = upstreams
+            self._summary = None
+
+    def _find_reached(self, names: tuple[str, ...]) -> tuple[str, ...]:
+        if self._reach is None:
+            return names
+        return tuple(name for name in names if name in self._reach) or names
+
     def set_homes(self, entry: str, entries: tuple[str, ...]) -> None:
         """
         Divide the upstreams among the entries.
@@ -295,8 +313,10 @@
             self._divide_homes(usable)
             reports = [upstream.report for upstream in usable]
             count = max(1, len(reports))
+            names = tuple(report.name for report in reports)
             self._summary = FleetSummary(
-                tuple(report.name for report in reports),
+                names,
+                self._find_reached(names),
                 sum(upstream.prefill_tokens_per_s for upstream in usable) / count,
                 sum(report.decode_tokens_per_s for report in reports) / count,
                 sum(report.slots for report in reports) / count,
@@ -315,11 +335,11 @@
         rank = self._find_last_ahead(priority)
         share = self.mix.share_ahead(rank)
         ahead_s = START_AHEAD_S + IMPORT_AHEAD_S
+        reached = (self.upstreams[name] for name in self.summarize().reached)
         return any(
             upstream.free_slots > 0
-            and self.is_usable(upstream)
             and upstream.estimate_backlog(rank, share, now) <= ahead_s
-            for upstream in self.upstreams.values()
+            for upstream in reached
         )
 
     def _find_last_ahead(self, priority: int) -> int:
@@ -410,7 +430,7 @@
         self, waiting: WaitingRequest, held: dict[str, int]
     ) -> list[Upstream]:
         """Return all upstreams of a small service, a few of a large one."""
-        names = list(self.summarize().names)
+        names = list(self.summarize().reached)
         if len(names) > ALL_CANDIDATES:
             holders = nlargest(HOLDER_CANDIDATES, held, key=held.get)
             names = [*self._random.sample(names, SAMPLED_CANDIDATES), *holders]
--- a/packages/core/src/persimmonferry_core/upstreams.py
+++ b/packages/core/src/persimmonferry_core/upstreams.py
@@ -23,6 +23,8 @@
 # Part of an engine's memory that runs may fill; the rest holds shared parts.
 RUN_MEMORY_SHARE = 0.92
 SPILL_SHARE = 0.5
+# Prefill that delays the next prompt by more than a round trip between entries.
+HEAVY_PREFILL_S = 0.015
 
 
 @dataclass(frozen=True)
@@ -261,6 +263,11 @@
         waiting = ((run.priority, run.missing_tokens),)
         return PeerWork(1, run.memory_tokens, waiting)
 
+    def is_heavy(self, work: PeerWork) -> bool:
+        """Whether work is so much that another entry's next choice depends on it."""
+        tokens = sum(tokens for _, tokens in work.waiting_tokens)
+        return tokens >= HEAVY_PREFILL_S * self.prefill_tokens_per_s
+
     def summarise_own_work(self, now: float) -> PeerWork:
         """Return what this entry has there, to be told to the others."""
         waiting: dict[int, int] = {}
--- a/packages/core/tests/test_herd.py
+++ b/packages/core/tests/test_herd.py
@@ -88,7 +88,7 @@
             request_id = assignment.request.request_id
             heapq.heappush(self.firsts, (self.free_s[engine], number, request_id))
         if self.tells_at_once:
-            work = entry.describe_started(made)
+            work = entry.describe_started(made, heavy_only=False)
             for other in self.others(number):
                 other.add_peer_work(f"e{number}", work, now)
 
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -318,7 +318,10 @@
         assignments = self._dispatcher.assign(now)
         for assignment in assignments:
             self._resolve(assignment.request.request_id, assignment)
-        self._peers.announce_started(self._dispatcher.describe_started(assignments))
+        started = self._dispatcher.describe_started(
+            assignments, heavy_only=not self._peers.tells_all
+        )
+        self._peers.announce_started(started)
         next_s = self._dispatcher.next_event(now)
         if next_s is not None:
             self._placing = self._loop.call_at(next_s, self._place_now)
@@ -386,6 +389,7 @@
         if deployment is not None:
             self._server.limits = deployment.limits
             self._stores.configure(deployment.stores)
+        self._peers.set_engines(self._roster.list_engine_names())
         self._place()
 
     def _take_store_update(self, update: StoreUpdate) -> None:
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from typing import TypeVar
 
 from persimmonferry_core.dispatch import Dispatcher
+from persimmonferry_core.groups import UpstreamGroups
 from persimmonferry_core.keptparts import PartEvent, StoreUpdate
 from persimmonferry_core.upstreams import PeerWork
 from persimmonferry_core.world import Address
@@ -14,6 +16,7 @@
     KeptChange,
     KeptNews,
     KeptUpdate,
+    LoadingNews,
     NewlyHeld,
     OwnWork,
     PeerMessage,
@@ -41,8 +44,19 @@
 # Changes at stores in one datagram: a name and a size take up to some 40 bytes, and
 # so does an update without changes.
 MAX_CHANGES = 30
+# What was heard from stores is of use for about a second.
+UPDATE_INTERVAL_S = 0.4
+# With more peers, only what matters for their next choice is told at once.
+MAX_PEERS_TOLD_ALL = 8
+# Loading engines are told of again after this time, as datagrams may be lost.
+LOADING_INTERVAL_S = 1.0
+FORGET_LOADING_INTERVALS = 4
+# Engines with new weights that are told of in one datagram, the latest.
+MAX_VERSIONS = 40
 MS_PER_S = 1000
 
+_Work = TypeVar("_Work")
+
 _log = logging.getLogger(__name__)
 
 
@@ -59,8 +73,9 @@
     """
     Sends this gateway's news to the others and takes over theirs.
 
-    Datagrams may be lost: each one replaces the last, except for the cached blocks,
-    which are hints.
+    Work at engines is told to the gateways that use the same ones; what stores hold and
+    which engines load, which few gateways know, is told to all. Datagrams may be lost:
+    each one replaces the last, except for the cached blocks, which are hints.
 
     :param incarnation: grows with each start of a gateway of that name.
     :param note_version: told of weights that the holder of the rollout has seen.
@@ -81,22 +96,25 @@
         self._updates: list[StoreUpdate] = []
         # Kept longer than what a peer said of its work.
         self._alive_s: dict[str, float] = {}
-        self._sent_s = float("-inf")
         self._name = name
         self._incarnation = incarnation
         self._address = address
         self._dispatcher = dispatcher
+        self._groups = UpstreamGroups(name)
         self._loop = asyncio.get_running_loop()
         self._addresses: dict[str, Address] = {}
         self._heard: dict[str, _Peer] = {}
         self._held: dict[str, dict[str, int]] = {}
         self._paused: frozenset[str] = frozenset()
         self._versions: dict[str, int] = {}
+        self._is_holder = False
+        self._loading_heard: dict[str, float] = {}
         self._last_pause_s = float("-inf")
         self._sequence = 0
-        self._was_idle = False
+        self._told_s: dict[str, float] = {}
+        self._told_work: frozenset[str] = frozenset()
         self._transport: asyncio.DatagramTransport | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self._timers: dict[str, asyncio.TimerHandle] = {}
 
     async def start(self) -> None:
         """Bind the address and begin to send."""
@@ -104,36 +122,62 @@
             lambda: self, local_addr=(self._address.host, self._address.port)
         )
         self._tick()
+        self._tell_updates()
+        self._tell_loading()
 
     def stop(self) -> None:
         """Send nothing more."""
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in self._timers.values():
+            timer.cancel()
         if self._transport is not None:
             self._transport.close()
 
     @property
     def interval_s(self) -> float:
-        """Seconds between two messages."""
-        return max(MIN_INTERVAL_S, INTERVAL_PER_PEER_S * len(self._addresses))
+        """Seconds between two messages about all work."""
+        return max(MIN_INTERVAL_S, INTERVAL_PER_PEER_S * len(self._groups.neighbours))
 
     def set_peers(self, addresses: dict[str, Address]) -> None:
         """Take over the addresses of all gateways."""
         self._addresses = {
             name: address for name, address in addresses.items() if name != self._name
         }
-        for name in tuple(self._heard):
-            if name not in self._addresses:
-                self._forget(name)
         now = self._loop.time()
         # One that has just registered is taken to live.
         self._alive_s = {name: self._alive_s.get(name, now) for name in self._addresses}
         self._dispatcher.set_entries((self._name, *self._addresses))
+        self._groups.set_entries(addresses)
+        self._follow_groups()
+
+    def set_engines(self, names: tuple[str, ...]) -> None:
+        """Take over the names of all engines."""
+        self._groups.set_upstreams(names)
+        self._follow_groups()
+
+    def _follow_groups(self) -> None:
+        self._dispatcher.set_reach(self._groups.reach)
+        neighbours = self._groups.neighbours
+        for name in tuple(self._heard):
+            if name not in neighbours:
+                self._forget(name)
+        self._told_s = {
+            name: told_s for name, told_s in self._told_s.items() if name in neighbours
+        }
 
     def list_alive(self) -> tuple[str, ...]:
-        """Return the gateways that were heard lately, with this one."""
+        """
+        Return the gateways that live, with this one.
+
+        Those that share no engine with this one are not heard, and are taken to live
+        as long as they are registered.
+        """
         limit_s = self._loop.time() - ALIVE_S
-        heard = (name for name, at_s in self._alive_s.items() if at_s > limit_s)
+        neighbours = self._groups.neighbours
+        heard = (
+            name
+            for name, at_s in self._alive_s.items()
+            if at_s > limit_s or name not in neighbours
+        )
         return (self._name, *heard)
 
     def announce_update(self, update: StoreUpdate) -> None:
@@ -148,6 +192,11 @@
             held = self._held.setdefault(upstream, {})
             held.update(zip(names, sizes, strict=True))
 
+    @property
+    def tells_all(self) -> bool:
+        """Whether the peers are so few that each dispatch is told at once."""
+        return len(self._groups.neighbours) <= MAX_PEERS_TOLD_ALL
+
     def announce_started(self, work: dict[str, PeerWork]) -> None:
         """
         Tell at once what was sent to upstreams.
@@ -155,25 +204,28 @@
         Load pattern: many gateways that see the same upstream idle. Until the next
         message about all work, each would send its next prompt there.
         """
-        if not work or not self._addresses:
-            return
-        started = StartedWork(
-            self._name, self._incarnation, self._sequence, _encode_work(work)
-        )
-        self._send(encode(PeerMessage(started=started)))
+        for users, part in self._split_by_users(work).items():
+            started = StartedWork(
+                self._name, self._incarnation, self._sequence, _encode_work(part)
+            )
+            self._send(encode(PeerMessage(started=started)), users)
 
     def announce_loading(
-        self, paused: frozenset[str], versions: dict[str, int]
+        self, paused: frozenset[str], versions: dict[str, int], *, is_holder: bool
     ) -> None:
         """
         Tell all gateways, this one too, which engines take no prompts now.
 
         :param versions: of the weights of engines that were loading.
+        :param is_holder: whether this gateway gives the orders; it goes on to tell.
         """
         if (paused, versions) == (self._paused, self._versions):
             return
-        self._paused, self._versions = paused, versions
+        was_holder, self._is_holder = self._is_holder, is_holder
+        self._paused, self._versions = paused, dict(versions)
         self._dispatcher.set_paused(self._name, paused)
+        if is_holder or was_holder:
+            self._tell_loading(now_too=True)
 
     def find_last_pause(self) -> float:
         """Return when a peer last told of loading engines, on the boot clock."""
@@ -186,12 +238,14 @@
         except ValueError as error:
             _log.warning("peer message can't be read", extra={"cause": str(error)})
             return
-        news = message.work or message.kept or message.started
+        news = message.work or message.kept or message.started or message.loading
         if news is None or news.sender not in self._addresses:
             return
         self._alive_s[news.sender] = self._loop.time()
         if message.kept is not None:
             self._take_kept(message.kept)
+        elif message.loading is not None:
+            self._take_loading(message.loading)
         elif message.started is not None:
             self._take_started(message.started)
         else:
@@ -208,6 +262,14 @@
                 StoreUpdate(item.store, item.address, item.epoch, clock_s, events)
             )
 
+    def _take_loading(self, news: LoadingNews) -> None:
+        self._loading_heard[news.sender] = self._loop.time()
+        self._dispatcher.set_paused(news.sender, frozenset(news.paused))
+        if news.paused:
+            self._last_pause_s = read_boot_clock()
+        for name, version in news.versions.items():
+            self._note_version(name, version, self._loop.time())
+
     def _take_started(self, news: StartedWork) -> None:
         """Add to what is known of a peer's work unless it is in that already."""
         known = self._heard.get(news.sender)
@@ -229,11 +291,6 @@
         self._heard[news.sender] = _Peer(*order, self._loop.time())
         now = self._loop.time()
         self._dispatcher.set_peer_work(news.sender, _decode_work(news.work), now)
-        self._dispatcher.set_paused(news.sender, frozenset(news.paused))
-        if news.paused:
-            self._last_pause_s = read_boot_clock()
-        for name, version in news.versions.items():
-            self._note_version(name, version, self._loop.time())
         for item in news.held:
             self._dispatcher.record_held(
                 item.upstream, tuple(item.names), tuple(item.sizes)
@@ -250,37 +307,67 @@
             if peer.heard_s < limit_s:
                 self._forget(name)
         self._send_work(now)
-        self._send_updates()
-        self._timer = self._loop.call_later(self.interval_s, self._tick)
+        self._call_later("work", self.interval_s, self._tick)
+
+    def _call_later(
+        self, name: str, delay_s: float, function: Callable[[], None]
+    ) -> None:
+        self._timers[name] = self._loop.call_later(delay_s, function)
 
     def _send_work(self, now: float) -> None:
+        """Tell each neighbour of the work at the engines that it uses too."""
         work = self._dispatcher.summarise_own_work(now)
-        is_idle = not (work or self._held or self._paused)
-        if is_idle and self._was_idle and now < self._sent_s + IDLE_INTERVAL_S:
-            return
-        self._sent_s = now
-        self._was_idle = is_idle
         self._sequence += 1
-        news = PeerNews(
-            self._name,
-            self._incarnation,
-            self._sequence,
-            _encode_work(work),
-            [
-                NewlyHeld(name, list(held), list(held.values()))
-                for name, held in self._held.items()
-            ],
-            list(self._paused),
-            self._versions,
+        parts = self._split_by_users(work | dict.fromkeys(self._held))
+        told = frozenset().union(*parts)
+        # Who heard of work before must hear that it has ended.
+        silent_s = now - IDLE_INTERVAL_S
+        idle = frozenset(
+            name
+            for name in self._groups.neighbours - told
+            if name in self._told_work
+            or self._told_s.get(name, float("-inf")) <= silent_s
         )
+        for users, part in (*parts.items(), (idle, {})):
+            if users:
+                self._send(self._encode_news(part), users)
+        self._told_work = told
+        self._told_s.update(dict.fromkeys(told | idle, now))
         self._held.clear()
+
+    def _encode_news(self, part: dict[str, PeerWork | None]) -> bytes:
+        held = [
+            NewlyHeld(name, list(self._held[name]), list(self._held[name].values()))
+            for name in part
+            if name in self._held
+        ]
+        work = {name: item for name, item in part.items() if item is not None}
+        news = PeerNews(
+            self._name, self._incarnation, self._sequence, _encode_work(work), held
+        )
         data = encode(PeerMessage(work=news))
         if len(data) > MAX_DATAGRAM_BYTES:
             news.held = []
             data = encode(PeerMessage(work=news))
-        self._send(data)
+        return data
+
+    def _split_by_users(
+        self, work: dict[str, _Work]
+    ) -> dict[frozenset[str], dict[str, _Work]]:
+        """Return what is to be told, by the neighbours that use these engines."""
+        names: dict[str, list[str]] = {}
+        for upstream in work:
+            for user in self._groups.list_users(upstream):
+                names.setdefault(user, []).append(upstream)
+        users: dict[tuple[str, ...], set[str]] = {}
+        for user, upstreams in names.items():
+            users.setdefault(tuple(upstreams), set()).add(user)
+        return {
+            frozenset(found): {upstream: work[upstream] for upstream in upstreams}
+            for upstreams, found in users.items()
+        }
 
-    def _send_updates(self) -> None:
+    def _tell_updates(self) -> None:
         """Tell what was heard from stores, with a bounded number of changes each."""
         updates, self._updates = self._updates, []
         batch: list[KeptUpdate] = []
@@ -289,21 +376,44 @@
             for item in _split(update):
                 size = len(item.changes) + 1
                 if batch and size > room:
-                    self._send(encode(PeerMessage(kept=KeptNews(self._name, batch))))
+                    self._send_kept(batch)
                     batch, room = [], MAX_CHANGES
                 batch.append(item)
                 room -= size
         if batch:
-            self._send(encode(PeerMessage(kept=KeptNews(self._name, batch))))
-
-    def _send(self, data: bytes) -> None:
-        for address in self._addresses.values():
-            self._transport.sendto(data, (address.host, address.port))
+            self._send_kept(batch)
+        interval_s = min(self.interval_s, UPDATE_INTERVAL_S)
+        self._call_later("updates", interval_s, self._tell_updates)
+
+    def _send_kept(self, batch: list[KeptUpdate]) -> None:
+        data = encode(PeerMessage(kept=KeptNews(self._name, batch)))
+        self._send(data, self._addresses)
+
+    def _tell_loading(self, *, now_too: bool = False) -> None:
+        """Tell which engines load, and take others that fell silent for done."""
+        if self._is_holder or now_too:
+            latest = dict(tuple(self._versions.items())[-MAX_VERSIONS:])
+            news = LoadingNews(self._name, list(self._paused), latest)
+            self._send(encode(PeerMessage(loading=news)), self._addresses)
+        limit_s = self._loop.time() - FORGET_LOADING_INTERVALS * LOADING_INTERVAL_S
+        for name, heard_s in tuple(self._loading_heard.items()):
+            if heard_s < limit_s:
+                del self._loading_heard[name]
+                self._dispatcher.set_paused(name, frozenset())
+        if not now_too:
+            self._call_later("loading", LOADING_INTERVAL_S, self._tell_loading)
+
+    def _send(self, data: bytes, names: Iterable[str]) -> None:
+        if self._transport is None:
+            return
+        for name in names:
+            address = self._addresses.get(name)
+            if address is not None:
+                self._transport.sendto(data, (address.host, address.port))
 
     def _forget(self, name: str) -> None:
         self._heard.pop(name, None)
         self._dispatcher.set_peer_work(name, {}, self._loop.time())
-        self._dispatcher.set_paused(name, frozenset())
 
 
 def _split(update: StoreUpdate) -> Iterator[KeptUpdate]:
--- a/packages/gateway/src/persimmonferry_gateway/roster.py
+++ b/packages/gateway/src/persimmonferry_gateway/roster.py
@@ -78,6 +78,11 @@
         records = self.fleet.records.values()
         return tuple(item for item in records if item.find_version(model) is not None)
 
+    def list_engine_names(self) -> tuple[str, ...]:
+        """Return the names of all upstreams that hold a model."""
+        records = self.fleet.records.values()
+        return tuple(record.name for record in records if record.weights)
+
     def apply_snapshot(self, snapshot: Snapshot, now: float, since_s: float) -> None:
         """
         Take over all items of the registry.
--- a/packages/gateway/src/persimmonferry_gateway/weights.py
+++ b/packages/gateway/src/persimmonferry_gateway/weights.py
@@ -30,8 +30,8 @@
 
 ORDER_CALL_TIMEOUT_S = 1.0
 CHECK_INTERVAL_S = 0.15
-# The other gateways learn of a pause with the next message; prompts that are on their
-# way then still reach the engine before the order.
+# The other gateways learn of a pause at once; prompts that are on their way then still
+# reach the engine before the order.
 ANNOUNCE_S = 0.12
 
 # A part of older weights is named by no gateway that hears the registry for this long
@@ -74,7 +74,7 @@
         client: CancellableClient,
         settings: GatewaySettings,
         find_last_pause: Callable[[], float],
-        announce: Callable[[frozenset[str], dict[str, int]], None],
+        announce: Callable[..., None],
         count_held: Callable[[str], int],
         prober: Prober,
         stores: StoreWatch,
@@ -119,12 +119,12 @@
         if holding is None:
             self._orders.clear()
             self._seen.clear()
-            self._announce(frozenset(), {})
+            self._announce(frozenset(), {}, is_holder=False)
             return
         paused: set[str] = set()
         for model, version in tuple(self._roster.weights.items()):
             paused |= await self._bring_forward(holding, model, version)
-        self._announce(frozenset(paused), dict(self._seen))
+        self._announce(frozenset(paused), dict(self._seen), is_holder=True)
         await self._free_obsolete(now)
 
     async def _free_obsolete(self, now: float) -> None:
@@ -156,7 +156,8 @@
             chosen = choose_loads(states, version, now)
         loading = {state.name for state in states if is_loading(state, now)}
         if chosen:
-            self._announce(frozenset(loading | set(chosen)), dict(self._seen))
+            paused = frozenset(loading | set(chosen))
+            self._announce(paused, dict(self._seen), is_holder=True)
             await asyncio.sleep(ANNOUNCE_S)
             await asyncio.gather(
                 *(
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -3,12 +3,18 @@
 from helpers import find_free_datagram_port, wait_until
 from persimmonferry_core.contracts import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.dispatch import Dispatcher
+from persimmonferry_core.groups import UpstreamGroups
 from persimmonferry_core.keptparts import PartEvent, StoreUpdate
 from persimmonferry_core.patience import PromptRequest
-from persimmonferry_core.upstreams import UpstreamReport
+from persimmonferry_core.upstreams import PeerWork, UpstreamReport
 from persimmonferry_core.world import Address
 from persimmonferry_gateway.clocks import read_boot_clock
-from persimmonferry_gateway.peers import ALIVE_S, PeerExchange
+from persimmonferry_gateway.peers import (
+    ALIVE_S,
+    FORGET_LOADING_INTERVALS,
+    LOADING_INTERVAL_S,
+    PeerExchange,
+)
 
 REPORT = UpstreamReport(
     "u0", 1, 1, "z1", "s", "m", "1", 0, 0, 0, 8, 0.0, 100.0, memory_tokens=100_000
@@ -50,6 +56,7 @@
         addresses = {"g1": sides[0].address, "g2": sides[1].address}
         for side in sides:
             side.exchange.set_peers(addresses)
+            side.exchange.set_engines(("u0",))
             await side.exchange.start()
         try:
             await scene(*sides)
@@ -85,12 +92,12 @@
 def test_new_blocks_pauses_and_versions_are_told():
     async def scene(one, other):
         one.exchange.note_held("u0", ("1/a",), (500,))
-        one.exchange.announce_loading(frozenset(("u0",)), {"u0": 2})
+        one.exchange.announce_loading(frozenset(("u0",)), {"u0": 2}, is_holder=True)
         await wait_until(lambda: other.dispatcher.count_held("u0") == 500)
         await wait_until(lambda: other.versions == {"u0": 2})
         assert other.offer("r1", 100) == 0
         assert read_boot_clock() - other.exchange.find_last_pause() < 1.0
-        one.exchange.announce_loading(frozenset(), {"u0": 2})
+        one.exchange.announce_loading(frozenset(), {"u0": 2}, is_holder=True)
         await asyncio.sleep(0.3)
         assert other.offer("r2", 100) == 1
 
@@ -135,12 +142,48 @@
     play(scene)
 
 
+def test_loading_engines_are_open_again_when_their_holder_falls_silent():
+    async def scene(one, other):
+        one.exchange.announce_loading(frozenset(("u0",)), {}, is_holder=True)
+        await asyncio.sleep(0.2)
+        assert other.offer("r1", 100) == 0
+        one.exchange.stop()
+        limit_s = (FORGET_LOADING_INTERVALS + 2) * LOADING_INTERVAL_S
+        await wait_until(lambda: other.offer("r1", 100) == 1, limit_s)
+
+    play(scene)
+
+
+def test_work_is_told_to_those_alone_who_use_the_engine():
+    """Sixty gateways before forty engines."""
+
+    async def main():
+        names = [f"g{number}" for number in range(60)]
+        engines = tuple(f"u{number}" for number in range(40))
+        side = Side("g0")
+        groups = UpstreamGroups("g0")
+        groups.set_entries(names)
+        groups.set_upstreams(engines)
+        sent = []
+        exchange = side.exchange
+        exchange.set_peers({name: Address("127.0.0.1", 9) for name in names})
+        exchange.set_engines(engines)
+        exchange._send = lambda data, users: sent.append(frozenset(users))
+        assert not exchange.tells_all
+        engine = next(iter(groups.reach))
+        exchange.announce_started({engine: PeerWork(1, 100, ((0, 100),))})
+        assert sent == [groups.list_users(engine)]
+        assert len(sent[0]) < len(names) / 2
+
+    asyncio.run(main())
+
+
 def test_what_was_sent_to_an_engine_is_known_before_the_next_news():
     async def scene(one, other):
         one.exchange.set_peers({"g2": other.address})
         await asyncio.sleep(0.1)
         # The next news of all work are far away.
-        one.exchange._timer.cancel()
+        one.exchange._timers["work"].cancel()
         assert one.offer("r1", 60_000) == 1
         work = one.dispatcher.summarise_own_work(0.0)
         one.exchange.announce_started(work)
--- a/packages/gateway/tests/test_storewatch.py
+++ b/packages/gateway/tests/test_storewatch.py
@@ -68,6 +68,7 @@
         addresses = {member.name: member.address for member in self.members}
         for member in self.members:
             member.peers.set_peers(addresses)
+            member.peers.set_engines(("e1",))
             await member.peers.start()
         self.configure(self.store)
 
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -16,17 +16,23 @@
   3: list<i64> sizes
 }
 
-// From each gateway to each other one, several times a second; a later one replaces it.
+// From each gateway to each one that uses the same engines: its work at these. A later
+// one replaces it.
 struct PeerNews {
   1: string sender
   2: i64 incarnation
   3: i64 sequence
   4: list<OwnWork> work
   5: list<NewlyHeld> held
+}
+
+// From the one that gives orders for weights to all gateways. A later one replaces it.
+struct LoadingNews {
+  1: string sender
   // Engines that take no prompts, as they get other weights.
-  6: list<string> paused
+  2: list<string> paused
   // Weights that the sender has seen at engines that got orders from it.
-  7: map<string, i32> versions
+  3: map<string, i32> versions
 }
 
 // A part of a prompt that became whole at a store, or was freed there.
@@ -66,4 +72,5 @@
   1: PeerNews work
   2: KeptNews kept
   3: StartedWork started
+  4: LoadingNews loading
 }
