Follow stores in groups and look at relayed stores on one timer

Seventeen stores that others follow were each looked at by a timer of their own four times a second, each time with a hash of every gateway (93,161 hashes in 26 s); each store had followers of its own, so that its news travelled alone. Change: stores are followed in groups of six by the same gateways; one timer serves all relayed stores; followers are found again only when gateways or stores change. The pause between two watches of the registry grows with what it holds, 0.25 s to 0.6 s, and entries are looked at for age each 0.25 s instead of 0.1 s. Ruled out: fewer than three followers (one cut off and one suspended must leave one).

--- a/packages/core/src/persimmonferry_core/keptparts.py
+++ b/packages/core/src/persimmonferry_core/keptparts.py
@@ -12,6 +12,7 @@
     "StoreUpdate",
     "StoreView",
     "choose_followers",
+    "group_stores",
 ]
 
 # A view that was not confirmed for this long is not used: the store may have come
@@ -21,6 +22,8 @@
 SAVE_TIMEOUT_S = 3.0
 # Gateways of a large fleet that follow one store: one may be cut off and one suspended.
 FOLLOWERS = 3
+# Stores that the same gateways follow, so that news of several travel together.
+STORES_PER_GROUP = 6
 # Part of the calls that a store holds at once; after a change of the fleet, former and
 # new followers overlap for a while.
 CALL_SHARE = 0.5
@@ -200,15 +203,30 @@
         }
 
 
+def group_stores(stores: Iterable[str]) -> dict[str, str]:
+    """
+    Return the name of each store's group.
+
+    >>> group_stores(f"s{number}" for number in range(8))["s7"]
+    's6'
+    """
+    names = sorted(stores)
+    return {
+        name: names[place - place % STORES_PER_GROUP]
+        for place, name in enumerate(names)
+    }
+
+
 def choose_followers(
-    store: str, gateways: Iterable[str], call_limit: int
+    group: str, gateways: Iterable[str], call_limit: int
 ) -> tuple[str, ...]:
     """
-    Return the gateways that ask a store for its events; they tell the others.
+    Return the gateways that ask a group's stores for events; they tell the others.
 
     Load pattern: a fleet with more gateways than a store holds calls. If all asked,
     most would be refused, and would know of no part that it keeps.
 
+    :param group: of the store.
     :param gateways: that are known to live.
     :param call_limit: calls for events that the store holds at once.
 
@@ -219,7 +237,7 @@
     most = max(1, int(CALL_SHARE * call_limit))
     if len(names) <= most:
         return tuple(names)
-    return rank_stores(store, names, min(FOLLOWERS, most))
+    return rank_stores(group, names, min(FOLLOWERS, most))
 
 
 def _rank_by_size(name: str, views: Mapping[str, StoreView]) -> str:
--- a/packages/core/tests/test_keptparts.py
+++ b/packages/core/tests/test_keptparts.py
@@ -5,6 +5,8 @@
     SAVE_TIMEOUT_S,
     KeptParts,
     PartEvent,
+    choose_followers,
+    group_stores,
 )
 
 
@@ -96,3 +98,16 @@
     kept.configure((make_store("s1"), make_store("s3")))
     assert kept.find("1/aa", 0.0) is not None
     assert set(kept.views) == {"s1", "s3"}
+
+
+def test_a_large_fleet_follows_many_stores_from_few_gateways():
+    """Seventeen stores before 68 gateways: news of six stores travel together."""
+    gateways = [f"g{number}" for number in range(68)]
+    groups = group_stores(f"s{number:02}" for number in range(17))
+    followers = {
+        name
+        for group in groups.values()
+        for name in choose_followers(group, gateways, 12)
+    }
+    assert len(set(groups.values())) == 3
+    assert len(followers) <= 9
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -59,7 +59,8 @@
 GATEWAY_PREFIX = OWN_PREFIX + "gateways/"
 # A gateway that was killed is forgotten after this time; its news stop at once.
 REGISTRATION_LEASE_S = 5.0
-MAINTENANCE_INTERVAL_S = 0.1
+# Entries that lapsed and engines that became outdated are looked at this often.
+MAINTENANCE_INTERVAL_S = 0.25
 # What was sent to an engine may begin there later than this process heard of weights.
 OUTDATED_MARGIN_S = 1.5
 OUTDATED_SOURCE = "outdated weights"
--- a/packages/gateway/src/persimmonferry_gateway/mirror.py
+++ b/packages/gateway/src/persimmonferry_gateway/mirror.py
@@ -16,8 +16,12 @@
 # Upstreams register every second or so, so a watch that hears nothing for this long
 # is renewed: its connection may be silent for good.
 WATCH_WAIT_S = 1.5
-# Heartbeats would answer each watch at once; the pause gathers them in one call.
-WATCH_PAUSE_S = 0.25
+# Heartbeats would answer each watch at once; the pause gathers them in one call. It
+# grows with the fleet, whose calls the registry shares out, up to a part of the time in
+# which a configuration has to be in force.
+MIN_WATCH_PAUSE_S = 0.25
+WATCH_PAUSE_PER_ITEM_S = 0.006
+MAX_WATCH_PAUSE_S = 0.6
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
 EVERYTHING = ""
@@ -50,6 +54,7 @@
         self._note_contact = note_contact
         self._revision: int | None = None
         self._failures = 0
+        self._keys: set[str] = set()
         self._heard_s = float("-inf")
         self.gap_s = float("inf")
         self._background = Background(self._run)
@@ -80,14 +85,18 @@
         if self._revision is None:
             snapshot = await self._registry.list_items(EVERYTHING)
             self._regain()
+            self._keys = {item.key for item in snapshot.items}
             self._apply_snapshot(snapshot)
             self._revision = snapshot.revision
             return
         changes = await self._registry.watch(EVERYTHING, self._revision, WATCH_WAIT_S)
         self._regain()
+        for item in changes.items:
+            change = self._keys.discard if item.value is None else self._keys.add
+            change(item.key)
         self._apply_changes(changes)
         self._revision = max(self._revision, changes.revision)
-        await asyncio.sleep(WATCH_PAUSE_S)
+        await asyncio.sleep(_choose_pause(len(self._keys)))
 
     def measure_silence(self) -> float:
         """Return the seconds since the registry answered, on the boot clock."""
@@ -108,3 +117,16 @@
             self._note_contact(False)
         ceiling = min(MAX_BACKOFF_S, MIN_BACKOFF_S * 2**self._failures)
         await asyncio.sleep(random.uniform(MIN_BACKOFF_S, ceiling))
+
+
+def _choose_pause(items: int) -> float:
+    """
+    Return the pause between two watches.
+
+    :param items: that the registry holds.
+
+    >>> _choose_pause(10), _choose_pause(60), _choose_pause(1000)
+    (0.25, 0.36, 0.6)
+    """
+    pause_s = WATCH_PAUSE_PER_ITEM_S * items
+    return min(MAX_WATCH_PAUSE_S, max(MIN_WATCH_PAUSE_S, pause_s))
--- a/packages/gateway/src/persimmonferry_gateway/stores.py
+++ b/packages/gateway/src/persimmonferry_gateway/stores.py
@@ -12,6 +12,7 @@
     PartEvent,
     StoreUpdate,
     choose_followers,
+    group_stores,
 )
 
 from persimmonferry_gateway.clocks import ClockBounds, read_boot_clock
@@ -74,6 +75,10 @@
         self._tasks: dict[str, asyncio.Task] = {}
         self._answers: dict[str, bool] = {}
         self._clock = ClockBounds()
+        self._groups: dict[str, str] = {}
+        self._gateways: frozenset[str] = frozenset()
+        self._followed: dict[str, bool] = {}
+        self._check: asyncio.Future[None] | None = None
 
     def configure(self, stores: tuple[KeptStore, ...]) -> None:
         """Take over the stores of a new configuration; unchanged ones are kept."""
@@ -84,6 +89,10 @@
                 del self._stores[name]
                 self._lose(store)
         self._kept.configure(stores)
+        groups = group_stores(wanted)
+        if groups != self._groups:
+            self._groups = groups
+            self._followed.clear()
         for name, store in wanted.items():
             if name not in self._stores:
                 self._stores[name] = store
@@ -233,7 +242,7 @@
         :returns: False when they have fallen silent, or the store has restarted.
         """
         while not self._is_follower(store):
-            await asyncio.sleep(RELAYED_CHECK_S)
+            await self._wait_for_check()
             now = read_boot_clock()
             view = self._kept.views.get(store.name)
             if view is None or not view.is_fresh(now):
@@ -242,10 +251,24 @@
                 return True
         return True
 
+    async def _wait_for_check(self) -> None:
+        """Wait until all stores that others follow are looked at, on one timer."""
+        if self._check is None or self._check.done():
+            loop = asyncio.get_running_loop()
+            self._check = loop.create_future()
+            loop.call_later(RELAYED_CHECK_S, self._check.set_result, None)
+        await asyncio.shield(self._check)
+
     def _is_follower(self, store: KeptStore) -> bool:
-        gateways = self._list_gateways()
-        followers = choose_followers(store.name, gateways, store.call_limit)
-        return self._name in followers
+        gateways = frozenset(self._list_gateways())
+        if gateways != self._gateways:
+            self._gateways = gateways
+            self._followed.clear()
+        if store.name not in self._followed:
+            group = self._groups.get(store.name, store.name)
+            followers = choose_followers(group, gateways, store.call_limit)
+            self._followed[store.name] = self._name in followers
+        return self._followed[store.name]
 
     def _lose(self, store: KeptStore) -> None:
         view = self._kept.views.get(store.name)
