Heed upstreams that leave or refuse for a time, and bound answers without end

Nothing of it was known here: a leaving upstream got calls until its entry said so, one that refused was asked again at once, and a body without end was kept in memory until its caller's time was over. Change: Roster keeps which incarnation said that it leaves, whatever its entry says; the gateway sends it nothing more. Refusals (core) close an upstream until its time is over; prompts that wait for upstreams which all refuse are told at once when the first opens. Heads were bounded; whole answers, unread pieces of streams (16 MiB) and single events (1 MiB) are now, the connection is closed and the outcome is unknown (502).

--- a/packages/adapters/src/persimmonferry_adapters/exchange.py
+++ b/packages/adapters/src/persimmonferry_adapters/exchange.py
@@ -32,6 +32,7 @@
     LOST = "the connection broke"
     TIMED_OUT = "no answer in time"
     TRUNCATED = "the answer was cut short"
+    ENDLESS = "the answer has no end"
 
 
 _LOSSES = {
@@ -178,7 +179,7 @@
             return OutcomeUnknown(ResultCode.UPSTREAM_LOST, text)
         case Loss.TIMED_OUT:
             return OutcomeUnknown(ResultCode.UPSTREAM_TIMEOUT, text)
-        case Loss.TRUNCATED:
+        case Loss.TRUNCATED | Loss.ENDLESS:
             return OutcomeUnknown(ResultCode.ANSWER_TRUNCATED, text)
 
 
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -15,6 +15,7 @@
     Refused,
     WaitingRequest,
 )
+from persimmonferry_core.refusals import Refusals
 from persimmonferry_core.retries import RetryBudget, RetryPolicy
 from persimmonferry_core.routing import (
     BlockIndex,
@@ -44,6 +45,7 @@
 SCANNED_MISSES = 3
 POLL_INTERVAL_S = 0.02
 NO_UPSTREAM_RETRY_S = 1.0
+REFUSALS = "refusals"
 ANSWER_SMOOTHING = 0.05
 URGENT_WAIT_S = 2.0
 RESUMPTION_WAIT_S = 5.0
@@ -128,6 +130,7 @@
         self._entry = entry
         self._entries: tuple[str, ...] = (entry,)
         self._reach: frozenset[str] | None = None
+        self._refusals = Refusals()
         self._models: dict[str, ModelService] = {}
         self._plain: dict[str, PlainService] = {}
         self._attempts: dict[str, _Attempt] = {}
@@ -189,6 +192,7 @@
             pool.add(report, now)
             return
         if report.incarnation > known.report.incarnation:
+            self._refusals.forget(report.name)
             self._index.remove_upstream(report.name)
         pool.apply(report, now)
 
@@ -241,12 +245,12 @@
         refusal = self._refuse_unknown(request)
         if refusal is not None:
             return refusal
+        self._open_upstreams(now)
         model = self._models[request.service]
         capacity = model.estimate_capacity(len(self._entries))
         if capacity <= 0:
-            return Refused(
-                request.request_id, ResultCode.NO_UPSTREAM, NO_UPSTREAM_RETRY_S
-            )
+            wait_s = self.find_opening(request.service, now) or NO_UPSTREAM_RETRY_S
+            return Refused(request.request_id, ResultCode.NO_UPSTREAM, wait_s)
         tokens = request.prompt_tokens + request.max_tokens
         wait_s = self.limits.admit(request.account, tokens, now)
         if wait_s is not None:
@@ -267,6 +271,7 @@
         """Return the attempts that are to start now."""
         assignments: list[Assignment] = []
         self._release_delayed(now)
+        self._open_upstreams(now)
         for model in self._models.values():
             model.router.refresh(now)
             cost_s = 0.0
@@ -395,13 +400,30 @@
             if is_excess_due:
                 capacity = model.estimate_capacity(len(self._entries))
                 late += model.queue.drop_excess(capacity, now) if capacity else ()
-            for waiting in late:
-                request = waiting.request
-                self._close(self._attempts[request.request_id], request.max_tokens)
-                code = ResultCode.WAIT_NOT_KEPT
-                refused.append(Refused(request.request_id, code, NO_UPSTREAM_RETRY_S))
+            refused += [
+                self._give_up(waiting, ResultCode.WAIT_NOT_KEPT, NO_UPSTREAM_RETRY_S)
+                for waiting in late
+            ]
+            refused += self._refuse_closed(model, now)
         return tuple(refused)
 
+    def _refuse_closed(self, model: ModelService, now: float) -> list[Refused]:
+        """Give up what can't start in time, as all upstreams refuse for a time."""
+        wait_s = self._refusals.find_opening(model.router.upstreams, now)
+        if wait_s is None:
+            return []
+        return [
+            self._give_up(waiting, ResultCode.NO_UPSTREAM, wait_s)
+            for waiting in model.queue.drop_before(now + wait_s)
+        ]
+
+    def _give_up(
+        self, waiting: WaitingRequest, code: ResultCode, retry_after_s: float
+    ) -> Refused:
+        request = waiting.request
+        self._close(self._attempts[request.request_id], request.max_tokens)
+        return Refused(request.request_id, code, retry_after_s)
+
     def next_event(self, now: float) -> float | None:
         """Return when to call ``expire`` and ``assign`` again, None when idle."""
         if any(len(model.queue) for model in self._models.values()):
@@ -416,7 +438,27 @@
     ) -> str | None:
         """Return the upstream of a plain service with the least estimated wait."""
         plain = self._plain.get(service)
-        return plain.choose(avoid, now) if plain else None
+        if plain is None:
+            return None
+        return plain.choose(avoid, now, self._refusals.list_closed(now))
+
+    def close_upstream(self, upstream: str, until_s: float) -> None:
+        """Send nothing to an upstream until a time, as it refuses calls."""
+        self._refusals.note(upstream, until_s)
+
+    def find_opening(self, service: str, now: float) -> float | None:
+        """
+        Return the seconds until an upstream of a service takes calls again.
+
+        :returns: None unless all of them refuse calls for a time.
+        """
+        pool = self._find_pool(service)
+        return self._refusals.find_opening(pool.upstreams, now) if pool else None
+
+    def _open_upstreams(self, now: float) -> None:
+        closed = self._refusals.list_closed(now)
+        for model in self._models.values():
+            model.router.set_paused(REFUSALS, closed)
 
     def plain_started(self, call_id: str, upstream: str, now: float) -> None:
         """Count a call that goes to an upstream of a plain service."""
@@ -660,6 +702,7 @@
         return model.router if model else self._plain.get(service)
 
     def _drop_upstream(self, name: str) -> None:
+        self._refusals.forget(name)
         pool = self._find_pool(self._services_of.pop(name, ""))
         if pool is not None:
             pool.remove(name)
--- a/packages/core/src/persimmonferry_core/groups.py
+++ b/packages/core/src/persimmonferry_core/groups.py
@@ -34,7 +34,7 @@
 
     def __init__(self, entry: str) -> None:
         self._entry = entry
-        self._entries: frozenset[str] = frozenset()
+        self._entries = frozenset((entry,))
         self._upstreams: frozenset[str] = frozenset()
         self._reaches: dict[str, frozenset[str]] = {}
         self._users: dict[str, frozenset[str]] = {}
--- a/packages/core/src/persimmonferry_core/patience.py
+++ b/packages/core/src/persimmonferry_core/patience.py
@@ -337,6 +337,19 @@
             self.remove(waiting)
         return tuple(gone)
 
+    def drop_before(self, start_s: float) -> tuple[WaitingRequest, ...]:
+        """Remove and return the requests whose promised wait ends before a time."""
+        queues = (*self._queues.values(), self._late)
+        gone = [
+            entry.item
+            for queue in queues
+            for entry in queue.iterate()
+            if entry.item.latest_start_s < start_s
+        ]
+        for waiting in gone:
+            self.remove(waiting)
+        return tuple(gone)
+
     def drop_excess(self, capacity: float, now: float) -> tuple[WaitingRequest, ...]:
         """
         Remove and return requests that are not expected to start in time.
--- a/packages/core/src/persimmonferry_core/services.py
+++ b/packages/core/src/persimmonferry_core/services.py
@@ -108,8 +108,15 @@
         self.upstreams.pop(name, None)
         self.ejector.remove(name)
 
-    def choose(self, avoid: frozenset[str], now: float) -> str | None:
-        """Return the upstream with the least estimated wait, None when none is open."""
+    def choose(
+        self, avoid: frozenset[str], now: float, closed: frozenset[str] = frozenset()
+    ) -> str | None:
+        """
+        Return the upstream with the least estimated wait, None when none is open.
+
+        :param closed: upstreams that refuse calls for a time.
+        """
+        avoid = avoid | closed
         limit_slots(self.upstreams, self.ejector, now)
         found = [
             upstream
--- a/packages/core/tests/test_groups.py
+++ b/packages/core/tests/test_groups.py
@@ -14,6 +14,13 @@
     return groups
 
 
+def test_an_entry_alone_uses_the_upstreams_that_it_knows():
+    groups = UpstreamGroups("g-0")
+    groups.set_upstreams(("u-0",))
+    assert groups.reach == {"u-0"}
+    assert groups.neighbours == frozenset()
+
+
 def test_a_small_fleet_uses_everything():
     groups = make_groups(make_names("g", 5), make_names("u", REACH))
     assert groups.reach == frozenset(make_names("u", REACH))
--- a/packages/gateway/src/persimmonferry_gateway/events.py
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -4,6 +4,9 @@
 
 __all__ = ["EventCutter"]
 
+# An event holds a few tokens; an upstream in trouble may send bytes without end.
+MAX_EVENT_BYTES = 1024 * 1024
+
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_ID = re.compile(rb"^id:\s*(\S+)\s*$", re.MULTILINE)
 
@@ -26,12 +29,18 @@
         self._rest = b""
 
     def cut(self, data: bytes) -> bytes:
-        """Take bytes of the stream and return the events that are whole now."""
+        """
+        Take bytes of the stream and return the events that are whole now.
+
+        :raises ValueError: an event is too long.
+        """
         data = self._rest + data
         end = 0
         for match in _EVENT_END.finditer(data):
             end = match.end()
         events, self._rest = data[:end], data[end:]
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise ValueError("an event is too long")
         ids = _EVENT_ID.findall(events)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
--- a/packages/gateway/src/persimmonferry_gateway/exchange.py
+++ b/packages/gateway/src/persimmonferry_gateway/exchange.py
@@ -14,6 +14,9 @@
 # retransmissions on a link that loses packets, shorter than a caller's patience.
 UNACKNOWLEDGED_TIMEOUT_MS = 1000
 MAX_HEAD_BYTES = 64 * 1024
+# Of a whole answer, and of what was not read yet of a stream: an upstream in trouble
+# may send bytes without end.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 class CancellableClient(CurlAsyncHTTPClient):
@@ -97,6 +100,7 @@
         self._idle_s = max(1, int(idle_s))
         self._curl: pycurl.Curl | None = None
         self._pieces: deque[bytes] = deque()
+        self._unread = 0
         self._is_over = False
         self._is_cancelled = False
         self._news = asyncio.Event()
@@ -132,13 +136,20 @@
             await self._news.wait()
         data = b"".join(self._pieces)
         self._pieces.clear()
+        self._unread = 0
         return data
 
     async def read_body(self) -> bytes:
         """Return the rest of the body; ``loss`` tells whether it is whole."""
         pieces = []
+        size = 0
         while (piece := await self.read_piece()) is not None:
             pieces.append(piece)
+            size += len(piece)
+            if size > MAX_ANSWER_BYTES:
+                self.cancel()
+                self.loss = Loss.ENDLESS
+                return b""
         return b"".join(pieces)
 
     def cancel(self) -> None:
@@ -190,6 +201,10 @@
         return len(line)
 
     def _read_data(self, data: bytes) -> int:
+        self._unread += len(data)
+        if self._unread > MAX_ANSWER_BYTES:
+            # libcurl ends the transfer and closes the connection.
+            return 0
         self._pieces.append(data)
         self._news.set()
         return len(data)
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -168,6 +168,9 @@
     :param is_genuine: whether it bears the mark of an upstream that ran the call.
     :param version: of the weights that it began on.
     :param idle_s: for which the upstream keeps the idle connection, None if not told.
+    :param is_leaving: whether the upstream is about to leave.
+    :param refuses_for_s: for which it wants nothing more from this gateway, None where
+        it does not say so.
     """
 
     status: int
@@ -180,6 +183,8 @@
     load: UpstreamLoad | None = None
     version: int | None = None
     idle_s: float | None = None
+    is_leaving: bool = False
+    refuses_for_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/gateway/src/persimmonferry_gateway/plainwork.py
+++ b/packages/gateway/src/persimmonferry_gateway/plainwork.py
@@ -24,7 +24,9 @@
             name = tools.dispatcher.choose_plain(self._service, now, self._avoid)
             record = tools.roster.find_record(name) if name else None
             if record is None:
-                raise NotRun(ResultCode.NO_UPSTREAM, "", NO_UPSTREAM_RETRY_S)
+                wait_s = tools.dispatcher.find_opening(self._service, now)
+                wait_s = wait_s or NO_UPSTREAM_RETRY_S
+                raise NotRun(ResultCode.NO_UPSTREAM, "", wait_s)
             tools.dispatcher.plain_started(self._id, record.name, now)
             try:
                 await self._attempt(record, None)
--- a/packages/gateway/src/persimmonferry_gateway/roster.py
+++ b/packages/gateway/src/persimmonferry_gateway/roster.py
@@ -1,6 +1,7 @@
 """What a gateway knows from the registry and from answers, and whom it tells."""
 
 import logging
+from dataclasses import replace
 
 from persimmonferry_core.deployment import Deployment, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher
@@ -42,6 +43,8 @@
         self._initial: dict[str, int] = {}
         self._named: dict[str, dict[int, float]] = {}
         self._malformed: set[str] = set()
+        # Incarnations of upstreams that said with an answer that they leave.
+        self._leaving: dict[str, int] = {}
         self._sequence = 0
 
     def find_record(self, upstream: str) -> UpstreamRecord | None:
@@ -115,6 +118,24 @@
         if load is not None or version is not None:
             self._report(record, now)
 
+    def note_leaving(self, upstream: str, now: float) -> None:
+        """
+        Take over that an upstream said that it leaves.
+
+        It gets no more calls, whatever its entry says, until it has started again.
+        """
+        record = self.find_record(upstream)
+        if record is None or self._leaving.get(upstream) == record.incarnation:
+            return
+        self._leaving[upstream] = record.incarnation
+        _log.info("upstream leaving", extra={"upstream": upstream, "by": "its answer"})
+        self._report(record, now)
+
+    def is_leaving(self, record: UpstreamRecord) -> bool:
+        """Whether an upstream leaves, by its entry or its answers."""
+        by_answer = self._leaving.get(record.name) == record.incarnation
+        return record.is_leaving or by_answer
+
     def note_version(self, upstream: str, version: int, now: float) -> None:
         """Take over what an engine, or the one that gives it orders, told of it."""
         if self._versions.get(upstream, 0) < version:
@@ -199,7 +220,8 @@
         if former is None or former.weights != record.weights:
             self._note_registered_version(record)
         if former is not None and former.is_leaving != record.is_leaving:
-            _log.info("upstream leaving", extra={"upstream": name})
+            fields = {"upstream": name, "by": "its entry"}
+            _log.info("upstream leaving", extra=fields)
         if former is None:
             self._configure(now)
         self._report(record, now)
@@ -224,6 +246,7 @@
     def _forget(self, name: str) -> None:
         self._loads.pop(name, None)
         self._versions.pop(name, None)
+        self._leaving.pop(name, None)
         self._dispatcher.remove(name)
 
     def _configure(self, now: float) -> None:
@@ -242,5 +265,7 @@
         self._sequence += 1
         name = record.name
         load, version = self._loads.get(name), self._versions.get(name)
+        if self.is_leaving(record):
+            record = replace(record, is_leaving=True)
         report = make_report(record, service, load, version, self._sequence)
         self._dispatcher.report(report, now)
--- a/packages/gateway/src/persimmonferry_gateway/weights.py
+++ b/packages/gateway/src/persimmonferry_gateway/weights.py
@@ -146,7 +146,7 @@
         records = {
             item.name: item
             for item in self._roster.list_engines(model)
-            if not item.is_leaving
+            if not self._roster.is_leaving(item)
         }
         await self._look_at_loading(records, model)
         now = read_boot_clock()
--- a/packages/gateway/src/persimmonferry_gateway/work.py
+++ b/packages/gateway/src/persimmonferry_gateway/work.py
@@ -344,6 +344,10 @@
         if head.idle_s is not None:
             tools.idle_s[record.name] = head.idle_s - IDLE_MARGIN_S
         tools.roster.note_load(record.name, head.load, head.version, now)
+        if head.is_leaving:
+            tools.roster.note_leaving(record.name, now)
+        if head.refuses_for_s is not None:
+            tools.dispatcher.close_upstream(record.name, now + head.refuses_for_s)
 
     async def _relay_whole(self, exchange: Exchange, head: AnswerHead) -> None:
         body = await exchange.read_body()
@@ -367,7 +371,13 @@
             error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "no genuine answer")
             raise AttemptFailed(error, ran=True)
         while (piece := await exchange.read_piece()) is not None:
-            events = self._cutter.cut(piece)
+            try:
+                events = self._cutter.cut(piece)
+            except ValueError as cause:
+                exchange.cancel()
+                self._cutter.drop_rest()
+                error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, str(cause))
+                raise AttemptFailed(error, ran=True) from None
             if not events:
                 continue
             if not self._caller.has_head:
