Read changed settings again, with SIGHUP and without a signal

SIGHUP only wrote a line saying that nothing had changed; the file was never read again. Change: SettingsWatch compares the text each 2 s and at SIGHUP, checks it, and has the gateway take over what may change (bounds, retry budget, grace). Faulty text changes nothing: each fault is logged with code 5006. Fields that are bound at the start (addresses, name, failure domain, lease) keep their value and are named in a warning.

--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -215,6 +215,12 @@
         await self._stores.stop()
         await self._mirror.stop()
 
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """Take over settings that changed; calls under way are not disturbed."""
+        self._settings = settings
+        self._rollout.take_settings(settings)
+        self._set_retry_policy(max(1, len(self._gateways)))
+
     async def _drain(self, began_s: float) -> None:
         """
         End what is under way.
--- a/packages/gateway/src/persimmonferry_gateway/process.py
+++ b/packages/gateway/src/persimmonferry_gateway/process.py
@@ -11,6 +11,7 @@
 
 from persimmonferry_gateway.exchange import CancellableClient
 from persimmonferry_gateway.gateway import Gateway
+from persimmonferry_gateway.reload import SettingsWatch
 from persimmonferry_gateway.settings import GatewaySettings
 
 __all__ = ["run_gateway"]
@@ -22,25 +23,40 @@
 
 
 def run_gateway(
-    settings: GatewaySettings, build: Callable[[CancellableClient], Gateway]
+    settings: GatewaySettings,
+    build: Callable[[CancellableClient], Gateway],
+    read: Callable[[], str],
+    parse: Callable[[str], GatewaySettings],
 ) -> None:
-    """Run one gateway process."""
+    """
+    Run one gateway process.
+
+    :param read: returns the text of the settings as it is now.
+    :param parse: returns the settings of a text.
+    """
     set_up_logs(settings.name, "INFO", sys.stdout)
-    asyncio.run(_serve(settings, build))
+    asyncio.run(_serve(settings, build, read, parse))
 
 
 async def _serve(
-    settings: GatewaySettings, build: Callable[[CancellableClient], Gateway]
+    settings: GatewaySettings,
+    build: Callable[[CancellableClient], Gateway],
+    read: Callable[[], str],
+    parse: Callable[[str], GatewaySettings],
 ) -> None:
     stop_asked = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         # A second signal changes nothing: a stop under way must cut no request.
         loop.add_signal_handler(number, stop_asked.set)
-    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    # Ignored until the gateway runs; the settings are compared then.
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
     client = CancellableClient(force_instance=True, max_clients=MAX_CONNECTIONS)
     gateway = build(client)
     await gateway.start()
+    watch = SettingsWatch(settings, read, parse, gateway.take_settings)
+    watch.start()
+    loop.add_signal_handler(signal.SIGHUP, watch.check)
     # What lives as long as the process is left out of garbage collections.
     gc.collect()
     gc.freeze()
@@ -48,9 +64,6 @@
     _log.info("started", extra={"callers": str(settings.callers)})
     await stop_asked.wait()
     _log.info("stopping")
+    watch.stop()
     await gateway.stop()
     _log.info("stopped")
-
-
-def _note_reload() -> None:
-    _log.info("settings reloaded", extra={"changed": False})
--- a/packages/gateway/src/persimmonferry_gateway/settings.py
+++ b/packages/gateway/src/persimmonferry_gateway/settings.py
@@ -1,10 +1,21 @@
 """Settings of a gateway process."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from persimmonferry_core.world import Address
 
-__all__ = ["GatewaySettings"]
+__all__ = ["GatewaySettings", "merge_settings"]
+
+# They are bound, registered or leased when the process starts.
+_FIXED_FIELDS = (
+    "name",
+    "failure_domain",
+    "callers",
+    "readiness",
+    "registry",
+    "internal",
+    "lease_s",
+)
 
 
 @dataclass(frozen=True)
@@ -46,3 +57,16 @@
     retry_share: float
     retry_window_s: float
     retry_floor: int
+
+
+def merge_settings(
+    current: GatewaySettings, found: GatewaySettings
+) -> tuple[GatewaySettings, tuple[str, ...]]:
+    """
+    Return what is in force after a change, and which changed fields need a restart.
+
+    :param found: the settings as they are now.
+    """
+    kept = {name: getattr(current, name) for name in _FIXED_FIELDS}
+    changed = (name for name in kept if getattr(found, name) != kept[name])
+    return replace(found, **kept), tuple(changed)
--- a/packages/gateway/src/persimmonferry_gateway/weights.py
+++ b/packages/gateway/src/persimmonferry_gateway/weights.py
@@ -105,6 +105,10 @@
         """Give no more orders."""
         await self._background.stop()
 
+    def take_settings(self, settings: GatewaySettings) -> None:
+        """Take over settings that changed."""
+        self._settings = settings
+
     async def _run(self) -> None:
         while True:
             try:
