Fetch parts from the engine that computed them while no store holds them

A part that an engine has just computed is not whole in a store for some 0.1 to 1 s (save, events, news), and each other engine that gets a prompt with it computes it again meanwhile. Change: a pure choice (core/sources) names another engine that answers, stays and seems to hold more of the prompt than the one that runs it; only where sizes and links make a fetch at most half as long as computing (EngineShape.link_bytes_per_s from the configuration). Stores go first. Ruled out: moving the prompt to that engine (it is the fuller one).

--- a/packages/core/src/persimmonferry_core/deployment.py
+++ b/packages/core/src/persimmonferry_core/deployment.py
@@ -120,6 +120,8 @@
     :param cache_tokens: tokens that running requests and cached parts share.
     :param token_bytes: of one token's KV cache.
     :param event_tokens: most tokens in one event of a stream.
+    :param link_bytes_per_s: at which an engine fetches cache from another one, 0 when
+        it is not known.
     """
 
     slots: int
@@ -127,6 +129,7 @@
     token_bytes: float
     models: tuple[str, ...]
     event_tokens: int = 1
+    link_bytes_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -222,6 +222,24 @@
         if failure_domain in self._store_domains:
             self._index.add_stored(failure_domain, block_names)
 
+    def find_prefill_rate(self, service: str) -> float:
+        """Return the prompt tokens that an average engine computes each second."""
+        model = self._models.get(service)
+        return model.router.summarize().prefill_tokens_per_s if model else 0.0
+
+    def find_sources(
+        self, upstream: str, block_names: tuple[str, ...], now: float
+    ) -> tuple[str | None, ...]:
+        """
+        Return another engine for each block from which it may be fetched.
+
+        :param upstream: the engine that is to run the prompt.
+        """
+        model = self._models.get(self._services_of.get(upstream, ""))
+        if model is None:
+            return (None,) * len(block_names)
+        return model.router.find_sources(upstream, block_names, now)
+
     def record_removed(self, upstream: str, block_names: tuple[str, ...]) -> None:
         """Note blocks that an upstream's engine dropped; a hint."""
         self._index.remove_held(upstream, block_names)
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -7,9 +7,10 @@
 
 from persimmonferry_core.blockindex import BlockIndex
 from persimmonferry_core.contracts import Service
-from persimmonferry_core.ejection import Ejector
+from persimmonferry_core.ejection import Closed, Ejector
 from persimmonferry_core.links import LinkTable
 from persimmonferry_core.patience import PromptRequest, WaitingRequest
+from persimmonferry_core.sources import choose_holders
 from persimmonferry_core.upstreams import (
     ImportPlan,
     PeerWork,
@@ -421,6 +422,29 @@
         others = (item for item in options if item.startable)
         return min(others, key=_score, default=best)
 
+    def find_sources(
+        self, upstream: str, block_names: tuple[str, ...], now: float
+    ) -> tuple[str | None, ...]:
+        """Return another upstream for each block from which it may be fetched."""
+        depths = self._index.find_holders(block_names)
+        target = self.upstreams.get(upstream)
+        if target is None:
+            return (None,) * len(block_names)
+        domain = target.report.failure_domain
+        usable = [
+            name
+            for name in depths
+            if (found := self.upstreams.get(name)) is not None
+            and self.is_usable(found)
+            and isinstance(self.ejector.find_state(name, now), Closed)
+        ]
+        near = [
+            name
+            for name in usable
+            if self.upstreams[name].report.failure_domain == domain
+        ]
+        return choose_holders(depths, upstream, len(block_names), usable, near)
+
     def estimate_prefill(self, request: PromptRequest) -> float:
         """Return the prefill seconds at an average upstream without any cache."""
         rate = self.summarize().prefill_tokens_per_s
--- a/packages/gateway/src/persimmonferry_gateway/work.py
+++ b/packages/gateway/src/persimmonferry_gateway/work.py
@@ -20,6 +20,7 @@
 from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.keptparts import KeptParts
+from persimmonferry_core.sources import is_fetch_faster
 
 from persimmonferry_gateway.callers import CallerConnection
 from persimmonferry_gateway.callog import BoundedLog
@@ -255,7 +256,7 @@
             resumes_after=self._cutter.last_id or self._call.resumes_after,
         )
         if version is not None:
-            addition = self._add_stores(addition, version)
+            addition = self._add_sources(addition, version)
         repeatable = self._route.may_repeat
         exchange = self._exchange = Exchange(
             tools.client,
@@ -313,8 +314,8 @@
         else:
             await self._relay_whole(exchange, head)
 
-    def _add_stores(self, addition: UpstreamCall, version: int) -> UpstreamCall:
-        """Name the stores for the shared parts of a prompt of the wanted weights."""
+    def _add_sources(self, addition: UpstreamCall, version: int) -> UpstreamCall:
+        """Name from where the shared parts of a prompt come, and where they go."""
         prompt, kept = self._call.prompt, self._tools.kept
         limit_s = self._tools.find_fetch_limit()
         if limit_s is None or self._tools.roster.find_wanted(prompt.model) != version:
@@ -322,13 +323,14 @@
         now = read_boot_clock()
         fetches: list[str | None] = []
         saves: list[str | None] = []
-        for part in prompt.shared_parts:
-            name = f"{addition.cache_scope}/{part.name}"
+        names = [f"{addition.cache_scope}/{part.name}" for part in prompt.shared_parts]
+        engines = self._find_engines(addition.upstream, tuple(names))
+        for part, name, engine in zip(prompt.shared_parts, names, engines, strict=True):
             source = kept.find(name, now)
             home = None if source else kept.choose_home(name, part.tokens, now)
-            self.notes.fetched_tokens += part.tokens if source else 0
+            self.notes.fetched_tokens += part.tokens if source or engine else 0
             self.notes.saved_tokens += part.tokens if home else 0
-            fetches.append(source.address if source else None)
+            fetches.append(source.address if source else engine)
             saves.append(home.address if home else None)
         # The last part is the call's own.
         return replace(
@@ -338,6 +340,19 @@
             fetch_until_s=limit_s if any(fetches) else None,
         )
 
+    def _find_engines(self, upstream: str, names: tuple[str, ...]) -> list[str | None]:
+        """Return the address of another engine for each part that it may come from."""
+        tools = self._tools
+        engine = tools.roster.deployment.find_service(self._service).engine
+        rate = tools.dispatcher.find_prefill_rate(self._service)
+        if engine is None or not is_fetch_faster(
+            engine.token_bytes, engine.link_bytes_per_s, rate
+        ):
+            return [None] * len(names)
+        found = tools.dispatcher.find_sources(upstream, names, tools.read_clock())
+        records = [name and tools.roster.find_record(name) for name in found]
+        return [record.address if record else None for record in records]
+
     def _note_head(self, record: UpstreamRecord, head: AnswerHead) -> None:
         tools = self._tools
         now = tools.read_clock()
