Count no attempt and no retry for a connection that could not be made

Each gateway needed three such tries to leave an engine out, and prompts waited for an ejected engine that looked idle. Change: a connection that could not be made takes neither attempt nor retry (no arrival at the upstream); two in a row eject; connections of calls are given up after 0.3 s instead of 0.5 s; an ejected engine is no candidate while others are. Ruled out: the registry's entries (silent engines lapse there after 3.6 s; this is the time before). Measured: tests of core, gateway and platform; the scene with unreachable upstreams and no retry budget failed before (retries_exhausted).

--- a/packages/adapters/src/persimmonferry_adapters/exchange.py
+++ b/packages/adapters/src/persimmonferry_adapters/exchange.py
@@ -65,6 +65,7 @@
     headers for a whole one.
 
     :param timeout_s: for the whole exchange; 0 means no limit.
+    :param connect_timeout_s: for a new connection, within the same time.
     :param options: further ones of Tornado's ``HTTPRequest``.
     """
 
@@ -78,6 +79,7 @@
         headers: dict[str, str] | None = None,
         reuse: Reuse = Reuse.ALLOWED,
         timeout_s: float = DEFAULT_TIMEOUT_S,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
         **options: Any,
     ) -> None:
         # An empty value keeps libcurl from adding a content type of its own.
@@ -91,7 +93,7 @@
             method=method,
             body=body,
             headers=all_headers,
-            connect_timeout=CONNECT_TIMEOUT_S,
+            connect_timeout=connect_timeout_s,
             request_timeout=timeout_s,
             follow_redirects=False,
             decompress_response=False,
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -327,7 +327,9 @@
         self._close(attempt, request.max_tokens - end.total_tokens)
         self._charge(attempt, end.cached_tokens, end.total_tokens)
 
-    def failed(self, request_id: str, ran: bool, now: float) -> Queued | Refused:
+    def failed(
+        self, request_id: str, ran: bool, now: float, *, arrived: bool = True
+    ) -> Queued | Refused:
         """
         Note that an attempt failed, and say whether it is tried elsewhere.
 
@@ -335,6 +337,8 @@
         short, which go on behind the delivered tokens and use the retry budget.
 
         :param ran: whether it may have run.
+        :param arrived: False when no connection could be made: no upstream had the
+            request, so it takes no attempt and nothing of the retry budget.
         """
         attempt = self._attempts.get(request_id)
         if attempt is None:
@@ -342,15 +346,18 @@
         failed_at = attempt.upstream
         if failed_at is not None:
             router = self._models[attempt.waiting.request.service].router
-            router.fail_run(attempt.waiting, failed_at, now)
+            router.fail_run(attempt.waiting, failed_at, now, arrived=arrived)
             attempt.upstream = None
+            attempt.number -= 0 if arrived else 1
         waiting = attempt.waiting
         latest_s = waiting.latest_start_s
         if ran and attempt.delivered_tokens:
             # The promised wait was kept; the caller is in the middle of the answer.
             latest_s = max(latest_s, now + RESUMPTION_WAIT_S)
-        budget = self._find_budget(waiting.request.service)
-        delay_s = budget.allow(attempt.number, now, ran=ran)
+        delay_s = 0.0
+        if arrived:
+            budget = self._find_budget(waiting.request.service)
+            delay_s = budget.allow(attempt.number, now, ran=ran)
         if delay_s is None or now + delay_s > max(latest_s, waiting.last_start_s):
             self._close(attempt, waiting.request.max_tokens)
             code = ResultCode.RETRIES_EXHAUSTED
@@ -492,6 +499,14 @@
         if plain is not None:
             plain.finish(call_id, upstream, whole, now)
 
+    def plain_unreachable(self, call_id: str, now: float) -> None:
+        """Note that no connection could be made for a call."""
+        upstream = self._plain_runs.get(call_id, "")
+        plain = self._plain.get(self._services_of.get(upstream, ""))
+        self.plain_abandoned(call_id, now)
+        if plain is not None:
+            plain.ejector.record_unreachable(upstream, now)
+
     def set_peer_work(self, peer: str, work: dict[str, PeerWork], now: float) -> None:
         """
         Take over what another entry has at each upstream, by its own word.
--- a/packages/core/src/persimmonferry_core/ejection.py
+++ b/packages/core/src/persimmonferry_core/ejection.py
@@ -57,6 +57,8 @@
 
 SLOWNESS_SMOOTHING = 0.2
 MEDIAN_REUSE = 8
+# Failures that a connection counts which could not be made: two in a row eject.
+UNREACHABLE_FAILURES = 2
 MAX_FORMER = 256
 
 
@@ -201,6 +203,18 @@
             case Closed() | Warming() if health.failures >= self.policy.failures:
                 self._try_eject(upstream, now)
 
+    def record_unreachable(self, upstream: str, now: float) -> None:
+        """
+        Note that no connection to an upstream could be made.
+
+        Load pattern: upstreams that have fallen silent at full load. Each call there
+        costs its caller the time of a connection, and says more than one that failed.
+        """
+        health = self._healths.get(upstream)
+        if health is not None:
+            health.failures += UNREACHABLE_FAILURES - 1
+        self.record_failure(upstream, now)
+
     def count_out(self, now: float) -> int:
         """Return how many upstreams are ejected or not yet proved again."""
         return sum(1 for name in self._limited if self._is_out(name, now))
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -463,6 +463,8 @@
         names = names[offset:] + names[:offset]
         found = (self.upstreams.get(name) for name in dict.fromkeys(names))
         usable = [up for up in found if up is not None and self.is_usable(up)]
+        # Nothing waits for an upstream that is ejected.
+        usable = [up for up in usable if up.slot_limit > 0] or usable
         if waiting.version:
             usable = [up for up in usable if up.report.version == waiting.version]
         if not waiting.avoid:
@@ -504,10 +506,19 @@
         if upstream is not None:
             upstream.end_run(waiting.request.request_id, now, whole)
 
-    def fail_run(self, waiting: WaitingRequest, name: str, now: float) -> None:
-        """Forget a run that its upstream refused or lost."""
+    def fail_run(
+        self, waiting: WaitingRequest, name: str, now: float, *, arrived: bool = True
+    ) -> None:
+        """
+        Forget a run that its upstream refused or lost.
+
+        :param arrived: False when no connection to it could be made.
+        """
         self.end_run(waiting, name, False, now)
-        self.ejector.record_failure(name, now)
+        if arrived:
+            self.ejector.record_failure(name, now)
+        else:
+            self.ejector.record_unreachable(name, now)
 
     def _count_reserved(self, now: float) -> int:
         """Return the slots of each upstream that are kept for urgent runs."""
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -17,6 +17,7 @@
     Refused,
     UpstreamReport,
 )
+from persimmonferry_core.retries import RetryPolicy
 from persimmonferry_core.runs import RunEnd
 
 TIERS = (Tier("door", 1.0, 2.0, 0.2), Tier("dawn", 60.0, 0.5, 0.05))
@@ -357,3 +358,28 @@
         now += 0.1
     assert counts[0, "u1"] <= 10
     assert counts[5, "u1"] >= 0.5 * counts[5, "u0"]
+
+
+def test_silent_upstreams_cost_neither_attempts_nor_retries():
+    """A quarter of all engines falls silent at full load."""
+    dispatcher = Dispatcher(DOCUMENT, seed=1, retry_policy=RetryPolicy(0.0, 0))
+    for name in NAMES:
+        dispatcher.report(make_report(name, slots=8), 0.0)
+    silent = NAMES[0]
+    sent = 0
+    for number in range(40):
+        now = 0.1 * number
+        request = make_request(number, now, tokens=100)
+        assert isinstance(dispatcher.offer(request, now), Queued)
+        for _ in range(len(NAMES)):
+            (assignment,) = dispatcher.assign(now)
+            if assignment.upstream != silent:
+                break
+            sent += 1
+            answer = dispatcher.failed(request.request_id, False, now, arrived=False)
+            assert isinstance(answer, Queued)
+        assert assignment.upstream != silent
+        dispatcher.started(request.request_id, now + 0.05)
+        end = make_end(request.request_id)
+        dispatcher.finished(request.request_id, end, now + 0.05)
+    assert sent <= 3
--- a/packages/core/tests/test_ejection.py
+++ b/packages/core/tests/test_ejection.py
@@ -127,3 +127,16 @@
         ejector.record_failure("u0", 0.0)
         ejector.add("u0", 0.0)
     assert ejector.limit_slots("u0", 8, 0.0) == 0
+
+
+def test_two_connections_that_could_not_be_made_eject():
+    ejector = Ejector()
+    for name in NAMES:
+        ejector.add(name, 0.0)
+    ejector.record_unreachable("u1", 1.0)
+    assert isinstance(ejector.find_state("u1", 1.0), Closed)
+    ejector.record_success("u1", 1.0, 1.1)
+    ejector.record_unreachable("u1", 1.2)
+    assert isinstance(ejector.find_state("u1", 1.2), Closed)
+    ejector.record_unreachable("u1", 1.3)
+    assert not isinstance(ejector.find_state("u1", 1.3), Closed)
--- a/packages/gateway/src/persimmonferry_gateway/exchange.py
+++ b/packages/gateway/src/persimmonferry_gateway/exchange.py
@@ -14,6 +14,9 @@
 # retransmissions on a link that loses packets, shorter than a caller's patience.
 UNACKNOWLEDGED_TIMEOUT_MS = 1000
 MAX_HEAD_BYTES = 64 * 1024
+# Several round trips between failure domains. Whoever waits longer waits for the first
+# packet to be sent again, and is better off at another upstream.
+CONNECT_TIMEOUT_S = 0.3
 # Of a whole answer, and of what was not read yet of a stream: an upstream in trouble
 # may send bytes without end.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -111,6 +114,7 @@
             body=body if has_body else None,
             reuse=reuse,
             timeout_s=timeout_s,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
         )
         self._request.http.prepare_curl_callback = self._prepare
         self._task = asyncio.create_task(self._run())
--- a/packages/gateway/src/persimmonferry_gateway/plainwork.py
+++ b/packages/gateway/src/persimmonferry_gateway/plainwork.py
@@ -39,6 +39,11 @@
     async def _fail(self, failure: AttemptFailed, record: UpstreamRecord) -> None:
         tools = self._tools
         now = tools.read_clock()
+        self._avoid |= {record.name}
+        if not failure.arrived:
+            self._attempts -= 1
+            tools.dispatcher.plain_unreachable(self._id, now)
+            return
         tools.dispatcher.plain_finished(self._id, now, whole=False)
         if failure.ran and not self._can_repeat():
             raise failure.error
@@ -47,7 +52,6 @@
         )
         if delay_s is None:
             raise failure.error
-        self._avoid |= {record.name}
         await asyncio.sleep(delay_s)
 
     def _release(self) -> None:
--- a/packages/gateway/src/persimmonferry_gateway/promptwork.py
+++ b/packages/gateway/src/persimmonferry_gateway/promptwork.py
@@ -39,7 +39,10 @@
     def _fail(self, failure: AttemptFailed) -> None:
         """Queue the call again where that is allowed, or end it."""
         now = self._tools.read_clock()
-        answer = self._tools.dispatcher.failed(self._id, failure.ran, now)
+        answer = self._tools.dispatcher.failed(
+            self._id, failure.ran, now, arrived=failure.arrived
+        )
+        self._attempts -= 0 if failure.arrived else 1
         is_begun = self._caller.has_head
         if failure.ran and not (self._route.is_resumable and self._can_repeat()):
             raise failure.error
--- a/packages/gateway/src/persimmonferry_gateway/work.py
+++ b/packages/gateway/src/persimmonferry_gateway/work.py
@@ -106,12 +106,14 @@
     An attempt that brought no whole answer.
 
     :param ran: whether it may have run.
+    :param arrived: False when no connection to the upstream could be made.
     """
 
-    def __init__(self, error: FerryError, *, ran: bool) -> None:
+    def __init__(self, error: FerryError, *, ran: bool, arrived: bool = True) -> None:
         super().__init__(error)
         self.error = error
         self.ran = ran
+        self.arrived = arrived
 
 
 class CallWork:
@@ -291,7 +293,8 @@
             if not exchange.was_sent:
                 self._may_have_run = was_possible
             error = make_upstream_error(exchange.loss or Loss.LOST, record.name)
-            raise AttemptFailed(error, ran=exchange.was_sent)
+            sent = exchange.was_sent
+            raise AttemptFailed(error, ran=sent, arrived=sent)
         head = tools.dialect.decode_answer(
             exchange.lines.status, exchange.lines.reason, exchange.lines.fields
         )
