Read kept parts of replaced weights while engines still hold these

Gateways named parts for the wanted weights alone. Change: parts kept under replaced weights may be read for 3.5 s after the newer ones were named, by each gateway's own dating of the news, and are freed 9 s after instead of 7 s (3 s of silence of the registry, 3.5 s, 2 s limit of a fetch). Nothing is saved for replaced weights.

--- a/packages/core/src/persimmonferry_core/loads.py
+++ b/packages/core/src/persimmonferry_core/loads.py
@@ -11,6 +11,7 @@
     "find_outdated",
     "is_loading",
     "is_order_lost",
+    "may_use_kept",
 ]
 
 # An engine that has not shown the wanted weights this long after an order is ordered
@@ -22,6 +23,9 @@
 # A watch of the registry that is open hears of a change at once, and is renewed within
 # this time; a longer gap means that this process was frozen or cut off.
 USUAL_GAP_S = 2.5
+# While engines are brought to newer weights, prompts on replaced ones go on using the
+# parts that are kept for these, this long after the newer ones were named.
+KEPT_AFTER_REPLACED_S = 3.5
 # Engines that load at the same time; the others carry the load meanwhile, and engines
 # that load together slow each other down.
 LOADING_SHARE = 1 / 3
@@ -91,6 +95,28 @@
     return is_ordered and now < engine.ordered_s + ORDER_TIMEOUT_S
 
 
+def may_use_kept(version: int, named: Mapping[int, float], now: float) -> bool:
+    """
+    Whether a prompt on some weights may read parts that were kept under them.
+
+    Load pattern: new weights at full load. For seconds most engines still hold the
+    weights before, and compute all shared parts again unless these may be read. Parts
+    are freed some time after their weights were replaced, so the use ends before.
+
+    :param named: when each version was named, as far as known.
+
+    >>> may_use_kept(1, {2: 10.0}, 13.0), may_use_kept(1, {2: 10.0}, 13.5)
+    (True, False)
+    >>> may_use_kept(2, {2: 10.0}, 99.0)
+    True
+    """
+    replaced_s = min(
+        (named_s for newer, named_s in named.items() if newer > version),
+        default=float("inf"),
+    )
+    return now < replaced_s + KEPT_AFTER_REPLACED_S
+
+
 def date_news(gap_s: float, unknown_age_s: float, now: float) -> float:
     """
     Return since when news of the registry may have been true.
--- a/packages/core/tests/test_loads.py
+++ b/packages/core/tests/test_loads.py
@@ -1,6 +1,7 @@
 """Orders for new weights at full load: who loads when."""
 
 from persimmonferry_core.loads import (
+    KEPT_AFTER_REPLACED_S,
     LOADING_SHARE,
     LOST_ORDER_S,
     ORDER_TIMEOUT_S,
@@ -11,6 +12,7 @@
     find_outdated,
     is_loading,
     is_order_lost,
+    may_use_kept,
 )
 
 
@@ -80,6 +82,17 @@
     assert date_news(60.0, 5.0, 104.0) == 99.0
 
 
+def test_kept_parts_are_read_for_a_while_after_their_weights_were_replaced():
+    """Two changes of weights within four seconds."""
+    named = {1: 0.0, 2: 20.0, 3: 24.0}
+    assert may_use_kept(1, named, 20.0 + KEPT_AFTER_REPLACED_S - 0.1)
+    assert not may_use_kept(1, named, 20.0 + KEPT_AFTER_REPLACED_S)
+    assert may_use_kept(2, named, 24.0 + KEPT_AFTER_REPLACED_S - 0.1)
+    assert not may_use_kept(2, named, 24.0 + KEPT_AFTER_REPLACED_S)
+    assert may_use_kept(3, named, 1000.0)
+    assert may_use_kept(1, {}, 1000.0)
+
+
 def test_an_order_that_the_engine_has_not_counted_is_given_again():
     assert not is_order_lost(LOST_ORDER_S - 0.1, 0, 0, busy=False)
     assert is_order_lost(LOST_ORDER_S, 0, 0, busy=False)
--- a/packages/gateway/src/persimmonferry_gateway/roster.py
+++ b/packages/gateway/src/persimmonferry_gateway/roster.py
@@ -5,7 +5,7 @@
 
 from persimmonferry_core.deployment import Deployment, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher
-from persimmonferry_core.loads import find_outdated
+from persimmonferry_core.loads import find_outdated, may_use_kept
 
 from persimmonferry_gateway.fleet import Fleet
 from persimmonferry_gateway.interfaces import (
@@ -63,6 +63,14 @@
         """
         return self.weights.get(model) or self._initial.get(model, FIRST_VERSION)
 
+    def may_use_kept(self, model: str, version: int, now: float) -> bool:
+        """
+        Whether a prompt on some weights may read parts that were kept under them.
+
+        :param now: on the boot clock.
+        """
+        return may_use_kept(version, self._named.get(model, {}), now)
+
     def find_outdated(self, limit_s: float, now: float) -> frozenset[str]:
         """
         Return the engines whose weights were replaced longer ago than a limit.
--- a/packages/gateway/src/persimmonferry_gateway/weights.py
+++ b/packages/gateway/src/persimmonferry_gateway/weights.py
@@ -34,9 +34,11 @@
 # reach the engine before the order.
 ANNOUNCE_S = 0.12
 
-# A part of older weights is named by no gateway that hears the registry for this long
-# after newer ones were wanted, and the last fetch has ended.
-OBSOLETE_AFTER_S = 7.0
+# A part of older weights is named by no gateway any more this long after newer ones
+# were wanted, and the last fetch has ended: a gateway names parts while it heard the
+# registry 3 s ago, for KEPT_AFTER_REPLACED_S after it heard of newer weights, with a
+# limit of 2 s on each fetch.
+OBSOLETE_AFTER_S = 9.0
 FREE_INTERVAL_S = 1.0
 
 _log = logging.getLogger(__name__)
--- a/packages/gateway/src/persimmonferry_gateway/work.py
+++ b/packages/gateway/src/persimmonferry_gateway/work.py
@@ -319,18 +319,21 @@
 
     def _add_sources(self, addition: UpstreamCall, version: int) -> UpstreamCall:
         """Name from where the shared parts of a prompt come, and where they go."""
-        prompt, kept = self._call.prompt, self._tools.kept
+        prompt, kept, roster = self._call.prompt, self._tools.kept, self._tools.roster
         limit_s = self._tools.find_fetch_limit()
-        if limit_s is None or self._tools.roster.find_wanted(prompt.model) != version:
-            return addition
         now = read_boot_clock()
+        if limit_s is None or not roster.may_use_kept(prompt.model, version, now):
+            return addition
+        is_wanted = roster.find_wanted(prompt.model) == version
         fetches: list[str | None] = []
         saves: list[str | None] = []
         names = [f"{addition.cache_scope}/{part.name}" for part in prompt.shared_parts]
         engines = self._find_engines(addition.upstream, tuple(names))
         for part, name, engine in zip(prompt.shared_parts, names, engines, strict=True):
             source = kept.find(name, now)
-            home = None if source else kept.choose_home(name, part.tokens, now)
+            home = None
+            if is_wanted and not source:
+                home = kept.choose_home(name, part.tokens, now)
             self.notes.fetched_tokens += part.tokens if source or engine else 0
             self.notes.saved_tokens += part.tokens if home else 0
             fetches.append(source.address if source else engine)
