Tell work beside new blocks of the same engine

Change: work goes before held blocks in the merge. Ruled out: nothing else; the scene with two gateways fails without it (the second one sends its prompt to the same engine) and passes with it.

--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -318,7 +318,7 @@
         """Tell each neighbour of the work at the engines that it uses too."""
         work = self._dispatcher.summarise_own_work(now)
         self._sequence += 1
-        parts = self._split_by_users(work | dict.fromkeys(self._held))
+        parts = self._split_by_users(dict.fromkeys(self._held) | work)
         told = frozenset().union(*parts)
         # Who heard of work before must hear that it has ended.
         silent_s = now - IDLE_INTERVAL_S
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -78,6 +78,18 @@
     play(scene)
 
 
+def test_work_is_told_beside_new_blocks_of_the_same_engine():
+    async def scene(one, other):
+        assert one.offer("r1", 60_000) == 1
+        one.exchange.note_held("u0", ("1/a",), (500,))
+        await wait_until(lambda: other.dispatcher.count_held("u0") == 500)
+        # No later news say it again.
+        one.exchange.stop()
+        assert other.offer("r2", 60_000) == 0
+
+    play(scene)
+
+
 def test_a_peer_that_falls_silent_is_taken_to_have_no_work():
     async def scene(one, other):
         one.offer("r1", 60_000)
