--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -19,6 +19,7 @@
 )
 from persimmonferry_core.retries import RetryPolicy
 from persimmonferry_core.runs import RunEnd
+from persimmonferry_core.upstreams import HEAVY_PREFILL_S
 
 TIERS = (Tier("door", 1.0, 2.0, 0.2), Tier("dawn", 60.0, 0.5, 0.05))
 CONCURRENCY = 4
@@ -383,3 +384,18 @@
         end = make_end(request.request_id)
         dispatcher.finished(request.request_id, end, now + 0.05)
     assert sent <= 3
+
+
+def test_short_prompts_are_not_told_at_once_in_a_large_fleet():
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    dispatcher.report(make_report("u0", slots=8), 0.0)
+    rate = dispatcher.find_prefill_rate(DOCUMENT.services[0].name)
+    for number, tokens in enumerate((0.5, 1.5)):
+        tokens = int(tokens * HEAVY_PREFILL_S * rate)
+        request = make_request(number, 0.0, tokens=tokens)
+        assert isinstance(dispatcher.offer(request, 0.0), Queued)
+        made = dispatcher.assign(0.0)
+        told = dispatcher.describe_started(made, heavy_only=False)
+        assert set(told) == {"u0"}
+        is_told = bool(dispatcher.describe_started(made, heavy_only=True))
+        assert is_told == (number == 1)
