--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -123,7 +123,7 @@
         )
         self._tick()
         self._tell_updates()
-        self._tell_loading()
+        self._follow_loading()
 
     def stop(self) -> None:
         """Send nothing more."""
@@ -225,7 +225,7 @@
         self._paused, self._versions = paused, dict(versions)
         self._dispatcher.set_paused(self._name, paused)
         if is_holder or was_holder:
-            self._tell_loading(now_too=True)
+            self._send_loading()
 
     def find_last_pause(self) -> float:
         """Return when a peer last told of loading engines, on the boot clock."""
@@ -389,19 +389,21 @@
         data = encode(PeerMessage(kept=KeptNews(self._name, batch)))
         self._send(data, self._addresses)
 
-    def _tell_loading(self, *, now_too: bool = False) -> None:
-        """Tell which engines load, and take others that fell silent for done."""
-        if self._is_holder or now_too:
-            latest = dict(tuple(self._versions.items())[-MAX_VERSIONS:])
-            news = LoadingNews(self._name, list(self._paused), latest)
-            self._send(encode(PeerMessage(loading=news)), self._addresses)
+    def _send_loading(self) -> None:
+        latest = dict(tuple(self._versions.items())[-MAX_VERSIONS:])
+        news = LoadingNews(self._name, list(self._paused), latest)
+        self._send(encode(PeerMessage(loading=news)), self._addresses)
+
+    def _follow_loading(self) -> None:
+        """Tell again which engines load, and forget what a silent holder told."""
+        if self._is_holder:
+            self._send_loading()
         limit_s = self._loop.time() - FORGET_LOADING_INTERVALS * LOADING_INTERVAL_S
         for name, heard_s in tuple(self._loading_heard.items()):
             if heard_s < limit_s:
                 del self._loading_heard[name]
                 self._dispatcher.set_paused(name, frozenset())
-        if not now_too:
-            self._call_later("loading", LOADING_INTERVAL_S, self._tell_loading)
+        self._call_later("loading", LOADING_INTERVAL_S, self._follow_loading)
 
     def _send(self, data: bytes, names: Iterable[str]) -> None:
         if self._transport is None:
