Date the first news of weights from the start of the process

A first answer of the registry was dated versionMs less contactMs before it came, so a gateway that hears late (a slow registry, 0.9 s and more after its start) went on using outdated engines until after it was in contact for contactMs. Now it counts from the start of the process, of which the processor time that it took is a lower bound. Ruled out: treating all engines on older weights as outdated at once after a start: while weights are being rolled out it would leave a restarted gateway with few engines or none. Before: test_a_gateway_that_starts_while_the_registry_is_slow fails.

--- a/packages/core/src/persimmonferry_core/loads.py
+++ b/packages/core/src/persimmonferry_core/loads.py
@@ -117,24 +117,30 @@
     return now < replaced_s + KEPT_AFTER_REPLACED_S
 
 
-def date_news(gap_s: float, unknown_age_s: float, now: float) -> float:
+def date_news(
+    gap_s: float, unknown_age_s: float, started_s: float, now: float
+) -> float:
     """
     Return since when news of the registry may have been true.
 
     Load pattern: a gateway that was frozen or cut off while new weights were named, and
     one that has just started, hear of them late, but must not send to engines with the
-    weights before for as long as the others.
+    weights before for as long as the others. One that starts while the registry is slow
+    counts from its start: it is held to bounds of time from then on.
 
     :param gap_s: since the answer before, infinite for the first one.
     :param unknown_age_s: age that is taken where it is not known at all.
+    :param started_s: when the process started.
 
-    >>> date_news(1.6, 5.0, 100.0), date_news(4.2, 5.0, 100.0)
+    >>> date_news(1.6, 5.0, 0.0, 100.0), date_news(4.2, 5.0, 0.0, 100.0)
     (100.0, 95.8)
-    >>> date_news(float("inf"), 5.0, 100.0)
-    95.0
+    >>> date_news(float("inf"), 5.0, 98.5, 100.0)
+    93.5
     """
     if gap_s <= USUAL_GAP_S:
         return now
+    if gap_s == float("inf"):
+        return started_s - unknown_age_s
     return now - min(gap_s, unknown_age_s)
 
 
--- a/packages/core/tests/test_loads.py
+++ b/packages/core/tests/test_loads.py
@@ -76,10 +76,21 @@
 
 def test_news_that_a_frozen_gateway_hears_late_are_as_old_as_its_freeze():
     """Weights are named while a gateway is frozen for four seconds."""
-    named_s = date_news(gap_s=4.0, unknown_age_s=5.0, now=104.0)
+    named_s = date_news(gap_s=4.0, unknown_age_s=5.0, started_s=0.0, now=104.0)
     assert find_outdated({"a": 1}, {2: named_s}, 6.5, 106.5) == {"a"}
-    assert date_news(USUAL_GAP_S, 5.0, 104.0) == 104.0
-    assert date_news(60.0, 5.0, 104.0) == 99.0
+    assert date_news(USUAL_GAP_S, 5.0, 0.0, 104.0) == 104.0
+    assert date_news(60.0, 5.0, 0.0, 104.0) == 99.0
+
+
+def test_a_gateway_that_starts_while_the_registry_is_slow_counts_from_its_start():
+    """Power is lost seconds after new weights, before all engines have them."""
+    version_s, contact_s, margin_s = 10.0, 4.0, 1.5
+    started_s, heard_s = 100.0, 103.0
+    named_s = date_news(float("inf"), version_s - contact_s, started_s, heard_s)
+    limit_s = version_s - margin_s
+    in_contact_s = started_s + contact_s
+    assert not find_outdated({"a": 1}, {3: named_s}, limit_s, started_s + 2.0)
+    assert find_outdated({"a": 1}, {3: named_s}, limit_s, in_contact_s - 1.0) == {"a"}
 
 
 def test_kept_parts_are_read_for_a_while_after_their_weights_were_replaced():
--- a/packages/gateway/src/persimmonferry_gateway/clocks.py
+++ b/packages/gateway/src/persimmonferry_gateway/clocks.py
@@ -2,7 +2,7 @@
 
 import time
 
-__all__ = ["ClockBounds", "read_boot_clock"]
+__all__ = ["ClockBounds", "estimate_process_start", "read_boot_clock"]
 
 # Bounds are learned anew after this time, in which clocks of VMs drift apart by far
 # less than a millisecond.
@@ -14,6 +14,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def estimate_process_start() -> float:
+    """Return about when this process started; the processor time it took counts."""
+    return read_boot_clock() - time.process_time()
+
+
 class ClockBounds:
     """
     How far a remote clock is ahead of the local one, between two bounds.
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -26,7 +26,7 @@
     ReceivedRequest,
 )
 from persimmonferry_gateway.callog import BoundedLog
-from persimmonferry_gateway.clocks import read_boot_clock
+from persimmonferry_gateway.clocks import estimate_process_start, read_boot_clock
 from persimmonferry_gateway.duty import Duty
 from persimmonferry_gateway.exchange import CancellableClient
 from persimmonferry_gateway.interfaces import (
@@ -98,6 +98,7 @@
         dialect: Dialect,
         client: CancellableClient,
     ) -> None:
+        self._started_s = estimate_process_start()
         self._settings = settings
         self._dialect = dialect
         self._loop = asyncio.get_running_loop()
@@ -373,7 +374,9 @@
         """Return since when what the registry has just told may be true."""
         settings = self._settings
         unknown_age_s = max(0.0, settings.version_s - settings.contact_s)
-        return date_news(self._mirror.gap_s, unknown_age_s, read_boot_clock())
+        return date_news(
+            self._mirror.gap_s, unknown_age_s, self._started_s, read_boot_clock()
+        )
 
     def _note_gateways(self, items: tuple[Item, ...]) -> None:
         news = [item for item in items if item.key.startswith(GATEWAY_PREFIX)]
