Give up a fetch while its prompt can still be computed in time

The limit of each fetch is now half of what is left of the objective besides computing, or twice the time of computing where the objective can't be kept (core/sources.limit_fetch); the engine then reads the prompt. Ruled out: slow decoding as the cause of late answers: an event has 6 tokens, so 49 events are 292 tokens, 1.3 s at the engine's own step; the median is 1.9 s. Queueing at the gateway: 4 ms (p50).

--- a/packages/core/src/persimmonferry_core/sources.py
+++ b/packages/core/src/persimmonferry_core/sources.py
@@ -2,13 +2,21 @@
 
 from collections.abc import Collection, Mapping
 
-__all__ = ["choose_holders", "is_fetch_faster"]
+__all__ = ["choose_holders", "is_fetch_faster", "limit_fetch"]
 
 # A transfer from another failure domain takes twice as long.
 FAR_FACTOR = 2.0
 # Transfers of one engine run one after another, so one that takes a part of the time
 # that computing takes may still wait for others.
 MAX_FETCH_SHARE = 0.5
+# Of the time that is left besides computing; the rest is for prompts ahead in the
+# engine's queue and for the way of the answer.
+FETCH_SLACK_SHARE = 0.5
+# A prompt that can't be in time gets no more for its fetch than this many times what
+# computing takes, as the fetch saves no more than that.
+LATE_FETCH_FACTOR = 2.0
+# Transfers wait for those before them, also on fast links.
+MIN_FETCH_S = 0.05
 
 
 def is_fetch_faster(
@@ -28,6 +36,24 @@
     return fetch_s <= MAX_FETCH_SHARE / max(1.0, prefill_tokens_per_s)
 
 
+def limit_fetch(left_s: float, compute_s: float) -> float:
+    """
+    Return the seconds after which a fetch is given up for computing.
+
+    Load pattern: transfers of a store or an engine turn slow at full load. A prompt
+    whose few shared tokens are computed in milliseconds must not wait for them until
+    its objective is missed; a long one may still be computed in time.
+
+    :param left_s: until the end of the objective.
+    :param compute_s: that computing the fetched tokens would take.
+
+    >>> round(limit_fetch(0.48, 0.02), 3), round(limit_fetch(0.1, 0.14), 3)
+    (0.23, 0.28)
+    """
+    in_time_s = FETCH_SLACK_SHARE * (left_s - compute_s)
+    return max(in_time_s, LATE_FETCH_FACTOR * compute_s, MIN_FETCH_S)
+
+
 def choose_holders(
     depths: Mapping[str, int],
     upstream: str,
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -413,7 +413,7 @@
         else:
             self._dispatcher.record_not_stored(KEPT_SOURCE, names)
 
-    def _find_fetch_limit(self) -> float | None:
+    def _find_fetch_limit(self, longest_s: float) -> float | None:
         """
         Return until when a fetch must end, None when none may begin.
 
@@ -422,7 +422,7 @@
         """
         if self._mirror.measure_silence() > MAX_SILENCE_FOR_FETCH_S:
             return None
-        return self._stores.find_fetch_limit()
+        return self._stores.find_fetch_limit(longest_s)
 
     def _note_contact(self, is_there: bool) -> None:
         if is_there:
--- a/packages/gateway/src/persimmonferry_gateway/stores.py
+++ b/packages/gateway/src/persimmonferry_gateway/stores.py
@@ -104,10 +104,15 @@
             task.cancel()
         await asyncio.gather(*self._tasks.values(), return_exceptions=True)
 
-    def find_fetch_limit(self) -> float | None:
-        """Return until when a fetch that begins now must end, on the engines' clock."""
+    def find_fetch_limit(self, longest_s: float = FETCH_LIMIT_S) -> float | None:
+        """
+        Return until when a fetch that begins now must end, on the engines' clock.
+
+        :param longest_s: that it may take, bounded by the time after which parts may
+            be freed.
+        """
         now_s = self._clock.read_early(read_boot_clock())
-        return None if now_s is None else now_s + FETCH_LIMIT_S
+        return None if now_s is None else now_s + min(FETCH_LIMIT_S, longest_s)
 
     def take_update(self, update: StoreUpdate) -> None:
         """Take over what another gateway heard from a store."""
--- a/packages/gateway/src/persimmonferry_gateway/work.py
+++ b/packages/gateway/src/persimmonferry_gateway/work.py
@@ -20,7 +20,7 @@
 from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.keptparts import KeptParts
-from persimmonferry_core.sources import is_fetch_faster
+from persimmonferry_core.sources import is_fetch_faster, limit_fetch
 
 from persimmonferry_gateway.callers import CallerConnection
 from persimmonferry_gateway.callog import BoundedLog
@@ -61,8 +61,8 @@
     :param check_version: asks an engine which weights it holds.
     :param kept: which parts of prompts lie in store VMs.
     :param log: of calls that have ended.
-    :param find_fetch_limit: returns until when a fetch must end, None when parts must
-        not be fetched now.
+    :param find_fetch_limit: returns until when a fetch must end that may take some
+        seconds, None when parts must not be fetched now.
     :param waiting: futures of the requests that the dispatcher has queued.
     """
 
@@ -77,7 +77,7 @@
     kept: KeptParts
     log: BoundedLog
     metrics: CallMetrics
-    find_fetch_limit: Callable[[], float | None]
+    find_fetch_limit: Callable[[float], float | None]
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
     idle_s: dict[str, float] = field(default_factory=dict)
 
@@ -320,9 +320,9 @@
     def _add_sources(self, addition: UpstreamCall, version: int) -> UpstreamCall:
         """Name from where the shared parts of a prompt come, and where they go."""
         prompt, kept, roster = self._call.prompt, self._tools.kept, self._tools.roster
-        limit_s = self._tools.find_fetch_limit()
         now = read_boot_clock()
-        if limit_s is None or not roster.may_use_kept(prompt.model, version, now):
+        may_fetch = self._tools.find_fetch_limit(0.0) is not None
+        if not may_fetch or not roster.may_use_kept(prompt.model, version, now):
             return addition
         is_wanted = roster.find_wanted(prompt.model) == version
         fetches: list[str | None] = []
@@ -343,9 +343,21 @@
             addition,
             fetch_from=(*fetches, None),
             save_to=(*saves, None),
-            fetch_until_s=limit_s if any(fetches) else None,
+            fetch_until_s=self._limit_fetch(fetches),
         )
 
+    def _limit_fetch(self, sources: list[str | None]) -> float | None:
+        """Return until when parts may be fetched, None when none is."""
+        if not any(sources):
+            return None
+        parts = zip(self._call.prompt.shared_parts, sources, strict=True)
+        tokens = sum(part.tokens for part, source in parts if source)
+        rate = self._tools.dispatcher.find_prefill_rate(self._service)
+        objective_end_s = self._arrival_s + self._route.objective_s
+        left_s = objective_end_s - self._tools.read_clock()
+        fetch_s = limit_fetch(left_s, tokens / max(1.0, rate))
+        return self._tools.find_fetch_limit(fetch_s)
+
     def _find_engines(self, upstream: str, names: tuple[str, ...]) -> list[str | None]:
         """Return the address of another engine for each part that it may come from."""
         tools = self._tools
