Order weights first at engines that were not asked yet

Cause: where every order gets no answer and is carried out seconds late, an order is taken for lost after 1 s, and the next choice took the same three engines again, as they lose the least cache; the other six were asked only after these had loaded. Change: the time of an engine's last order, lost or not, goes before its cache in the order of choice. Test: orders_that_are_carried_out_late_are_pending_side_by_side fails without the order.

--- a/packages/core/src/persimmonferry_core/loads.py
+++ b/packages/core/src/persimmonferry_core/loads.py
@@ -58,6 +58,8 @@
     :param ordered_version: of the last order, 0 for none.
     :param ordered_s: when that order went out.
     :param held_tokens: in its cache, which an order throws away.
+    :param asked_s: when the last order went out, also one that is taken for lost;
+        minus infinity for none.
     """
 
     name: str
@@ -65,6 +67,7 @@
     ordered_version: int
     ordered_s: float
     held_tokens: int
+    asked_s: float = float("-inf")
 
 
 def choose_loads(
@@ -74,7 +77,9 @@
     Return the engines that are to get an order now.
 
     Load pattern: new weights at full load. Some load at a time, those first that are
-    furthest behind, and of these the ones that lose the least cache.
+    furthest behind, and of these the ones that lose the least cache. Where orders get
+    no answer and are carried out seconds late, the engines that were not asked yet go
+    before those that were, so that these orders are pending side by side.
 
     >>> engines = [EngineState(name, 1, 0, 0.0, 10 - index)
     ...            for index, name in enumerate("abcdef")]
@@ -85,10 +90,14 @@
     loading = [engine for engine in behind if is_loading(engine, now)]
     room = max(1, round(LOADING_SHARE * len(engines))) - len(loading)
     idle = [engine for engine in behind if engine not in loading]
-    idle.sort(key=lambda engine: (engine.version, engine.held_tokens, engine.name))
+    idle.sort(key=_load_order)
     return tuple(engine.name for engine in idle[: max(0, room)])
 
 
+def _load_order(engine: EngineState) -> tuple[int, float, int, str]:
+    return engine.version, engine.asked_s, engine.held_tokens, engine.name
+
+
 def is_loading(engine: EngineState, now: float) -> bool:
     """Whether an engine is expected to have an order in hand."""
     is_ordered = engine.version < engine.ordered_version
--- a/packages/core/tests/test_loads.py
+++ b/packages/core/tests/test_loads.py
@@ -1,5 +1,7 @@
 """Orders for new weights at full load: who loads when."""
 
+from dataclasses import replace
+
 from persimmonferry_core.loads import (
     KEPT_AFTER_REPLACED_S,
     LOADING_SHARE,
@@ -39,6 +41,24 @@
     assert most == round(LOADING_SHARE * len(engines))
 
 
+def test_orders_that_are_carried_out_late_are_pending_side_by_side():
+    """Every order gets no answer, is taken for lost after 1.3 s and done 4 s later."""
+    check_s, late_s, limit_s = 1.3, 4.0, 12.0
+    engines = {name: make_engine(name, held=len(name)) for name in "abcdefghi"}
+    done_at = {}
+    now = 0.0
+    while any(engine.version < 2 for engine in engines.values()):
+        assert now < limit_s, "some engines were never asked"
+        for name in choose_loads(list(engines.values()), 2, now):
+            # It is not held as an order in hand: the engine has not counted it.
+            engines[name] = replace(engines[name], asked_s=now)
+            done_at.setdefault(name, now + late_s)
+        now += check_s
+        for name, end_s in done_at.items():
+            if now >= end_s:
+                engines[name] = replace(engines[name], version=2)
+
+
 def test_the_engine_that_is_furthest_behind_goes_first():
     engines = [make_engine("new", 2, held=1), make_engine("old", 1, held=90_000)]
     assert choose_loads(engines, 3, 0.0) == ("old",)
--- a/packages/gateway/src/persimmonferry_gateway/weights.py
+++ b/packages/gateway/src/persimmonferry_gateway/weights.py
@@ -96,6 +96,8 @@
         self._count_held = count_held
         self._read_clock = read_clock
         self._orders: dict[str, _Order] = {}
+        # When the last order went to each engine, also one that is taken for lost.
+        self._asked_s: dict[str, float] = {}
         self._seen: dict[str, int] = {}
         self._background = Background(self._run)
 
@@ -124,6 +126,7 @@
         holding = self._duty.find_holding(now)
         if holding is None:
             self._orders.clear()
+            self._asked_s.clear()
             self._seen.clear()
             self._announce(frozenset(), {}, is_holder=False)
             return
@@ -193,6 +196,7 @@
             order.version if order else 0,
             order.given_s if order else 0.0,
             self._count_held(record.name),
+            self._asked_s.get(record.name, float("-inf")),
         )
 
     async def _look_at_loading(
@@ -230,7 +234,9 @@
         if self._duty.find_holding(read_boot_clock()) is None:
             return
         expected = before.accepted_orders if before else None
-        self._orders[record.name] = _Order(version, read_boot_clock(), expected)
+        now = read_boot_clock()
+        self._orders[record.name] = _Order(version, now, expected)
+        self._note_asked(record.name, now)
         order = WeightOrder(
             model, version, self._settings.name, holding.fence, expected
         )
@@ -250,6 +256,12 @@
         if outcome.is_accepted is False:
             self._orders.pop(record.name, None)
 
+    def _note_asked(self, name: str, now: float) -> None:
+        """Note when an engine got an order, and forget the engines that are gone."""
+        known = self._asked_s.items()
+        asked = {item: at_s for item, at_s in known if self._roster.find_record(item)}
+        self._asked_s = {**asked, name: now}
+
     async def _send(self, record: UpstreamRecord, order: WeightOrder) -> OrderOutcome:
         path, content_type, body = self._dialect.encode_order(order)
         request = Request(
