Log the limits that upstreams state, and count calls sent in spite of them

Now `upstream limit in force` and `upstream limit ended` say so, `call ended` has `limited_attempts`, the attempts at upstreams whose limit was known when they were sent, and the metrics have the limits in force. Nothing is decided by them yet.

An answer without a limit ends only a limit that arrived before its call was sent, as the answer may have been produced before the limit was set.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -28,6 +28,7 @@
 from persimmonferry_core.runs import RunEnd
 from persimmonferry_core.schema import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.services import ModelService, PlainService
+from persimmonferry_core.upstream_limits import LimitNotice, UpstreamLimits
 from persimmonferry_core.usage import UsageMeter
 
 __all__ = [
@@ -131,6 +132,7 @@
         self._entries: tuple[str, ...] = (entry,)
         self._subset: frozenset[str] | None = None
         self._cooldowns = UpstreamCooldowns()
+        self._upstream_limits = UpstreamLimits()
         self._models: dict[str, ModelService] = {}
         self._plain: dict[str, PlainService] = {}
         self._attempts: dict[str, _Attempt] = {}
@@ -193,6 +195,7 @@
             return
         if report.incarnation > known.report.incarnation:
             self._cooldowns.clear(report.name)
+            self._upstream_limits.clear(report.name)
             self._index.remove_upstream(report.name)
         pool.apply(report, now)
 
@@ -482,6 +485,22 @@
         pool = self._find_pool(service)
         return self._cooldowns.find_cooldown(pool.upstreams, now) if pool else None
 
+    def record_upstream_limit(self, notice: LimitNotice) -> bool:
+        """
+        Record the limit of an upstream unless a newer notice is known.
+
+        :returns: whether it was recorded.
+        """
+        return self._upstream_limits.record(notice)
+
+    def find_upstream_limit(self, upstream: str) -> float | None:
+        """Return the calls per second that an upstream takes, None without a limit."""
+        return self._upstream_limits.find(upstream)
+
+    def list_upstream_limits(self) -> dict[str, float]:
+        """Return the calls per second of each upstream that has a limit."""
+        return self._upstream_limits.list_limits()
+
     def _apply_cooldowns(self, now: float) -> None:
         cooling = self._cooldowns.list_cooling(now)
         for model in self._models.values():
@@ -738,6 +757,7 @@
 
     def _drop_upstream(self, name: str) -> None:
         self._cooldowns.clear(name)
+        self._upstream_limits.clear(name)
         pool = self._find_pool(self._services_of.pop(name, ""))
         if pool is not None:
             pool.remove(name)
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -67,6 +67,8 @@
     :param check_version: asks an engine for the version of its weights.
     :param kept: index of the parts of prompts that are stored at store VMs.
     :param log: of calls that have ended.
+    :param record_limit: records the limit that an upstream stated with a response to a
+        call, which was sent at the given time.
     :param find_fetch_deadline: returns the deadline of a fetch that may take the given
         seconds, None when parts must not be fetched now.
     :param waiting: futures of the requests that the dispatcher has queued.
@@ -84,6 +86,7 @@
     kept: CacheStoreIndex
     log: RateLimitedLog
     metrics: CallMetrics
+    record_limit: Callable[[UpstreamRecord, ResponseHead, float], None]
     find_fetch_deadline: Callable[[float], float | None]
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
     idle_s: dict[str, float] = field(default_factory=dict)
@@ -96,6 +99,7 @@
 
     :param started_s: when it was first sent to an upstream.
     :param first_s: when its first event or its complete answer arrived.
+    :param limited_attempts: number of attempts at upstreams with a known limit.
     :param fetched_tokens: of its shared parts that the engine was to fetch.
     :param saved_tokens: of its shared parts that the engine was to store.
     """
@@ -106,6 +110,7 @@
     outcome: str = ""
     cause: str = ""
     version: int | None = None
+    limited_attempts: int = 0
     fetched_tokens: int = 0
     saved_tokens: int = 0
 
@@ -196,6 +201,7 @@
             "cause": notes.cause,
             "upstreams": notes.upstreams,
             "version": notes.version,
+            "limited_attempts": notes.limited_attempts,
             "fetched_tokens": notes.fetched_tokens,
             "saved_tokens": notes.saved_tokens,
             "budget_ms": _to_ms(self._budget_s),
@@ -211,6 +217,7 @@
             self._route.name,
             notes.outcome,
             len(notes.upstreams),
+            notes.limited_attempts,
             notes.first_s and notes.first_s - begin_s,
             now - begin_s,
         )
@@ -258,6 +265,8 @@
         now = context.read_clock()
         self._attempts += 1
         self.notes.upstreams.append(record.name)
+        if context.dispatcher.find_upstream_limit(record.name) is not None:
+            self.notes.limited_attempts += 1
         self.notes.started_s = self.notes.started_s or now
         options = ForwardOptions(
             upstream=record.name,
@@ -313,7 +322,7 @@
             exchange.lines.status, exchange.lines.reason, exchange.lines.fields
         )
         self._sent_s = None
-        self._record_head(record, head)
+        self._record_head(record, head, now)
         if head.call_id is not None and head.call_id != self._call.call_id:
             exchange.cancel()
             error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, record.name)
@@ -393,7 +402,9 @@
         records = [name and context.cluster.find_record(name) for name in found]
         return [record.address if record else None for record in records]
 
-    def _record_head(self, record: UpstreamRecord, head: ResponseHead) -> None:
+    def _record_head(
+        self, record: UpstreamRecord, head: ResponseHead, sent_s: float
+    ) -> None:
         context = self._context
         now = context.read_clock()
         if head.idle_s is not None:
@@ -403,6 +414,7 @@
             context.cluster.record_leaving(record.name, now)
         if head.refuses_for_s is not None:
             context.dispatcher.set_cooldown(record.name, now + head.refuses_for_s)
+        context.record_limit(record, head, sent_s)
 
     async def _relay_whole(
         self, exchange: UpstreamExchange, head: ResponseHead
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -5,6 +5,7 @@
 
 from persimmonferry_core.deployment import Deployment, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher
+from persimmonferry_core.upstream_limits import LimitNotice
 from persimmonferry_core.weight_orders import find_outdated, may_read_stored
 
 from persimmonferry_gateway.dispatch_document import make_document, make_report
@@ -141,6 +142,29 @@
         _log.info("upstream leaving", extra={"upstream": upstream, "by": "its answer"})
         self._report(record, now)
 
+    def record_limit(self, notice: LimitNotice, source: str) -> bool:
+        """
+        Record what an answer of an upstream stated about its limit.
+
+        :param source: where the notice comes from, for the log.
+        :returns: False if it is outdated.
+        """
+        name = notice.upstream
+        record = self.find_record(name)
+        if record is None or record.incarnation != notice.incarnation:
+            return False
+        former = self._dispatcher.find_upstream_limit(name)
+        if not self._dispatcher.record_upstream_limit(notice):
+            return False
+        fields = {"upstream": name, "by": source}
+        if notice.calls_per_s is None:
+            if former is not None:
+                _log.info("upstream limit ended", extra=fields)
+        elif notice.calls_per_s != former:
+            fields["calls_per_s"] = notice.calls_per_s
+            _log.info("upstream limit in force", extra=fields)
+        return True
+
     def is_leaving(self, record: UpstreamRecord) -> bool:
         """Whether an upstream is leaving, by its entry or its responses."""
         by_answer = self._leaving.get(record.name) == record.incarnation
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -15,6 +15,7 @@
 from persimmonferry_core.retries import RetryPolicy
 from persimmonferry_core.schema import TeamDocument
 from persimmonferry_core.topology import Address
+from persimmonferry_core.upstream_limits import make_notice
 from persimmonferry_core.weight_orders import estimate_change_time
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -35,6 +36,7 @@
     Codec,
     Item,
     Registry,
+    ResponseHead,
     Snapshot,
 )
 from persimmonferry_gateway.leadership import LeaderElection
@@ -130,7 +132,9 @@
         )
         self._gateways: dict[str, Address] = {}
         self._prober = Prober(codec, client)
-        self._metrics = CallMetrics(lambda: registry.calls)
+        self._metrics = CallMetrics(
+            lambda: registry.calls, self._dispatcher.list_upstream_limits
+        )
         self._metrics_server = MetricsServer(settings.internal, self._metrics)
         self._store_index = CacheStoreIndex()
         self._stores = StoreWatch(
@@ -154,6 +158,7 @@
             self._store_index,
             RateLimitedLog(_log),
             self._metrics,
+            self._record_limit,
             self._find_fetch_deadline,
         )
         self._registry_watch = RegistryWatch(
@@ -348,6 +353,23 @@
         if next_s is not None:
             self._assign_timer = self._loop.call_at(next_s, self._assign)
 
+    def _record_limit(
+        self, record: UpstreamRecord, head: ResponseHead, sent_s: float
+    ) -> None:
+        """Record the limit that an upstream stated with a response, or its end."""
+        if head.is_other_upstream or not (
+            head.is_genuine or head.calls_per_s is not None
+        ):
+            return
+        notice = make_notice(
+            record.name,
+            record.incarnation,
+            head.calls_per_s,
+            sent_s,
+            self._loop.time(),
+        )
+        self._cluster.record_limit(notice, "its answer")
+
     def _check_version(self, upstream: str) -> None:
         """Ask an engine that refused a call for the version of its weights."""
         record = self._cluster.find_record(upstream)
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -174,6 +174,8 @@
     :param is_leaving: whether the upstream is leaving.
     :param refuses_for_s: time for which it refuses further calls from this gateway,
         None if not stated.
+    :param calls_per_s: that the upstream takes from all gateways together, None for no
+        limit.
     """
 
     status: int
@@ -188,6 +190,7 @@
     idle_s: float | None = None
     is_leaving: bool = False
     refuses_for_s: float | None = None
+    calls_per_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -17,13 +17,20 @@
     Counts calls by route and outcome, and records how long they took.
 
     :param read_registry_calls: returns the calls to the registry, by kind.
+    :param read_limits: returns the calls per second that upstreams with a limit take.
     """
 
-    def __init__(self, read_registry_calls: Callable[[], Mapping[str, int]]) -> None:
+    def __init__(
+        self,
+        read_registry_calls: Callable[[], Mapping[str, int]],
+        read_limits: Callable[[], Mapping[str, float]],
+    ) -> None:
         self.histograms = Histograms()
         self._outcomes: Counter[tuple[str, str]] = Counter()
         self._attempts = 0
+        self._limited_attempts = 0
         self._read_registry_calls = read_registry_calls
+        self._read_limits = read_limits
 
     def record(
         self,
@@ -31,16 +38,19 @@
         route: str,
         outcome: str,
         attempts: int,
+        limited_attempts: int,
         first_s: float | None,
         total_s: float,
     ) -> None:
         """
         Count a call that has ended.
 
+        :param limited_attempts: its attempts at upstreams with a known limit.
         :param first_s: time to its first event or complete answer, None without one.
         """
         self._outcomes[route, outcome] += 1
         self._attempts += attempts
+        self._limited_attempts += limited_attempts
         if first_s is not None:
             self.histograms.record(account, route, Measure.FIRST_TOKEN, first_s)
         self.histograms.record(account, route, Measure.WHOLE_ANSWER, total_s)
@@ -52,6 +62,11 @@
             for (route, outcome), count in sorted(self._outcomes.items())
         ]
         lines.append(f"attempts {self._attempts}")
+        lines.append(f"limited_attempts {self._limited_attempts}")
+        lines += [
+            f'upstream_limit_calls_per_s{{upstream="{name}"}} {calls_per_s:g}'
+            for name, calls_per_s in sorted(self._read_limits().items())
+        ]
         lines += [
             f'registry_calls{{kind="{kind}"}} {count}'
             for kind, count in sorted(self._read_registry_calls().items())
