Keep the calls of all gateways within the limits that upstreams state

Fix: a limit that an answer states is passed to the gateways that use the upstream, and floor(limit) + 3 of them share it, chosen by rendezvous hashing. Each of these k sends one call in k / limit seconds, without bursts. So w seconds see at most k + w * limit calls, below 1.5 * w * limit + 5 for w = 4, with no message for each call and also when messages are lost. The other gateways leave the upstream out. The end of a limit is stated by an answer to a call that was sent after the limit arrived.

Chosen, not measured: 3 sharers more than the limit, 0.2 calls a second at least, more sharers after 15 s without an answer, 50 ms of delay carried over.

--- a/packages/core/src/persimmonferry_core/cooldowns.py
+++ b/packages/core/src/persimmonferry_core/cooldowns.py
@@ -37,12 +37,15 @@
             }
         return frozenset(self._until_s)
 
+    def find_wait(self, upstream: str, now: float) -> float:
+        """Return the seconds until an upstream takes calls again, 0 if it does now."""
+        return max(0.0, self._until_s.get(upstream, now) - now)
+
     def find_cooldown(self, upstreams: Iterable[str], now: float) -> float | None:
         """
         Return the seconds until the first of some upstreams takes calls again.
 
         :returns: None unless all of them refuse calls now.
         """
-        ends = [self._until_s.get(name, now) for name in upstreams]
-        wait_s = min(ends, default=now) - now
-        return wait_s if wait_s > 0 else None
+        waits = (self.find_wait(name, now) for name in upstreams)
+        return min(waits, default=0.0) or None
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -1,6 +1,7 @@
 """Decisions of an entry: which requests are admitted, when they start and where."""
 
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 
@@ -47,6 +48,7 @@
 POLL_INTERVAL_S = 0.02
 NO_UPSTREAM_RETRY_S = 1.0
 COOLDOWN_PAUSE = "refusals"
+LIMIT_PAUSE = "limits of upstreams"
 ANSWER_SHARE_EWMA_ALPHA = 0.05
 MAX_URGENT_WAIT_S = 2.0
 RESUMPTION_WAIT_S = 5.0
@@ -132,7 +134,7 @@
         self._entries: tuple[str, ...] = (entry,)
         self._subset: frozenset[str] | None = None
         self._cooldowns = UpstreamCooldowns()
-        self._upstream_limits = UpstreamLimits()
+        self._upstream_limits = UpstreamLimits(entry)
         self._models: dict[str, ModelService] = {}
         self._plain: dict[str, PlainService] = {}
         self._attempts: dict[str, _Attempt] = {}
@@ -165,6 +167,7 @@
     def set_entries(self, entries: tuple[str, ...]) -> None:
         """Set the names of all entries that share the upstreams."""
         self._entries = tuple(sorted({*entries, self._entry}))
+        self._upstream_limits.set_entries(self._entries)
         self.limits.set_entries(self._entries)
         for model in self._models.values():
             model.router.set_primaries(self._entry, self._entries)
@@ -175,6 +178,14 @@
         for model in self._models.values():
             model.router.set_subset(upstreams)
 
+    def set_users(self, users: Mapping[str, frozenset[str]]) -> None:
+        """
+        Set the entries that use the upstreams of model services.
+
+        :param users: by upstream; none for an upstream outside this entry's subset.
+        """
+        self._upstream_limits.set_users(users)
+
     def set_ejection(self, policy: EjectionPolicy) -> None:
         """Set the policy by which slow and failing upstreams are ejected."""
         for model in self._models.values():
@@ -189,13 +200,13 @@
         if pool is None:
             return
         self._services_of[report.name] = report.service
+        self._upstream_limits.clear_outdated(report.name, report.incarnation)
         known = pool.upstreams.get(report.name)
         if known is None:
             pool.add(report, now)
             return
         if report.incarnation > known.report.incarnation:
             self._cooldowns.clear(report.name)
-            self._upstream_limits.clear(report.name)
             self._index.remove_upstream(report.name)
         pool.apply(report, now)
 
@@ -266,7 +277,7 @@
         refusal = self._refuse_unknown(request)
         if refusal is not None:
             return refusal
-        self._apply_cooldowns(now)
+        self._apply_refusals(now)
         model = self._models[request.service]
         capacity = model.estimate_capacity(len(self._entries))
         if capacity <= 0:
@@ -292,7 +303,7 @@
         """Return the attempts that are to start now."""
         assignments: list[Assignment] = []
         self._release_delayed(now)
-        self._apply_cooldowns(now)
+        self._apply_refusals(now)
         for model in self._models.values():
             model.router.refresh(now)
             cost_s = 0.0
@@ -470,7 +481,12 @@
         plain = self._plain.get(service)
         if plain is None:
             return None
-        return plain.choose(excluded, now, self._cooldowns.list_cooling(now))
+        closed = (
+            self._cooldowns.list_cooling(now)
+            | self._upstream_limits.list_unshared(now)
+            | self._upstream_limits.list_spent(now)
+        )
+        return plain.choose(excluded, now, closed)
 
     def set_cooldown(self, upstream: str, until_s: float) -> None:
         """Send nothing to an upstream until a time, because it refuses calls."""
@@ -478,20 +494,25 @@
 
     def find_cooldown(self, service: str, now: float) -> float | None:
         """
-        Return the seconds until an upstream of a service takes calls again.
+        Return the seconds until an upstream of a service takes calls of this entry.
 
-        :returns: None unless all of them refuse calls now.
+        :returns: None if one takes calls now, or if it is unknown when one will.
         """
         pool = self._find_pool(service)
-        return self._cooldowns.find_cooldown(pool.upstreams, now) if pool else None
+        waits = [
+            max(limit_s, self._cooldowns.find_wait(name, now))
+            for name in (pool.upstreams if pool else ())
+            if (limit_s := self._upstream_limits.find_wait(name, now)) is not None
+        ]
+        return min(waits, default=0.0) or None
 
-    def record_upstream_limit(self, notice: LimitNotice) -> bool:
+    def record_upstream_limit(self, notice: LimitNotice, now: float) -> bool:
         """
         Record the limit of an upstream unless a newer notice is known.
 
         :returns: whether it was recorded.
         """
-        return self._upstream_limits.record(notice)
+        return self._upstream_limits.record(notice, now)
 
     def find_upstream_limit(self, upstream: str) -> float | None:
         """Return the calls per second that an upstream takes, None without a limit."""
@@ -501,16 +522,26 @@
         """Return the calls per second of each upstream that has a limit."""
         return self._upstream_limits.list_limits()
 
-    def _apply_cooldowns(self, now: float) -> None:
+    def list_upstream_shares(self) -> dict[str, float]:
+        """Return the calls per second that this entry may send to these upstreams."""
+        return self._upstream_limits.list_shares()
+
+    def _apply_refusals(self, now: float) -> None:
+        """Leave out the upstreams that take no calls of this entry now."""
         cooling = self._cooldowns.list_cooling(now)
+        unshared = self._upstream_limits.list_unshared(now)
+        spent = self._upstream_limits.list_spent(now)
         for model in self._models.values():
             model.router.set_paused(COOLDOWN_PAUSE, cooling)
+            model.router.set_paused(LIMIT_PAUSE, unshared)
+            model.router.spent = spent
 
     def plain_started(self, call_id: str, upstream: str, now: float) -> None:
         """Record a call that is sent to an upstream of a plain service."""
         plain = self._plain.get(self._services_of.get(upstream, ""))
         if plain is not None:
             self._plain_runs[call_id] = upstream
+            self._upstream_limits.take(upstream, now)
             plain.start(call_id, upstream, now)
 
     def plain_finished(self, call_id: str, now: float, whole: bool = True) -> None:
@@ -691,6 +722,8 @@
         attempt.upstream = route.upstream
         attempt.number += 1
         model.router.add_run(waiting, route, now)
+        self._upstream_limits.take(route.upstream, now)
+        model.router.spent = self._upstream_limits.list_spent(now)
         model.record_computed_share(route.missing_tokens, request.prompt_tokens)
         version = model.router.upstreams[route.upstream].report.version
         attempt.version = version
@@ -757,7 +790,6 @@
 
     def _drop_upstream(self, name: str) -> None:
         self._cooldowns.clear(name)
-        self._upstream_limits.clear(name)
         pool = self._find_pool(self._services_of.pop(name, ""))
         if pool is not None:
             pool.remove(name)
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -222,6 +222,8 @@
         self._summarised_s = 0.0
         self.entry_domain = ""
         self._subset: frozenset[str] | None = None
+        # Upstreams that take no run yet; they still count in the summary.
+        self.spent: frozenset[str] = frozenset()
         self._pauses: dict[str, frozenset[str]] = {}
         self._paused: frozenset[str] = frozenset()
 
@@ -343,6 +345,7 @@
         in_subset = (self.upstreams[name] for name in self.summarize().in_subset)
         return any(
             upstream.free_slots > 0
+            and upstream.name not in self.spent
             and upstream.estimate_backlog(rank, share, now) <= ahead_s
             for upstream in in_subset
         )
@@ -469,7 +472,11 @@
         offset = int(self._random.random() * len(names))
         names = names[offset:] + names[:offset]
         found = (self.upstreams.get(name) for name in dict.fromkeys(names))
-        usable = [up for up in found if up is not None and self.is_usable(up)]
+        usable = [
+            up
+            for up in found
+            if up is not None and self.is_usable(up) and up.name not in self.spent
+        ]
         # Requests don't wait for an ejected upstream.
         usable = [up for up in usable if up.slot_limit > 0] or usable
         if waiting.version:
--- a/packages/core/src/persimmonferry_core/services.py
+++ b/packages/core/src/persimmonferry_core/services.py
@@ -117,15 +117,15 @@
         self,
         excluded: frozenset[str],
         now: float,
-        cooling: frozenset[str] = frozenset(),
+        closed: frozenset[str] = frozenset(),
     ) -> str | None:
         """
         Return the upstream with the least estimated wait, None if none is available.
 
         :param excluded: upstreams that failed or refused this call before.
-        :param cooling: upstreams that refuse calls for now.
+        :param closed: upstreams that take no calls for now.
         """
-        excluded = excluded | cooling
+        excluded = excluded | closed
         limit_slots(self.upstreams, self.ejector, now)
         found = [
             upstream
--- a/packages/core/src/persimmonferry_core/upstream_limits.py
+++ b/packages/core/src/persimmonferry_core/upstream_limits.py
@@ -1,9 +1,27 @@
 """Limits that upstreams set on the calls that they take from all entries together."""
 
+import math
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from persimmonferry_core.upstream_subsets import rank_entries
+
 __all__ = ["LimitNotice", "UpstreamLimits", "make_notice"]
 
+# A limit is shared by this many entries, and one more for each call per second. With
+# n entries, w seconds see at most n calls more than the limit allows.
+MIN_SHARERS = 3
+# A limit below this rate is raised to it: only an answer shows that a limit has ended.
+MIN_CALLS_PER_S = 0.2
+# After each such time without an answer from the upstream, as many entries more share
+# its limit: those that had a share may be cut off, or have no calls.
+CONFIRMATION_TIMEOUT_S = 15.0
+# A call that is sent later than it was due, by up to this time, does not delay the
+# next ones.
+MAX_DELAY_S = 0.05
+# Limits that no answer has confirmed for this time are forgotten.
+RETENTION_S = 120.0
+
 
 @dataclass(frozen=True)
 class LimitNotice:
@@ -46,50 +64,179 @@
     return LimitNotice(upstream, incarnation, calls_per_s, stated_s)
 
 
+@dataclass
+class _Limit:
+    """
+    An upstream's limit and this entry's use of it.
+
+    :param sharer_count: how many entries are to share the limit, 0 if unknown.
+    :param sharers: the entries that share the limit, by rank.
+    :param since_s: when the last call of this entry was due; before the first one, an
+        interval before it is due.
+    """
+
+    notice: LimitNotice
+    sharer_count: int = 0
+    sharers: tuple[str, ...] = ()
+    since_s: float = -math.inf
+
+    @property
+    def calls_per_s(self) -> float:
+        """The rate of all entries together."""
+        return max(MIN_CALLS_PER_S, self.notice.calls_per_s)
+
+    @property
+    def interval_s(self) -> float:
+        """Seconds between two calls of one sharer."""
+        return len(self.sharers) / self.calls_per_s
+
+
 class UpstreamLimits:
     """
-    The limits that upstreams have set.
+    Keeps the calls of all entries to an upstream within the limit that it has set.
 
-    >>> limits = UpstreamLimits()
-    >>> limits.record(LimitNotice("u1", 1, 2.5, 10.0))
+    Load pattern: an upstream in need takes a fifth of its usual calls. An entry does
+    not receive what others send there, and messages between entries may be lost. So a
+    few of the entries that use the upstream share its limit, chosen by rendezvous
+    hashing: each sends one call in its part of the time, without bursts, and the others
+    none.
+
+    :param entry: name of the entry that decides.
+
+    >>> limits = UpstreamLimits("e1")
+    >>> limits.record(LimitNotice("u1", 1, 2.0, 10.0), 10.0)
     True
-    >>> limits.record(LimitNotice("u1", 1, None, 9.0))
-    False
-    >>> limits.find("u1")
-    2.5
+    >>> limits.list_spent(10.4), limits.list_spent(10.5)
+    (frozenset({'u1'}), frozenset())
+    >>> limits.take("u1", 10.5)
+    >>> limits.find_wait("u1", 10.75)
+    0.25
     """
 
-    def __init__(self) -> None:
-        self._notices: dict[str, LimitNotice] = {}
+    def __init__(self, entry: str) -> None:
+        self._entry = entry
+        self._entries = frozenset((entry,))
+        self._users: Mapping[str, frozenset[str]] = {}
+        self._limits: dict[str, _Limit] = {}
+        self._ended: dict[str, LimitNotice] = {}
+
+    def set_entries(self, entries: Iterable[str]) -> None:
+        """Set the names of all entries."""
+        self._entries = frozenset(entries) | {self._entry}
+        self._discard_shares()
+
+    def set_users(self, users: Mapping[str, frozenset[str]]) -> None:
+        """
+        Set the entries that use upstreams which not all of them use.
+
+        :param users: by upstream; this entry is one of them where it uses the upstream.
+        """
+        self._users = users
+        self._discard_shares()
 
-    def record(self, notice: LimitNotice) -> bool:
+    def record(self, notice: LimitNotice, now: float) -> bool:
         """
         Record a notice unless a newer one is known.
 
         :returns: whether it was recorded.
         """
-        known = self._notices.get(notice.upstream)
-        if known is None:
-            if notice.calls_per_s is None:
-                return False
-        elif notice.stated_s <= known.stated_s:
+        name = notice.upstream
+        self._forget_outdated(now)
+        limit = self._limits.get(name)
+        known = limit.notice if limit else self._ended.get(name)
+        if known is None and notice.calls_per_s is None:
+            return False
+        if known is not None and notice.stated_s <= known.stated_s:
             return False
-        self._notices[notice.upstream] = notice
+        if notice.calls_per_s is None:
+            self._limits.pop(name, None)
+            self._ended[name] = notice
+            return True
+        self._ended.pop(name, None)
+        if limit is None:
+            limit = self._limits[name] = _Limit(notice)
+        limit.notice = notice
+        self._share(limit, now)
         return True
 
+    def _discard_shares(self) -> None:
+        for limit in self._limits.values():
+            limit.sharer_count = 0
+
     def find(self, upstream: str) -> float | None:
         """Return the calls per second that an upstream takes, None without a limit."""
-        notice = self._notices.get(upstream)
-        return notice.calls_per_s if notice else None
+        limit = self._limits.get(upstream)
+        return limit.notice.calls_per_s if limit else None
 
     def list_limits(self) -> dict[str, float]:
         """Return the calls per second of each upstream that has a limit."""
+        return {name: limit.notice.calls_per_s for name, limit in self._limits.items()}
+
+    def list_shares(self) -> dict[str, float]:
+        """Return the calls per second that this entry may send to these upstreams."""
         return {
-            name: notice.calls_per_s
-            for name, notice in self._notices.items()
-            if notice.calls_per_s is not None
+            name: 1.0 / limit.interval_s if self._entry in limit.sharers else 0.0
+            for name, limit in self._limits.items()
         }
 
-    def clear(self, upstream: str) -> None:
-        """Remove the limit of an upstream, as after its restart."""
-        self._notices.pop(upstream, None)
+    def clear_outdated(self, upstream: str, incarnation: int) -> None:
+        """Remove the limit that another incarnation of an upstream has set."""
+        limit = self._limits.get(upstream)
+        if limit is not None and limit.notice.incarnation != incarnation:
+            del self._limits[upstream]
+
+    def list_unshared(self, now: float) -> frozenset[str]:
+        """Return the upstreams with a limit of which this entry has no share."""
+        return frozenset(
+            name for name in self._limits if self.find_wait(name, now) is None
+        )
+
+    def list_spent(self, now: float) -> frozenset[str]:
+        """Return the upstreams to which this entry must not send a call yet."""
+        return frozenset(
+            name for name in self._limits if (self.find_wait(name, now) or 0.0) > 0.0
+        )
+
+    def find_wait(self, upstream: str, now: float) -> float | None:
+        """Return the seconds until a call may be sent, None without a share."""
+        limit = self._limits.get(upstream)
+        if limit is None:
+            return 0.0
+        self._share(limit, now)
+        if self._entry not in limit.sharers:
+            return None
+        return max(0.0, limit.since_s + limit.interval_s - now)
+
+    def take(self, upstream: str, now: float) -> None:
+        """Count a call that is sent to an upstream."""
+        limit = self._limits.get(upstream)
+        if limit is not None:
+            due_s = limit.since_s + limit.interval_s if limit.sharers else now
+            limit.since_s = max(min(due_s, now), now - MAX_DELAY_S)
+
+    def _share(self, limit: _Limit, now: float) -> None:
+        """Choose the entries that share a limit, if that may have changed."""
+        unconfirmed_s = max(0.0, now - limit.notice.stated_s)
+        groups = 1 + int(unconfirmed_s / CONFIRMATION_TIMEOUT_S)
+        count = groups * (MIN_SHARERS + int(limit.calls_per_s))
+        if count == limit.sharer_count:
+            return
+        name = limit.notice.upstream
+        users = self._users.get(name, self._entries)
+        had_share = self._entry in limit.sharers
+        limit.sharer_count = count
+        limit.sharers = rank_entries(name, users)[:count]
+        if self._entry in limit.sharers and not had_share:
+            # The first calls of the sharers follow one another at the limit's rate.
+            place = limit.sharers.index(self._entry) + 1
+            first_s = now + place / limit.calls_per_s
+            limit.since_s = max(limit.since_s, first_s - limit.interval_s)
+
+    def _forget_outdated(self, now: float) -> None:
+        oldest_s = now - RETENTION_S
+        for name, limit in tuple(self._limits.items()):
+            if limit.notice.stated_s < oldest_s:
+                del self._limits[name]
+        for name, notice in tuple(self._ended.items()):
+            if notice.stated_s < oldest_s:
+                del self._ended[name]
--- a/packages/core/src/persimmonferry_core/upstream_subsets.py
+++ b/packages/core/src/persimmonferry_core/upstream_subsets.py
@@ -3,7 +3,7 @@
 import hashlib
 from collections.abc import Iterable
 
-__all__ = ["UpstreamSubsets"]
+__all__ = ["UpstreamSubsets", "rank_entries"]
 
 # Upstreams that one entry uses. An entry is notified of each dispatch of other entries
 # there. This many are enough to spread the load of an entry whose callers send several
@@ -62,6 +62,18 @@
             }
             self._recompute()
 
+    @property
+    def users(self) -> dict[str, frozenset[str]]:
+        """
+        The entries that use each upstream, including this one.
+
+        Upstreams outside this entry's subset have none, as their users are unknown.
+        """
+        found: dict[str, frozenset[str]] = dict.fromkeys(self._upstreams, frozenset())
+        for upstream in self.subset:
+            found[upstream] = self._users[upstream] | {self._entry}
+        return found
+
     def list_users(self, upstream: str) -> frozenset[str]:
         """Return the other entries that use an upstream of this entry's subset."""
         return self._users.get(upstream, frozenset())
@@ -103,6 +115,20 @@
         return any(_score(entry, upstream) > least for upstream in changed)
 
 
+def rank_entries(upstream: str, entries: Iterable[str]) -> tuple[str, ...]:
+    """
+    Return entries in an order that each of them computes alike for an upstream.
+
+    >>> rank_entries("u1", ("g1", "g2")) == rank_entries("u1", ("g2", "g1"))
+    True
+    """
+    return tuple(
+        sorted(
+            entries, key=lambda entry: (_score(entry, upstream), entry), reverse=True
+        )
+    )
+
+
 def _choose(entry: str, upstreams: list[str]) -> frozenset[str]:
     if len(upstreams) <= SUBSET_SIZE:
         return frozenset(upstreams)
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -142,7 +142,7 @@
         _log.info("upstream leaving", extra={"upstream": upstream, "by": "its answer"})
         self._report(record, now)
 
-    def record_limit(self, notice: LimitNotice, source: str) -> bool:
+    def record_limit(self, notice: LimitNotice, source: str, now: float) -> bool:
         """
         Record what an answer of an upstream stated about its limit.
 
@@ -154,7 +154,7 @@
         if record is None or record.incarnation != notice.incarnation:
             return False
         former = self._dispatcher.find_upstream_limit(name)
-        if not self._dispatcher.record_upstream_limit(notice):
+        if not self._dispatcher.record_upstream_limit(notice, now):
             return False
         fields = {"upstream": name, "by": source}
         if notice.calls_per_s is None:
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -15,7 +15,7 @@
 from persimmonferry_core.retries import RetryPolicy
 from persimmonferry_core.schema import TeamDocument
 from persimmonferry_core.topology import Address
-from persimmonferry_core.upstream_limits import make_notice
+from persimmonferry_core.upstream_limits import LimitNotice, make_notice
 from persimmonferry_core.weight_orders import estimate_change_time
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -123,6 +123,7 @@
             self._dispatcher,
             self._cluster.record_version,
             self._apply_store_update,
+            self._record_peer_limit,
         )
         self._registration = Registration(
             registry,
@@ -133,7 +134,9 @@
         self._gateways: dict[str, Address] = {}
         self._prober = Prober(codec, client)
         self._metrics = CallMetrics(
-            lambda: registry.calls, self._dispatcher.list_upstream_limits
+            lambda: registry.calls,
+            self._dispatcher.list_upstream_limits,
+            self._dispatcher.list_upstream_shares,
         )
         self._metrics_server = MetricsServer(settings.internal, self._metrics)
         self._store_index = CacheStoreIndex()
@@ -368,7 +371,13 @@
             sent_s,
             self._loop.time(),
         )
-        self._cluster.record_limit(notice, "its answer")
+        former = self._dispatcher.find_upstream_limit(record.name)
+        if self._cluster.record_limit(notice, "its answer", self._loop.time()):
+            is_changed = head.calls_per_s != former
+            self._peers.announce_limit(notice, is_changed=is_changed)
+
+    def _record_peer_limit(self, notice: LimitNotice, sender: str) -> bool:
+        return self._cluster.record_limit(notice, sender, self._loop.time())
 
     def _check_version(self, upstream: str) -> None:
         """Ask an engine that refused a call for the version of its weights."""
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -18,12 +18,14 @@
 
     :param read_registry_calls: returns the calls to the registry, by kind.
     :param read_limits: returns the calls per second that upstreams with a limit take.
+    :param read_shares: returns the part of these limits that this gateway may use.
     """
 
     def __init__(
         self,
         read_registry_calls: Callable[[], Mapping[str, int]],
         read_limits: Callable[[], Mapping[str, float]],
+        read_shares: Callable[[], Mapping[str, float]],
     ) -> None:
         self.histograms = Histograms()
         self._outcomes: Counter[tuple[str, str]] = Counter()
@@ -31,6 +33,7 @@
         self._limited_attempts = 0
         self._read_registry_calls = read_registry_calls
         self._read_limits = read_limits
+        self._read_shares = read_shares
 
     def record(
         self,
@@ -67,6 +70,10 @@
             f'upstream_limit_calls_per_s{{upstream="{name}"}} {calls_per_s:g}'
             for name, calls_per_s in sorted(self._read_limits().items())
         ]
+        lines += [
+            f'upstream_limit_own_calls_per_s{{upstream="{name}"}} {calls_per_s:g}'
+            for name, calls_per_s in sorted(self._read_shares().items())
+        ]
         lines += [
             f'registry_calls{{kind="{kind}"}} {count}'
             for kind, count in sorted(self._read_registry_calls().items())
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -9,6 +9,7 @@
 from persimmonferry_core.cache_stores import PartEvent, StoreUpdate
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.topology import Address
+from persimmonferry_core.upstream_limits import LimitNotice
 from persimmonferry_core.upstream_subsets import UpstreamSubsets
 from persimmonferry_core.upstreams import PeerWork
 from persimmonferry_wire import decode, encode
@@ -16,12 +17,14 @@
     KeptChange,
     KeptNews,
     KeptUpdate,
+    LimitNews,
     LoadingNews,
     NewlyHeld,
     OwnWork,
     PeerMessage,
     PeerNews,
     StartedWork,
+    UpstreamLimit,
 )
 
 from persimmonferry_gateway.clocks import read_boot_clock
@@ -55,6 +58,14 @@
 LOADING_EXPIRY_INTERVALS = 4
 # Engines with new weights in one datagram; the most recent ones are sent.
 MAX_VERSIONS = 40
+# Limits of upstreams are announced again after this time, as datagrams may be lost. The
+# interval grows with the number of gateways, which bounds the message rate.
+LIMIT_INTERVAL_S = 1.0
+LIMIT_INTERVAL_PER_GATEWAY_S = 0.005
+# The end of a limit is announced for this time.
+LIMIT_END_ANNOUNCED_S = 5.0
+# Limits in one datagram.
+MAX_LIMITS = 20
 MS_PER_S = 1000
 
 _Work = TypeVar("_Work")
@@ -71,6 +82,15 @@
     received_s: float
 
 
+@dataclass(frozen=True)
+class _OwnNotice:
+    """A notice that this gateway received from an upstream, newer than any peer's."""
+
+    notice: LimitNotice
+    # On the boot clock, so that a suspended process does not report it as newer.
+    stated_s: float
+
+
 class PeerExchange(asyncio.DatagramProtocol):
     """
     Exchanges state with the other gateways.
@@ -83,6 +103,8 @@
     :param incarnation: grows with each start of a gateway of that name.
     :param record_version: called with the engine versions that the leader has observed.
     :param apply_update: called with each store update from another gateway.
+    :param record_limit: called with each notice of an upstream's limit from another
+        gateway, and with its name; returns False for an outdated notice.
     """
 
     def __init__(
@@ -93,8 +115,11 @@
         dispatcher: Dispatcher,
         record_version: Callable[[str, int, float], None],
         apply_update: Callable[[StoreUpdate], None],
+        record_limit: Callable[[LimitNotice, str], bool],
     ) -> None:
         self._record_version = record_version
+        self._record_limit = record_limit
+        self._own_notices: dict[str, _OwnNotice] = {}
         self._apply_update = apply_update
         self._updates: list[StoreUpdate] = []
         # Retained longer than the work that a peer reported.
@@ -127,6 +152,7 @@
         self._tick()
         self._flush_updates()
         self._refresh_loading()
+        self._repeat_limits()
 
     def stop(self) -> None:
         """Stop sending and close the socket."""
@@ -161,6 +187,7 @@
 
     def _apply_groups(self) -> None:
         self._dispatcher.set_subset(self._groups.subset)
+        self._dispatcher.set_users(self._groups.users)
         neighbours = self._groups.neighbours
         for name in tuple(self._peer_states):
             if name not in neighbours:
@@ -235,6 +262,18 @@
         if is_leader or was_leader:
             self._send_loading()
 
+    def announce_limit(self, notice: LimitNotice, *, is_changed: bool) -> None:
+        """
+        Announce what an upstream has stated about its limit.
+
+        :param is_changed: announce it at once, not with the next message.
+        """
+        age_s = self._loop.time() - notice.stated_s
+        own = _OwnNotice(notice, read_boot_clock() - age_s)
+        self._own_notices[notice.upstream] = own
+        if is_changed:
+            self._send_limits((own,))
+
     def find_last_loading(self) -> float:
         """Return when a peer last announced loading engines, on the boot clock."""
         return self._last_loading_s
@@ -246,7 +285,13 @@
         except ValueError as error:
             _log.warning("peer message malformed", extra={"cause": str(error)})
             return
-        payload = message.work or message.kept or message.started or message.loading
+        payload = (
+            message.work
+            or message.kept
+            or message.started
+            or message.loading
+            or message.limits
+        )
         if payload is None or payload.sender not in self._addresses:
             return
         self._last_message_s[payload.sender] = self._loop.time()
@@ -254,6 +299,8 @@
             self._handle_store_updates(message.kept)
         elif message.loading is not None:
             self._handle_loading(message.loading)
+        elif message.limits is not None:
+            self._handle_limits(message.limits)
         elif message.started is not None:
             self._handle_started(message.started)
         else:
@@ -278,6 +325,16 @@
         for name, version in payload.versions.items():
             self._record_version(name, version, self._loop.time())
 
+    def _handle_limits(self, payload: LimitNews) -> None:
+        now = self._loop.time()
+        for item in payload.limits:
+            stated_s = now - item.age_ms / MS_PER_S
+            notice = LimitNotice(
+                item.upstream, item.incarnation, item.calls_per_s, stated_s
+            )
+            if self._record_limit(notice, payload.sender):
+                self._own_notices.pop(item.upstream, None)
+
     def _handle_started(self, payload: StartedWork) -> None:
         """Add work to a peer's last message unless that message already includes it."""
         known = self._peer_states.get(payload.sender)
@@ -413,6 +470,35 @@
                 self._dispatcher.set_paused(name, frozenset())
         self._call_later("loading", LOADING_INTERVAL_S, self._refresh_loading)
 
+    def _repeat_limits(self) -> None:
+        """Announce the limits again of which no peer has sent a newer notice."""
+        ended_s = read_boot_clock() - LIMIT_END_ANNOUNCED_S
+        for name, own in tuple(self._own_notices.items()):
+            if own.notice.calls_per_s is None:
+                is_needed = own.stated_s > ended_s
+            else:
+                is_needed = self._dispatcher.find_upstream_limit(name) is not None
+            if not is_needed:
+                del self._own_notices[name]
+        self._send_limits(self._own_notices.values())
+        interval_s = LIMIT_INTERVAL_PER_GATEWAY_S * len(self._addresses)
+        self._call_later(
+            "limits", max(LIMIT_INTERVAL_S, interval_s), self._repeat_limits
+        )
+
+    def _send_limits(self, notices: Iterable[_OwnNotice]) -> None:
+        """Send limits to the gateways that use these upstreams."""
+        users = self._groups.users
+        recipients: dict[frozenset[str], list[UpstreamLimit]] = {}
+        for own in notices:
+            name = own.notice.upstream
+            names = users.get(name, frozenset(self._addresses)) - {self._name}
+            recipients.setdefault(names, []).append(_encode_limit(own))
+        for names, limits in recipients.items():
+            for first in range(0, len(limits), MAX_LIMITS):
+                payload = LimitNews(self._name, limits[first : first + MAX_LIMITS])
+                self._send(encode(PeerMessage(limits=payload)), names)
+
     def _send(self, data: bytes, names: Iterable[str]) -> None:
         if self._transport is None:
             return
@@ -437,6 +523,14 @@
         yield KeptUpdate(update.store, update.address, update.epoch, clock_ms, batch)
 
 
+def _encode_limit(own: _OwnNotice) -> UpstreamLimit:
+    notice = own.notice
+    age_ms = round((read_boot_clock() - own.stated_s) * MS_PER_S)
+    return UpstreamLimit(
+        notice.upstream, notice.incarnation, age_ms, notice.calls_per_s
+    )
+
+
 def _encode_work(work: dict[str, PeerWork]) -> list[OwnWork]:
     return [
         OwnWork(name, item.runs, item.memory_tokens, dict(item.waiting_tokens))
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -2,7 +2,9 @@
 
 
 def test_outcomes_attempts_limits_and_latencies_are_printed():
-    metrics = CallMetrics(lambda: {"kv-watch": 3}, lambda: {"e1": 2.5})
+    metrics = CallMetrics(
+        lambda: {"kv-watch": 3}, lambda: {"e1": 2.5}, lambda: {"e1": 0.5}
+    )
     metrics.record("t1", "ask", "answered", 1, 0, 0.1, 0.3)
     metrics.record("t1", "ask", "answered", 2, 1, 0.2, 0.4)
     metrics.record("t1", "ask", "wait_not_kept", 0, 0, None, 0.01)
@@ -12,6 +14,7 @@
     assert "attempts 3" in lines
     assert "limited_attempts 1" in lines
     assert 'upstream_limit_calls_per_s{upstream="e1"} 2.5' in lines
+    assert 'upstream_limit_own_calls_per_s{upstream="e1"} 0.5' in lines
     assert 'registry_calls{kind="kv-watch"} 3' in lines
     assert 'first_token_ms_count{account="t1",route="ask"} 2' in lines
     assert 'whole_answer_ms_count{account="t1",route="ask"} 3' in lines
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -6,10 +6,12 @@
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.schema import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.topology import Address
+from persimmonferry_core.upstream_limits import LimitNotice
 from persimmonferry_core.upstream_subsets import UpstreamSubsets
 from persimmonferry_core.upstreams import PeerWork, UpstreamReport
 from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.peers import (
+    LIMIT_INTERVAL_S,
     LOADING_EXPIRY_INTERVALS,
     LOADING_INTERVAL_S,
     PEER_TIMEOUT_S,
@@ -42,8 +44,22 @@
             self.dispatcher,
             lambda upstream, version, _: self.versions.update({upstream: version}),
             self.updates.append,
+            self.record_limit,
         )
 
+    def record_limit(self, notice, sender):
+        now = asyncio.get_running_loop().time()
+        return self.dispatcher.record_upstream_limit(notice, now)
+
+    def state_limit(self, calls_per_s, *, is_changed):
+        """Receive an answer of the engine that states a limit, or none."""
+        notice = LimitNotice("u0", 1, calls_per_s, asyncio.get_running_loop().time())
+        assert self.record_limit(notice, "its answer")
+        self.exchange.announce_limit(notice, is_changed=is_changed)
+
+    def has_limit(self, calls_per_s):
+        return self.dispatcher.find_upstream_limit("u0") == calls_per_s
+
     def offer(self, name, tokens):
         request = PromptRequest(
             name, "a", "t", "s", tokens, 10, 0.0, caller_deadline_s=9.0
@@ -92,6 +108,44 @@
     run_scenario(scenario)
 
 
+def test_a_changed_limit_and_its_end_are_sent_at_once():
+    async def scenario(one, other):
+        one.state_limit(1.5, is_changed=True)
+        await wait_until(lambda: other.has_limit(1.5), timeout_s=0.3)
+        other.state_limit(2.5, is_changed=True)
+        await wait_until(lambda: one.has_limit(2.5), timeout_s=0.3)
+        one.state_limit(None, is_changed=True)
+        await wait_until(lambda: other.has_limit(None), timeout_s=0.3)
+
+    run_scenario(scenario)
+
+
+def test_a_limit_is_sent_again_after_its_first_message_was_lost():
+    async def scenario(one, other):
+        one.state_limit(1.5, is_changed=False)
+        await asyncio.sleep(0.1)
+        assert other.has_limit(None)
+        await wait_until(lambda: other.has_limit(1.5), LIMIT_INTERVAL_S + 0.3)
+        one.state_limit(None, is_changed=False)
+        await wait_until(lambda: other.has_limit(None), LIMIT_INTERVAL_S + 0.3)
+
+    run_scenario(scenario)
+
+
+def test_only_the_gateway_with_the_newest_notice_repeats_it():
+    async def scenario(one, other):
+        one.state_limit(1.5, is_changed=True)
+        await wait_until(lambda: other.has_limit(1.5))
+        other.state_limit(1.5, is_changed=True)
+        await asyncio.sleep(0.1)
+        sent = []
+        one.exchange._send = lambda data, names: sent.append(data)
+        one.exchange._repeat_limits()
+        assert sent == []
+
+    run_scenario(scenario)
+
+
 def test_work_of_a_silent_peer_expires():
     async def scenario(one, other):
         one.offer("r1", 60_000)
--- a/packages/gateway/tests/test_storewatch.py
+++ b/packages/gateway/tests/test_storewatch.py
@@ -35,6 +35,7 @@
             Dispatcher(document, entry=name),
             lambda *_: None,
             lambda update: self.watch.apply_update(update),
+            lambda *_: False,
         )
         self.watch = StoreWatch(
             self.kept,
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -68,10 +68,28 @@
   4: list<OwnWork> work
 }
 
+// What an upstream's answer stated about the calls that it takes from all gateways.
+struct UpstreamLimit {
+  1: string upstream
+  2: i64 incarnation
+  // Time since it was stated.
+  3: i64 age_ms
+  // Without a value, the upstream has no limit any longer.
+  4: optional double calls_per_s
+}
+
+// Sent at once by the gateway that received an answer with another limit than before, and
+// again while it knows of no newer answer.
+struct LimitNews {
+  1: string sender
+  2: list<UpstreamLimit> limits
+}
+
 // One datagram.
 union PeerMessage {
   1: PeerNews work
   2: KeptNews kept
   3: StartedWork started
   4: LoadingNews loading
+  5: LimitNews limits
 }
