Prefer large prompts for the few calls that a limited engine takes

A limit counts calls, whatever their size; small prompts used it up, while large ones delayed others at the engines without a limit.

An engine with a limit now costs a prompt up to 0.2 s more, the smaller it is against the average.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -531,10 +531,12 @@
         cooling = self._cooldowns.list_cooling(now)
         unshared = self._upstream_limits.list_unshared(now)
         spent = self._upstream_limits.list_spent(now)
+        limited = frozenset(self._upstream_limits.list_limits())
         for model in self._models.values():
             model.router.set_paused(COOLDOWN_PAUSE, cooling)
             model.router.set_paused(LIMIT_PAUSE, unshared)
             model.router.spent = spent
+            model.router.limited = limited
 
     def plain_started(self, call_id: str, upstream: str, now: float) -> None:
         """Record a call that is sent to an upstream of a plain service."""
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -47,6 +47,10 @@
 # Stands for a round trip between failure domains and the price of the bytes; less than
 # the time of a short prompt, so that load and cache take precedence.
 REMOTE_DOMAIN_PENALTY_S = 0.02
+# A call that an upstream with a limit takes is better used for a large request; less
+# than the time of a large prompt.
+LIMITED_UPSTREAM_PENALTY_S = 0.2
+PROMPT_SIZE_EWMA_ALPHA = 0.05
 PRIORITY_MIX_DECAY = 0.99
 OCCUPANCY_WINDOW_S = 10.0
 NEGLIGIBLE_OCCUPANCY = 0.01
@@ -224,6 +228,9 @@
         self._subset: frozenset[str] | None = None
         # Upstreams that take no run yet; they still count in the summary.
         self.spent: frozenset[str] = frozenset()
+        # Upstreams that limit the number of runs, whatever their size.
+        self.limited: frozenset[str] = frozenset()
+        self._mean_prompt_tokens = 0.0
         self._pauses: dict[str, frozenset[str]] = {}
         self._paused: frozenset[str] = frozenset()
 
@@ -497,6 +504,8 @@
             request.request_id, waiting.priority, route, now, waiting.memory_tokens
         )
         self.ejector.record_dispatch(upstream.name, now)
+        more_tokens = request.prompt_tokens - self._mean_prompt_tokens
+        self._mean_prompt_tokens += PROMPT_SIZE_EWMA_ALPHA * more_tokens
         self.mix.add(waiting.priority, route.prefill_s)
         if waiting.priority < self.urgent_ranks:
             self._urgent.change(1, now)
@@ -596,6 +605,7 @@
         recomputed_tokens = request.count_tokens(context.cached_depth) - cached_tokens
         weights = self.service.weights
         penalty_s = self._get_domain_penalty(estimate.upstream)
+        penalty_s += self._get_limit_penalty(estimate.upstream, request)
         score = weights.first_token * (
             first_token_s + estimate.uncertainty_s + penalty_s
         )
@@ -621,6 +631,13 @@
         is_remote = self.entry_domain and domain != self.entry_domain
         return REMOTE_DOMAIN_PENALTY_S if is_remote else 0.0
 
+    def _get_limit_penalty(self, upstream: Upstream, request: PromptRequest) -> float:
+        """Return the penalty in seconds for a small request at a limited upstream."""
+        if upstream.name not in self.limited:
+            return 0.0
+        share = request.prompt_tokens / max(1.0, self._mean_prompt_tokens)
+        return LIMITED_UPSTREAM_PENALTY_S * max(0.0, 1.0 - share)
+
     def _fits_non_urgent(self, upstream: Upstream, reserved: int) -> bool:
         """Whether a non-urgent run leaves the reserved slots free."""
         if not (upstream.is_primary or upstream.accepts_overflow):
--- a/packages/core/tests/test_upstream_limits.py
+++ b/packages/core/tests/test_upstream_limits.py
@@ -175,9 +175,9 @@
         dispatcher.record_upstream_limit(LimitNotice(name, 1, calls_per_s, now), now)
 
 
-def offer(dispatcher, name, now):
+def offer(dispatcher, name, now, tokens=100):
     request = PromptRequest(
-        name, "a", "t", "llm", 100, 10, now, caller_deadline_s=now + 2.0
+        name, "a", "t", "llm", tokens, 10, now, caller_deadline_s=now + 2.0
     )
     return dispatcher.offer(request, now)
 
@@ -196,6 +196,22 @@
     assert 4 <= used.count("m1") <= 8
 
 
+def test_a_limited_engine_gets_the_large_prompts_while_others_can_take_the_small():
+    dispatcher = make_dispatcher()
+    state_limits(dispatcher, 2.0, "m1")
+    used = {"m1": [], "m2": []}
+    for step in range(100):
+        now = step / 25
+        tokens = 3000 if step % 5 == 4 else 100
+        offer(dispatcher, f"r{step}", now, tokens)
+        for made in dispatcher.assign(now):
+            used[made.upstream].append(made.request.prompt_tokens)
+            dispatcher.cancel(made.request.request_id, now)
+    assert 4 <= len(used["m1"]) <= 8
+    assert set(used["m1"]) == {3000}
+    assert used["m2"].count(100) == 80
+
+
 def test_prompts_wait_for_the_next_call_that_limited_engines_take():
     dispatcher = make_dispatcher()
     state_limits(dispatcher, 2.0, "m1", "m2")
