Keep shares of a limit while gateways are missing from the registry for a moment

Found by reading what the shares rest on. The registrations of all gateways expire in an outage of the registry of more than 5 s, and are written again within some seconds of its end. In between each gateway sees itself alone and took the whole limit.

A greater share now takes effect after 10 s, a smaller one at once. What a lost gateway leaves unused for that time is a fifth of the limit with five gateways.

--- a/packages/core/src/persimmonferry_core/upstream_limits.py
+++ b/packages/core/src/persimmonferry_core/upstream_limits.py
@@ -19,6 +19,9 @@
 # A call that is sent later than it was due, by up to this time, does not delay the
 # next ones.
 MAX_DELAY_S = 0.05
+# An entry's share grows only after this time: other entries may be missing from the
+# list for a moment, while they still send calls.
+SHARE_DELAY_S = 10.0
 # Limits that no answer has confirmed for this time are forgotten.
 RETENTION_S = 120.0
 
@@ -67,18 +70,24 @@
 @dataclass
 class _Limit:
     """
-    An upstream's limit and this entry's use of it.
+    An upstream's limit and this entry's part of it.
 
-    :param sharer_count: how many entries are to share the limit, 0 if unknown.
-    :param sharers: the entries that share the limit, by rank.
+    :param share: part of the limit that this entry may use, 0 to 1.
     :param since_s: when the last call of this entry was due; before the first one, an
         interval before it is due.
+    :param sharer_count: how many entries are to share the limit, 0 if unknown.
+    :param next_share: as ``share``, by the entries that are known now.
+    :param place: of this entry among those that share the limit, from 1.
+    :param raised_s: when a greater ``next_share`` takes effect.
     """
 
     notice: LimitNotice
-    sharer_count: int = 0
-    sharers: tuple[str, ...] = ()
+    share: float = 0.0
     since_s: float = -math.inf
+    sharer_count: int = 0
+    next_share: float = 0.0
+    place: int = 0
+    raised_s: float | None = None
 
     @property
     def calls_per_s(self) -> float:
@@ -87,8 +96,14 @@
 
     @property
     def interval_s(self) -> float:
-        """Seconds between two calls of one sharer."""
-        return len(self.sharers) / self.calls_per_s
+        """Seconds between two calls of this entry."""
+        rate = self.share * self.calls_per_s
+        return 1.0 / rate if rate else math.inf
+
+    @property
+    def due_s(self) -> float:
+        """When the next call of this entry is due."""
+        return self.since_s + self.interval_s if self.share else math.inf
 
 
 class UpstreamLimits:
@@ -154,15 +169,11 @@
             return True
         self._ended.pop(name, None)
         if limit is None:
-            limit = self._limits[name] = _Limit(notice)
+            limit = self._limits[name] = _Limit(notice, raised_s=now)
         limit.notice = notice
-        self._share(limit, now)
+        self._update_share(limit, now)
         return True
 
-    def _discard_shares(self) -> None:
-        for limit in self._limits.values():
-            limit.sharer_count = 0
-
     def find(self, upstream: str) -> float | None:
         """Return the calls per second that an upstream takes, None without a limit."""
         limit = self._limits.get(upstream)
@@ -175,7 +186,7 @@
     def list_shares(self) -> dict[str, float]:
         """Return the calls per second that this entry may send to these upstreams."""
         return {
-            name: 1.0 / limit.interval_s if self._entry in limit.sharers else 0.0
+            name: limit.share * limit.calls_per_s
             for name, limit in self._limits.items()
         }
 
@@ -202,19 +213,40 @@
         limit = self._limits.get(upstream)
         if limit is None:
             return 0.0
-        self._share(limit, now)
-        if self._entry not in limit.sharers:
+        self._update_share(limit, now)
+        if not limit.share:
             return None
-        return max(0.0, limit.since_s + limit.interval_s - now)
+        return max(0.0, limit.due_s - now)
 
     def take(self, upstream: str, now: float) -> None:
         """Count a call that is sent to an upstream."""
         limit = self._limits.get(upstream)
         if limit is not None:
-            due_s = limit.since_s + limit.interval_s if limit.sharers else now
-            limit.since_s = max(min(due_s, now), now - MAX_DELAY_S)
+            limit.since_s = max(min(limit.due_s, now), now - MAX_DELAY_S)
 
-    def _share(self, limit: _Limit, now: float) -> None:
+    def _discard_shares(self) -> None:
+        for limit in self._limits.values():
+            limit.sharer_count = 0
+
+    def _update_share(self, limit: _Limit, now: float) -> None:
+        self._choose_share(limit, now)
+        if limit.next_share <= limit.share:
+            limit.share = limit.next_share
+            limit.raised_s = None
+            return
+        if limit.raised_s is None:
+            limit.raised_s = now + SHARE_DELAY_S
+        if now < limit.raised_s:
+            return
+        had_share = limit.share > 0.0
+        limit.share = limit.next_share
+        limit.raised_s = None
+        if not had_share:
+            # The first calls of the sharers follow one another at the limit's rate.
+            first_s = now + limit.place / limit.calls_per_s
+            limit.since_s = max(limit.since_s, first_s - limit.interval_s)
+
+    def _choose_share(self, limit: _Limit, now: float) -> None:
         """Choose the entries that share a limit, if that may have changed."""
         unconfirmed_s = max(0.0, now - limit.notice.stated_s)
         groups = 1 + int(unconfirmed_s / CONFIRMATION_TIMEOUT_S)
@@ -222,15 +254,12 @@
         if count == limit.sharer_count:
             return
         name = limit.notice.upstream
-        users = self._users.get(name, self._entries)
-        had_share = self._entry in limit.sharers
+        sharers = rank_entries(name, self._users.get(name, self._entries))[:count]
         limit.sharer_count = count
-        limit.sharers = rank_entries(name, users)[:count]
-        if self._entry in limit.sharers and not had_share:
-            # The first calls of the sharers follow one another at the limit's rate.
-            place = limit.sharers.index(self._entry) + 1
-            first_s = now + place / limit.calls_per_s
-            limit.since_s = max(limit.since_s, first_s - limit.interval_s)
+        limit.next_share = 0.0
+        if self._entry in sharers:
+            limit.next_share = 1.0 / len(sharers)
+            limit.place = sharers.index(self._entry) + 1
 
     def _forget_outdated(self, now: float) -> None:
         oldest_s = now - RETENTION_S
--- a/packages/core/tests/test_upstream_limits.py
+++ b/packages/core/tests/test_upstream_limits.py
@@ -9,6 +9,7 @@
 from persimmonferry_core.upstream_limits import (
     CONFIRMATION_TIMEOUT_S,
     RETENTION_S,
+    SHARE_DELAY_S,
     LimitNotice,
     UpstreamLimits,
 )
@@ -99,10 +100,41 @@
     assert count_busiest_window(fleet.sent) <= count_allowed(2.0)
 
 
+def test_a_limit_is_kept_while_the_entries_lose_sight_of_each_other():
+    """The registrations of all entries expire in an outage and return with it."""
+    for count in (5, 22):
+        fleet = Fleet(count, 1.2)
+        fleet.send(0.0, 6.0)
+        for name, limits in fleet.limits.items():
+            limits.set_entries((name,))
+        fleet.send(6.0, 9.0)
+        fleet.state(1.2, 9.0)
+        for limits in fleet.limits.values():
+            limits.set_entries(fleet.names)
+        fleet.send(9.0, 16.0)
+        assert count_busiest_window(fleet.sent) <= count_allowed(1.2)
+
+
+def test_the_other_entries_use_the_share_of_one_that_has_left():
+    fleet = Fleet(4, 1.2)
+    del fleet.limits["e0"]
+    fleet.names.remove("e0")
+    for limits in fleet.limits.values():
+        limits.set_entries(fleet.names)
+    fleet.send(0.0, SHARE_DELAY_S)
+    fleet.state(1.2, SHARE_DELAY_S)
+    fleet.sent.clear()
+    fleet.send(SHARE_DELAY_S, SHARE_DELAY_S + 10.0)
+    assert len(fleet.sent) >= 0.9 * 1.2 * 10.0 - 1
+
+
 def test_other_entries_get_a_share_while_no_answer_confirms_a_limit():
     fleet = Fleet(12, 1.0)
     for groups, sharers in ((0, 4), (1, 8), (2, 12)):
         now = groups * CONFIRMATION_TIMEOUT_S
+        for limits in fleet.limits.values():
+            limits.find_wait("u1", now)
+        now += SHARE_DELAY_S
         waits = [limits.find_wait("u1", now) for limits in fleet.limits.values()]
         assert sum(wait is not None for wait in waits) == sharers
         shares = [sum(item.list_shares().values()) for item in fleet.limits.values()]
