Take the limit of an upstream only from answers to the call that was sent

A faulty upstream may send an extra answer late, where that to the next call is due. Such an answer may be older than the limit, so without one it ended the limit.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -322,11 +322,12 @@
             exchange.lines.status, exchange.lines.reason, exchange.lines.fields
         )
         self._sent_s = None
-        self._record_head(record, head, now)
+        self._record_head(record, head)
         if head.call_id is not None and head.call_id != self._call.call_id:
             exchange.cancel()
             error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, record.name)
             raise AttemptFailed(error, ran=True)
+        context.record_limit(record, head, now)
         if head.did_not_run:
             self._may_have_run = was_possible
             if head.is_other_upstream and version is not None:
@@ -402,9 +403,7 @@
         records = [name and context.cluster.find_record(name) for name in found]
         return [record.address if record else None for record in records]
 
-    def _record_head(
-        self, record: UpstreamRecord, head: ResponseHead, sent_s: float
-    ) -> None:
+    def _record_head(self, record: UpstreamRecord, head: ResponseHead) -> None:
         context = self._context
         now = context.read_clock()
         if head.idle_s is not None:
@@ -414,7 +413,6 @@
             context.cluster.record_leaving(record.name, now)
         if head.refuses_for_s is not None:
             context.dispatcher.set_cooldown(record.name, now + head.refuses_for_s)
-        context.record_limit(record, head, sent_s)
 
     async def _relay_whole(
         self, exchange: UpstreamExchange, head: ResponseHead
