--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -530,13 +530,12 @@
         """Leave out the upstreams that take no calls of this entry now."""
         cooling = self._cooldowns.list_cooling(now)
         unshared = self._upstream_limits.list_unshared(now)
-        spent = self._upstream_limits.list_spent(now)
         limited = frozenset(self._upstream_limits.list_limits())
+        spent = self._upstream_limits.list_spent(now)
         for model in self._models.values():
             model.router.set_paused(COOLDOWN_PAUSE, cooling)
             model.router.set_paused(LIMIT_PAUSE, unshared)
-            model.router.spent = spent
-            model.router.limited = limited
+            model.router.set_limited(limited, spent)
 
     def plain_started(self, call_id: str, upstream: str, now: float) -> None:
         """Record a call that is sent to an upstream of a plain service."""
@@ -725,7 +724,8 @@
         attempt.number += 1
         model.router.add_run(waiting, route, now)
         self._upstream_limits.take(route.upstream, now)
-        model.router.spent = self._upstream_limits.list_spent(now)
+        limited = frozenset(self._upstream_limits.list_limits())
+        model.router.set_limited(limited, self._upstream_limits.list_spent(now))
         model.record_computed_share(route.missing_tokens, request.prompt_tokens)
         version = model.router.upstreams[route.upstream].report.version
         attempt.version = version
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -226,10 +226,8 @@
         self._summarised_s = 0.0
         self.entry_domain = ""
         self._subset: frozenset[str] | None = None
-        # Upstreams that take no run yet; they still count in the summary.
-        self.spent: frozenset[str] = frozenset()
-        # Upstreams that limit the number of runs, whatever their size.
-        self.limited: frozenset[str] = frozenset()
+        self._limited: frozenset[str] = frozenset()
+        self._spent: frozenset[str] = frozenset()
         self._mean_prompt_tokens = 0.0
         self._pauses: dict[str, frozenset[str]] = {}
         self._paused: frozenset[str] = frozenset()
@@ -264,6 +262,16 @@
         self._paused = frozenset().union(*self._pauses.values())
         self._summary = None
 
+    def set_limited(self, limited: frozenset[str], spent: frozenset[str]) -> None:
+        """
+        Set the upstreams that limit how many runs they take.
+
+        :param spent: those of them that take no run yet. They still count in the
+            fleet's capacity, as they take some each second.
+        """
+        self._limited = limited
+        self._spent = spent
+
     def set_subset(self, upstreams: frozenset[str] | None) -> None:
         """
         Set the subset of upstreams that this entry uses, None for all.
@@ -352,7 +360,7 @@
         in_subset = (self.upstreams[name] for name in self.summarize().in_subset)
         return any(
             upstream.free_slots > 0
-            and upstream.name not in self.spent
+            and upstream.name not in self._spent
             and upstream.estimate_backlog(rank, share, now) <= ahead_s
             for upstream in in_subset
         )
@@ -482,7 +490,7 @@
         usable = [
             up
             for up in found
-            if up is not None and self.is_usable(up) and up.name not in self.spent
+            if up is not None and self.is_usable(up) and up.name not in self._spent
         ]
         # Requests don't wait for an ejected upstream.
         usable = [up for up in usable if up.slot_limit > 0] or usable
@@ -633,7 +641,7 @@
 
     def _get_limit_penalty(self, upstream: Upstream, request: PromptRequest) -> float:
         """Return the penalty in seconds for a small request at a limited upstream."""
-        if upstream.name not in self.limited:
+        if upstream.name not in self._limited:
             return 0.0
         share = request.prompt_tokens / max(1.0, self._mean_prompt_tokens)
         return LIMITED_UPSTREAM_PENALTY_S * max(0.0, 1.0 - share)
--- a/packages/core/src/persimmonferry_core/upstream_subsets.py
+++ b/packages/core/src/persimmonferry_core/upstream_subsets.py
@@ -62,10 +62,9 @@
             }
             self._recompute()
 
-    @property
-    def users(self) -> dict[str, frozenset[str]]:
+    def map_users(self) -> dict[str, frozenset[str]]:
         """
-        The entries that use each upstream, including this one.
+        Return the entries that use each upstream, including this one.
 
         Upstreams outside this entry's subset have none, as their users are unknown.
         """
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -187,7 +187,7 @@
 
     def _apply_groups(self) -> None:
         self._dispatcher.set_subset(self._groups.subset)
-        self._dispatcher.set_users(self._groups.users)
+        self._dispatcher.set_users(self._groups.map_users())
         neighbours = self._groups.neighbours
         for name in tuple(self._peer_states):
             if name not in neighbours:
@@ -488,7 +488,7 @@
 
     def _send_limits(self, notices: Iterable[_OwnNotice]) -> None:
         """Send limits to the gateways that use these upstreams."""
-        users = self._groups.users
+        users = self._groups.map_users()
         recipients: dict[frozenset[str], list[UpstreamLimit]] = {}
         for own in notices:
             name = own.notice.upstream
