Take the end of an upstream's limit only from successful answers

A failure of an upstream may come from another part of it than its answers, and may lack the limit. Suspected, not seen; the test of a sealed failure without a limit failed before.

--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -360,9 +360,10 @@
         self, record: UpstreamRecord, head: ResponseHead, sent_s: float
     ) -> None:
         """Record the limit that an upstream stated with a response, or its end."""
-        if head.is_other_upstream or not (
-            head.is_genuine or head.calls_per_s is not None
-        ):
+        if head.is_other_upstream:
+            return
+        is_success = head.is_genuine and head.status < 300
+        if head.calls_per_s is None and not is_success:
             return
         notice = make_notice(
             record.name,
