--- a/packages/core/tests/test_upstream_limits.py
+++ b/packages/core/tests/test_upstream_limits.py
@@ -115,6 +115,29 @@
         assert count_busiest_window(fleet.sent) <= count_allowed(1.2)
 
 
+@pytest.mark.parametrize("seed", range(8))
+def test_a_limit_is_kept_with_random_demand_notices_and_views(seed):
+    generator = random.Random(seed)
+    count = generator.choice((1, 3, 5, 8, 22))
+    calls_per_s = generator.choice((0.3, 0.8, 1.2, 2.0, 3.4, 8.0))
+    fleet = Fleet(count, calls_per_s, seed)
+    restored_s = 0.0
+    for step in range(300):
+        now = step / 10
+        names = [name for name in fleet.names if generator.random() < 0.8]
+        fleet.state(calls_per_s * generator.uniform(0.95, 1.0), now, names)
+        if restored_s <= now and generator.random() < 0.05:
+            restored_s = now + generator.uniform(0.5, 0.9 * SHARE_DELAY_S)
+            known = [name for name in fleet.names if generator.random() < 0.2]
+            for limits in fleet.limits.values():
+                limits.set_entries(known)
+        elif restored_s <= now:
+            for limits in fleet.limits.values():
+                limits.set_entries(fleet.names)
+        fleet.send(now, now + 0.1, generator.choice((0.0, 0.02, 1.0)))
+    assert count_busiest_window(fleet.sent) <= count_allowed(calls_per_s)
+
+
 def test_the_other_entries_use_the_share_of_one_that_has_left():
     fleet = Fleet(4, 1.2)
     del fleet.limits["e0"]
