--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -281,7 +281,9 @@
         model = self._models[request.service]
         capacity = model.estimate_capacity(len(self._entries))
         if capacity <= 0:
-            wait_s = self.find_cooldown(request.service, now) or NO_UPSTREAM_RETRY_S
+            wait_s = (
+                self.find_upstream_wait(request.service, now) or NO_UPSTREAM_RETRY_S
+            )
             return Refused(request.request_id, ResultCode.NO_UPSTREAM, wait_s)
         tokens = request.prompt_tokens + request.max_tokens
         wait_s = self.limits.admit(request.account, tokens, now)
@@ -492,7 +494,7 @@
         """Send nothing to an upstream until a time, because it refuses calls."""
         self._cooldowns.note(upstream, until_s)
 
-    def find_cooldown(self, service: str, now: float) -> float | None:
+    def find_upstream_wait(self, service: str, now: float) -> float | None:
         """
         Return the seconds until an upstream of a service takes calls of this entry.
 
--- a/packages/core/tests/test_cooldowns.py
+++ b/packages/core/tests/test_cooldowns.py
@@ -48,9 +48,9 @@
     assert {dispatcher.choose_plain("plain", 1.0) for _ in range(20)} == {"p2"}
     dispatcher.set_cooldown("p2", 3.0)
     assert dispatcher.choose_plain("plain", 1.0) is None
-    assert dispatcher.find_cooldown("plain", 1.0) == 1.0
+    assert dispatcher.find_upstream_wait("plain", 1.0) == 1.0
     assert dispatcher.choose_plain("plain", 2.0) == "p1"
-    assert dispatcher.find_cooldown("plain", 2.0) is None
+    assert dispatcher.find_upstream_wait("plain", 2.0) is None
 
 
 def test_prompts_go_to_another_engine_or_are_refused_with_the_end_of_the_cooldown():
--- a/packages/core/tests/test_upstream_limits.py
+++ b/packages/core/tests/test_upstream_limits.py
@@ -291,7 +291,7 @@
     assert len(dispatcher._plain["plain"].upstreams["p1"].runs) == 1
     state_limits(dispatcher, 2.0, "p2", now=1.0)
     assert dispatcher.choose_plain("plain", 1.4) is None
-    assert dispatcher.find_cooldown("plain", 1.4) == pytest.approx(0.1)
+    assert dispatcher.find_upstream_wait("plain", 1.4) == pytest.approx(0.1)
 
 
 def test_prompts_are_refused_while_other_entries_share_the_limits_of_all_engines():
