Give callers the dispatcher's upstream limits instead of five methods that pass calls on

Cause: Dispatcher repeated record, find, list_limits, list_shares and set_users of UpstreamLimits, though its other parts that exchange messages (limits, usage) are public.

Change: upstream_limits is public, the five methods are gone. No decision changes.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -1,7 +1,6 @@
 """Decisions of an entry: which requests are admitted, when they start and where."""
 
 import random
-from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 
@@ -29,7 +28,7 @@
 from persimmonferry_core.runs import RunEnd
 from persimmonferry_core.schema import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.services import ModelService, PlainService
-from persimmonferry_core.upstream_limits import LimitNotice, UpstreamLimits
+from persimmonferry_core.upstream_limits import UpstreamLimits
 from persimmonferry_core.usage import UsageMeter
 
 __all__ = [
@@ -99,6 +98,7 @@
 
     ``limits`` and ``usage`` exchange messages with other processes; the entry process
     sends and receives them.
+    ``upstream_limits`` receives the limits that upstreams state.
 
     :param document: the team's document in force.
     :param store_domains: failure domains that have store VMs.
@@ -134,7 +134,7 @@
         self._entries: tuple[str, ...] = (entry,)
         self._subset: frozenset[str] | None = None
         self._cooldowns = UpstreamCooldowns()
-        self._upstream_limits = UpstreamLimits(entry)
+        self.upstream_limits = UpstreamLimits(entry)
         self._models: dict[str, ModelService] = {}
         self._plain: dict[str, PlainService] = {}
         self._attempts: dict[str, _Attempt] = {}
@@ -167,7 +167,7 @@
     def set_entries(self, entries: tuple[str, ...]) -> None:
         """Set the names of all entries that share the upstreams."""
         self._entries = tuple(sorted({*entries, self._entry}))
-        self._upstream_limits.set_entries(self._entries)
+        self.upstream_limits.set_entries(self._entries)
         self.limits.set_entries(self._entries)
         for model in self._models.values():
             model.router.set_primaries(self._entry, self._entries)
@@ -178,14 +178,6 @@
         for model in self._models.values():
             model.router.set_subset(upstreams)
 
-    def set_users(self, users: Mapping[str, frozenset[str]]) -> None:
-        """
-        Set the entries that use the upstreams of model services.
-
-        :param users: by upstream; none for an upstream outside this entry's subset.
-        """
-        self._upstream_limits.set_users(users)
-
     def set_ejection(self, policy: EjectionPolicy) -> None:
         """Set the policy by which slow and failing upstreams are ejected."""
         for model in self._models.values():
@@ -200,7 +192,7 @@
         if pool is None:
             return
         self._services_of[report.name] = report.service
-        self._upstream_limits.clear_outdated(report.name, report.incarnation)
+        self.upstream_limits.clear_outdated(report.name, report.incarnation)
         known = pool.upstreams.get(report.name)
         if known is None:
             pool.add(report, now)
@@ -485,8 +477,8 @@
             return None
         closed = (
             self._cooldowns.list_cooling(now)
-            | self._upstream_limits.list_unshared(now)
-            | self._upstream_limits.list_spent(now)
+            | self.upstream_limits.list_unshared(now)
+            | self.upstream_limits.list_spent(now)
         )
         return plain.choose(excluded, now, closed)
 
@@ -504,36 +496,16 @@
         waits = [
             max(limit_s, self._cooldowns.find_wait(name, now))
             for name in (pool.upstreams if pool else ())
-            if (limit_s := self._upstream_limits.find_wait(name, now)) is not None
+            if (limit_s := self.upstream_limits.find_wait(name, now)) is not None
         ]
         return min(waits, default=0.0) or None
 
-    def record_upstream_limit(self, notice: LimitNotice, now: float) -> bool:
-        """
-        Record the limit of an upstream unless a newer notice is known.
-
-        :returns: whether it was recorded.
-        """
-        return self._upstream_limits.record(notice, now)
-
-    def find_upstream_limit(self, upstream: str) -> float | None:
-        """Return the calls per second that an upstream takes, None without a limit."""
-        return self._upstream_limits.find(upstream)
-
-    def list_upstream_limits(self) -> dict[str, float]:
-        """Return the calls per second of each upstream that has a limit."""
-        return self._upstream_limits.list_limits()
-
-    def list_upstream_shares(self) -> dict[str, float]:
-        """Return the calls per second that this entry may send to these upstreams."""
-        return self._upstream_limits.list_shares()
-
     def _apply_refusals(self, now: float) -> None:
         """Leave out the upstreams that take no calls of this entry now."""
         cooling = self._cooldowns.list_cooling(now)
-        unshared = self._upstream_limits.list_unshared(now)
-        limited = frozenset(self._upstream_limits.list_limits())
-        spent = self._upstream_limits.list_spent(now)
+        unshared = self.upstream_limits.list_unshared(now)
+        limited = frozenset(self.upstream_limits.list_limits())
+        spent = self.upstream_limits.list_spent(now)
         for model in self._models.values():
             model.router.set_paused(COOLDOWN_PAUSE, cooling)
             model.router.set_paused(LIMIT_PAUSE, unshared)
@@ -544,7 +516,7 @@
         plain = self._plain.get(self._services_of.get(upstream, ""))
         if plain is not None:
             self._plain_runs[call_id] = upstream
-            self._upstream_limits.take(upstream, now)
+            self.upstream_limits.take(upstream, now)
             plain.start(call_id, upstream, now)
 
     def plain_finished(self, call_id: str, now: float, whole: bool = True) -> None:
@@ -725,9 +697,9 @@
         attempt.upstream = route.upstream
         attempt.number += 1
         model.router.add_run(waiting, route, now)
-        self._upstream_limits.take(route.upstream, now)
-        limited = frozenset(self._upstream_limits.list_limits())
-        model.router.set_limited(limited, self._upstream_limits.list_spent(now))
+        self.upstream_limits.take(route.upstream, now)
+        limited = frozenset(self.upstream_limits.list_limits())
+        model.router.set_limited(limited, self.upstream_limits.list_spent(now))
         model.record_computed_share(route.missing_tokens, request.prompt_tokens)
         version = model.router.upstreams[route.upstream].report.version
         attempt.version = version
--- a/packages/core/tests/test_upstream_limits.py
+++ b/packages/core/tests/test_upstream_limits.py
@@ -230,7 +230,7 @@
 
 def state_limits(dispatcher, calls_per_s, *names, now=0.0):
     for name in names:
-        dispatcher.record_upstream_limit(LimitNotice(name, 1, calls_per_s, now), now)
+        dispatcher.upstream_limits.record(LimitNotice(name, 1, calls_per_s, now), now)
 
 
 def offer(dispatcher, name, now, tokens=100):
@@ -296,7 +296,9 @@
 
 def test_prompts_are_refused_while_other_entries_share_the_limits_of_all_engines():
     dispatcher = make_dispatcher(tuple(f"e{number}" for number in range(9)))
-    dispatcher.set_users({"m1": frozenset(("e1",)), "m2": frozenset(("e2",))})
+    dispatcher.upstream_limits.set_users(
+        {"m1": frozenset(("e1",)), "m2": frozenset(("e2",))}
+    )
     state_limits(dispatcher, 2.0, "m1", "m2")
     answer = offer(dispatcher, "r1", 0.1)
     assert isinstance(answer, Refused)
@@ -308,4 +310,4 @@
     state_limits(dispatcher, 2.0, "m1")
     dispatcher.remove("m1")
     dispatcher.report(make_report("m1", "llm", model="m"), 1.0)
-    assert dispatcher.list_upstream_limits() == {"m1": 2.0}
+    assert dispatcher.upstream_limits.list_limits() == {"m1": 2.0}
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -265,7 +265,7 @@
         now = context.read_clock()
         self._attempts += 1
         self.notes.upstreams.append(record.name)
-        if context.dispatcher.find_upstream_limit(record.name) is not None:
+        if context.dispatcher.upstream_limits.find(record.name) is not None:
             self.notes.limited_attempts += 1
         self.notes.started_s = self.notes.started_s or now
         options = ForwardOptions(
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -153,8 +153,9 @@
         record = self.find_record(name)
         if record is None or record.incarnation != notice.incarnation:
             return False
-        former = self._dispatcher.find_upstream_limit(name)
-        if not self._dispatcher.record_upstream_limit(notice, now):
+        limits = self._dispatcher.upstream_limits
+        former = limits.find(name)
+        if not limits.record(notice, now):
             return False
         fields = {"upstream": name, "by": source}
         if notice.calls_per_s is None:
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -135,8 +135,8 @@
         self._prober = Prober(codec, client)
         self._metrics = CallMetrics(
             lambda: registry.calls,
-            self._dispatcher.list_upstream_limits,
-            self._dispatcher.list_upstream_shares,
+            self._dispatcher.upstream_limits.list_limits,
+            self._dispatcher.upstream_limits.list_shares,
         )
         self._metrics_server = MetricsServer(settings.internal, self._metrics)
         self._store_index = CacheStoreIndex()
@@ -372,7 +372,7 @@
             sent_s,
             self._loop.time(),
         )
-        former = self._dispatcher.find_upstream_limit(record.name)
+        former = self._dispatcher.upstream_limits.find(record.name)
         if self._cluster.record_limit(notice, "its answer", self._loop.time()):
             is_changed = head.calls_per_s != former
             self._peers.announce_limit(notice, is_changed=is_changed)
