Compute which gateways use an engine when the fleet changes, not each second

Cause: each gateway built the map of all engines each second to announce limits, also without any limit, so its cost grew with the fleet.

Change: the map is built when gateways or engines come or go.

--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -129,6 +129,8 @@
         self._address = address
         self._dispatcher = dispatcher
         self._groups = UpstreamSubsets(name)
+        # The gateways that use each engine; missing for other upstreams.
+        self._users: dict[str, frozenset[str]] = {}
         self._loop = asyncio.get_running_loop()
         self._addresses: dict[str, Address] = {}
         self._peer_states: dict[str, _PeerState] = {}
@@ -187,7 +189,8 @@
 
     def _apply_groups(self) -> None:
         self._dispatcher.set_subset(self._groups.subset)
-        self._dispatcher.upstream_limits.set_users(self._groups.map_users())
+        self._users = self._groups.map_users()
+        self._dispatcher.upstream_limits.set_users(self._users)
         neighbours = self._groups.neighbours
         for name in tuple(self._peer_states):
             if name not in neighbours:
@@ -487,11 +490,10 @@
 
     def _send_limits(self, notices: Iterable[_OwnNotice]) -> None:
         """Send limits to the gateways that use these upstreams."""
-        users = self._groups.map_users()
         recipients: dict[frozenset[str], list[UpstreamLimit]] = {}
         for own in notices:
             name = own.notice.upstream
-            names = users.get(name, frozenset(self._addresses)) - {self._name}
+            names = self._users.get(name, frozenset(self._addresses)) - {self._name}
             recipients.setdefault(names, []).append(_encode_limit(own))
         for names, limits in recipients.items():
             for first in range(0, len(limits), MAX_LIMITS):
