Refuse queued prompts at once that limited engines can't start in time

Cause: queued prompts that can't start before an engine takes calls again were refused only for engines that refuse calls; where all engines state a limit, they were held until they expired.

Change: both use the wait that counts refusals and limits (find_upstream_wait); the copy of it in UpstreamCooldowns is gone.

--- a/packages/core/src/persimmonferry_core/cooldowns.py
+++ b/packages/core/src/persimmonferry_core/cooldowns.py
@@ -1,7 +1,5 @@
 """Upstreams that asked callers to retry after some time."""
 
-from collections.abc import Iterable
-
 __all__ = ["UpstreamCooldowns"]
 
 
@@ -40,12 +38,3 @@
     def find_wait(self, upstream: str, now: float) -> float:
         """Return the seconds until an upstream takes calls again, 0 if it does now."""
         return max(0.0, self._until_s.get(upstream, now) - now)
-
-    def find_cooldown(self, upstreams: Iterable[str], now: float) -> float | None:
-        """
-        Return the seconds until the first of some upstreams takes calls again.
-
-        :returns: None unless all of them refuse calls now.
-        """
-        waits = (self.find_wait(name, now) for name in upstreams)
-        return min(waits, default=0.0) or None
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -428,7 +428,7 @@
         if is_excess_due:
             self._excess_checked_s = now
         refused = []
-        for model in self._models.values():
+        for name, model in self._models.items():
             late = model.queue.expire(now)
             if is_excess_due:
                 capacity = model.estimate_capacity(len(self._entries))
@@ -439,12 +439,14 @@
                 )
                 for waiting in late
             ]
-            refused += self._refuse_during_cooldown(model, now)
+            refused += self._refuse_until_open(name, model, now)
         return tuple(refused)
 
-    def _refuse_during_cooldown(self, model: ModelService, now: float) -> list[Refused]:
-        """Refuse what cannot start before the cooldown of all upstreams ends."""
-        wait_s = self._cooldowns.find_cooldown(model.router.upstreams, now)
+    def _refuse_until_open(
+        self, service: str, model: ModelService, now: float
+    ) -> list[Refused]:
+        """Refuse what cannot start before an upstream takes calls again."""
+        wait_s = self.find_upstream_wait(service, now)
         if wait_s is None:
             return []
         return [
--- a/packages/core/tests/test_upstream_limits.py
+++ b/packages/core/tests/test_upstream_limits.py
@@ -281,6 +281,14 @@
     assert len(dispatcher.assign(1.0)) == 1
 
 
+def test_prompts_are_refused_at_once_if_limited_engines_take_none_in_time():
+    dispatcher = make_dispatcher()
+    offer(dispatcher, "r1", 0.0)
+    state_limits(dispatcher, 0.5, "m1", "m2")
+    (refused,) = dispatcher.expire(0.1)
+    assert (refused.request_id, refused.retry_after_s) == ("r1", pytest.approx(1.9))
+
+
 def test_calls_beyond_the_limit_of_a_plain_upstream_go_to_others():
     dispatcher = make_dispatcher()
     state_limits(dispatcher, 1.0, "p1")
