Test a shared limit while gateways start, stop, freeze and are cut off from each other

Cause: the fix was shown with five calm gateways, with views that miss entries and with random demand, but not while instances start, stop, freeze or receive no messages.

No change of the product was needed.

--- a/packages/core/tests/test_upstream_limits.py
+++ b/packages/core/tests/test_upstream_limits.py
@@ -41,6 +41,8 @@
         self.limits = {name: self.make(name) for name in self.names}
         self.random = random.Random(seed)
         self.sent = []
+        self.senders = []
+        self.frozen_s = dict.fromkeys(self.names, 0.0)
         self.state(calls_per_s, 0.0)
 
     def make(self, name):
@@ -53,15 +55,25 @@
             notice = LimitNotice("u1", 1, calls_per_s, now)
             self.limits[name].record(notice, now)
 
-    def send(self, begin_s, end_s, demand=1.0):
-        """Send at every step with the probability ``demand``."""
+    def send(self, begin_s, end_s, demand=1.0, frozen=()):
+        """
+        Send at every step with the probability ``demand``.
+
+        :param frozen: entries whose processes and clocks stand still.
+        """
         now = begin_s
         while now < end_s:
-            for limits in self.limits.values():
-                if limits.find_wait("u1", now) == 0.0 and self.random.random() < demand:
-                    limits.take("u1", now)
+            for name, limits in self.limits.items():
+                own_s = now - self.frozen_s.get(name, 0.0)
+                if name in frozen or limits.find_wait("u1", own_s) != 0.0:
+                    continue
+                if self.random.random() < demand:
+                    limits.take("u1", own_s)
                     self.sent.append(now)
+                    self.senders.append(name)
             now += STEP_S
+        for name in frozen:
+            self.frozen_s[name] += end_s - begin_s
 
 
 @pytest.mark.parametrize("calls_per_s", [0.0, 0.5, 1.2, 3.0, 20.0])
@@ -140,6 +152,43 @@
     assert count_busiest_window(fleet.sent) <= count_allowed(calls_per_s)
 
 
+@pytest.mark.parametrize("demand", [0.01, 1.0])
+@pytest.mark.parametrize("count", [5, 22])
+def test_a_limit_is_kept_while_two_halves_are_cut_off_from_each_other(count, demand):
+    """Both reach the upstream and the registry, but not the other half's messages."""
+    fleet = Fleet(count, 1.2)
+    for step in range(600):
+        now, sent = step / 10, len(fleet.senders)
+        fleet.send(now, now + 0.1, demand)
+        for sender in fleet.senders[sent:]:
+            half = [
+                name for name in fleet.names if int(name[1:]) % 2 == int(sender[1:]) % 2
+            ]
+            fleet.state(1.2, now + 0.1, half)
+    assert count_busiest_window(fleet.sent) <= count_allowed(1.2)
+
+
+@pytest.mark.parametrize("frozen_s", [3.0, 8.0, 25.0])
+def test_a_limit_is_kept_while_an_entry_is_frozen_and_resumed(frozen_s):
+    """Its registration expires after 5 s and is written again a second after."""
+    fleet = Fleet(5, 1.2)
+    fleet.send(0.0, 6.0)
+    end_s = 6.0 + frozen_s
+    others = [name for name in fleet.names if name != "e0"]
+    for step in range(int(frozen_s * 10)):
+        now = 6.0 + step / 10
+        fleet.state(1.2, now, others)
+        if now >= 11.0:
+            for name in others:
+                fleet.limits[name].set_entries(others)
+        fleet.send(now, now + 0.1, frozen=("e0",))
+    fleet.send(end_s, end_s + 1.0)
+    for name in others:
+        fleet.limits[name].set_entries(fleet.names)
+    fleet.send(end_s + 1.0, end_s + 12.0)
+    assert count_busiest_window(fleet.sent) <= count_allowed(1.2)
+
+
 def test_the_other_entries_use_the_share_of_one_that_has_left():
     fleet = Fleet(4, 1.2)
     del fleet.limits["e0"]
