Replay the pause before a limit is used by 68 entries, so that sharing by all of them fails

Cause: with every check of limits, letting all entries share a limit failed only one test of shares: 22 entries after a pause stay just below the bound.

Change: the replay also takes 68 entries.

--- a/packages/core/tests/test_upstream_limits.py
+++ b/packages/core/tests/test_upstream_limits.py
@@ -85,7 +85,7 @@
     assert len(fleet.sent) >= 0.9 * calls_per_s * 14.0 - 1
 
 
-@pytest.mark.parametrize("count", [5, 22])
+@pytest.mark.parametrize("count", [5, 22, 68])
 def test_all_entries_together_keep_a_limit_after_a_pause(count):
     fleet = Fleet(count, 3.0)
     fleet.send(10.0, 14.0)
