--- a/packages/core/src/persimmonferry_core/upstream_limits.py
+++ b/packages/core/src/persimmonferry_core/upstream_limits.py
@@ -110,7 +110,7 @@
     """
     Keeps the calls of all entries to an upstream within the limit that it has set.
 
-    Load pattern: an upstream in need takes a fifth of its usual calls. An entry does
+    Load pattern: a degraded upstream takes a fifth of its usual calls. An entry does
     not receive what others send there, and messages between entries may be lost. So a
     few of the entries that use the upstream share its limit, chosen by rendezvous
     hashing: each sends one call in its part of the time, without bursts, and the others
