End the search for the next call at the first upstream that takes one now

Cause: since each expiry of the queue looks at all upstreams twice, though one that takes calls now decides the answer; the cost grew with the fleet.

Change: the search returns at the first such upstream.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -495,12 +495,16 @@
         :returns: None if one takes calls now, or if it is unknown when one will.
         """
         pool = self._find_pool(service)
-        waits = [
-            max(limit_s, self._cooldowns.find_wait(name, now))
-            for name in (pool.upstreams if pool else ())
-            if (limit_s := self.upstream_limits.find_wait(name, now)) is not None
-        ]
-        return min(waits, default=0.0) or None
+        soonest_s: float | None = None
+        for name in pool.upstreams if pool else ():
+            limit_s = self.upstream_limits.find_wait(name, now)
+            if limit_s is None:
+                continue
+            wait_s = max(limit_s, self._cooldowns.find_wait(name, now))
+            if not wait_s:
+                return None
+            soonest_s = wait_s if soonest_s is None else min(soonest_s, wait_s)
+        return soonest_s
 
     def _apply_refusals(self, now: float) -> None:
         """Leave out the upstreams that take no calls of this entry now."""
