--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -1,6 +1,7 @@
 """Handles one call from its arrival to its outcome: answered, not run or unknown."""
 
 import asyncio
+import enum
 import logging
 import random
 from collections.abc import Callable
@@ -100,6 +101,7 @@
     :param started_s: when it was first sent to an upstream.
     :param first_s: when its first event or its complete answer arrived.
     :param limited_attempts: number of attempts at upstreams with a known limit.
+    :param losses: of attempts whose answer was not received whole, how far each got.
     :param fetched_tokens: of its shared parts that the engine was to fetch.
     :param saved_tokens: of its shared parts that the engine was to store.
     """
@@ -111,10 +113,19 @@
     cause: str = ""
     version: int | None = None
     limited_attempts: int = 0
+    losses: list["AttemptProgress"] = field(default_factory=list)
     fetched_tokens: int = 0
     saved_tokens: int = 0
 
 
+class AttemptProgress(enum.Enum):
+    """How far an attempt at an upstream got."""
+
+    SENT = "sent"
+    ANSWER_BEGUN = "answer begun"
+    CONTENT_RECEIVED = "content received"
+
+
 class AttemptFailed(Exception):
     """
     An attempt that failed without a complete answer.
@@ -166,6 +177,7 @@
         self._avoid: frozenset[str] = frozenset()
         self._exchange: UpstreamExchange | None = None
         self._sent_s: float | None = None
+        self._progress = AttemptProgress.SENT
 
     async def run(self) -> None:
         """Handle the call; every outcome is answered, logged and counted."""
@@ -190,6 +202,15 @@
             self._release()
             self._log_end()
 
+    def _record_loss(self, failure: AttemptFailed) -> None:
+        """Note how far an attempt got that did not end with a whole answer."""
+        if failure.ran:
+            self.notes.losses.append(self._progress)
+
+    def _list_shared_parts(self) -> list[str]:
+        prompt = self._call.prompt
+        return [part.name for part in prompt.shared_parts] if prompt else []
+
     def _log_end(self) -> None:
         notes, begin_s = self.notes, self._arrival_s
         fields = {
@@ -202,6 +223,8 @@
             "upstreams": notes.upstreams,
             "version": notes.version,
             "limited_attempts": notes.limited_attempts,
+            "losses": [progress.value for progress in notes.losses],
+            "parts": self._list_shared_parts(),
             "fetched_tokens": notes.fetched_tokens,
             "saved_tokens": notes.saved_tokens,
             "budget_ms": _to_ms(self._budget_s),
@@ -218,6 +241,7 @@
             notes.outcome,
             len(notes.upstreams),
             notes.limited_attempts,
+            [progress.value for progress in notes.losses],
             notes.first_s and notes.first_s - begin_s,
             now - begin_s,
         )
@@ -299,6 +323,7 @@
         # the upstream states that it did not run the call.
         self._may_have_run = True
         self._sent_s = now
+        self._progress = AttemptProgress.SENT
         try:
             async with asyncio.timeout(answer_timeout_s):
                 await exchange.wait_for_head()
@@ -336,6 +361,7 @@
             error = NotRun(ResultCode.UPSTREAM_REFUSED, f"status {head.status}")
             raise AttemptFailed(error, ran=False)
         self.notes.version = head.version
+        self._progress = AttemptProgress.ANSWER_BEGUN
         if head.status == 200 and self._route.kind is CallKind.STREAM:
             await self._relay_stream(exchange, head)
         else:
@@ -449,6 +475,7 @@
                 raise AttemptFailed(error, ran=True) from None
             if not events:
                 continue
+            self._progress = AttemptProgress.CONTENT_RECEIVED
             if not self._caller.is_head_sent:
                 self.notes.first_s = self._context.read_clock()
                 self._record_first_event()
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -1,7 +1,7 @@
 """Counters and latency histograms of a gateway, served as text."""
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from persimmonferry_core.topology import Address
 from persimmonferry_daemon.histograms import Histograms, Measure
@@ -31,6 +31,7 @@
         self._outcomes: Counter[tuple[str, str]] = Counter()
         self._attempts = 0
         self._limited_attempts = 0
+        self._losses: Counter[str] = Counter()
         self._read_registry_calls = read_registry_calls
         self._read_limits = read_limits
         self._read_shares = read_shares
@@ -42,6 +43,7 @@
         outcome: str,
         attempts: int,
         limited_attempts: int,
+        losses: Iterable[str],
         first_s: float | None,
         total_s: float,
     ) -> None:
@@ -49,11 +51,13 @@
         Count a call that has ended.
 
         :param limited_attempts: its attempts at upstreams with a known limit.
+        :param losses: how far each of its attempts got that has no whole answer.
         :param first_s: time to its first event or complete answer, None without one.
         """
         self._outcomes[route, outcome] += 1
         self._attempts += attempts
         self._limited_attempts += limited_attempts
+        self._losses.update(losses)
         if first_s is not None:
             self.histograms.record(account, route, Measure.FIRST_TOKEN, first_s)
         self.histograms.record(account, route, Measure.WHOLE_ANSWER, total_s)
@@ -66,6 +70,10 @@
         ]
         lines.append(f"attempts {self._attempts}")
         lines.append(f"limited_attempts {self._limited_attempts}")
+        lines += [
+            f'lost_attempts{{progress="{progress}"}} {count}'
+            for progress, count in sorted(self._losses.items())
+        ]
         lines += [
             f'upstream_limit_calls_per_s{{upstream="{name}"}} {calls_per_s:g}'
             for name, calls_per_s in sorted(self._read_limits().items())
--- a/packages/gateway/src/persimmonferry_gateway/plain_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/plain_handler.py
@@ -37,6 +37,7 @@
             return
 
     async def _fail(self, failure: AttemptFailed, record: UpstreamRecord) -> None:
+        self._record_loss(failure)
         context = self._context
         now = context.read_clock()
         self._avoid |= {record.name}
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -39,6 +39,7 @@
 
     def _fail(self, failure: AttemptFailed) -> None:
         """Queue the call again if it may be retried, otherwise raise its error."""
+        self._record_loss(failure)
         now = self._context.read_clock()
         answer = self._context.dispatcher.failed(
             self._id, failure.ran, now, connected=failure.arrived
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -5,9 +5,9 @@
     metrics = CallMetrics(
         lambda: {"kv-watch": 3}, lambda: {"e1": 2.5}, lambda: {"e1": 0.5}
     )
-    metrics.record("t1", "ask", "answered", 1, 0, 0.1, 0.3)
-    metrics.record("t1", "ask", "answered", 2, 1, 0.2, 0.4)
-    metrics.record("t1", "ask", "wait_not_kept", 0, 0, None, 0.01)
+    metrics.record("t1", "ask", "answered", 1, 0, (), 0.1, 0.3)
+    metrics.record("t1", "ask", "answered", 2, 1, ("sent",), 0.2, 0.4)
+    metrics.record("t1", "ask", "wait_not_kept", 0, 0, (), None, 0.01)
     lines = metrics.render_text().splitlines()
     assert 'calls{route="ask",outcome="answered"} 2' in lines
     assert 'calls{route="ask",outcome="wait_not_kept"} 1' in lines
