Record the weights of an engine that restarts under its name

Cause: the version was dropped with the former incarnation, and recorded again only if the entry's weights had changed.

Change: it is recorded for each new incarnation.

--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -255,11 +255,12 @@
         self.fleet.put(record)
         if former == record:
             return
-        if former is None or former.incarnation != record.incarnation:
+        is_restarted = former is None or former.incarnation != record.incarnation
+        if is_restarted:
             self._loads.pop(name, None)
             self._versions.pop(name, None)
         self._record_initial_versions(record)
-        if former is None or former.weights != record.weights:
+        if is_restarted or former.weights != record.weights:
             self._record_registered_version(record)
         if former is not None and former.is_leaving != record.is_leaving:
             fields = {"upstream": name, "by": "its entry"}
