Detect streams that end inside an event, also without a length and chunks

Callers saw (test): a stream without a length and chunks whose connection ended inside an event, or before the first one, was passed on as complete, with the rest of the event.

Cause: the end of the connection was taken for the end of the answer, and what followed the last whole event was passed on.

Change: a stream that ends inside an event has been broken off; so has one without events whose end nothing marks. It is resumed where allowed, and otherwise ends visibly incomplete.

Unframed answers that end with their connection stay complete, and those that are reset are not.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -492,9 +492,10 @@
                 self._record_first_event()
                 self._caller.send_head(head.status, head.reason, list(head.headers))
             self._caller.send_chunk(events)
-        if exchange.loss is not None:
+        loss = exchange.loss or self._find_truncation(exchange)
+        if loss is not None:
             self._splitter.discard_partial()
-            error = make_upstream_error(exchange.loss, "in the stream")
+            error = make_upstream_error(loss, "in the stream")
             raise AttemptFailed(error, ran=True)
         rest = self._splitter.flush()
         if not self._caller.is_head_sent:
@@ -502,6 +503,13 @@
         self._caller.send_chunk(rest)
         self._caller.finish()
 
+    def _find_truncation(self, exchange: UpstreamExchange) -> RequestFailure | None:
+        """Return why a stream that has ended is not complete, None if it is."""
+        is_empty = self._progress is not AttemptProgress.CONTENT_RECEIVED
+        if self._splitter.has_partial or (is_empty and not exchange.is_framed):
+            return RequestFailure.TRUNCATED
+        return None
+
     def _record_first_event(self) -> None:
         """Record the first event of the stream; by default nothing."""
 
--- a/packages/gateway/src/persimmonferry_gateway/events.py
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -22,6 +22,8 @@
     '4'
     >>> splitter.feed(b"ta: b\\n\\n")
     b'id: 5\\ndata: b\\n\\n'
+    >>> splitter.feed(b"id: 6"), splitter.has_partial
+    (b'', True)
     """
 
     def __init__(self) -> None:
@@ -46,6 +48,11 @@
             self.last_id = ids[-1].decode("latin-1")
         return events
 
+    @property
+    def has_partial(self) -> bool:
+        """Whether an event has begun and is not complete."""
+        return bool(self._buffer.strip(b"\r\n"))
+
     def flush(self) -> bytes:
         """Return the bytes after the last complete event, at the end of the stream."""
         rest, self._buffer = self._buffer, b""
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -25,6 +25,8 @@
 # Limit for a complete response and for the unread bytes of a stream: a faulty upstream
 # may send bytes without end.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Without these, a response ends with its connection.
+FRAMING_HEADERS = ("content-length", "transfer-encoding")
 
 
 class CancellableClient(CurlAsyncHTTPClient):
@@ -129,6 +131,11 @@
         """Whether any byte of the request may have reached the upstream."""
         return self._request.sent
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the response marks its end, so that a loss is detected as such."""
+        return any(name.lower() in FRAMING_HEADERS for name, _ in self.lines.fields)
+
     async def wait_for_head(self) -> bool:
         """Wait for the head of the response and return whether it is complete."""
         while not self.lines.is_whole and not self._is_ended:
