Store quarantined parts again when their lease expires, and measure the quarantine

Cause: leases of the registry may run out in an outage; a gateway that started later would then send prompts that crash engines.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,7 @@
     "policy",
     "capacity",
     "limits",
+    "quarantine",
 )
 
 
--- a/packages/core/src/persimmonferry_core/prompt_quarantine.py
+++ b/packages/core/src/persimmonferry_core/prompt_quarantine.py
@@ -33,6 +33,7 @@
 # second, longer than the longest time between two tests.
 SUSPICION_S = 120.0
 RETENTION_S = 600.0
+EXPIRY_INTERVAL_S = 1.0
 # Sets of common parts that are kept, and parts of one prompt that are compared.
 MAX_PATTERNS = 64
 MAX_PARTS = 96
@@ -177,6 +178,7 @@
         self._patterns: dict[frozenset[int], _Pattern] = {}
         # When each part was last answered, oldest first, for ``ANSWER_AGE_S``.
         self._answered_s: dict[int, float] = {}
+        self._expired_s = -math.inf
 
     def set_entries(self, entries: Iterable[str]) -> None:
         """Set the names of all entries."""
@@ -260,6 +262,10 @@
             pattern.restored_s = now
             pattern.last_s = max(pattern.last_s, now)
 
+    def is_first_to_test(self, parts: frozenset[int]) -> bool:
+        """Whether this entry is the first that may test these parts."""
+        return self._find_place(parts) == 0
+
     def list_quarantined(self) -> tuple[QuarantinedParts, ...]:
         """Return the quarantined parts, without those that contain others."""
         found = {
@@ -300,6 +306,9 @@
         )
 
     def _expire(self, now: float) -> None:
+        if now < self._expired_s + EXPIRY_INTERVAL_S:
+            return
+        self._expired_s = now
         for parts, pattern in tuple(self._patterns.items()):
             if pattern.expires_s <= now:
                 del self._patterns[parts]
--- a/packages/gateway/src/persimmonferry_gateway/crash_reports.py
+++ b/packages/gateway/src/persimmonferry_gateway/crash_reports.py
@@ -146,8 +146,11 @@
         return {_to_text(item.parts): item.crashes for item in quarantined}
 
     def _apply_item(self, item: Item) -> None:
-        self._stored.pop(item.key, None)
+        former = self._stored.pop(item.key, None)
         if item.value is None:
+            # Leases may expire in an outage; one gateway stores the parts again.
+            if former and self._quarantine.is_first_to_test(former.quarantined.parts):
+                self._is_changed.set()
             return
         try:
             entry = _decode_entry(item)
