Send gateways with few prompts what others have observed to be sound, and check stored parts

Cause (found in review): a gateway without an answer in the 3 s before two crashes with different causes would quarantine their common part and have to wait for a test. A stored number of crashes, or a stored part, of any size was accepted and could fail each check.

Change: three gateways answer each report of a crash with the parts that they have seen answered; the crashes of a set and the stored values are bounded.

Result: the new tests fail without it (the idle gateway quarantines the common part; OverflowError in find_wait). 52 tests of both modules pass.

--- a/packages/core/src/persimmonferry_core/prompt_quarantine.py
+++ b/packages/core/src/persimmonferry_core/prompt_quarantine.py
@@ -37,6 +37,10 @@
 # Sets of common parts that are kept, and parts of one prompt that are compared.
 MAX_PATTERNS = 64
 MAX_PARTS = 96
+# Latest crashes of each set; more of them would not change the time until a test.
+MAX_CRASHES = 16
+# Entries that answer a report of a crash with the parts that they know to be sound.
+MAX_WITNESSES = 3
 HASH_BYTES = 8
 
 
@@ -105,6 +109,8 @@
     def add(self, other: "_Pattern") -> None:
         """Add the crashes of another pattern."""
         self.crashes.update(other.crashes)
+        while len(self.crashes) > MAX_CRASHES:
+            del self.crashes[min(self.crashes, key=self.crashes.get)]
         if other.restored_crashes > self.restored_crashes:
             self.restored_crashes = other.restored_crashes
             self.restored_s = other.restored_s
@@ -126,7 +132,7 @@
     @property
     def test_s(self) -> float:
         """When a prompt with these parts may be sent as a test."""
-        doublings = self.count() - MIN_CRASHES
+        doublings = min(self.count(), MAX_CRASHES) - MIN_CRASHES
         return self.last_s + min(MAX_TEST_S, FIRST_TEST_S * 2.0**doublings)
 
     @property
@@ -192,7 +198,7 @@
         :returns: whether it is a new observation about parts that may not be sound.
         """
         self._expire(now)
-        parts = self._drop_answered(crash)
+        parts = crash.parts - self.find_answered(crash)
         lost = _Pattern({(crash.upstream, crash.incarnation): crash.lost_s})
         lost.last_s = crash.lost_s
         known = self._patterns.get(parts)
@@ -238,6 +244,25 @@
                 self._patterns.setdefault(known - sound, _Pattern()).add(pattern)
         return frozenset(released)
 
+    def find_answered(self, crash: PromptCrash) -> frozenset[int]:
+        """Return the parts of a crash that this entry has observed to be sound."""
+        oldest_s = crash.lost_s - ANSWER_AGE_S
+        return frozenset(
+            part
+            for part in crash.parts
+            if self._answered_s.get(part, -math.inf) >= oldest_s
+        )
+
+    def is_witness(self, crash: PromptCrash) -> bool:
+        """
+        Whether this entry is to send the others what it has observed to be sound.
+
+        Load pattern: an entry with few prompts has not observed that a common part is
+        sound. It would quarantine this part after two crashes with other causes.
+        """
+        ranked = rank_entries(crash.upstream, self._entries)
+        return self._entry in ranked[:MAX_WITNESSES]
+
     def find_wait(self, parts: frozenset[int], now: float) -> float | None:
         """Return the seconds for which a prompt is refused, None if it may be sent."""
         self._expire(now)
@@ -297,14 +322,6 @@
             place = self._places[parts] = ranked.index(self._entry)
         return place
 
-    def _drop_answered(self, crash: PromptCrash) -> frozenset[int]:
-        oldest_s = crash.lost_s - ANSWER_AGE_S
-        return frozenset(
-            part
-            for part in crash.parts
-            if self._answered_s.get(part, -math.inf) < oldest_s
-        )
-
     def _expire(self, now: float) -> None:
         if now < self._expired_s + EXPIRY_INTERVAL_S:
             return
--- a/packages/core/tests/test_prompt_quarantine.py
+++ b/packages/core/tests/test_prompt_quarantine.py
@@ -70,6 +70,25 @@
     assert quarantine.list_quarantined() == ()
 
 
+def test_witnesses_send_what_entries_with_few_prompts_have_not_observed():
+    names = [f"e{number}" for number in range(20)]
+    quarantines = [PromptQuarantine(name) for name in names]
+    idle, *busy = quarantines
+    crashes = [crash(1, (COMMON, 8)), crash(2, (COMMON, 9))]
+    for quarantine in quarantines:
+        quarantine.set_entries(names)
+    for item in crashes:
+        for quarantine in busy:
+            quarantine.record_answer((COMMON,), item.lost_s - 0.5)
+        for quarantine in quarantines:
+            quarantine.record_crash(item, item.lost_s)
+        witnesses = [one for one in quarantines if one.is_witness(item)]
+        assert len(witnesses) == 3
+        for witness in witnesses:
+            idle.record_sound(witness.find_answered(item), item.lost_s)
+    assert idle.list_quarantined() == ()
+
+
 def test_several_reports_of_one_crash_count_once():
     quarantine = make_quarantined(crash(1), crash(1), crash(1, (COMMON, OTHER), 1.01))
     assert quarantine.list_quarantined() == ()
@@ -144,6 +163,12 @@
     assert quarantine.find_wait(CRASHING, 120.0) == 2 * FIRST_TEST_S
 
 
+def test_any_stored_number_of_crashes_is_accepted():
+    quarantine = PromptQuarantine("e1")
+    quarantine.restore(QuarantinedParts(CRASHING, 10**9), 0.0)
+    assert quarantine.find_wait(CRASHING, 0.0) == 300.0
+
+
 def test_state_is_bounded_and_keeps_what_is_quarantined():
     quarantine = make_quarantined()
     draw = random.Random(1)
--- a/packages/gateway/src/persimmonferry_gateway/crash_reports.py
+++ b/packages/gateway/src/persimmonferry_gateway/crash_reports.py
@@ -121,6 +121,9 @@
             self._quarantine.record_sound(sound, now)
         is_new = False
         for crash in crashes:
+            answered = self._quarantine.find_answered(crash)
+            if answered and self._quarantine.is_witness(crash):
+                self._announce_sound(answered)
             if self._quarantine.record_crash(crash, now):
                 is_new = True
                 fields = {"upstream": crash.upstream, "by": sender}
@@ -225,7 +228,7 @@
 def _decode_entry(item: Item) -> _StoredEntry:
     document = json.loads(item.value)
     parts = frozenset(int(part) for part in document["parts"])
-    if not parts:
-        raise ValueError("no parts")
+    if not parts or max(map(abs, parts)) > MAX_HASH >> 1:
+        raise ValueError("no parts, or parts that are not hashes")
     quarantined = QuarantinedParts(parts, int(document["crashes"]))
     return _StoredEntry(quarantined, int(document["lease"]), item.revision)
