Count engines that crash at the same moment as separate crashes of a part

Cause: engines lost within 0.1 s counted once, as a failure domain may fail as a whole. Since the common parts are quarantined together and answers are announced, such a failure quarantines at most rare parts, until the next answer.

Change: each engine counts, once for each incarnation. The test of the former rule gives way to one of this; the histories that bound what sound callers lose are unchanged and pass.

--- a/packages/core/src/persimmonferry_core/prompt_quarantine.py
+++ b/packages/core/src/persimmonferry_core/prompt_quarantine.py
@@ -19,8 +19,6 @@
 
 # Crashes with common parts after which prompts with these parts are refused.
 MIN_CRASHES = 2
-# Engines that are lost within this time may have one common cause.
-COMMON_CAUSE_S = 0.1
 # A part is sound if a prompt with it was answered within this time before a crash.
 ANSWER_AGE_S = 3.0
 # Time after the last crash until one prompt is sent as a test; doubled with each crash
@@ -118,11 +116,9 @@
         self.tested_s = max(self.tested_s, other.tested_s)
 
     def count(self) -> int:
-        """Return the number of crashes that may have different causes."""
-        lost_s = sorted(self.crashes.values())
-        later_s = [at_s for at_s in lost_s if at_s > self.restored_s]
-        later = self.restored_crashes + _count_apart(later_s)
-        return max(later, _count_apart(lost_s))
+        """Return the number of crashes, with those before the parts were restored."""
+        later = sum(1 for lost_s in self.crashes.values() if lost_s > self.restored_s)
+        return max(len(self.crashes), self.restored_crashes + later)
 
     @property
     def is_quarantined(self) -> bool:
@@ -141,17 +137,6 @@
         return self.last_s + (RETENTION_S if self.is_quarantined else SUSPICION_S)
 
 
-def _count_apart(times_s: list[float]) -> int:
-    """Count times in order that are ``COMMON_CAUSE_S`` after the last counted one."""
-    counted = 0
-    last_s = -math.inf
-    for at_s in times_s:
-        if at_s >= last_s + COMMON_CAUSE_S:
-            counted += 1
-            last_s = at_s
-    return counted
-
-
 class PromptQuarantine:
     """
     Refuses prompts with parts that crash the engines which answer them.
--- a/packages/core/tests/test_prompt_quarantine.py
+++ b/packages/core/tests/test_prompt_quarantine.py
@@ -4,7 +4,6 @@
 
 import pytest
 from persimmonferry_core.prompt_quarantine import (
-    COMMON_CAUSE_S,
     FIRST_TEST_S,
     MAX_PATTERNS,
     RETENTION_S,
@@ -102,10 +101,9 @@
     assert quarantine.list_quarantined() == ()
 
 
-def test_engines_that_are_lost_together_count_as_one_crash():
-    together = 1.0 + COMMON_CAUSE_S / 2
-    quarantine = make_quarantined(crash(1), crash(2, CRASHING, together))
-    assert quarantine.list_quarantined() == ()
+def test_engines_that_crash_at_once_count_each():
+    quarantine = make_quarantined(crash(1), crash(2, CRASHING, 1.01))
+    assert quarantine.find_wait(CRASHING, 1.01) is not None
 
 
 def test_two_parts_that_crash_engines_are_both_quarantined():
