Ignore repeated reports of a crash, and report no part that was answered lately

Cause (traced in the log of edge-buca-1): the report of a crash at 6.8 s came again at 9.5 s. The common part, which it had found sound when the report came first, had not been answered for 3 s, came back as suspected, and was in common with a crash at 8.0 s of another cause.

Change: a repeated report is ignored; the gateway that reports a crash leaves out the parts that it has seen answered lately.

--- a/packages/core/src/persimmonferry_core/prompt_quarantine.py
+++ b/packages/core/src/persimmonferry_core/prompt_quarantine.py
@@ -5,7 +5,7 @@
 import itertools
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from persimmonferry_core.upstream_subsets import rank_entries
 
@@ -171,6 +171,8 @@
         self._answered_s: dict[int, float] = {}
         # When each part was last reported with a crash; an answer removes it.
         self._reported_s: dict[int, float] = {}
+        # When each crash of an engine with these parts was first reported.
+        self._received_s: dict[tuple[str, int, frozenset[int]], float] = {}
         self._expired_s = -math.inf
 
     def set_entries(self, entries: Iterable[str]) -> None:
@@ -178,6 +180,16 @@
         self._entries = frozenset(entries) | {self._entry}
         self._places.clear()
 
+    def drop_answered(self, crash: PromptCrash) -> PromptCrash:
+        """Return a crash without the parts that this entry observed to be sound."""
+        oldest_s = crash.lost_s - ANSWER_AGE_S
+        parts = frozenset(
+            part
+            for part in crash.parts
+            if self._answered_s.get(part, -math.inf) < oldest_s
+        )
+        return replace(crash, parts=parts)
+
     def record_crash(self, crash: PromptCrash, now: float) -> bool:
         """
         Record a crash that this entry or another one has observed.
@@ -185,12 +197,17 @@
         :returns: whether it is a new observation about parts that may not be sound.
         """
         self._expire(now)
+        # A repeated report must not bring back parts that were answered since.
+        report = (crash.upstream, crash.incarnation, crash.parts)
+        if report in self._received_s:
+            return False
+        self._received_s[report] = now
         for part in crash.parts:
             self._reported_s.pop(part, None)
             self._reported_s[part] = crash.lost_s
         while len(self._reported_s) > MAX_REPORTED:
             del self._reported_s[next(iter(self._reported_s))]
-        parts = self._drop_answered(crash)
+        parts = self.drop_answered(crash).parts
         lost = _Pattern({(crash.upstream, crash.incarnation): crash.lost_s})
         lost.last_s = crash.lost_s
         known = self._patterns.get(parts)
@@ -298,18 +315,13 @@
             place = self._places[parts] = ranked.index(self._entry)
         return place
 
-    def _drop_answered(self, crash: PromptCrash) -> frozenset[int]:
-        oldest_s = crash.lost_s - ANSWER_AGE_S
-        return frozenset(
-            part
-            for part in crash.parts
-            if self._answered_s.get(part, -math.inf) < oldest_s
-        )
-
     def _expire(self, now: float) -> None:
         if now < self._expired_s + EXPIRY_INTERVAL_S:
             return
         self._expired_s = now
+        for report, received_s in tuple(self._received_s.items()):
+            if received_s < now - SUSPICION_S:
+                del self._received_s[report]
         for parts, pattern in tuple(self._patterns.items()):
             if pattern.expires_s <= now:
                 del self._patterns[parts]
--- a/packages/core/tests/test_prompt_quarantine.py
+++ b/packages/core/tests/test_prompt_quarantine.py
@@ -96,6 +96,23 @@
     assert one.find_wait(sound, 3.0) is None
 
 
+# A common part was quarantined when few engines were left to answer prompts with it.
+def test_a_repeated_report_brings_no_part_back_that_was_answered_since():
+    quarantine = PromptQuarantine("e1")
+    quarantine.record_answer(frozenset((COMMON,)), 0.5)
+    assert quarantine.record_crash(crash(1), 1.0)
+    assert quarantine.record_crash(crash(4, (COMMON, 9)), 4.0)
+    quarantine.record_answer(frozenset((OTHER,)), 5.0)
+    assert not quarantine.record_crash(crash(1), 6.0)
+    assert quarantine.find_wait(frozenset((COMMON, 8)), 6.0) is None
+
+
+def test_parts_that_were_answered_are_not_reported():
+    quarantine = PromptQuarantine("e1")
+    quarantine.record_answer(frozenset((COMMON,)), 0.5)
+    assert quarantine.drop_answered(crash(1)).parts == CRASHING - {COMMON}
+
+
 def test_several_reports_of_one_crash_count_once():
     quarantine = make_quarantined(crash(1), crash(1), crash(1, (COMMON, OTHER), 1.01))
     assert quarantine.list_quarantined() == ()
--- a/packages/gateway/src/persimmonferry_gateway/crash_reports.py
+++ b/packages/gateway/src/persimmonferry_gateway/crash_reports.py
@@ -90,7 +90,9 @@
         """Report that an engine was lost when it began to answer a prompt."""
         now = self._read_clock()
         names = tuple(names)
-        crash = PromptCrash(upstream, incarnation, hash_parts(names), now)
+        crash = self._quarantine.drop_answered(
+            PromptCrash(upstream, incarnation, hash_parts(names), now)
+        )
         if not self._quarantine.record_crash(crash, now):
             return
         fields = {"upstream": upstream, "parts": names, "by": "its answer"}
