Log answers that are not relayed, and the connections that they came on

Logs could not distinguish the hypotheses of the incident MIXED: they had neither the id of an answer that was not relayed, nor whether its connection was kept, nor whether the caller had received a part of its answer. 'answer not relayed' has them, 'call ended' counts attempts on kept connections, and a second head on a caller's connection is an error line.

--- a/packages/adapters/src/persimmonferry_adapters/http_client.py
+++ b/packages/adapters/src/persimmonferry_adapters/http_client.py
@@ -62,7 +62,8 @@
 
     ``sent`` tells whether a byte of it may have been sent, ``headers_complete`` whether
     all headers of the response have arrived: libcurl accepts a response that is
-    truncated within its headers as complete.
+    truncated within its headers as complete. ``local_port`` identifies the connection
+    on which it was sent.
 
     :param timeout_s: for request and response; 0 means no limit.
     :param connect_timeout_s: for a new connection; included in ``timeout_s``.
@@ -88,6 +89,7 @@
         self._sending_forbidden = False
         self.sent = False
         self.headers_complete = False
+        self.local_port: int | None = None
         self.http = HTTPRequest(
             url,
             method=method,
@@ -123,13 +125,16 @@
         elif line in ("\r\n", "\n"):
             self.headers_complete = True
 
-    def _before_sending(self, *_addresses: Any) -> int:
+    def _before_sending(
+        self, _remote_ip: str, _local_ip: str, _remote_port: int, local_port: int
+    ) -> int:
         """Called by libcurl before the first byte is sent; records or prevents it."""
         if self._sending_forbidden or (
             self.sent and self._reuse is not ConnectionReuse.ALLOWED
         ):
             return pycurl.PREREQFUNC_ABORT
         self.sent = True
+        self.local_port = local_port
         return pycurl.PREREQFUNC_OK
 
 
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -107,6 +107,7 @@
     :param started_s: when it was first sent to an upstream.
     :param first_s: when its first event or its complete answer arrived.
     :param limited_attempts: number of attempts at upstreams with a known limit.
+    :param kept_connections: number of attempts on connections that were already open.
     :param losses: of attempts whose answer was not received whole, how far each got.
     :param fetched_tokens: of its shared parts that the engine was to fetch.
     :param saved_tokens: of its shared parts that the engine was to store.
@@ -119,6 +120,7 @@
     cause: str = ""
     version: int | None = None
     limited_attempts: int = 0
+    kept_connections: int = 0
     losses: list["AttemptProgress"] = field(default_factory=list)
     fetched_tokens: int = 0
     saved_tokens: int = 0
@@ -229,6 +231,7 @@
             "upstreams": notes.upstreams,
             "version": notes.version,
             "limited_attempts": notes.limited_attempts,
+            "kept_connections": notes.kept_connections,
             "losses": [progress.value for progress in notes.losses],
             "parts": self._list_shared_parts(),
             "fetched_tokens": notes.fetched_tokens,
@@ -353,8 +356,10 @@
             exchange.lines.status, exchange.lines.reason, exchange.lines.fields
         )
         self._sent_s = None
+        self.notes.kept_connections += exchange.is_connection_kept
         self._record_head(record, head)
         if head.call_id is not None and head.call_id != self._call.call_id:
+            self._log_mismatch("answer of another call", exchange, head)
             exchange.cancel()
             error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, record.name)
             raise AttemptFailed(error, ran=True)
@@ -455,6 +460,7 @@
             error = make_upstream_error(exchange.loss, "in the answer")
             raise AttemptFailed(error, ran=True)
         if not head.is_genuine and head.status < 300:
+            self._log_mismatch("answer has no seal", exchange, head)
             error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "answer has no seal")
             raise AttemptFailed(error, ran=True)
         if head.status >= 500 and self._can_repeat():
@@ -472,6 +478,7 @@
         self, exchange: UpstreamExchange, head: ResponseHead
     ) -> None:
         if not head.is_genuine:
+            self._log_mismatch("answer has no seal", exchange, head)
             error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "answer has no seal")
             raise AttemptFailed(error, ran=True)
         while (chunk := await exchange.read_chunk()) is not None:
@@ -503,6 +510,24 @@
         self._caller.send_chunk(rest)
         self._caller.finish()
 
+    def _log_mismatch(
+        self, cause: str, exchange: UpstreamExchange, head: ResponseHead
+    ) -> None:
+        """Log an answer that is not relayed, and the connection that it came on."""
+        fields = {
+            "call": self._call.call_id,
+            "cause": cause,
+            "upstream": self.notes.upstreams[-1],
+            "attempt": self._attempts,
+            "received_call": head.call_id,
+            "status": head.status,
+            "is_connection_kept": exchange.is_connection_kept,
+            "local_port": exchange.local_port,
+            "is_answer_begun": self._caller.is_head_sent,
+        }
+        now = self._context.read_clock()
+        self._context.log.write("answer not relayed", fields, now, is_failure=True)
+
     def _find_truncation(self, exchange: UpstreamExchange) -> RequestFailure | None:
         """Return why a stream that has ended is not complete, None if it is."""
         is_empty = self._progress is not AttemptProgress.CONTENT_RECEIVED
--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -75,6 +75,8 @@
         """Send the head of an answer."""
         if self.is_closed:
             return
+        if self.is_head_sent:
+            _log.error("answer begun twice", extra={"status": status})
         self.is_head_sent = True
         fields = HTTPHeaders()
         for name, value in headers:
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -113,6 +113,7 @@
         self._unread_bytes = 0
         self._is_ended = False
         self._is_cancelled = False
+        self._opened_connection = False
         self._progress = asyncio.Event()
         has_body = bool(body) or method in ("POST", "PUT", "PATCH")
         self._request = Request(
@@ -131,6 +132,16 @@
         """Whether any byte of the request may have reached the upstream."""
         return self._request.sent
 
+    @property
+    def is_connection_kept(self) -> bool:
+        """Whether it was sent on a connection that had carried other requests."""
+        return self.was_sent and not self._opened_connection
+
+    @property
+    def local_port(self) -> int | None:
+        """Return the own port of its connection, None before it was sent."""
+        return self._request.local_port
+
     @property
     def is_framed(self) -> bool:
         """Whether the response marks its end, so that a loss is detected as such."""
@@ -205,7 +216,13 @@
         curl.setopt(pycurl.MAXAGE_CONN, self._idle_s)
         curl.setopt(pycurl.HEADERFUNCTION, self._read_line)
         curl.setopt(pycurl.WRITEFUNCTION, self._read_data)
-        curl.setopt(pycurl.SOCKOPTFUNCTION, _set_socket_options)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self._set_up_socket)
+
+    def _set_up_socket(self, descriptor: int, _purpose: int) -> int:
+        """Called by libcurl for each new connection."""
+        self._opened_connection = True
+        _set_socket_options(descriptor)
+        return pycurl.SOCKOPT_OK
 
     def _read_line(self, line: bytes) -> int:
         try:
@@ -226,7 +243,7 @@
         return len(data)
 
 
-def _set_socket_options(descriptor: int, _purpose: int) -> int:
+def _set_socket_options(descriptor: int) -> None:
     opened = socket.socket(fileno=descriptor)
     try:
         opened.setsockopt(
@@ -234,4 +251,3 @@
         )
     finally:
         opened.detach()
-    return pycurl.SOCKOPT_OK
