Break a stream off when its continuation fails, instead of sending a second head

Callers of a stream that may be resumed got a status line, headers and the body of a failure in the middle of their events, on a connection that stayed open. Cause: an answer that is not a stream was relayed whole also when an earlier attempt had begun the caller's answer. Now only a stream continues one; any other answer counts as a lost attempt.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -371,10 +371,15 @@
             await exchange.read_body()
             error = NotRun(ResultCode.UPSTREAM_REFUSED, f"status {head.status}")
             raise AttemptFailed(error, ran=False)
+        is_stream = head.status == 200 and self._route.kind is CallKind.STREAM
+        if self._caller.is_head_sent and not is_stream:
+            exchange.cancel()
+            error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
+            raise AttemptFailed(error, ran=True)
         self.notes.version = head.version
         if head.is_genuine and head.status < 300:
             self._progress = AttemptProgress.ANSWER_BEGUN
-        if head.status == 200 and self._route.kind is CallKind.STREAM:
+        if is_stream:
             await self._relay_stream(exchange, head)
         else:
             await self._relay_whole(exchange, head)
--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -21,7 +21,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
-__all__ = ["CallerConnection", "CallerServer", "ReceivedRequest"]
+__all__ = ["AnswerBegun", "CallerConnection", "CallerServer", "ReceivedRequest"]
 
 BACKLOG = 1024
 # Tornado closes the connection without a response above these limits, so they are
@@ -48,10 +48,17 @@
         self.body = body
 
 
+class AnswerBegun(Exception):
+    """The head of another answer was about to be sent into one that has begun."""
+
+
 class CallerConnection:
     """
     Sends the answer to one request to its caller.
 
+    An answer has one head and one end: whatever else is sent would be read as a part of
+    it, or as the answer to the next request of the connection.
+
     :param announce_close: whether answers announce that the connection will be closed.
     """
 
@@ -72,11 +79,15 @@
     def send_head(
         self, status: int, reason: str, headers: list[tuple[str, str]]
     ) -> None:
-        """Send the head of an answer."""
+        """
+        Send the head of an answer.
+
+        :raises AnswerBegun: the answer has its head already.
+        """
         if self.is_closed:
             return
         if self.is_head_sent:
-            _log.error("answer begun twice", extra={"status": status})
+            raise AnswerBegun(f"answer has a head already, status {status} not sent")
         self.is_head_sent = True
         fields = HTTPHeaders()
         for name, value in headers:
