Cancel only the transfer of the exchange itself

A call was ended that nobody had cancelled: its caller got 502, or a stream that broke off. Cause: a handle of libcurl returns to the pool when its transfer ends, and the exchange is marked as ended one turn of the loop later; in between, cancelling it ended whichever transfer had the handle. That turn is where an answer of another call is detected, so stuttering upstreams lead there.

--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -32,13 +32,26 @@
 class CancellableClient(CurlAsyncHTTPClient):
     """Tornado's curl client, with transfers that can be cancelled by the caller."""
 
-    def cancel(self, curl: pycurl.Curl) -> None:
-        """Cancel a transfer; libcurl closes its connection."""
-        if curl in self._free_list:
+    def cancel(self, transfer: "Transfer") -> None:
+        """Cancel a transfer that has not ended; libcurl closes its connection."""
+        curl = transfer.curl
+        if curl.info is not transfer.info:
             return
         self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
 
 
+class Transfer:
+    """
+    The use of a handle of libcurl for one request; handles are used again.
+
+    :param info: what Tornado keeps of the request, which identifies the use.
+    """
+
+    def __init__(self, curl: pycurl.Curl) -> None:
+        self.curl = curl
+        self.info = curl.info
+
+
 class ResponseLines:
     """
     Collects the header lines of a response; each interim response resets them.
@@ -108,7 +121,7 @@
         self._target = target
         self._headers = [f"{name}: {value}" for name, value in headers]
         self._idle_s = max(1, int(idle_s))
-        self._curl: pycurl.Curl | None = None
+        self._transfer: Transfer | None = None
         self._chunks: deque[bytes] = deque()
         self._unread_bytes = 0
         self._is_ended = False
@@ -185,12 +198,12 @@
             return
         self._is_cancelled = True
         self._request.forbid_sending()
-        if self._curl is not None:
-            self._client.cancel(self._curl)
+        if self._transfer is not None:
+            self._client.cancel(self._transfer)
 
     async def _run(self) -> None:
         result = await fetch(self._client, self._request)
-        self._curl = None
+        self._transfer = None
         if isinstance(result, RequestFailure):
             self.loss = result
         elif not self.lines.is_whole:
@@ -199,7 +212,7 @@
         self._progress.set()
 
     def _prepare(self, curl: pycurl.Curl) -> None:
-        self._curl = curl
+        self._transfer = Transfer(curl)
         self._request.prepare(curl)
         curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         curl.setopt(pycurl.REQUEST_TARGET, self._target)
--- a/packages/gateway/tests/test_upstream_client.py
+++ b/packages/gateway/tests/test_upstream_client.py
@@ -2,15 +2,17 @@
 
 import asyncio
 
-from persimmonferry_adapters.http_client import ConnectionReuse
+from persimmonferry_adapters.http_client import ConnectionReuse, RequestFailure
 from persimmonferry_gateway.upstream_client import CancellableClient, UpstreamExchange
 
 
 async def answer_calls(reader, writer):
-    """Answer each call at once with its target."""
+    """Answer each call at once with its target, and ``/never`` not at all."""
     while line := await reader.readline():
         target = line.split()[1]
         await reader.readuntil(b"\r\n\r\n")
+        if target == b"/never":
+            continue
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(target)}\r\n\r\n"
         writer.write(head.encode() + target)
     writer.close()
@@ -52,3 +54,14 @@
         return await second.read_body(), second.loss
 
     assert run_exchanges(scenario, max_clients=1) == (b"/second", None)
+
+
+def test_a_cancelled_exchange_ends_at_once():
+    async def scenario(send):
+        exchange = send("/never")
+        await asyncio.sleep(0.05)
+        exchange.cancel()
+        return await exchange.wait_for_head(), exchange.was_sent, exchange.loss
+
+    lost = RequestFailure.CONNECTION_LOST
+    assert run_exchanges(scenario) == (False, True, lost)
