Close connections whose answers belong to other calls, and trust no answer without an id

Cause: the id was compared only where the answer had one, and after its transfer had ended: libcurl had by then returned the connection to its pool, where each later answer met the call after its own. The head is now checked inside libcurl's callback. A wrong id, no id, or a success without a seal aborts the transfer there, which closes the connection however the bytes were split.

--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/answer_identity.py
@@ -0,0 +1,31 @@
+"""Decides whether the answer on a connection is the answer to the call sent there."""
+
+import enum
+
+from persimmonferry_gateway.interfaces import ResponseHead
+
+__all__ = ["Mismatch", "find_mismatch"]
+
+
+class Mismatch(enum.Enum):
+    """Why an answer is not relayed."""
+
+    NO_CALL_ID = "answer has no call id"
+    OTHER_CALL = "answer of another call"
+    NO_SEAL = "answer has no seal"
+
+
+def find_mismatch(head: ResponseHead, call_id: str) -> Mismatch | None:
+    """
+    Return why an answer can't be that to a call, None if it is.
+
+    An upstream may answer a call twice, the second time when the answer to the next
+    call is expected, so an answer that doesn't state its call is not trusted either.
+    """
+    if head.call_id is None:
+        return Mismatch.NO_CALL_ID
+    if head.call_id != call_id:
+        return Mismatch.OTHER_CALL
+    if head.status < 300 and not head.is_genuine:
+        return Mismatch.NO_SEAL
+    return None
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -320,6 +320,8 @@
             self._call.target,
             context.codec.encode_call(self._call, options),
             self._call.body,
+            self._call.call_id,
+            context.codec.decode_response_head,
             ConnectionReuse.NO_RESEND,
             context.idle_s.get(record.name, DEFAULT_IDLE_S),
             options.budget_s + 1.0,
@@ -335,7 +337,7 @@
         self._progress = AttemptProgress.SENT
         try:
             async with asyncio.timeout(answer_timeout_s):
-                await exchange.wait_for_head()
+                head = await exchange.wait_for_head()
         except TimeoutError:
             if asyncio.current_task().cancelling():
                 raise
@@ -343,7 +345,7 @@
             self._sent_s = None
             error = OutcomeUnknown(ResultCode.UPSTREAM_TIMEOUT)
             raise AttemptFailed(error, ran=True) from None
-        if not exchange.lines.is_whole:
+        if head is None:
             self._sent_s = None
             if not exchange.was_sent:
                 self._may_have_run = was_possible
@@ -352,17 +354,14 @@
             )
             sent = exchange.was_sent
             raise AttemptFailed(error, ran=sent, arrived=sent)
-        head = context.codec.decode_response_head(
-            exchange.lines.status, exchange.lines.reason, exchange.lines.fields
-        )
         self._sent_s = None
         self.notes.kept_connections += exchange.is_connection_kept
-        self._record_head(record, head)
-        if head.call_id is not None and head.call_id != self._call.call_id:
-            self._log_mismatch("answer of another call", exchange, head)
-            exchange.cancel()
-            error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, record.name)
+        if exchange.mismatch is not None:
+            self._log_mismatch(exchange)
+            detail = f"{record.name}: {exchange.mismatch.value}"
+            error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, detail)
             raise AttemptFailed(error, ran=True)
+        self._record_head(record, head)
         context.record_limit(record, head, now)
         if head.did_not_run:
             self._may_have_run = was_possible
@@ -377,7 +376,7 @@
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
             raise AttemptFailed(error, ran=True)
         self.notes.version = head.version
-        if head.is_genuine and head.status < 300:
+        if head.status < 300:
             self._progress = AttemptProgress.ANSWER_BEGUN
         if is_stream:
             await self._relay_stream(exchange, head)
@@ -464,10 +463,6 @@
         if exchange.loss is not None:
             error = make_upstream_error(exchange.loss, "in the answer")
             raise AttemptFailed(error, ran=True)
-        if not head.is_genuine and head.status < 300:
-            self._log_mismatch("answer has no seal", exchange, head)
-            error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "answer has no seal")
-            raise AttemptFailed(error, ran=True)
         if head.status >= 500 and self._can_repeat():
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
             raise AttemptFailed(error, ran=True)
@@ -482,10 +477,6 @@
     async def _relay_stream(
         self, exchange: UpstreamExchange, head: ResponseHead
     ) -> None:
-        if not head.is_genuine:
-            self._log_mismatch("answer has no seal", exchange, head)
-            error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "answer has no seal")
-            raise AttemptFailed(error, ran=True)
         while (chunk := await exchange.read_chunk()) is not None:
             try:
                 events = self._splitter.feed(chunk)
@@ -515,17 +506,15 @@
         self._caller.send_chunk(rest)
         self._caller.finish()
 
-    def _log_mismatch(
-        self, cause: str, exchange: UpstreamExchange, head: ResponseHead
-    ) -> None:
+    def _log_mismatch(self, exchange: UpstreamExchange) -> None:
         """Log an answer that is not relayed, and the connection that it came on."""
         fields = {
             "call": self._call.call_id,
-            "cause": cause,
+            "cause": exchange.mismatch.value,
             "upstream": self.notes.upstreams[-1],
             "attempt": self._attempts,
-            "received_call": head.call_id,
-            "status": head.status,
+            "received_call": exchange.head.call_id,
+            "status": exchange.head.status,
             "is_connection_kept": exchange.is_connection_kept,
             "local_port": exchange.local_port,
             "is_answer_begun": self._caller.is_head_sent,
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from collections import deque
+from collections.abc import Callable
 
 import pycurl
 from persimmonferry_adapters.http_client import (
@@ -13,6 +14,9 @@
 )
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
+from persimmonferry_gateway.answer_identity import Mismatch, find_mismatch
+from persimmonferry_gateway.interfaces import ResponseHead
+
 __all__ = ["CancellableClient", "ResponseLines", "UpstreamExchange"]
 
 # TCP_USER_TIMEOUT: the connection is closed when sent data is not acknowledged for this
@@ -99,6 +103,11 @@
     """
     One request to an upstream and its response.
 
+    A response that can't be that to the request is aborted at the end of its head, and
+    its connection closed, as the later responses on it belong to other requests, too.
+
+    :param call_id: states the request in its response.
+    :param decode_head: decodes the status, reason and fields of a response.
     :param reuse: whether it may be sent on an open connection.
     :param idle_s: open connections that were idle for longer are not used.
     """
@@ -111,13 +120,19 @@
         target: str,
         headers: list[tuple[str, str]],
         body: bytes,
+        call_id: str,
+        decode_head: Callable[[int, str, list[tuple[str, str]]], ResponseHead],
         reuse: ConnectionReuse,
         idle_s: float,
         timeout_s: float,
     ) -> None:
-        self.lines = ResponseLines()
+        self.head: ResponseHead | None = None
+        self.mismatch: Mismatch | None = None
         self.loss: RequestFailure | None = None
         self._client = client
+        self._call_id = call_id
+        self._decode_head = decode_head
+        self._lines = ResponseLines()
         self._target = target
         self._headers = [f"{name}: {value}" for name, value in headers]
         self._idle_s = max(1, int(idle_s))
@@ -158,14 +173,14 @@
     @property
     def is_framed(self) -> bool:
         """Whether the response marks its end, so that a loss is detected as such."""
-        return any(name.lower() in FRAMING_HEADERS for name, _ in self.lines.fields)
+        return any(name.lower() in FRAMING_HEADERS for name, _ in self._lines.fields)
 
-    async def wait_for_head(self) -> bool:
-        """Wait for the head of the response and return whether it is complete."""
-        while not self.lines.is_whole and not self._is_ended:
+    async def wait_for_head(self) -> ResponseHead | None:
+        """Wait for the head of the response; return None if it was not complete."""
+        while self.head is None and not self._is_ended:
             self._progress.clear()
             await self._progress.wait()
-        return self.lines.is_whole
+        return self.head
 
     async def read_chunk(self) -> bytes | None:
         """Return the bytes of the body since the last call, None at its end."""
@@ -206,7 +221,7 @@
         self._transfer = None
         if isinstance(result, RequestFailure):
             self.loss = result
-        elif not self.lines.is_whole:
+        elif self.head is None:
             self.loss = RequestFailure.TRUNCATED
         self._is_ended = True
         self._progress.set()
@@ -238,13 +253,22 @@
         return pycurl.SOCKOPT_OK
 
     def _read_line(self, line: bytes) -> int:
+        """Called by libcurl for each line; a short count aborts the transfer."""
+        if self.head is not None:
+            # A trailer after the chunks of the body.
+            return len(line)
         try:
-            self.lines.feed(line)
+            self._lines.feed(line)
         except ValueError:
             return 0
-        if self.lines.is_whole:
-            self._progress.set()
-        return len(line)
+        if not self._lines.is_whole:
+            return len(line)
+        self.head = self._decode_head(
+            self._lines.status, self._lines.reason, self._lines.fields
+        )
+        self.mismatch = find_mismatch(self.head, self._call_id)
+        self._progress.set()
+        return 0 if self.mismatch is not None else len(line)
 
     def _read_data(self, data: bytes) -> int:
         self._unread_bytes += len(data)
--- a/packages/gateway/tests/test_upstream_client.py
+++ b/packages/gateway/tests/test_upstream_client.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from persimmonferry_adapters.http_client import ConnectionReuse, RequestFailure
+from persimmonferry_gateway.interfaces import ResponseHead
 from persimmonferry_gateway.upstream_client import CancellableClient, UpstreamExchange
 
 
@@ -13,12 +14,16 @@
         await reader.readuntil(b"\r\n\r\n")
         if target == b"/never":
             continue
-        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(target)}\r\n\r\n"
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(target)}\r\nId: a\r\n\r\n"
         writer.write(head.encode() + target)
     writer.close()
     await writer.wait_closed()
 
 
+def decode_head(status, reason, fields):
+    return ResponseHead(status, reason, (), dict(fields)["Id"], False, True)
+
+
 def run_exchanges(scenario, **options):
     """Run a coroutine with a function that sends a call, and return its result."""
 
@@ -30,7 +35,17 @@
         def send(target):
             reuse = ConnectionReuse.NO_RESEND
             return UpstreamExchange(
-                client, address, "GET", target, [], b"", reuse, 4.0, 2.0
+                client,
+                address,
+                "GET",
+                target,
+                [],
+                b"",
+                "a",
+                decode_head,
+                reuse,
+                4.0,
+                2.0,
             )
 
         try:
@@ -64,4 +79,4 @@
         return await exchange.wait_for_head(), exchange.was_sent, exchange.loss
 
     lost = RequestFailure.CONNECTION_LOST
-    assert run_exchanges(scenario) == (False, True, lost)
+    assert run_exchanges(scenario) == (None, True, lost)
