Send a repeated attempt at the same upstream on a new connection

A prompt that may run once ran twice, and callers could get 503 for one that was running. Cause: where no other engine is left, a refused prompt is sent to the same one again, with the same id. A repeated refusal of the first attempt, late on the kept connection, has that id, so it was taken for the answer to the second one, which ran. A connection that the call has not used can't carry a repeated answer of it.

--- a/packages/adapters/src/persimmonferry_adapters/http_client.py
+++ b/packages/adapters/src/persimmonferry_adapters/http_client.py
@@ -49,10 +49,13 @@
     first byte of the response. A request that must be sent at most once, or whose
     refusal must prove that it was not run, needs a connection of its own. With
     ``NO_RESEND`` the second sending is prevented, and the request counts as lost.
+    ``NEW`` is for a request that was sent to the same server before: on a connection
+    of the first one, a repeated response would be taken for that to the second.
     """
 
     ALLOWED = "allowed"
     NO_RESEND = "allowed, but the request is not sent a second time"
+    NEW = "no, but the connection is kept for others"
     NEVER = "never"
 
 
@@ -110,8 +113,9 @@
         curl.setopt(pycurl.NOPROXY, "*")
         curl.setopt(pycurl.PATH_AS_IS, 1)
         curl.setopt(pycurl.PREREQFUNCTION, self._before_sending)
-        if self._reuse is ConnectionReuse.NEVER:
+        if self._reuse in (ConnectionReuse.NEW, ConnectionReuse.NEVER):
             curl.setopt(pycurl.FRESH_CONNECT, 1)
+        if self._reuse is ConnectionReuse.NEVER:
             curl.setopt(pycurl.FORBID_REUSE, 1)
 
     def forbid_sending(self) -> None:
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -297,6 +297,9 @@
         context = self._context
         now = context.read_clock()
         self._attempts += 1
+        reuse = ConnectionReuse.NO_RESEND
+        if record.name in self.notes.upstreams:
+            reuse = ConnectionReuse.NEW
         self.notes.upstreams.append(record.name)
         if context.dispatcher.upstream_limits.find(record.name) is not None:
             self.notes.limited_attempts += 1
@@ -322,7 +325,7 @@
             self._call.body,
             self._call.call_id,
             context.codec.decode_response_head,
-            ConnectionReuse.NO_RESEND,
+            reuse,
             context.idle_s.get(record.name, DEFAULT_IDLE_S),
             options.budget_s + 1.0,
         )
