Relay no second answer as a part of an answer without a length

Callers got two answers as one body, or events that they had already received. Cause: an answer with neither length nor chunks lasts until its connection ends, so whatever the upstream answers again on it was relayed, and ids of events were recorded but not checked. The ids of a stream must now increase, also across attempts and after the caller's own Last-Event-Id; a status line in a stream, or the whole head of an answer in an unframed body, counts as an answer that does not belong to the call: broken off, or tried again where the route allows. test_a_second_answer_is_appended_to_an_unframed_stream, ..._body and test_events_that_were_relayed_are_relayed_again failed before.

--- a/packages/gateway/src/persimmonferry_gateway/answer_identity.py
+++ b/packages/gateway/src/persimmonferry_gateway/answer_identity.py
@@ -1,10 +1,15 @@
 """Decides whether the answer on a connection is the answer to the call sent there."""
 
 import enum
+import re
 
 from persimmonferry_gateway.interfaces import ResponseHead
 
-__all__ = ["Mismatch", "find_mismatch"]
+__all__ = ["Mismatch", "contains_answer", "find_mismatch"]
+
+_ANSWER_HEAD = re.compile(
+    rb"HTTP/1\.[01] \d{3}[^\r\n]*\r\n(?:[\w-]+:[^\r\n]*\r\n)+\r\n"
+)
 
 
 class Mismatch(enum.Enum):
@@ -29,3 +34,18 @@
     if head.status < 300 and not head.is_genuine:
         return Mismatch.NO_SEAL
     return None
+
+
+def contains_answer(body: bytes) -> bool:
+    r"""
+    Return whether the whole head of another answer is in a body.
+
+    A body without a length lasts until its connection ends, so it includes whatever
+    else the upstream answers there.
+
+    >>> contains_answer(b"done"), contains_answer(b"HTTP/1.1 200 means success")
+    (False, False)
+    >>> contains_answer(b"doneHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+    True
+    """
+    return _ANSWER_HEAD.search(body) is not None
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -28,6 +28,7 @@
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.prompt_quarantine import PromptQuarantine
 
+from persimmonferry_gateway.answer_identity import contains_answer
 from persimmonferry_gateway.call_log import RateLimitedLog
 from persimmonferry_gateway.callers import CallerConnection
 from persimmonferry_gateway.clocks import read_boot_clock
@@ -179,7 +180,7 @@
             budget_s = min(budget_s, call.budget_s)
         self._budget_s = budget_s
         self._deadline_s = self._arrival_s + budget_s
-        self._splitter = EventSplitter()
+        self._splitter = EventSplitter(call.resumes_after)
         self._attempts = 0
         self._may_have_run = False
         self._avoid: frozenset[str] = frozenset()
@@ -311,7 +312,7 @@
             version=version,
             cache_scope=self._cache_scope(version),
             rank=self._engine_rank(now) if self._call.prompt else None,
-            resumes_after=self._splitter.last_id or self._call.resumes_after,
+            resumes_after=self._splitter.last_id,
         )
         if version is not None:
             options = self._add_cache_sources(options, version)
@@ -466,6 +467,10 @@
         if exchange.loss is not None:
             error = make_upstream_error(exchange.loss, "in the answer")
             raise AttemptFailed(error, ran=True)
+        if not exchange.is_framed and contains_answer(body):
+            detail = f"{self.notes.upstreams[-1]}: another answer in the body"
+            error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, detail)
+            raise AttemptFailed(error, ran=True)
         if head.status >= 500 and self._can_repeat():
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
             raise AttemptFailed(error, ran=True)
--- a/packages/gateway/src/persimmonferry_gateway/events.py
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -8,6 +8,8 @@
 MAX_EVENT_BYTES = 1024 * 1024
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+# No line of an event begins like this; an upstream that answers twice sends it.
+_STATUS_LINE = re.compile(rb"^HTTP/1\.[01] \d{3} ", re.MULTILINE)
 _EVENT_ID = re.compile(rb"^id:\s*(\S+)\s*$", re.MULTILINE)
 
 
@@ -24,17 +26,24 @@
     b'id: 5\\ndata: b\\n\\n'
     >>> splitter.feed(b"id: 6"), splitter.has_partial
     (b'', True)
+    >>> splitter.feed(b"\\ndata: c\\n\\nid: 4\\ndata: a\\n\\n")
+    Traceback (most recent call last):
+        ...
+    ValueError: event 4 after event 6
+
+    :param after: id of the last event that the caller has.
     """
 
-    def __init__(self) -> None:
-        self.last_id: str | None = None
+    def __init__(self, after: str | None = None) -> None:
+        self.last_id = after
         self._buffer = b""
 
     def feed(self, data: bytes) -> bytes:
         """
         Add bytes of the stream and return the events that are complete now.
 
-        :raises ValueError: an event is longer than ``MAX_EVENT_BYTES``.
+        :raises ValueError: an event is longer than ``MAX_EVENT_BYTES``, or the bytes
+            do not continue the stream: ids that don't increase, or another answer.
         """
         data = self._buffer + data
         end = 0
@@ -43,9 +52,15 @@
         events, self._buffer = data[:end], data[end:]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"event longer than {MAX_EVENT_BYTES} bytes")
-        ids = _EVENT_ID.findall(events)
-        if ids:
-            self.last_id = ids[-1].decode("latin-1")
+        if _STATUS_LINE.search(events):
+            raise ValueError("another answer in the stream")
+        last_id = self.last_id
+        for found in _EVENT_ID.findall(events):
+            event_id = found.decode("latin-1")
+            if last_id is not None and not _is_increasing(last_id, event_id):
+                raise ValueError(f"event {event_id} after event {last_id}")
+            last_id = event_id
+        self.last_id = last_id
         return events
 
     @property
@@ -61,3 +76,9 @@
     def discard_partial(self) -> None:
         """Drop the incomplete event of a truncated stream."""
         self._buffer = b""
+
+
+def _is_increasing(earlier: str, later: str) -> bool:
+    if earlier.isdecimal() and later.isdecimal():
+        return int(later) > int(earlier)
+    return later != earlier
