Relay no body whose cut answer was filled up by a second one

A caller could get a body of the right length whose end was another answer. Cause: an answer that is cut on a connection that stays open is complete by its length as soon as a second answer follows. A body that includes the head of an answer to the same call is refused now, and one without a length also with a head that was cut.

--- a/packages/gateway/src/persimmonferry_gateway/answer_identity.py
+++ b/packages/gateway/src/persimmonferry_gateway/answer_identity.py
@@ -7,8 +7,10 @@
 
 __all__ = ["Mismatch", "contains_answer", "find_mismatch"]
 
+# The head of an answer, or what was received of it at the end of the body.
 _ANSWER_HEAD = re.compile(
-    rb"HTTP/1\.[01] \d{3}[^\r\n]*\r\n(?:[\w-]+:[^\r\n]*\r\n)+\r\n"
+    rb"HTTP/1\.[01] \d{3}[^\r\n]*(?:\Z|\r\n"
+    rb"(?:[\w-]+:[^\r\n]*\r\n){0,64}(?:\r\n|[^\r\n]*\Z))"
 )
 
 
@@ -36,16 +38,30 @@
     return None
 
 
-def contains_answer(body: bytes) -> bool:
+def contains_answer(body: bytes, call_id: str, *, is_framed: bool) -> bool:
     r"""
-    Return whether the whole head of another answer is in a body.
+    Return whether a body includes another answer of the upstream.
 
     A body without a length lasts until its connection ends, so it includes whatever
-    else the upstream answers there.
+    else the upstream sends there. One with a length does if it was cut and the
+    connection used again; there only an answer that states the call is taken for
+    another one, as documents may have examples of answers.
 
-    >>> contains_answer(b"done"), contains_answer(b"HTTP/1.1 200 means success")
-    (False, False)
-    >>> contains_answer(b"doneHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+    :param is_framed: whether the body had a length or came in chunks.
+
+    >>> more = b"do" + b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\ndone"
+    >>> contains_answer(more, "a", is_framed=True)
+    True
+    >>> contains_answer(more, "b", is_framed=True)
+    False
+    >>> contains_answer(more, "b", is_framed=False)
     True
+    >>> contains_answer(b"a 200 is a success in HTTP/1.1", "a", is_framed=False)
+    False
     """
-    return _ANSWER_HEAD.search(body) is not None
+    if not is_framed:
+        return _ANSWER_HEAD.search(body) is not None
+    sought = call_id.encode("latin-1")
+    if sought not in body:
+        return False
+    return any(sought in found.group() for found in _ANSWER_HEAD.finditer(body))
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -467,7 +467,7 @@
         if exchange.loss is not None:
             error = make_upstream_error(exchange.loss, "in the answer")
             raise AttemptFailed(error, ran=True)
-        if not exchange.is_framed and contains_answer(body):
+        if contains_answer(body, self._call.call_id, is_framed=exchange.is_framed):
             detail = f"{self.notes.upstreams[-1]}: another answer in the body"
             error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, detail)
             raise AttemptFailed(error, ran=True)
