Log why an answer was broken off in its stream or refused for its body

Only heads that did not match left a line 'answer not relayed'; a stream whose ids do not go on and a body with another answer inside did not.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -361,10 +361,7 @@
         self._sent_s = None
         self.notes.kept_connections += exchange.is_connection_kept
         if exchange.mismatch is not None:
-            self._log_mismatch(exchange)
-            detail = f"{record.name}: {exchange.mismatch.value}"
-            error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, detail)
-            raise AttemptFailed(error, ran=True)
+            raise self._refuse_answer(exchange, exchange.mismatch.value)
         self._record_head(record, head)
         context.record_limit(record, head, now)
         if head.did_not_run:
@@ -468,9 +465,7 @@
             error = make_upstream_error(exchange.loss, "in the answer")
             raise AttemptFailed(error, ran=True)
         if contains_answer(body, self._call.call_id, is_framed=exchange.is_framed):
-            detail = f"{self.notes.upstreams[-1]}: another answer in the body"
-            error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, detail)
-            raise AttemptFailed(error, ran=True)
+            raise self._refuse_answer(exchange, "another answer in the body")
         if head.status >= 500 and self._can_repeat():
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
             raise AttemptFailed(error, ran=True)
@@ -491,8 +486,7 @@
             except ValueError as cause:
                 exchange.cancel()
                 self._splitter.discard_partial()
-                error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, str(cause))
-                raise AttemptFailed(error, ran=True) from None
+                raise self._refuse_answer(exchange, str(cause)) from None
             if not events:
                 continue
             if self._progress is not AttemptProgress.CONTENT_RECEIVED:
@@ -514,12 +508,13 @@
         self._caller.send_chunk(rest)
         self._caller.finish()
 
-    def _log_mismatch(self, exchange: UpstreamExchange) -> None:
-        """Log an answer that is not relayed, and the connection that it came on."""
+    def _refuse_answer(self, exchange: UpstreamExchange, cause: str) -> AttemptFailed:
+        """Log an answer that is not relayed, and return the failure of its attempt."""
+        upstream = self.notes.upstreams[-1]
         fields = {
             "call": self._call.call_id,
-            "cause": exchange.mismatch.value,
-            "upstream": self.notes.upstreams[-1],
+            "cause": cause,
+            "upstream": upstream,
             "attempt": self._attempts,
             "received_call": exchange.head.call_id,
             "status": exchange.head.status,
@@ -529,6 +524,8 @@
         }
         now = self._context.read_clock()
         self._context.log.write("answer not relayed", fields, now, is_failure=True)
+        error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, f"{upstream}: {cause}")
+        return AttemptFailed(error, ran=True)
 
     def _find_truncation(self, exchange: UpstreamExchange) -> RequestFailure | None:
         """Return why a stream that has ended is not complete, None if it is."""
