Detect the repeated answers of a store VM, and close their connection

Gateways used views of stores that the stores had not confirmed since, up to a call's wait later than stated, and dropped valid views, when a store answered a call twice, the second time late. Each later answer was then that to the call before.

Cause: answers of a store don't state to which call they belong, and libcurl 8.23.0 uses a connection again on which bytes wait to be read, unless it was idle for about a second. The repeated answer to a list, to a call for events or to a call that frees parts was taken for the next events.

Lists and calls that free parts, which are rare, have connections of their own. Calls for events stay on a kept connection: their answers contain the store's clock, so one that was written before its call is detected, does not confirm the view, and its connection is closed. While the store's clock is unknown (once in 20 s), the call has a connection of its own.

Evidence: packages/gateway/tests/test_storewatch.py, real sockets. Before: 6 of the 9 cases of test_a_repeated_answer_does_not_confirm_a_view and test_the_repeated_answer_to_a_call_that_frees_parts_is_ignored failed (idle connection, after the next request).

--- a/packages/adapters/src/persimmonferry_adapters/http_client.py
+++ b/packages/adapters/src/persimmonferry_adapters/http_client.py
@@ -14,6 +14,7 @@
     "ConnectionReuse",
     "Request",
     "RequestFailure",
+    "close_connection",
     "fetch",
     "fetch_complete",
     "is_framed",
@@ -166,6 +167,18 @@
         request.forbid_sending()
 
 
+async def close_connection(client: AsyncHTTPClient, url: str) -> None:
+    """
+    Close an idle connection to a server, on which an answer to another request arrived.
+
+    libcurl uses a connection again on which bytes wait to be read, unless it was idle
+    for about a second, so each later answer would be that to the request before.
+    """
+    request = Request(url)
+    request.forbid_sending()
+    await fetch(client, request)
+
+
 def is_framed(response: HTTPResponse) -> bool:
     """Return whether the body's length was marked, so that truncation is detected."""
     if response.code in (204, 304) or response.request.method == "HEAD":
--- a/packages/gateway/src/persimmonferry_gateway/clocks.py
+++ b/packages/gateway/src/persimmonferry_gateway/clocks.py
@@ -7,6 +7,8 @@
 # Bounds are discarded after this time, in which clocks of VMs drift apart by far less
 # than a millisecond.
 MAX_BOUNDS_AGE_S = 20.0
+# Remote times are whole milliseconds, and clocks drift.
+CLOCK_TOLERANCE_S = 0.005
 
 
 def read_boot_clock() -> float:
@@ -31,6 +33,8 @@
     >>> clock.record(101.0, 11.0, 11.1)
     >>> round(clock.earliest_remote(12.0), 3), round(clock.earliest_local(102.0), 3)
     (101.9, 12.0)
+    >>> clock.is_before(102.0, 12.0), clock.is_before(102.0, 12.2)
+    (False, True)
     """
 
     def __init__(self) -> None:
@@ -74,3 +78,9 @@
     def earliest_local(self, remote_s: float) -> float | None:
         """Return the earliest local time possible at a remote time, None if unknown."""
         return None if self._max_offset_s is None else remote_s - self._max_offset_s
+
+    def is_before(self, remote_s: float, local_s: float) -> bool:
+        """Whether a remote time is certainly earlier than a local one."""
+        if self._min_offset_s is None:
+            return False
+        return remote_s - self._min_offset_s < local_s - CLOCK_TOLERANCE_S
--- a/packages/gateway/src/persimmonferry_gateway/stores.py
+++ b/packages/gateway/src/persimmonferry_gateway/stores.py
@@ -5,7 +5,13 @@
 import random
 from collections.abc import Callable
 
-from persimmonferry_adapters.http_client import Request, RequestFailure, fetch_complete
+from persimmonferry_adapters.http_client import (
+    ConnectionReuse,
+    Request,
+    RequestFailure,
+    close_connection,
+    fetch_complete,
+)
 from persimmonferry_core.cache_stores import (
     CacheStoreIndex,
     PartEvent,
@@ -51,6 +57,9 @@
     gateways watch its events and send them to the others, which only read its list
     from time to time.
 
+    Answers don't state to which call they belong. Calls for events share a connection,
+    as their answers contain the store's clock; every other call has its own.
+
     :param record_change: called with parts that became readable or ceased to be.
     :param name: of this gateway.
     :param list_gateways: returns the gateways that are alive, including this one.
@@ -78,6 +87,7 @@
         self._tasks: dict[str, asyncio.Task] = {}
         self._reachable: dict[str, bool] = {}
         self._clock = ClockBounds()
+        self._store_clocks: dict[str, ClockBounds] = {}
         self._groups: dict[str, str] = {}
         self._gateways: frozenset[str] = frozenset()
         self._watched: dict[str, bool] = {}
@@ -89,6 +99,7 @@
         for name, store in tuple(self._stores.items()):
             if wanted.get(name) != store:
                 self._tasks.pop(name).cancel()
+                self._store_clocks.pop(name, None)
                 del self._stores[name]
                 self._drop_view(store)
         self._store_index.configure(stores)
@@ -164,6 +175,7 @@
             method="POST",
             body=body,
             content_type=content_type,
+            reuse=ConnectionReuse.NEVER,
             timeout_s=CALL_TIMEOUT_S,
         )
         result = await fetch_complete(self._client, request)
@@ -200,6 +212,7 @@
         report = await self._ask(store, self._codec.store_list_path, ())
         if report is None:
             return False
+        self._record_clock(store, report, asked_s)
         self._record_reachable(store)
         before = frozenset(self._store_index.views[store.name].parts)
         parts = {event.name: event.tokens for event in report.events}
@@ -228,10 +241,23 @@
     async def _read_events(self, store: CacheStore, cursor: int) -> int | None:
         """Return the cursor for the next events, None when the view is not valid."""
         call_s = read_boot_clock()
+        clock = self._store_clocks.setdefault(store.name, ClockBounds())
+        # The answer on a new connection is always that to this call.
+        can_identify = not clock.is_outdated(call_s)
+        reuse = ConnectionReuse.ALLOWED if can_identify else ConnectionReuse.NEVER
         path, headers = self._codec.encode_events_call(cursor, EVENTS_WAIT_S)
         timeout_s = EVENTS_WAIT_S + CALL_TIMEOUT_S
-        report = await self._ask(store, path, headers, timeout_s)
-        if report is None or report.has_gap:
+        report = await self._ask(store, path, headers, timeout_s, reuse)
+        if report is None:
+            return None
+        if can_identify and (
+            report.clock_s is None or clock.is_before(report.clock_s, call_s)
+        ):
+            _log.warning("store answered twice", extra={"store": store.name})
+            await self._close_connection(store)
+            return cursor
+        self._record_clock(store, report, call_s)
+        if report.has_gap:
             return None
         if not self._apply_events(store.name, report.epoch, report.events, call_s):
             return None
@@ -296,11 +322,14 @@
         path: str,
         headers: tuple[tuple[str, str], ...],
         timeout_s: float = CALL_TIMEOUT_S,
+        reuse: ConnectionReuse = ConnectionReuse.NEVER,
     ) -> StoreReport | None:
         request = Request(
-            f"http://{store.address}{path}", headers=dict(headers), timeout_s=timeout_s
+            f"http://{store.address}{path}",
+            headers=dict(headers),
+            reuse=reuse,
+            timeout_s=timeout_s,
         )
-        asked_s = read_boot_clock()
         result = await fetch_complete(self._client, request)
         if isinstance(result, RequestFailure) or result.code != 200:
             cause = result.value if isinstance(result, RequestFailure) else result.code
@@ -309,13 +338,26 @@
                     "store unreachable", extra={"store": store.name, "cause": cause}
                 )
             self._reachable[store.name] = False
-            return None
-        try:
-            report = self._codec.decode_store_report(result.body)
-        except ValueError as error:
-            cause = {"store": store.name, "cause": str(error)}
-            _log.warning("store response malformed", extra=cause)
-            return None
+        else:
+            try:
+                return self._codec.decode_store_report(result.body)
+            except ValueError as error:
+                cause = {"store": store.name, "cause": str(error)}
+                _log.warning("store response malformed", extra=cause)
+        if reuse is not ConnectionReuse.NEVER:
+            await self._close_connection(store)
+        return None
+
+    async def _close_connection(self, store: CacheStore) -> None:
+        """Close a connection whose next answer may be that to an earlier call."""
+        self._store_clocks.pop(store.name, None)
+        await close_connection(self._client, f"http://{store.address}/")
+
+    def _record_clock(
+        self, store: CacheStore, report: StoreReport, asked_s: float
+    ) -> None:
         if report.clock_s is not None:
-            self._clock.record(report.clock_s, asked_s, read_boot_clock())
-        return report
+            now = read_boot_clock()
+            self._clock.record(report.clock_s, asked_s, now)
+            clock = self._store_clocks.setdefault(store.name, ClockBounds())
+            clock.record(report.clock_s, asked_s, now)
--- a/packages/gateway/tests/test_storewatch.py
+++ b/packages/gateway/tests/test_storewatch.py
@@ -2,7 +2,7 @@
 import logging
 
 import pytest
-from helpers import find_free_datagram_port
+from helpers import find_free_datagram_port, wait_until
 from persimmonferry_core.cache_stores import CacheStoreIndex, choose_watchers
 from persimmonferry_core.deployment import CacheStore
 from persimmonferry_core.dispatch import Dispatcher
@@ -13,6 +13,7 @@
 from persimmonferry_gateway.stores import StoreWatch
 from persimmonferry_gateway.upstream_client import CancellableClient
 from persimmonferry_platform import PlatformCodec
+from persimmonferry_standins.repetition import RepeatingProxy, Repetition
 from platform_standins import CacheStoreStandIn
 
 GATEWAYS = 8
@@ -183,3 +184,97 @@
     events = [record.getMessage() for record in caplog.records]
     assert events.count("store reachable") == GATEWAYS
     assert events.count("store unreachable") == GATEWAYS
+
+
+class RepeatedStore:
+    """
+    A store whose answers are sent twice, watched by one gateway.
+
+    :param part: of the requests whose answers are sent twice.
+    """
+
+    def __init__(self, repetition, part):
+        self._part = part
+        self.answered_s = 0.0
+        self.store = CacheStoreStandIn()
+        self.proxy = RepeatingProxy(self.store.address, repetition, self._check)
+        self.node = GatewayNode("g1", CancellableClient(force_instance=True))
+
+    @property
+    def view(self):
+        return self.node.kept.views["s1"]
+
+    def _check(self, request):
+        self.answered_s = read_boot_clock()
+        return self._part in request
+
+    async def start(self):
+        self.store.start()
+        await self.proxy.start()
+        self.node.peers.set_peers({"g1": self.node.address})
+        await self.node.peers.start()
+        shape = CacheStore("s1", self.proxy.address, "z1", 100_000, 1e9, 0.0, 4)
+        self.node.watch.configure((shape,))
+
+    async def stop(self):
+        await self.node.stop()
+        await self.proxy.stop()
+        await self.store.stop()
+
+
+@pytest.fixture(params=Repetition)
+def run_repeated(request):
+    """Run a coroutine with a store whose answers to some requests are sent twice."""
+
+    def run(scenario, part):
+        async def main():
+            fleet = RepeatedStore(request.param, part)
+            await fleet.start()
+            try:
+                fleet.store.store_part("1", "aa", 100)
+                await wait_until(lambda: fleet.node.has_part("1/aa"))
+                await scenario(fleet)
+            finally:
+                await fleet.stop()
+
+        asyncio.run(main())
+
+    return run
+
+
+# A view was in use that the store had not confirmed since.
+@pytest.mark.parametrize("part", [b"kv-events", b"kv-list"])
+def test_a_repeated_answer_does_not_confirm_a_view(run_repeated, part):
+    async def scenario(fleet):
+        end_s = read_boot_clock() + 2.5
+        while read_boot_clock() < end_s:
+            assert fleet.view.confirmed_s <= fleet.answered_s
+            await asyncio.sleep(0.002)
+
+    run_repeated(scenario, part)
+
+
+def test_the_parts_of_a_store_that_repeats_answers_stay_in_use(run_repeated):
+    async def scenario(fleet):
+        end_s = read_boot_clock() + 3.0
+        while read_boot_clock() < end_s:
+            assert fleet.node.has_part("1/aa")
+            await asyncio.sleep(0.02)
+        fleet.store.store_part("1", "bb", 100)
+        await wait_until(lambda: fleet.node.has_part("1/bb"), 1.2)
+        fleet.store.free_part("1", "aa")
+        await wait_until(lambda: not fleet.node.has_part("1/aa"), 1.2)
+
+    run_repeated(scenario, b"kv-events")
+
+
+# The view was dropped when the answer was taken for events.
+def test_the_repeated_answer_to_a_call_that_frees_parts_is_ignored(run_repeated):
+    async def scenario(fleet):
+        await wait_until(fleet.node.watch.find_fetch_deadline)
+        await fleet.node.watch.free_obsolete(lambda name: name == "1/aa")
+        await wait_until(lambda: not fleet.view.parts)
+        await asyncio.sleep(1.5)
+        assert fleet.store.lists == 1
+
+    run_repeated(scenario, b"kv-free")
