Poll engines for reports over connections of their own

The leader ordered weights with an outdated count of orders, which engines refuse, and took any JSON answer to a caller's call for the report of an engine without models, when an engine answered a call twice, the second time late. A caller's call received the repeated report.

Cause: reports don't state to which call they belong, and the calls for them shared the kept connections with callers' calls to the same engine.

Engines are polled only during a rollout, while they load (every 0.15 s), and after they refused a call for its version. Each of these calls now has a connection of its own: as many new connections as polls.

--- a/packages/gateway/src/persimmonferry_gateway/probes.py
+++ b/packages/gateway/src/persimmonferry_gateway/probes.py
@@ -2,7 +2,12 @@
 
 import logging
 
-from persimmonferry_adapters.http_client import Request, RequestFailure, fetch_complete
+from persimmonferry_adapters.http_client import (
+    ConnectionReuse,
+    Request,
+    RequestFailure,
+    fetch_complete,
+)
 from persimmonferry_core.deployment import UpstreamRecord
 
 from persimmonferry_gateway.interfaces import Codec, EngineReport
@@ -16,7 +21,11 @@
 
 
 class Prober:
-    """Polls engines, with at most one call to each engine at a time."""
+    """
+    Polls engines, with at most one call to each engine at a time.
+
+    Reports don't state to which call they belong, so each call has its own connection.
+    """
 
     def __init__(self, codec: Codec, client: CancellableClient) -> None:
         self._codec = codec
@@ -37,6 +46,7 @@
         request = Request(
             f"http://{record.address}{self._codec.report_path}",
             headers=dict(self._codec.encode_expected_upstream(record.name)),
+            reuse=ConnectionReuse.NEVER,
             timeout_s=REPORT_CALL_TIMEOUT_S,
         )
         result = await fetch_complete(self._client, request)
