Give requests to outside systems connections of their own unless stated otherwise

Adapters returned the value of another key, a lease that another holder had, a commit or an import that was refused, the generation of another block, and the load or list of VMs before the last, when the outside system answered twice, the second time late.

Cause: requests shared kept connections by default, and these answers don't state to which request they belong. libcurl 8.23.0 uses a connection again on which bytes wait to be read, unless it was idle for about a second, so each later answer was then that to the request before. A second answer in the same segment as a longer first one acts alike.

A connection of its own is the default now. Requests between processes of the product still state that they share connections; both ends are ours, and runs and calls carry ids.

Evidence: packages/adapters/tests/test_repeated_answers.py, real sockets.

--- a/packages/adapters/src/persimmonferry_adapters/http_client.py
+++ b/packages/adapters/src/persimmonferry_adapters/http_client.py
@@ -50,8 +50,11 @@
     first byte of the response. A request that must be sent at most once, or whose
     refusal must prove that it was not run, needs a connection of its own. With
     ``NO_RESEND`` the second sending is prevented, and the request counts as lost.
-    ``NEW`` is for a request that was sent to the same server before: on a connection
-    of the first one, a repeated response would be taken for that to the second.
+
+    A server may answer twice, the second time late. On a reused connection that answer
+    is taken for the one to the next request, so only a request whose answer can be
+    identified, or whose server is a process of the product, may reuse one. ``NEW`` is
+    for a request that was sent to the server before, as its answers can't be told apart.
     """
 
     ALLOWED = "allowed"
@@ -82,7 +85,7 @@
         body: bytes | None = None,
         content_type: str = "",
         headers: dict[str, str] | None = None,
-        reuse: ConnectionReuse = ConnectionReuse.ALLOWED,
+        reuse: ConnectionReuse = ConnectionReuse.NEVER,
         timeout_s: float = DEFAULT_TIMEOUT_S,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         **options: Any,
@@ -174,7 +177,7 @@
     libcurl uses a connection again on which bytes wait to be read, unless it was idle
     for about a second, so each later answer would be that to the request before.
     """
-    request = Request(url)
+    request = Request(url, reuse=ConnectionReuse.ALLOWED)
     request.forbid_sending()
     await fetch(client, request)
 
