--- a/packages/gateway/tests/test_probes.py
+++ b/packages/gateway/tests/test_probes.py
@@ -23,6 +23,8 @@
         "/read/x",
         [("Request-Id", "id-1")],
         b"",
+        "id-1",
+        PlatformCodec().decode_response_head,
         ConnectionReuse.NO_RESEND,
         60.0,
         2.0,
