Relay a stream without the length that an upstream stated

Callers got a stream that was cut and looked complete, where an upstream stated a length beside chunks, or where another upstream resumed the stream. Cause: the head of the first upstream was passed on with its Content-Length, which is not that of the events that are relayed.

--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -80,10 +80,18 @@
         self, status: int, reason: str, headers: list[tuple[str, str]]
     ) -> None:
         """
-        Send the head of an answer.
+        Send the head of an answer of unknown length.
+
+        A length among the headers is dropped: it need not be that of the events, which
+        may come from several upstreams.
 
         :raises AnswerBegun: the answer has its head already.
         """
+        self._write_head(status, reason, _drop_length(headers))
+
+    def _write_head(
+        self, status: int, reason: str, headers: list[tuple[str, str]]
+    ) -> None:
         if self.is_closed:
             return
         if self.is_head_sent:
@@ -112,9 +120,9 @@
         self, status: int, reason: str, headers: list[tuple[str, str]], body: bytes
     ) -> None:
         """Send a complete answer."""
-        fields = [item for item in headers if item[0].lower() != "content-length"]
+        fields = _drop_length(headers)
         fields.append(("Content-Length", str(len(body))))
-        self.send_head(status, reason, fields)
+        self._write_head(status, reason, fields)
         self.send_chunk(body)
         self.finish()
 
@@ -141,6 +149,10 @@
             callback()
 
 
+def _drop_length(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    return [item for item in headers if item[0].lower() != "content-length"]
+
+
 def _ignore_closed(future: Awaitable[None]) -> None:
     # The close callback handles a closed connection; the write need not report it.
     future.add_done_callback(_read_write_error)
