Mark the end of streams for callers without chunks

Callers that speak HTTP/1.0 got the next answer as a part of the stream before (with keep-alive), and a truncated stream that looked complete. Cause: Tornado sends such an answer neither length nor chunks, keeps the connection open, and closes it in the same way after complete and truncated answers.

--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -2,6 +2,8 @@
 
 import json
 import logging
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -9,6 +11,7 @@
 from persimmonferry_core.deployment import CallerLimits
 from persimmonferry_core.exceptions import FerryError, NotRun
 from persimmonferry_daemon.servers import describe_error
+from tornado.concurrent import future_add_done_callback
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
@@ -32,6 +35,11 @@
 MIN_RETRY_AFTER_S = 0.05
 # Longer than an answer takes to reach its caller.
 IDLE_BEFORE_CLOSE_S = 0.1
+# The only version for which Tornado marks the end of an answer without a length.
+CHUNKED_VERSION = "HTTP/1.1"
+# SO_LINGER: closing the socket resets the connection.
+LINGER_RESET = struct.pack("ii", 1, 0)
+LINGER_OFF = struct.pack("ii", 0, 0)
 
 _log = logging.getLogger(__name__)
 
@@ -60,11 +68,19 @@
     it, or as the answer to the next request of the connection.
 
     :param announce_close: whether answers announce that the connection will be closed.
+    :param version: of HTTP, as stated by the request.
     """
 
-    def __init__(self, connection: HTTP1Connection, announce_close: bool) -> None:
+    def __init__(
+        self,
+        connection: HTTP1Connection,
+        announce_close: bool,
+        version: str = CHUNKED_VERSION,
+    ) -> None:
         self._connection = connection
         self._announce_close = announce_close
+        self._accepts_chunks = version == CHUNKED_VERSION
+        self._is_unframed = False
         self.is_closed = False
         self.is_head_sent = False
         self._on_disconnect: Callable[[], None] | None = None
@@ -87,6 +103,9 @@
 
         :raises AnswerBegun: the answer has its head already.
         """
+        if not self.is_closed and not self._accepts_chunks:
+            self._is_unframed = True
+            self._set_linger(LINGER_RESET)
         self._write_head(status, reason, _drop_length(headers))
 
     def _write_head(
@@ -113,8 +132,12 @@
     def finish(self) -> None:
         """End the answer as a complete one."""
         self._on_disconnect = None
-        if not self.is_closed:
+        if self.is_closed:
+            return
+        if not self._is_unframed:
             self._connection.finish()
+        elif (flushed := self._flush()) is not None:
+            future_add_done_callback(flushed, self._end_unframed)
 
     def send_complete(
         self, status: int, reason: str, headers: list[tuple[str, str]], body: bytes
@@ -142,6 +165,22 @@
         self.is_closed = True
         self._connection.close()
 
+    def _flush(self) -> Awaitable[None] | None:
+        """Return the future of all bytes written so far, None without a connection."""
+        stream = self._connection.stream
+        return None if stream.closed() else stream.write(b"")
+
+    def _end_unframed(self, flushed: Awaitable[None]) -> None:
+        """Close the connection, which marks the end of the answer."""
+        if flushed.exception() is None:
+            self._set_linger(LINGER_OFF)
+            self._connection.close()
+
+    def _set_linger(self, value: bytes) -> None:
+        opened = self._connection.stream.socket
+        if opened is not None:
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def _record_close(self) -> None:
         self.is_closed = True
         callback, self._on_disconnect = self._on_disconnect, None
@@ -221,7 +260,9 @@
         request = ReceivedRequest(
             self._line.method, self._line.path, self._headers, b"".join(self._chunks)
         )
-        caller = CallerConnection(self._connection, self._server.is_stopping)
+        caller = CallerConnection(
+            self._connection, self._server.is_stopping, self._line.version
+        )
         self._server.accept(request, caller)
 
     def on_connection_close(self) -> None:
