Refuse a response head in which another one broke off

Callers got the status of another answer with the id and the seal of their own, and orders that had run were taken for refused and ran once more. Cause: a second answer that breaks off inside its head has no line end, so the status line of the call's own answer was read as the rest of its last line. A header line with a status line inside it aborts the transfer now.

--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -1,6 +1,7 @@
 """HTTP client for upstreams whose responses are relayed while they arrive."""
 
 import asyncio
+import re
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -31,6 +32,8 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Without these, a response ends with its connection.
 FRAMING_HEADERS = ("content-length", "transfer-encoding")
+# The line belongs to another response that broke off where this one begins.
+_STATUS_LINE_INSIDE = re.compile(r".HTTP/1\.[01] \d{3}")
 
 
 class CancellableClient(CurlAsyncHTTPClient):
@@ -78,12 +81,15 @@
         """
         Parse one line.
 
-        :raises ValueError: it is not a header line, or the head is too long.
+        :raises ValueError: it is not a header line, the head is too long, or another
+            response broke off in it.
         """
         self._size += len(line)
         if self._size > MAX_HEAD_BYTES:
             raise ValueError(f"response head longer than {MAX_HEAD_BYTES} bytes")
         text = line.decode("latin-1").rstrip("\r\n")
+        if _STATUS_LINE_INSIDE.search(text):
+            raise ValueError("status line inside a line of the response head")
         if text.startswith("HTTP/"):
             _, _, rest = text.partition(" ")
             code, _, self.reason = rest.partition(" ")
