Send no body in answer to HEAD

A caller's connection was closed after each error in answer to HEAD. Cause: Tornado raises HTTPOutputError for the body, also from the handler of errors. test_the_connection_is_closed_after_an_error_in_answer_to_head failed before.

--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -70,6 +70,7 @@
 
     :param announce_close: whether answers announce that the connection will be closed.
     :param version: of HTTP, as stated by the request.
+    :param has_body: False if the answer must have no body, as that to HEAD.
     """
 
     def __init__(
@@ -77,8 +78,10 @@
         connection: HTTP1Connection,
         announce_close: bool,
         version: str = CHUNKED_VERSION,
+        has_body: bool = True,
     ) -> None:
         self._connection = connection
+        self._has_body = has_body
         self._announce_close = announce_close
         self._accepts_chunks = version == CHUNKED_VERSION
         self._is_unframed = False
@@ -127,7 +130,7 @@
 
     def send_chunk(self, data: bytes) -> None:
         """Send a chunk of the body."""
-        if not self.is_closed and data:
+        if not self.is_closed and data and self._has_body:
             _ignore_closed(self._connection.write(data))
 
     def finish(self) -> None:
@@ -268,7 +271,10 @@
             self._line.method, self._line.path, self._headers, b"".join(self._chunks)
         )
         caller = CallerConnection(
-            self._connection, self._server.is_stopping, self._line.version
+            self._connection,
+            self._server.is_stopping,
+            self._line.version,
+            has_body=request.method != "HEAD",
         )
         self._server.accept(request, caller)
 
@@ -283,7 +289,8 @@
         as it answers a malformed body by itself.
         """
         self._is_refused = True
-        caller = CallerConnection(self._connection, True)
+        has_body = self._line.method != "HEAD"
+        caller = CallerConnection(self._connection, True, has_body=has_body)
         caller.send_error(NotRun(code))
         return caller.wait_until_sent()
 
