Find other answers inside bodies and events by the call that they state

A late answer to another call that was written while a body or an event was being sent was relayed inside it. Cause: content was searched for the id of the call itself, and streams only for a status line at the start of a line. Any head that states a call counts now, wherever it begins; documents with examples of answers state none at the start of a line.

--- a/packages/gateway/src/persimmonferry_gateway/answer_identity.py
+++ b/packages/gateway/src/persimmonferry_gateway/answer_identity.py
@@ -2,10 +2,15 @@
 
 import enum
 import re
+from collections.abc import Callable
 
 from persimmonferry_gateway.interfaces import ResponseHead
 
-__all__ = ["Mismatch", "contains_answer", "find_mismatch"]
+__all__ = ["AnswerFinder", "HeadDecoder", "Mismatch", "find_mismatch"]
+
+HeadDecoder = Callable[[int, str, list[tuple[str, str]]], ResponseHead]
+
+_ANSWER_BEGIN = b"HTTP/1."
 
 # The head of an answer, or what was received of it at the end of the body.
 _ANSWER_HEAD = re.compile(
@@ -38,30 +43,33 @@
     return None
 
 
-def contains_answer(body: bytes, call_id: str, *, is_framed: bool) -> bool:
+class AnswerFinder:
     r"""
-    Return whether a body includes another answer of the upstream.
-
-    A body without a length lasts until its connection ends, so it includes whatever
-    else the upstream sends there. One with a length does if it was cut and the
-    connection used again; there only an answer that states the call is taken for
-    another one, as documents may have examples of answers.
-
-    :param is_framed: whether the body had a length or came in chunks.
-
-    >>> more = b"do" + b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\ndone"
-    >>> contains_answer(more, "a", is_framed=True)
-    True
-    >>> contains_answer(more, "b", is_framed=True)
-    False
-    >>> contains_answer(more, "b", is_framed=False)
-    True
-    >>> contains_answer(b"a 200 is a success in HTTP/1.1", "a", is_framed=False)
-    False
+    Finds other answers of an upstream inside the content of an answer.
+
+    Bytes that an upstream sends twice become a part of a body that lasts until its
+    connection ends, and of one whose own end is missing. Documents may have examples of
+    answers, so one that states no call counts only in a body without a length.
+
+    :param decode_head: decodes the status, reason and fields of an answer.
     """
-    if not is_framed:
-        return _ANSWER_HEAD.search(body) is not None
-    sought = call_id.encode("latin-1")
-    if sought not in body:
-        return False
-    return any(sought in found.group() for found in _ANSWER_HEAD.finditer(body))
+
+    def __init__(self, decode_head: HeadDecoder) -> None:
+        self._decode_head = decode_head
+
+    def has_answer(self, content: bytes, *, is_framed: bool = True) -> bool:
+        """
+        Return whether the content includes the head of another answer.
+
+        :param is_framed: whether the answer had a length or came in chunks.
+        """
+        if _ANSWER_BEGIN not in content:
+            return False
+        heads = _ANSWER_HEAD.finditer(content)
+        return any(not is_framed or self._states_call(head.group()) for head in heads)
+
+    def _states_call(self, head: bytes) -> bool:
+        lines = head.decode("latin-1").split("\r\n")
+        rows = (line.partition(":") for line in lines[1:])
+        fields = [(name, value.strip()) for name, colon, value in rows if colon]
+        return self._decode_head(0, "", fields).call_id is not None
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -28,7 +28,7 @@
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.prompt_quarantine import PromptQuarantine
 
-from persimmonferry_gateway.answer_identity import contains_answer
+from persimmonferry_gateway.answer_identity import AnswerFinder
 from persimmonferry_gateway.call_log import RateLimitedLog
 from persimmonferry_gateway.callers import CallerConnection
 from persimmonferry_gateway.clocks import read_boot_clock
@@ -180,7 +180,8 @@
             budget_s = min(budget_s, call.budget_s)
         self._budget_s = budget_s
         self._deadline_s = self._arrival_s + budget_s
-        self._splitter = EventSplitter(call.resumes_after)
+        self._finder = AnswerFinder(context.codec.decode_response_head)
+        self._splitter = EventSplitter(call.resumes_after, self._finder.has_answer)
         self._attempts = 0
         self._may_have_run = False
         self._avoid: frozenset[str] = frozenset()
@@ -464,7 +465,7 @@
         if exchange.loss is not None:
             error = make_upstream_error(exchange.loss, "in the answer")
             raise AttemptFailed(error, ran=True)
-        if contains_answer(body, self._call.call_id, is_framed=exchange.is_framed):
+        if self._finder.has_answer(body, is_framed=exchange.is_framed):
             raise self._refuse_answer(exchange, "another answer in the body")
         if head.status >= 500 and self._can_repeat():
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
--- a/packages/gateway/src/persimmonferry_gateway/events.py
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -1,6 +1,7 @@
 """Splits a stream of server-sent events into complete events."""
 
 import re
+from collections.abc import Callable
 
 __all__ = ["EventSplitter"]
 
@@ -32,10 +33,16 @@
     ValueError: event 4 after event 6
 
     :param after: id of the last event that the caller has.
+    :param has_answer: whether bytes include another answer of the upstream.
     """
 
-    def __init__(self, after: str | None = None) -> None:
+    def __init__(
+        self,
+        after: str | None = None,
+        has_answer: Callable[[bytes], bool] = lambda _: False,
+    ) -> None:
         self.last_id = after
+        self._has_answer = has_answer
         self._buffer = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -52,7 +59,7 @@
         events, self._buffer = data[:end], data[end:]
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"event longer than {MAX_EVENT_BYTES} bytes")
-        if _STATUS_LINE.search(events):
+        if _STATUS_LINE.search(events) or self._has_answer(events):
             raise ValueError("another answer in the stream")
         last_id = self.last_id
         for found in _EVENT_ID.findall(events):
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -4,7 +4,6 @@
 import re
 import socket
 from collections import deque
-from collections.abc import Callable
 
 import pycurl
 from persimmonferry_adapters.http_client import (
@@ -15,7 +14,11 @@
 )
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
-from persimmonferry_gateway.answer_identity import Mismatch, find_mismatch
+from persimmonferry_gateway.answer_identity import (
+    HeadDecoder,
+    Mismatch,
+    find_mismatch,
+)
 from persimmonferry_gateway.interfaces import ResponseHead
 
 __all__ = ["CancellableClient", "ResponseLines", "UpstreamExchange"]
@@ -127,7 +130,7 @@
         headers: list[tuple[str, str]],
         body: bytes,
         call_id: str,
-        decode_head: Callable[[int, str, list[tuple[str, str]]], ResponseHead],
+        decode_head: HeadDecoder,
         reuse: ConnectionReuse,
         idle_s: float,
         timeout_s: float,
--- /dev/null
+++ b/packages/gateway/tests/test_events.py
@@ -0,0 +1,28 @@
+import pytest
+from persimmonferry_gateway.answer_identity import AnswerFinder
+from persimmonferry_gateway.events import EventSplitter
+from persimmonferry_platform import PlatformCodec
+
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n"
+FINDER = AnswerFinder(PlatformCodec().decode_response_head)
+
+
+# The events before the fault were left out when another upstream resumed the stream.
+@pytest.mark.parametrize(
+    "fault",
+    [EVENTS, b"id: 2\ndata: b\n\n", HEAD, b"id: 3\ndata: c" + HEAD, b"id: x\n\n" * 2],
+)
+def test_events_that_were_not_returned_count_as_received(fault):
+    splitter = EventSplitter("1", FINDER.has_answer)
+    assert splitter.feed(EVENTS[-16:]) == EVENTS[-16:]
+    with pytest.raises(ValueError, match=r"event|answer"):
+        splitter.feed(b"id: 3\ndata: c\n\n" + fault)
+    assert splitter.last_id == "2"
+
+
+def test_documents_may_have_examples_of_answers():
+    example = b"id: 3\ndata: HTTP/1.1 200 OK\ndata: Request-Id: a\ndata:\n\n"
+    splitter = EventSplitter("2", FINDER.has_answer)
+    assert splitter.feed(example) == example
+    assert not FINDER.has_answer(b"HTTP/1.1 200 OK\r\nDate: today\r\n\r\n")
