--- a/packages/adapters/src/persimmonferry_adapters/http_client.py
+++ b/packages/adapters/src/persimmonferry_adapters/http_client.py
@@ -14,6 +14,7 @@
     "ConnectionReuse",
     "Request",
     "RequestFailure",
+    "close_connection",
     "fetch",
     "fetch_complete",
     "is_framed",
@@ -49,10 +50,16 @@
     first byte of the response. A request that must be sent at most once, or whose
     refusal must prove that it was not run, needs a connection of its own. With
     ``NO_RESEND`` the second sending is prevented, and the request counts as lost.
+
+    A server may answer twice, the second time late. On a reused connection that answer
+    is taken for the one to the next request, so only a request whose answer can be
+    identified, or whose server is a process of the product, may reuse one. ``NEW`` is
+    for a request that was sent to the server before: its answers can't be told apart.
     """
 
     ALLOWED = "allowed"
     NO_RESEND = "allowed, but the request is not sent a second time"
+    NEW = "no, but the connection is kept for others"
     NEVER = "never"
 
 
@@ -62,7 +69,8 @@
 
     ``sent`` tells whether a byte of it may have been sent, ``headers_complete`` whether
     all headers of the response have arrived: libcurl accepts a response that is
-    truncated within its headers as complete.
+    truncated within its headers as complete. ``local_port`` identifies the connection
+    on which it was sent.
 
     :param timeout_s: for request and response; 0 means no limit.
     :param connect_timeout_s: for a new connection; included in ``timeout_s``.
@@ -77,7 +85,7 @@
         body: bytes | None = None,
         content_type: str = "",
         headers: dict[str, str] | None = None,
-        reuse: ConnectionReuse = ConnectionReuse.ALLOWED,
+        reuse: ConnectionReuse = ConnectionReuse.NEVER,
         timeout_s: float = DEFAULT_TIMEOUT_S,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         **options: Any,
@@ -88,6 +96,7 @@
         self._sending_forbidden = False
         self.sent = False
         self.headers_complete = False
+        self.local_port: int | None = None
         self.http = HTTPRequest(
             url,
             method=method,
@@ -108,8 +117,9 @@
         curl.setopt(pycurl.NOPROXY, "*")
         curl.setopt(pycurl.PATH_AS_IS, 1)
         curl.setopt(pycurl.PREREQFUNCTION, self._before_sending)
-        if self._reuse is ConnectionReuse.NEVER:
+        if self._reuse in (ConnectionReuse.NEW, ConnectionReuse.NEVER):
             curl.setopt(pycurl.FRESH_CONNECT, 1)
+        if self._reuse is ConnectionReuse.NEVER:
             curl.setopt(pycurl.FORBID_REUSE, 1)
 
     def forbid_sending(self) -> None:
@@ -123,13 +133,16 @@
         elif line in ("\r\n", "\n"):
             self.headers_complete = True
 
-    def _before_sending(self, *_addresses: Any) -> int:
+    def _before_sending(
+        self, _remote_ip: str, _local_ip: str, _remote_port: int, local_port: int
+    ) -> int:
         """Called by libcurl before the first byte is sent; records or prevents it."""
         if self._sending_forbidden or (
             self.sent and self._reuse is not ConnectionReuse.ALLOWED
         ):
             return pycurl.PREREQFUNC_ABORT
         self.sent = True
+        self.local_port = local_port
         return pycurl.PREREQFUNC_OK
 
 
@@ -157,6 +170,18 @@
         request.forbid_sending()
 
 
+async def close_connection(client: AsyncHTTPClient, url: str) -> None:
+    """
+    Close an idle connection to a server, on which an answer to another request arrived.
+
+    libcurl uses a connection again on which bytes wait to be read, unless it was idle
+    for about a second, so each later answer would be that to the request before.
+    """
+    request = Request(url, reuse=ConnectionReuse.ALLOWED)
+    request.forbid_sending()
+    await fetch(client, request)
+
+
 def is_framed(response: HTTPResponse) -> bool:
     """Return whether the body's length was marked, so that truncation is detected."""
     if response.code in (204, 304) or response.request.method == "HEAD":
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/answer_identity.py
@@ -0,0 +1,75 @@
+"""Decides whether the answer on a connection is the answer to the call sent there."""
+
+import enum
+import re
+from collections.abc import Callable
+
+from persimmonferry_gateway.interfaces import ResponseHead
+
+__all__ = ["AnswerFinder", "HeadDecoder", "Mismatch", "find_mismatch"]
+
+HeadDecoder = Callable[[int, str, list[tuple[str, str]]], ResponseHead]
+
+_ANSWER_BEGIN = b"HTTP/1."
+
+# The head of an answer, or what was received of it at the end of the body.
+_ANSWER_HEAD = re.compile(
+    rb"HTTP/1\.[01] \d{3}[^\r\n]*(?:\Z|\r\n"
+    rb"(?:[\w-]+:[^\r\n]*\r\n){0,64}(?:\r\n|[^\r\n]*\Z))"
+)
+
+
+class Mismatch(enum.Enum):
+    """Why an answer is not relayed."""
+
+    NO_CALL_ID = "answer has no call id"
+    OTHER_CALL = "answer of another call"
+    NO_SEAL = "answer has no seal"
+
+
+def find_mismatch(head: ResponseHead, call_id: str) -> Mismatch | None:
+    """
+    Return why an answer can't be that to a call, None if it is.
+
+    An upstream may answer a call twice, the second time when the answer to the next
+    call is expected, so an answer that doesn't state its call is not trusted either.
+    """
+    if head.call_id is None:
+        return Mismatch.NO_CALL_ID
+    if head.call_id != call_id:
+        return Mismatch.OTHER_CALL
+    if head.status < 300 and not head.is_genuine:
+        return Mismatch.NO_SEAL
+    return None
+
+
+class AnswerFinder:
+    r"""
+    Finds other answers of an upstream inside the content of an answer.
+
+    Bytes that an upstream sends twice become a part of a body that lasts until its
+    connection ends, and of one whose own end is missing. Documents may have examples of
+    answers, so one that states no call counts only in a body without a length.
+
+    :param decode_head: decodes the status, reason and fields of an answer.
+    """
+
+    def __init__(self, decode_head: HeadDecoder) -> None:
+        self._decode_head = decode_head
+
+    def has_answer(self, content: bytes, *, is_framed: bool = True) -> bool:
+        """
+        Return whether the content includes the head of another answer.
+
+        :param is_framed: whether the answer had a length or came in chunks.
+        """
+        if _ANSWER_BEGIN not in content:
+            return False
+        heads = _ANSWER_HEAD.finditer(content)
+        return any(not is_framed or self._states_call(head.group()) for head in heads)
+
+    def _states_call(self, head: bytes) -> bool:
+        lines = head.decode("latin-1").split("\r\n")
+        rows = (line.partition(":") for line in lines[1:])
+        fields = [(name, value.strip()) for name, colon, value in rows if colon]
+        return self._decode_head(0, "", fields).call_id is not None
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -28,6 +28,7 @@
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.prompt_quarantine import PromptQuarantine
 
+from persimmonferry_gateway.answer_identity import AnswerFinder
 from persimmonferry_gateway.call_log import RateLimitedLog
 from persimmonferry_gateway.callers import CallerConnection
 from persimmonferry_gateway.clocks import read_boot_clock
@@ -107,6 +108,7 @@
     :param started_s: when it was first sent to an upstream.
     :param first_s: when its first event or its complete answer arrived.
     :param limited_attempts: number of attempts at upstreams with a known limit.
+    :param kept_connections: number of attempts on connections that were already open.
     :param losses: of attempts whose answer was not received whole, how far each got.
     :param fetched_tokens: of its shared parts that the engine was to fetch.
     :param saved_tokens: of its shared parts that the engine was to store.
@@ -119,6 +121,7 @@
     cause: str = ""
     version: int | None = None
     limited_attempts: int = 0
+    kept_connections: int = 0
     losses: list["AttemptProgress"] = field(default_factory=list)
     fetched_tokens: int = 0
     saved_tokens: int = 0
@@ -177,7 +180,8 @@
             budget_s = min(budget_s, call.budget_s)
         self._budget_s = budget_s
         self._deadline_s = self._arrival_s + budget_s
-        self._splitter = EventSplitter()
+        self._finder = AnswerFinder(context.codec.decode_response_head)
+        self._splitter = EventSplitter(call.resumes_after, self._finder.has_answer)
         self._attempts = 0
         self._may_have_run = False
         self._avoid: frozenset[str] = frozenset()
@@ -229,6 +233,7 @@
             "upstreams": notes.upstreams,
             "version": notes.version,
             "limited_attempts": notes.limited_attempts,
+            "kept_connections": notes.kept_connections,
             "losses": [progress.value for progress in notes.losses],
             "parts": self._list_shared_parts(),
             "fetched_tokens": notes.fetched_tokens,
@@ -294,6 +299,9 @@
         context = self._context
         now = context.read_clock()
         self._attempts += 1
+        reuse = ConnectionReuse.NO_RESEND
+        if record.name in self.notes.upstreams:
+            reuse = ConnectionReuse.NEW
         self.notes.upstreams.append(record.name)
         if context.dispatcher.upstream_limits.find(record.name) is not None:
             self.notes.limited_attempts += 1
@@ -305,7 +313,7 @@
             version=version,
             cache_scope=self._cache_scope(version),
             rank=self._engine_rank(now) if self._call.prompt else None,
-            resumes_after=self._splitter.last_id or self._call.resumes_after,
+            resumes_after=self._splitter.last_id,
         )
         if version is not None:
             options = self._add_cache_sources(options, version)
@@ -317,7 +325,9 @@
             self._call.target,
             context.codec.encode_call(self._call, options),
             self._call.body,
-            ConnectionReuse.NO_RESEND,
+            self._call.call_id,
+            context.codec.decode_response_head,
+            reuse,
             context.idle_s.get(record.name, DEFAULT_IDLE_S),
             options.budget_s + 1.0,
         )
@@ -332,7 +342,7 @@
         self._progress = AttemptProgress.SENT
         try:
             async with asyncio.timeout(answer_timeout_s):
-                await exchange.wait_for_head()
+                head = await exchange.wait_for_head()
         except TimeoutError:
             if asyncio.current_task().cancelling():
                 raise
@@ -340,7 +350,7 @@
             self._sent_s = None
             error = OutcomeUnknown(ResultCode.UPSTREAM_TIMEOUT)
             raise AttemptFailed(error, ran=True) from None
-        if not exchange.lines.is_whole:
+        if head is None:
             self._sent_s = None
             if not exchange.was_sent:
                 self._may_have_run = was_possible
@@ -349,15 +359,11 @@
             )
             sent = exchange.was_sent
             raise AttemptFailed(error, ran=sent, arrived=sent)
-        head = context.codec.decode_response_head(
-            exchange.lines.status, exchange.lines.reason, exchange.lines.fields
-        )
         self._sent_s = None
+        self.notes.kept_connections += exchange.is_connection_kept
+        if exchange.mismatch is not None:
+            raise self._refuse_answer(exchange, exchange.mismatch.value)
         self._record_head(record, head)
-        if head.call_id is not None and head.call_id != self._call.call_id:
-            exchange.cancel()
-            error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, record.name)
-            raise AttemptFailed(error, ran=True)
         context.record_limit(record, head, now)
         if head.did_not_run:
             self._may_have_run = was_possible
@@ -366,10 +372,15 @@
             await exchange.read_body()
             error = NotRun(ResultCode.UPSTREAM_REFUSED, f"status {head.status}")
             raise AttemptFailed(error, ran=False)
+        is_stream = head.status == 200 and self._route.kind is CallKind.STREAM
+        if self._caller.is_head_sent and not is_stream:
+            exchange.cancel()
+            error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
+            raise AttemptFailed(error, ran=True)
         self.notes.version = head.version
-        if head.is_genuine and head.status < 300:
+        if head.status < 300:
             self._progress = AttemptProgress.ANSWER_BEGUN
-        if head.status == 200 and self._route.kind is CallKind.STREAM:
+        if is_stream:
             await self._relay_stream(exchange, head)
         else:
             await self._relay_whole(exchange, head)
@@ -454,9 +465,8 @@
         if exchange.loss is not None:
             error = make_upstream_error(exchange.loss, "in the answer")
             raise AttemptFailed(error, ran=True)
-        if not head.is_genuine and head.status < 300:
-            error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "answer has no seal")
-            raise AttemptFailed(error, ran=True)
+        if self._finder.has_answer(body, is_framed=exchange.is_framed):
+            raise self._refuse_answer(exchange, "another answer in the body")
         if head.status >= 500 and self._can_repeat():
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
             raise AttemptFailed(error, ran=True)
@@ -471,17 +481,13 @@
     async def _relay_stream(
         self, exchange: UpstreamExchange, head: ResponseHead
     ) -> None:
-        if not head.is_genuine:
-            error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, "answer has no seal")
-            raise AttemptFailed(error, ran=True)
         while (chunk := await exchange.read_chunk()) is not None:
             try:
                 events = self._splitter.feed(chunk)
             except ValueError as cause:
                 exchange.cancel()
                 self._splitter.discard_partial()
-                error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, str(cause))
-                raise AttemptFailed(error, ran=True) from None
+                raise self._refuse_answer(exchange, str(cause)) from None
             if not events:
                 continue
             if self._progress is not AttemptProgress.CONTENT_RECEIVED:
@@ -503,6 +509,25 @@
         self._caller.send_chunk(rest)
         self._caller.finish()
 
+    def _refuse_answer(self, exchange: UpstreamExchange, cause: str) -> AttemptFailed:
+        """Log an answer that is not relayed, and return the failure of its attempt."""
+        upstream = self.notes.upstreams[-1]
+        fields = {
+            "call": self._call.call_id,
+            "cause": cause,
+            "upstream": upstream,
+            "attempt": self._attempts,
+            "received_call": exchange.head.call_id,
+            "status": exchange.head.status,
+            "is_connection_kept": exchange.is_connection_kept,
+            "local_port": exchange.local_port,
+            "is_answer_begun": self._caller.is_head_sent,
+        }
+        now = self._context.read_clock()
+        self._context.log.write("answer not relayed", fields, now, is_failure=True)
+        error = OutcomeUnknown(ResultCode.ANSWER_MISMATCHED, f"{upstream}: {cause}")
+        return AttemptFailed(error, ran=True)
+
     def _find_truncation(self, exchange: UpstreamExchange) -> RequestFailure | None:
         """Return why a stream that has ended is not complete, None if it is."""
         is_empty = self._progress is not AttemptProgress.CONTENT_RECEIVED
--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -1,7 +1,10 @@
 """HTTP server for callers: reads complete requests, streams answers back."""
 
+import asyncio
 import json
 import logging
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -9,6 +12,7 @@
 from persimmonferry_core.deployment import CallerLimits
 from persimmonferry_core.exceptions import FerryError, NotRun
 from persimmonferry_daemon.servers import describe_error
+from tornado.concurrent import future_add_done_callback
 from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
@@ -21,7 +25,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
-__all__ = ["CallerConnection", "CallerServer", "ReceivedRequest"]
+__all__ = ["AnswerBegun", "CallerConnection", "CallerServer", "ReceivedRequest"]
 
 BACKLOG = 1024
 # Tornado closes the connection without a response above these limits, so they are
@@ -32,6 +36,11 @@
 MIN_RETRY_AFTER_S = 0.05
 # Longer than an answer takes to reach its caller.
 IDLE_BEFORE_CLOSE_S = 0.1
+# The only version for which Tornado marks the end of an answer without a length.
+CHUNKED_VERSION = "HTTP/1.1"
+# SO_LINGER: closing the socket resets the connection.
+LINGER_RESET = struct.pack("ii", 1, 0)
+LINGER_OFF = struct.pack("ii", 0, 0)
 
 _log = logging.getLogger(__name__)
 
@@ -48,16 +57,34 @@
         self.body = body
 
 
+class AnswerBegun(Exception):
+    """The head of another answer was about to be sent into one that has begun."""
+
+
 class CallerConnection:
     """
     Sends the answer to one request to its caller.
 
+    An answer has one head and one end: whatever else is sent would be read as a part of
+    it, or as the answer to the next request of the connection.
+
     :param announce_close: whether answers announce that the connection will be closed.
+    :param version: of HTTP, as stated by the request.
+    :param has_body: False if the answer must have no body, as that to HEAD.
     """
 
-    def __init__(self, connection: HTTP1Connection, announce_close: bool) -> None:
+    def __init__(
+        self,
+        connection: HTTP1Connection,
+        announce_close: bool,
+        version: str = CHUNKED_VERSION,
+        has_body: bool = True,
+    ) -> None:
         self._connection = connection
+        self._has_body = has_body
         self._announce_close = announce_close
+        self._accepts_chunks = version == CHUNKED_VERSION
+        self._is_unframed = False
         self.is_closed = False
         self.is_head_sent = False
         self._on_disconnect: Callable[[], None] | None = None
@@ -72,9 +99,26 @@
     def send_head(
         self, status: int, reason: str, headers: list[tuple[str, str]]
     ) -> None:
-        """Send the head of an answer."""
+        """
+        Send the head of an answer of unknown length.
+
+        A length among the headers is dropped: it need not be that of the events, which
+        may come from several upstreams.
+
+        :raises AnswerBegun: the answer has its head already.
+        """
+        if not self.is_closed and not self._accepts_chunks:
+            self._is_unframed = True
+            self._set_linger(LINGER_RESET)
+        self._write_head(status, reason, _drop_length(headers))
+
+    def _write_head(
+        self, status: int, reason: str, headers: list[tuple[str, str]]
+    ) -> None:
         if self.is_closed:
             return
+        if self.is_head_sent:
+            raise AnswerBegun(f"answer has a head already, status {status} not sent")
         self.is_head_sent = True
         fields = HTTPHeaders()
         for name, value in headers:
@@ -86,22 +130,26 @@
 
     def send_chunk(self, data: bytes) -> None:
         """Send a chunk of the body."""
-        if not self.is_closed and data:
+        if not self.is_closed and data and self._has_body:
             _ignore_closed(self._connection.write(data))
 
     def finish(self) -> None:
         """End the answer as a complete one."""
         self._on_disconnect = None
-        if not self.is_closed:
+        if self.is_closed:
+            return
+        if not self._is_unframed:
             self._connection.finish()
+        elif (flushed := self._flush()) is not None:
+            future_add_done_callback(flushed, self._end_unframed)
 
     def send_complete(
         self, status: int, reason: str, headers: list[tuple[str, str]], body: bytes
     ) -> None:
         """Send a complete answer."""
-        fields = [item for item in headers if item[0].lower() != "content-length"]
+        fields = _drop_length(headers)
         fields.append(("Content-Length", str(len(body))))
-        self.send_head(status, reason, fields)
+        self._write_head(status, reason, fields)
         self.send_chunk(body)
         self.finish()
 
@@ -115,12 +163,34 @@
         status = error.code.http_status
         self.send_complete(status, reason or error.code.name.title(), headers, body)
 
+    async def wait_until_sent(self) -> None:
+        """Wait until all bytes are handed to the kernel or the connection is closed."""
+        flushed = self._flush()
+        if flushed is not None:
+            await asyncio.wait((flushed,))
+
     def abort(self) -> None:
         """Close the connection so that the answer is visibly truncated."""
         self._on_disconnect = None
         self.is_closed = True
         self._connection.close()
 
+    def _flush(self) -> Awaitable[None] | None:
+        """Return the future of all bytes written so far, None without a connection."""
+        stream = self._connection.stream
+        return None if stream.closed() else stream.write(b"")
+
+    def _end_unframed(self, flushed: Awaitable[None]) -> None:
+        """Close the connection, which marks the end of the answer."""
+        if flushed.exception() is None:
+            self._set_linger(LINGER_OFF)
+            self._connection.close()
+
+    def _set_linger(self, value: bytes) -> None:
+        opened = self._connection.stream.socket
+        if opened is not None:
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def _record_close(self) -> None:
         self.is_closed = True
         callback, self._on_disconnect = self._on_disconnect, None
@@ -128,6 +198,10 @@
             callback()
 
 
+def _drop_length(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    return [item for item in headers if item[0].lower() != "content-length"]
+
+
 def _ignore_closed(future: Awaitable[None]) -> None:
     # The close callback handles a closed connection; the write need not report it.
     future.add_done_callback(_read_write_error)
@@ -159,36 +233,36 @@
 
     def headers_received(
         self, start_line: RequestStartLine, headers: HTTPHeaders
-    ) -> None:
+    ) -> Awaitable[None] | None:
         if self._connection.stream.closed():
             # The caller disconnected after sending these bytes; the request must not be
             # forwarded.
             self._is_refused = True
-            return
+            return None
         self._server.record_busy(self._server_connection)
         self._line = start_line
         self._headers = list(headers.get_all())
         limits = self._server.limits
         if limits is None:
-            return
+            return None
         head_bytes = sum(len(name) + len(value) + 4 for name, value in self._headers)
         if head_bytes + len(start_line.path) > limits.header_bytes:
-            self._refuse(ResultCode.HEAD_TOO_LARGE)
-            return
+            return self._refuse(ResultCode.HEAD_TOO_LARGE)
         length = headers.get("Content-Length", "")
         if length.isdecimal() and int(length) > limits.body_bytes:
-            self._refuse(ResultCode.BODY_TOO_LARGE)
+            return self._refuse(ResultCode.BODY_TOO_LARGE)
+        return None
 
-    def data_received(self, chunk: bytes) -> None:
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         limits = self._server.limits
         self._size += len(chunk)
         if self._is_refused:
-            return
+            return None
         if limits is not None and self._size > limits.body_bytes:
             self._chunks.clear()
-            self._refuse(ResultCode.BODY_TOO_LARGE)
-            return
+            return self._refuse(ResultCode.BODY_TOO_LARGE)
         self._chunks.append(chunk)
+        return None
 
     def finish(self) -> None:
         if self._is_refused or self._connection.stream.closed():
@@ -196,15 +270,29 @@
         request = ReceivedRequest(
             self._line.method, self._line.path, self._headers, b"".join(self._chunks)
         )
-        caller = CallerConnection(self._connection, self._server.is_stopping)
+        caller = CallerConnection(
+            self._connection,
+            self._server.is_stopping,
+            self._line.version,
+            has_body=request.method != "HEAD",
+        )
         self._server.accept(request, caller)
 
     def on_connection_close(self) -> None:
         self._chunks.clear()
 
-    def _refuse(self, code: ResultCode) -> None:
+    def _refuse(self, code: ResultCode) -> Awaitable[None]:
+        """
+        Refuse the request before it is read completely.
+
+        Tornado closes the connection after the answer. Until then it must not read on,
+        as it answers a malformed body by itself.
+        """
         self._is_refused = True
-        CallerConnection(self._connection, True).send_error(NotRun(code))
+        has_body = self._line.method != "HEAD"
+        caller = CallerConnection(self._connection, True, has_body=has_body)
+        caller.send_error(NotRun(code))
+        return caller.wait_until_sent()
 
 
 @dataclass(frozen=True)
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -1,6 +1,7 @@
 """HTTP client for upstreams whose responses are relayed while they arrive."""
 
 import asyncio
+import re
 import socket
 from collections import deque
 
@@ -13,6 +14,13 @@
 )
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
+from persimmonferry_gateway.answer_identity import (
+    HeadDecoder,
+    Mismatch,
+    find_mismatch,
+)
+from persimmonferry_gateway.interfaces import ResponseHead
+
 __all__ = ["CancellableClient", "ResponseLines", "UpstreamExchange"]
 
 # TCP_USER_TIMEOUT: the connection is closed when sent data is not acknowledged for this
@@ -27,18 +35,33 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Without these, a response ends with its connection.
 FRAMING_HEADERS = ("content-length", "transfer-encoding")
+# The line belongs to another response that broke off where this one begins.
+_STATUS_LINE_INSIDE = re.compile(r".HTTP/1\.[01] \d{3}")
 
 
 class CancellableClient(CurlAsyncHTTPClient):
     """Tornado's curl client, with transfers that can be cancelled by the caller."""
 
-    def cancel(self, curl: pycurl.Curl) -> None:
-        """Cancel a transfer; libcurl closes its connection."""
-        if curl in self._free_list:
+    def cancel(self, transfer: "Transfer") -> None:
+        """Cancel a transfer that has not ended; libcurl closes its connection."""
+        curl = transfer.curl
+        if curl.info is not transfer.info:
             return
         self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
 
 
+class Transfer:
+    """
+    The use of a handle of libcurl for one request; handles are used again.
+
+    :param info: what Tornado keeps of the request, which identifies the use.
+    """
+
+    def __init__(self, curl: pycurl.Curl) -> None:
+        self.curl = curl
+        self.info = curl.info
+
+
 class ResponseLines:
     """
     Collects the header lines of a response; each interim response resets them.
@@ -61,12 +84,15 @@
         """
         Parse one line.
 
-        :raises ValueError: it is not a header line, or the head is too long.
+        :raises ValueError: it is not a header line, the head is too long, or another
+            response broke off in it.
         """
         self._size += len(line)
         if self._size > MAX_HEAD_BYTES:
             raise ValueError(f"response head longer than {MAX_HEAD_BYTES} bytes")
         text = line.decode("latin-1").rstrip("\r\n")
+        if _STATUS_LINE_INSIDE.search(text):
+            raise ValueError("status line inside a line of the response head")
         if text.startswith("HTTP/"):
             _, _, rest = text.partition(" ")
             code, _, self.reason = rest.partition(" ")
@@ -86,6 +112,11 @@
     """
     One request to an upstream and its response.
 
+    A response that can't be that to the request is aborted at the end of its head, and
+    its connection closed, as the later responses on it belong to other requests, too.
+
+    :param call_id: states the request in its response.
+    :param decode_head: decodes the status, reason and fields of a response.
     :param reuse: whether it may be sent on an open connection.
     :param idle_s: open connections that were idle for longer are not used.
     """
@@ -98,21 +129,28 @@
         target: str,
         headers: list[tuple[str, str]],
         body: bytes,
+        call_id: str,
+        decode_head: HeadDecoder,
         reuse: ConnectionReuse,
         idle_s: float,
         timeout_s: float,
     ) -> None:
-        self.lines = ResponseLines()
+        self.head: ResponseHead | None = None
+        self.mismatch: Mismatch | None = None
         self.loss: RequestFailure | None = None
         self._client = client
+        self._call_id = call_id
+        self._decode_head = decode_head
+        self._lines = ResponseLines()
         self._target = target
         self._headers = [f"{name}: {value}" for name, value in headers]
         self._idle_s = max(1, int(idle_s))
-        self._curl: pycurl.Curl | None = None
+        self._transfer: Transfer | None = None
         self._chunks: deque[bytes] = deque()
         self._unread_bytes = 0
         self._is_ended = False
         self._is_cancelled = False
+        self._opened_connection = False
         self._progress = asyncio.Event()
         has_body = bool(body) or method in ("POST", "PUT", "PATCH")
         self._request = Request(
@@ -131,17 +169,27 @@
         """Whether any byte of the request may have reached the upstream."""
         return self._request.sent
 
+    @property
+    def is_connection_kept(self) -> bool:
+        """Whether it was sent on a connection that had carried other requests."""
+        return self.was_sent and not self._opened_connection
+
+    @property
+    def local_port(self) -> int | None:
+        """Return the own port of its connection, None before it was sent."""
+        return self._request.local_port
+
     @property
     def is_framed(self) -> bool:
         """Whether the response marks its end, so that a loss is detected as such."""
-        return any(name.lower() in FRAMING_HEADERS for name, _ in self.lines.fields)
+        return any(name.lower() in FRAMING_HEADERS for name, _ in self._lines.fields)
 
-    async def wait_for_head(self) -> bool:
-        """Wait for the head of the response and return whether it is complete."""
-        while not self.lines.is_whole and not self._is_ended:
+    async def wait_for_head(self) -> ResponseHead | None:
+        """Wait for the head of the response; return None if it was not complete."""
+        while self.head is None and not self._is_ended:
             self._progress.clear()
             await self._progress.wait()
-        return self.lines.is_whole
+        return self.head
 
     async def read_chunk(self) -> bytes | None:
         """Return the bytes of the body since the last call, None at its end."""
@@ -174,21 +222,21 @@
             return
         self._is_cancelled = True
         self._request.forbid_sending()
-        if self._curl is not None:
-            self._client.cancel(self._curl)
+        if self._transfer is not None:
+            self._client.cancel(self._transfer)
 
     async def _run(self) -> None:
         result = await fetch(self._client, self._request)
-        self._curl = None
+        self._transfer = None
         if isinstance(result, RequestFailure):
             self.loss = result
-        elif not self.lines.is_whole:
+        elif self.head is None:
             self.loss = RequestFailure.TRUNCATED
         self._is_ended = True
         self._progress.set()
 
     def _prepare(self, curl: pycurl.Curl) -> None:
-        self._curl = curl
+        self._transfer = Transfer(curl)
         self._request.prepare(curl)
         curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
         curl.setopt(pycurl.REQUEST_TARGET, self._target)
@@ -205,16 +253,31 @@
         curl.setopt(pycurl.MAXAGE_CONN, self._idle_s)
         curl.setopt(pycurl.HEADERFUNCTION, self._read_line)
         curl.setopt(pycurl.WRITEFUNCTION, self._read_data)
-        curl.setopt(pycurl.SOCKOPTFUNCTION, _set_socket_options)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self._set_up_socket)
+
+    def _set_up_socket(self, descriptor: int, _purpose: int) -> int:
+        """Called by libcurl for each new connection."""
+        self._opened_connection = True
+        _set_socket_options(descriptor)
+        return pycurl.SOCKOPT_OK
 
     def _read_line(self, line: bytes) -> int:
+        """Called by libcurl for each line; a short count aborts the transfer."""
+        if self.head is not None:
+            # A trailer after the chunks of the body.
+            return len(line)
         try:
-            self.lines.feed(line)
+            self._lines.feed(line)
         except ValueError:
             return 0
-        if self.lines.is_whole:
-            self._progress.set()
-        return len(line)
+        if not self._lines.is_whole:
+            return len(line)
+        self.head = self._decode_head(
+            self._lines.status, self._lines.reason, self._lines.fields
+        )
+        self.mismatch = find_mismatch(self.head, self._call_id)
+        self._progress.set()
+        return 0 if self.mismatch is not None else len(line)
 
     def _read_data(self, data: bytes) -> int:
         self._unread_bytes += len(data)
@@ -226,7 +289,7 @@
         return len(data)
 
 
-def _set_socket_options(descriptor: int, _purpose: int) -> int:
+def _set_socket_options(descriptor: int) -> None:
     opened = socket.socket(fileno=descriptor)
     try:
         opened.setsockopt(
@@ -234,4 +297,3 @@
         )
     finally:
         opened.detach()
-    return pycurl.SOCKOPT_OK
