Send and close nothing after the end of an answer

A handler that sent or aborted after its answer had ended would have written before the answer to the next request of the connection, or closed it.

--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -66,7 +66,8 @@
     Sends the answer to one request to its caller.
 
     An answer has one head and one end: whatever else is sent would be read as a part of
-    it, or as the answer to the next request of the connection.
+    it, or as the answer to the next request of the connection. ``is_closed`` tells that
+    nothing more can be sent: the answer has ended, or the connection is closed.
 
     :param announce_close: whether answers announce that the connection will be closed.
     :param version: of HTTP, as stated by the request.
@@ -142,6 +143,8 @@
             self._connection.finish()
         elif (flushed := self._flush()) is not None:
             future_add_done_callback(flushed, self._end_unframed)
+        # From here on, the connection may be in use for the next request.
+        self.is_closed = True
 
     def send_complete(
         self, status: int, reason: str, headers: list[tuple[str, str]], body: bytes
@@ -172,8 +175,9 @@
     def abort(self) -> None:
         """Close the connection so that the answer is visibly truncated."""
         self._on_disconnect = None
-        self.is_closed = True
-        self._connection.close()
+        if not self.is_closed:
+            self.is_closed = True
+            self._connection.close()
 
     def _flush(self) -> Awaitable[None] | None:
         """Return the future of all bytes written so far, None without a connection."""
