Send no call on a kept connection on which bytes wait

Calls that may run once failed with 502 after a second answer of their upstream, although the connection was idle and the bytes waited to be read before they were sent. Cause: libcurl looks for waiting bytes only on connections that were idle for a second, so the next call got them as its answer.

--- a/packages/adapters/src/persimmonferry_adapters/http_client.py
+++ b/packages/adapters/src/persimmonferry_adapters/http_client.py
@@ -116,7 +116,7 @@
         """Set the options of libcurl that Tornado does not expose."""
         curl.setopt(pycurl.NOPROXY, "*")
         curl.setopt(pycurl.PATH_AS_IS, 1)
-        curl.setopt(pycurl.PREREQFUNCTION, self._before_sending)
+        curl.setopt(pycurl.PREREQFUNCTION, self.check_sending)
         if self._reuse in (ConnectionReuse.NEW, ConnectionReuse.NEVER):
             curl.setopt(pycurl.FRESH_CONNECT, 1)
         if self._reuse is ConnectionReuse.NEVER:
@@ -133,7 +133,7 @@
         elif line in ("\r\n", "\n"):
             self.headers_complete = True
 
-    def _before_sending(
+    def check_sending(
         self, _remote_ip: str, _local_ip: str, _remote_port: int, local_port: int
     ) -> int:
         """Called by libcurl before the first byte is sent; records or prevents it."""
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -4,6 +4,7 @@
 import re
 import socket
 from collections import deque
+from typing import Any
 
 import pycurl
 from persimmonferry_adapters.http_client import (
@@ -20,6 +21,7 @@
     find_mismatch,
 )
 from persimmonferry_gateway.interfaces import ResponseHead
+from persimmonferry_gateway.kept_connections import KeptConnections
 
 __all__ = ["CancellableClient", "ResponseLines", "UpstreamExchange"]
 
@@ -40,7 +42,16 @@
 
 
 class CancellableClient(CurlAsyncHTTPClient):
-    """Tornado's curl client, with transfers that can be cancelled by the caller."""
+    """
+    Tornado's curl client, with transfers that can be cancelled by the caller.
+
+    :ivar kept_connections: connections of exchanges, which may be reused.
+    """
+
+    def initialize(self, *args: Any, **options: Any) -> None:
+        """Set up the client, as Tornado's constructor does."""
+        super().initialize(*args, **options)
+        self.kept_connections = KeptConnections()
 
     def cancel(self, transfer: "Transfer") -> None:
         """Cancel a transfer that has not ended; libcurl closes its connection."""
@@ -150,18 +161,15 @@
         self._unread_bytes = 0
         self._is_ended = False
         self._is_cancelled = False
-        self._opened_connection = False
+        self._opened_descriptor: int | None = None
+        self._is_connection_stale = False
         self._progress = asyncio.Event()
+        self._url = f"http://{address}/"
+        self._method = method
         has_body = bool(body) or method in ("POST", "PUT", "PATCH")
-        self._request = Request(
-            f"http://{address}/",
-            method=method,
-            body=body if has_body else None,
-            reuse=reuse,
-            timeout_s=timeout_s,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-        )
-        self._request.http.prepare_curl_callback = self._prepare
+        self._body = body if has_body else None
+        self._timeout_s = timeout_s
+        self._request = self._make_request(reuse)
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -172,7 +180,7 @@
     @property
     def is_connection_kept(self) -> bool:
         """Whether it was sent on a connection that had carried other requests."""
-        return self.was_sent and not self._opened_connection
+        return self.was_sent and self._opened_descriptor is None
 
     @property
     def local_port(self) -> int | None:
@@ -225,9 +233,25 @@
         if self._transfer is not None:
             self._client.cancel(self._transfer)
 
+    def _make_request(self, reuse: ConnectionReuse) -> Request:
+        request = Request(
+            self._url,
+            method=self._method,
+            body=self._body,
+            reuse=reuse,
+            timeout_s=self._timeout_s,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+        request.http.prepare_curl_callback = self._prepare
+        return request
+
     async def _run(self) -> None:
         result = await fetch(self._client, self._request)
         self._transfer = None
+        if self._is_connection_stale and not self._is_cancelled:
+            self._request = self._make_request(ConnectionReuse.NEW)
+            result = await fetch(self._client, self._request)
+            self._transfer = None
         if isinstance(result, RequestFailure):
             self.loss = result
         elif self.head is None:
@@ -254,13 +278,25 @@
         curl.setopt(pycurl.HEADERFUNCTION, self._read_line)
         curl.setopt(pycurl.WRITEFUNCTION, self._read_data)
         curl.setopt(pycurl.SOCKOPTFUNCTION, self._set_up_socket)
+        curl.setopt(pycurl.PREREQFUNCTION, self._check_connection)
 
     def _set_up_socket(self, descriptor: int, _purpose: int) -> int:
         """Called by libcurl for each new connection."""
-        self._opened_connection = True
+        self._opened_descriptor = descriptor
         _set_socket_options(descriptor)
         return pycurl.SOCKOPT_OK
 
+    def _check_connection(self, *addresses: Any) -> int:
+        """Called by libcurl before the first byte is sent on a connection."""
+        connections = self._client.kept_connections
+        if self._opened_descriptor is not None:
+            connections.record_opened(self._opened_descriptor, addresses)
+        elif connections.has_waiting_bytes(addresses):
+            # Aborting closes the connection; the request is sent on a new one.
+            self._is_connection_stale = True
+            return pycurl.PREREQFUNC_ABORT
+        return self._request.check_sending(*addresses)
+
     def _read_line(self, line: bytes) -> int:
         """Called by libcurl for each line; a short count aborts the transfer."""
         if self.head is not None:
