Send no lost call again where another kept connection has bytes waiting

Cause: libcurl tries a call again on another kept connection when the first one closes without a byte; waiting bytes there were taken for a sign that the call had not been sent at all. test_a_lost_call_is_sent_again_after_a_connection_with_waiting_bytes failed before (4 arrivals).

--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -291,7 +291,7 @@
         connections = self._client.kept_connections
         if self._opened_descriptor is not None:
             connections.record_opened(self._opened_descriptor, addresses)
-        elif connections.has_waiting_bytes(addresses):
+        elif not self.was_sent and connections.has_waiting_bytes(addresses):
             # Aborting closes the connection; the request is sent on a new one.
             self._is_connection_stale = True
             return pycurl.PREREQFUNC_ABORT
