--- a/packages/gateway/src/persimmonferry_gateway/answer_identity.py
+++ b/packages/gateway/src/persimmonferry_gateway/answer_identity.py
@@ -12,11 +12,13 @@
 
 _ANSWER_BEGIN = b"HTTP/1."
 
-# The head of an answer, or what was received of it at the end of the body.
+# Status line and fields. It matches at each status line, without going back, as the
+# time to search a body would grow with the square of its size otherwise.
 _ANSWER_HEAD = re.compile(
-    rb"HTTP/1\.[01] \d{3}[^\r\n]*(?:\Z|\r\n"
-    rb"(?:[\w-]+:[^\r\n]*\r\n){0,64}(?:\r\n|[^\r\n]*\Z))"
+    rb"HTTP/1\.[01] \d{3}[^\r\n]*+(?:\r\n(?:[\w-]++:[^\r\n]*+\r\n)*+)?"
 )
+# The end of the head, or of what was received of it at the end of the body.
+_HEAD_END = re.compile(rb"\r\n|[^\r\n]*+\r?\Z")
 
 
 class Mismatch(enum.Enum):
@@ -49,7 +51,7 @@
 
     Bytes that an upstream sends twice become a part of a body that lasts until its
     connection ends, and of one whose own end is missing. Documents may have examples of
-    answers, so one that states no call counts only in a body without a length.
+    answers, so one without an id and a seal counts only in a body without a length.
 
     :param decode_head: decodes the status, reason and fields of an answer.
     """
@@ -65,11 +67,18 @@
         """
         if _ANSWER_BEGIN not in content:
             return False
-        heads = _ANSWER_HEAD.finditer(content)
-        return any(not is_framed or self._states_call(head.group()) for head in heads)
-
-    def _states_call(self, head: bytes) -> bool:
+        for found in _ANSWER_HEAD.finditer(content):
+            end = _HEAD_END.match(content, found.end())
+            if end is None:
+                continue
+            if not is_framed or self._is_identified(found.group() + end.group()):
+                return True
+        return False
+
+    def _is_identified(self, head: bytes) -> bool:
+        """Return whether a head has an id or a seal."""
         lines = head.decode("latin-1").split("\r\n")
         rows = (line.partition(":") for line in lines[1:])
         fields = [(name, value.strip()) for name, colon, value in rows if colon]
-        return self._decode_head(0, "", fields).call_id is not None
+        decoded = self._decode_head(0, "", fields)
+        return decoded.call_id is not None or decoded.is_genuine
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -89,6 +89,7 @@
         self.reason = ""
         self.fields: list[tuple[str, str]] = []
         self.is_whole = False
+        self._is_begun = False
         self._size = 0
 
     def feed(self, line: bytes) -> None:
@@ -105,6 +106,9 @@
         if _STATUS_LINE_INSIDE.search(text):
             raise ValueError("status line inside a line of the response head")
         if text.startswith("HTTP/"):
+            if self._is_begun:
+                raise ValueError("status line inside the response head")
+            self._is_begun = True
             _, _, rest = text.partition(" ")
             code, _, self.reason = rest.partition(" ")
             self.status = int(code)
@@ -116,6 +120,7 @@
                 raise ValueError("response header line without a colon")
             self.fields.append((name, value.strip()))
         else:
+            self._is_begun = False
             self.is_whole = self.status >= 200
 
 
