Answer calls whose answer has a field that can't be relayed

The caller's connection was closed without an answer. Cause: Tornado refuses a malformed name or value of a field after the answer counted as begun. The caller gets status 500 now. test_an_upstream_sends_a_field_that_cannot_be_relayed failed before.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -325,11 +325,11 @@
             self._call.target,
             context.codec.encode_call(self._call, options),
             self._call.body,
-            self._call.call_id,
-            context.codec.decode_response_head,
-            reuse,
-            context.idle_s.get(record.name, DEFAULT_IDLE_S),
-            options.budget_s + 1.0,
+            call_id=self._call.call_id,
+            decode_head=context.codec.decode_response_head,
+            reuse=reuse,
+            idle_s=context.idle_s.get(record.name, DEFAULT_IDLE_S),
+            timeout_s=options.budget_s + 1.0,
         )
         answer_timeout_s = None
         if repeatable and self._attempts < self._route.max_attempts:
--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -120,10 +120,11 @@
             return
         if self.is_head_sent:
             raise AnswerBegun(f"answer has a head already, status {status} not sent")
-        self.is_head_sent = True
         fields = HTTPHeaders()
         for name, value in headers:
+            # Raises an exception for a header that can't be sent.
             fields.add(name, value)
+        self.is_head_sent = True
         if self._announce_close:
             fields["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, reason)
