Refuse bodies that end inside the head of another answer

A caller could get a body whose end was the begin of a second answer, which filled up the length of the first one. Cause: a head without its end states no call, and counted only in bodies without a length. A document with a length that ends with a status line or inside a head is refused for it, too: two cases of test_other_answers_in_content expect that now.

--- a/packages/gateway/src/persimmonferry_gateway/answer_identity.py
+++ b/packages/gateway/src/persimmonferry_gateway/answer_identity.py
@@ -51,7 +51,8 @@
 
     Bytes that an upstream sends twice become a part of a body that lasts until its
     connection ends, and of one whose own end is missing. Documents may have examples of
-    answers, so one without an id and a seal counts only in a body without a length.
+    answers, so a whole head without an id and a seal counts only in a body without a
+    length.
 
     :param decode_head: decodes the status, reason and fields of an answer.
     """
@@ -71,7 +72,9 @@
             end = _HEAD_END.match(content, found.end())
             if end is None:
                 continue
-            if not is_framed or self._is_identified(found.group() + end.group()):
+            head = found.group() + end.group()
+            is_cut = not head.endswith(b"\r\n\r\n")
+            if not is_framed or is_cut or self._is_identified(head):
                 return True
         return False
 
--- a/packages/gateway/tests/test_answer_identity.py
+++ b/packages/gateway/tests/test_answer_identity.py
@@ -54,8 +54,9 @@
     [
         (b"", False, False),
         (b"own", False, False),
-        (LINE, False, True),
-        (b"own" + LINE + b"\r\nDate: to", False, True),
+        # The begin of a second answer may fill up the length of one that was cut.
+        (LINE, True, True),
+        (b"own" + LINE + b"\r\nDate: to", True, True),
         (b"own" + LINE + b"\r\nRequest-Id: o", True, True),
         (LINE + b"\r\nRequest-Id: o\r\n\r\nown", True, True),
         (LINE + b"\r\nResponse-Seal: o\r\n\r\nown", True, True),
