Refuse no right answers for status lines in documents, empty ids and earlier Last-Event-Ids

Cause: any text up to the end of the body counted as a cut status line; the pattern of ids went on in the next line; the caller's Last-Event-Id counted on every route. Change: only a reason phrase may follow the status of a cut status line; an id ends with its line; the id of the caller counts where the route may be resumed.

--- a/packages/gateway/src/persimmonferry_gateway/answer_identity.py
+++ b/packages/gateway/src/persimmonferry_gateway/answer_identity.py
@@ -19,6 +19,8 @@
 )
 # The end of the head, or of what was received of it at the end of the body.
 _HEAD_END = re.compile(rb"\r\n|[^\r\n]*+\r?\Z")
+# A status line that ends a body; with other text behind the status it is a document.
+_CUT_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}[\w '-]*+\r?")
 
 
 class Mismatch(enum.Enum):
@@ -73,6 +75,8 @@
             if end is None:
                 continue
             head = found.group() + end.group()
+            if b"\r\n" not in head and not _CUT_STATUS_LINE.fullmatch(head):
+                continue
             is_cut = not head.endswith(b"\r\n\r\n")
             if not is_framed or is_cut or self._is_identified(head):
                 return True
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -181,7 +181,8 @@
         self._budget_s = budget_s
         self._deadline_s = self._arrival_s + budget_s
         self._finder = AnswerFinder(context.codec.decode_response_head)
-        self._splitter = EventSplitter(call.resumes_after, self._finder.has_answer)
+        resumes_after = call.resumes_after if route.is_resumable else None
+        self._splitter = EventSplitter(resumes_after, self._finder.has_answer)
         self._attempts = 0
         self._may_have_run = False
         self._avoid: frozenset[str] = frozenset()
@@ -313,7 +314,7 @@
             version=version,
             cache_scope=self._cache_scope(version),
             rank=self._engine_rank(now) if self._call.prompt else None,
-            resumes_after=self._splitter.last_id,
+            resumes_after=self._splitter.last_id or self._call.resumes_after,
         )
         if version is not None:
             options = self._add_cache_sources(options, version)
--- a/packages/gateway/src/persimmonferry_gateway/events.py
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -11,7 +11,7 @@
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 # No line of an event begins like this; an upstream that answers twice sends it.
 _STATUS_LINE = re.compile(rb"^HTTP/1\.[01] \d{3} ", re.MULTILINE)
-_EVENT_ID = re.compile(rb"^id:\s*(\S+)\s*$", re.MULTILINE)
+_EVENT_ID = re.compile(rb"^id:[ \t]*(\S+)[ \t\r]*$", re.MULTILINE)
 
 
 class EventSplitter:
--- a/packages/gateway/tests/test_answer_identity.py
+++ b/packages/gateway/tests/test_answer_identity.py
@@ -63,6 +63,8 @@
         (LINE + b"\r\nDate: today\r\n\r\nown", False, True),
         (LINE + b"\r\nA: 1" + LINE + b"\r\nRequest-Id: o\r\n\r\n", True, True),
         (LINE + b"\nDate: today\n\n", False, False),
+        (b'{"log": "' + LINE + b'"}', False, False),
+        (b"said " + LINE + b": all is well.", False, False),
         (LINE + b"\r\nRequest-Id is a field\r\n", False, False),
         (LINE + b"\r\nwords\r\n" + LINE + b"\r\nRequest-Id: o\r\n\r\n", True, True),
     ],
--- a/packages/gateway/tests/test_events.py
+++ b/packages/gateway/tests/test_events.py
@@ -26,3 +26,17 @@
     splitter = EventSplitter("2", FINDER.has_answer)
     assert splitter.feed(example) == example
     assert not FINDER.has_answer(b"HTTP/1.1 200 OK\r\nDate: today\r\n\r\n")
+
+
+# The line after an empty id was taken for the id, and the next event was refused.
+def test_an_event_with_an_empty_id_has_none():
+    splitter = EventSplitter()
+    events = b"id:\ndata:a\n\n" * 2
+    assert (splitter.feed(events), splitter.last_id) == (events, None)
+
+
+# A stray head without an id and a seal was relayed as an event.
+def test_a_head_that_states_no_call_is_relayed_as_an_event():
+    splitter = EventSplitter("1", FINDER.has_answer)
+    with pytest.raises(ValueError, match="another answer"):
+        splitter.feed(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
