Keep one description of an exchange's request instead of its parts

Nothing changes for callers. Cause: an exchange that has to send again kept URL, method, body and time limit to build its request a second time. Change: the request is described once. Result: the tests of the client and of stuttering upstreams pass as before.

--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -4,6 +4,7 @@
 import re
 import socket
 from collections import deque
+from functools import partial
 from typing import Any
 
 import pycurl
@@ -14,6 +15,7 @@
     fetch,
 )
 from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPResponse
 
 from persimmonferry_gateway.answer_identity import (
     HeadDecoder,
@@ -41,6 +43,18 @@
 _STATUS_LINE_INSIDE = re.compile(r".HTTP/1\.[01] \d{3}")
 
 
+class Transfer:
+    """
+    The use of a handle of libcurl for one request; handles are used again.
+
+    :param info: what Tornado keeps of the request, which identifies the use.
+    """
+
+    def __init__(self, curl: pycurl.Curl) -> None:
+        self.curl = curl
+        self.info = curl.info
+
+
 class CancellableClient(CurlAsyncHTTPClient):
     """
     Tornado's curl client, with transfers that can be cancelled by the caller.
@@ -53,7 +67,7 @@
         super().initialize(*args, **options)
         self.kept_connections = KeptConnections()
 
-    def cancel(self, transfer: "Transfer") -> None:
+    def cancel(self, transfer: Transfer) -> None:
         """Cancel a transfer that has not ended; libcurl closes its connection."""
         curl = transfer.curl
         if curl.info is not transfer.info:
@@ -61,18 +75,6 @@
         self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
 
 
-class Transfer:
-    """
-    The use of a handle of libcurl for one request; handles are used again.
-
-    :param info: what Tornado keeps of the request, which identifies the use.
-    """
-
-    def __init__(self, curl: pycurl.Curl) -> None:
-        self.curl = curl
-        self.info = curl.info
-
-
 class ResponseLines:
     """
     Collects the header lines of a response; each interim response resets them.
@@ -169,12 +171,16 @@
         self._opened_descriptor: int | None = None
         self._is_connection_stale = False
         self._progress = asyncio.Event()
-        self._url = f"http://{address}/"
-        self._method = method
         has_body = bool(body) or method in ("POST", "PUT", "PATCH")
-        self._body = body if has_body else None
-        self._timeout_s = timeout_s
-        self._request = self._make_request(reuse)
+        self._make_request = partial(
+            Request,
+            f"http://{address}/",
+            method=method,
+            body=body if has_body else None,
+            timeout_s=timeout_s,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+        self._request = self._make_request(reuse=reuse)
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -238,25 +244,11 @@
         if self._transfer is not None:
             self._client.cancel(self._transfer)
 
-    def _make_request(self, reuse: ConnectionReuse) -> Request:
-        request = Request(
-            self._url,
-            method=self._method,
-            body=self._body,
-            reuse=reuse,
-            timeout_s=self._timeout_s,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-        )
-        request.http.prepare_curl_callback = self._prepare
-        return request
-
     async def _run(self) -> None:
-        result = await fetch(self._client, self._request)
-        self._transfer = None
+        result = await self._fetch()
         if self._is_connection_stale and not self._is_cancelled:
-            self._request = self._make_request(ConnectionReuse.NEW)
-            result = await fetch(self._client, self._request)
-            self._transfer = None
+            self._request = self._make_request(reuse=ConnectionReuse.NEW)
+            result = await self._fetch()
         if isinstance(result, RequestFailure):
             self.loss = result
         elif self.head is None:
@@ -264,6 +256,12 @@
         self._is_ended = True
         self._progress.set()
 
+    async def _fetch(self) -> HTTPResponse | RequestFailure:
+        self._request.http.prepare_curl_callback = self._prepare
+        result = await fetch(self._client, self._request)
+        self._transfer = None
+        return result
+
     def _prepare(self, curl: pycurl.Curl) -> None:
         self._transfer = Transfer(curl)
         self._request.prepare(curl)
