Log how the answers of upstreams ended

`call ended` stated how far lost attempts got, and nothing of answers that counted as complete. It now has, for each answer that was read to its end, what was to mark the end (a length, chunks, or neither), how much of an event was missing, and why it is not complete.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -37,7 +37,11 @@
 from persimmonferry_gateway.events import EventSplitter
 from persimmonferry_gateway.interfaces import Codec, ForwardOptions, ResponseHead
 from persimmonferry_gateway.metrics import CallMetrics
-from persimmonferry_gateway.upstream_client import CancellableClient, UpstreamExchange
+from persimmonferry_gateway.upstream_client import (
+    CancellableClient,
+    Framing,
+    UpstreamExchange,
+)
 
 __all__ = ["AttemptFailed", "CallContext", "CallHandler"]
 
@@ -110,6 +114,7 @@
     :param limited_attempts: number of attempts at upstreams with a known limit.
     :param kept_connections: number of attempts on connections that were already open.
     :param losses: of attempts whose answer was not received whole, how far each got.
+    :param answer_ends: of attempts whose answer had begun, how it ended.
     :param fetched_tokens: of its shared parts that the engine was to fetch.
     :param saved_tokens: of its shared parts that the engine was to store.
     """
@@ -123,6 +128,7 @@
     limited_attempts: int = 0
     kept_connections: int = 0
     losses: list["AttemptProgress"] = field(default_factory=list)
+    answer_ends: list["AnswerEnd"] = field(default_factory=list)
     fetched_tokens: int = 0
     saved_tokens: int = 0
 
@@ -135,6 +141,29 @@
     CONTENT_RECEIVED = "content received"
 
 
+@dataclass(frozen=True)
+class AnswerEnd:
+    """
+    How the answer of an upstream ended.
+
+    :param framing: what was to mark its end.
+    :param partial_bytes: received of a stream's last event, if it is not complete.
+    :param failure: why the answer is not complete, None if it is.
+    """
+
+    framing: Framing
+    partial_bytes: int
+    failure: RequestFailure | None
+
+    def describe(self) -> dict[str, object]:
+        """Return the fields for the log."""
+        return {
+            "framing": self.framing.value,
+            "partial_bytes": self.partial_bytes,
+            "failure": self.failure and self.failure.value,
+        }
+
+
 class AttemptFailed(Exception):
     """
     An attempt that failed without a complete answer.
@@ -236,6 +265,7 @@
             "limited_attempts": notes.limited_attempts,
             "kept_connections": notes.kept_connections,
             "losses": [progress.value for progress in notes.losses],
+            "answer_ends": [end.describe() for end in notes.answer_ends],
             "parts": self._list_shared_parts(),
             "fetched_tokens": notes.fetched_tokens,
             "saved_tokens": notes.saved_tokens,
@@ -463,6 +493,7 @@
         self, exchange: UpstreamExchange, head: ResponseHead
     ) -> None:
         body = await exchange.read_body()
+        self.notes.answer_ends.append(AnswerEnd(exchange.framing, 0, exchange.loss))
         if exchange.loss is not None:
             error = make_upstream_error(exchange.loss, "in the answer")
             raise AttemptFailed(error, ran=True)
@@ -500,6 +531,8 @@
                 self._caller.send_head(head.status, head.reason, list(head.headers))
             self._caller.send_chunk(events)
         loss = exchange.loss or self._find_truncation(exchange)
+        partial_bytes = self._splitter.partial_bytes
+        self.notes.answer_ends.append(AnswerEnd(exchange.framing, partial_bytes, loss))
         if loss is not None:
             self._splitter.discard_partial()
             error = make_upstream_error(loss, "in the stream")
--- a/packages/gateway/src/persimmonferry_gateway/events.py
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -73,7 +73,12 @@
     @property
     def has_partial(self) -> bool:
         """Whether an event has begun and is not complete."""
-        return bool(self._buffer.strip(b"\r\n"))
+        return self.partial_bytes > 0
+
+    @property
+    def partial_bytes(self) -> int:
+        """Return the number of bytes of an event that is not complete."""
+        return len(self._buffer.strip(b"\r\n"))
 
     def flush(self) -> bytes:
         """Return the bytes after the last complete event, at the end of the stream."""
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -1,6 +1,7 @@
 """HTTP client for upstreams whose responses are relayed while they arrive."""
 
 import asyncio
+import enum
 import re
 import socket
 from collections import deque
@@ -25,7 +26,7 @@
 from persimmonferry_gateway.interfaces import ResponseHead
 from persimmonferry_gateway.kept_connections import KeptConnections
 
-__all__ = ["CancellableClient", "ResponseLines", "UpstreamExchange"]
+__all__ = ["CancellableClient", "Framing", "ResponseLines", "UpstreamExchange"]
 
 # TCP_USER_TIMEOUT: the connection is closed when sent data is not acknowledged for this
 # long. Longer than two retransmissions on a lossy link, shorter than callers wait.
@@ -43,6 +44,14 @@
 _STATUS_LINE_INSIDE = re.compile(r".HTTP/1\.[01] \d{3}")
 
 
+class Framing(enum.Enum):
+    """What marks the end of a response."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 class Transfer:
     """
     The use of a handle of libcurl for one request; handles are used again.
@@ -94,6 +103,23 @@
         self._is_begun = False
         self._size = 0
 
+    @property
+    def framing(self) -> Framing:
+        """
+        Return what marks the end of the response.
+
+        >>> lines = ResponseLines()
+        >>> lines.fields = [("Transfer-Encoding", "identity")]
+        >>> lines.framing
+        <Framing.CONNECTION: 'connection'>
+        """
+        values = {name.lower(): value.lower() for name, value in self.fields}
+        if "chunked" in values.get("transfer-encoding", ""):
+            return Framing.CHUNKS
+        if values.get("content-length", "").isdecimal():
+            return Framing.LENGTH
+        return Framing.CONNECTION
+
     def feed(self, line: bytes) -> None:
         """
         Parse one line.
@@ -198,6 +224,11 @@
         """Return the own port of its connection, None before it was sent."""
         return self._request.local_port
 
+    @property
+    def framing(self) -> Framing:
+        """Return what marks the end of the response."""
+        return self._lines.framing
+
     @property
     def is_framed(self) -> bool:
         """Whether the response marks its end, so that a loss is detected as such."""
