Take as a mark of an answer's end only what libcurl reads as one

Callers saw (test): a stream that was broken off before its first event, complete and empty, if its head had a Transfer-Encoding other than chunked.

Cause: whether an answer marks its end was read from the presence of a header. libcurl ends such an answer with its connection.

Change: the answer's framing is chunks, a decimal length, or its connection; the first two mark an end.

Why it works: the same rule decides here and in libcurl.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -497,7 +497,8 @@
         if exchange.loss is not None:
             error = make_upstream_error(exchange.loss, "in the answer")
             raise AttemptFailed(error, ran=True)
-        if self._finder.has_answer(body, is_framed=exchange.is_framed):
+        is_framed = exchange.framing is not Framing.CONNECTION
+        if self._finder.has_answer(body, is_framed=is_framed):
             raise self._refuse_answer(exchange, "another answer in the body")
         if head.status >= 500 and self._can_repeat():
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
@@ -565,7 +566,8 @@
     def _find_truncation(self, exchange: UpstreamExchange) -> RequestFailure | None:
         """Return why a stream that has ended is not complete, None if it is."""
         is_empty = self._progress is not AttemptProgress.CONTENT_RECEIVED
-        if self._splitter.has_partial or (is_empty and not exchange.is_framed):
+        is_unframed = exchange.framing is Framing.CONNECTION
+        if self._splitter.has_partial or (is_empty and is_unframed):
             return RequestFailure.TRUNCATED
         return None
 
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -38,8 +38,6 @@
 # Limit for a complete response and for the unread bytes of a stream: a faulty upstream
 # may send bytes without end.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-# Without these, a response ends with its connection.
-FRAMING_HEADERS = ("content-length", "transfer-encoding")
 # The line belongs to another response that broke off where this one begins.
 _STATUS_LINE_INSIDE = re.compile(r".HTTP/1\.[01] \d{3}")
 
@@ -229,11 +227,6 @@
         """Return what marks the end of the response."""
         return self._lines.framing
 
-    @property
-    def is_framed(self) -> bool:
-        """Whether the response marks its end, so that a loss is detected as such."""
-        return any(name.lower() in FRAMING_HEADERS for name, _ in self._lines.fields)
-
     async def wait_for_head(self) -> ResponseHead | None:
         """Wait for the head of the response; return None if it was not complete."""
         while self.head is None and not self._is_ended:
