--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -210,6 +210,12 @@
             )
             return
         if self.deployment and deployment.version < self.deployment.version:
+            fields = {
+                "version": deployment.version,
+                "revision": item.revision,
+                "in_force": self.deployment.version,
+            }
+            _log.warning("older configuration ignored", extra=fields)
             return
         self.deployment = deployment
         self._configure(now)
