Tell revisions of the registry apart after it came back from an older copy

Cause: the store gives revisions out again after it came back from a copy. A gateway that had revision 22 of the lost history asked for changes after 22, and the configuration with revision 22 of the new one was none.

--- a/packages/core/src/persimmonferry_core/exceptions.py
+++ b/packages/core/src/persimmonferry_core/exceptions.py
@@ -5,6 +5,7 @@
 __all__ = [
     "ConfigurationFaulty",
     "FerryError",
+    "HistoryReplaced",
     "HistoryUnavailable",
     "LeaseEnded",
     "NotRun",
@@ -133,6 +134,14 @@
         super().__init__(ResultCode.PLATFORM_DOWN, detail)
 
 
+class HistoryReplaced(HistoryUnavailable):
+    """
+    The platform came back from an older copy, without changes it had acknowledged.
+
+    Values may be older than before until their writers have written them again.
+    """
+
+
 class LeaseEnded(PlatformError):
     """The platform has no such lease: it expired or was released."""
 
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -62,6 +62,9 @@
     """
     The platform's key-value store; each method makes one call, or one for each page.
 
+    Revisions increase with each write, also when the registry has come back from an
+    older copy: they are told apart from those of the lost history.
+
     :param calls: number of calls made, by kind.
     """
 
@@ -79,6 +82,7 @@
         Return the changes after a revision, waiting up to ``wait_s`` for one.
 
         :raises HistoryUnavailable: the registry no longer has all changes since then.
+        :raises HistoryReplaced: the registry has lost changes that it had acknowledged.
         :raises PlatformUnavailable: no usable response.
         """
 
