Keep upstreams in use that a restored registry has lost

Callers saw (test): 503, no upstream, from the return of the store until its upstreams have written their entries again, about a second.

Cause: after a lost history, what the list lacks was dropped at once. The period of grace for entries that expire in an outage began only where a call had failed, and the store may be away between two calls.

Change: a list states its era; the first one of another era is marked as restored, begins the period of grace, and is followed by one more after 7 s, when leases of the lost history have ended.

Why it works: the list itself shows the rise, also after an outage, after two rises, and if another call detected it first.

--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -104,6 +104,8 @@
         :param since_s: earliest time at which versions that are new to this process may
             have been wanted, on the boot clock.
         """
+        if snapshot.is_restored:
+            self.fleet.record_history_replaced(now)
         prefix = self._codec.upstream_prefix
         items = [item for item in snapshot.items if item.key.startswith(prefix)]
         names = frozenset(item.key.removeprefix(prefix) for item in items)
--- a/packages/gateway/src/persimmonferry_gateway/fleet.py
+++ b/packages/gateway/src/persimmonferry_gateway/fleet.py
@@ -35,6 +35,11 @@
             self._restored_s = now
         self._is_registry_lost = False
 
+    def record_history_replaced(self, now: float) -> None:
+        """Record that the registry has come back from an older copy."""
+        self._is_registry_lost = False
+        self._restored_s = now
+
     def put(self, record: UpstreamRecord) -> None:
         """Add or replace an entry."""
         self._removal_due_s.pop(record.name, None)
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -35,19 +35,29 @@
 
     :param value: None when the item was removed.
     :param revision: of its last change.
+    :param lease: at whose end it is removed, 0 for none.
     """
 
     key: str
     value: bytes | None
     revision: int
+    lease: int = 0
 
 
 @dataclass(frozen=True)
 class Snapshot:
-    """All items under a prefix; a watch after ``revision`` returns later changes."""
+    """
+    All items under a prefix; a watch after ``revision`` returns later changes.
+
+    :param era: rises when the registry has come back from an older copy.
+    :param is_restored: whether it is the first one since then: items may be older than
+        before, or missing, until their writers have written them again.
+    """
 
     items: tuple[Item, ...]
     revision: int
+    era: int = 0
+    is_restored: bool = False
 
 
 @dataclass(frozen=True)
--- a/packages/gateway/src/persimmonferry_gateway/registry_watch.py
+++ b/packages/gateway/src/persimmonferry_gateway/registry_watch.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 from persimmonferry_core.exceptions import HistoryUnavailable, PlatformError
 from persimmonferry_daemon.periodic import BackgroundTask
@@ -24,6 +25,9 @@
 MAX_WATCH_PAUSE_S = 0.8
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
+# After the registry came back from an older copy, all items are read once more when the
+# others have written theirs again, or their leases have expired.
+REREAD_AFTER_S = 7.0
 ALL_KEYS = ""
 
 _log = logging.getLogger(__name__)
@@ -36,7 +40,8 @@
     Its field ``gap_s`` holds the seconds between its last two responses, including
     time in which the process was suspended.
 
-    :param apply_snapshot: called with all items; others no longer exist.
+    :param apply_snapshot: called with all items; others no longer exist, unless the
+        registry was restored from an older copy.
     :param apply_changes: called with the items that changed since.
     :param record_reachable: called with whether the registry responds, on changes.
     """
@@ -53,6 +58,8 @@
         self._apply_changes = apply_changes
         self._record_reachable = record_reachable
         self._revision: int | None = None
+        self._era: int | None = None
+        self._reread_s = float("inf")
         self._failures = 0
         self._keys: set[str] = set()
         self._last_response_s = float("-inf")
@@ -88,6 +95,7 @@
         if self._revision is None:
             snapshot = await self._registry.list_items(ALL_KEYS)
             self._record_response()
+            snapshot = self._mark_restored(snapshot, read_boot_clock())
             self._keys = {item.key for item in snapshot.items}
             self._apply_snapshot(snapshot)
             self._revision = snapshot.revision
@@ -99,8 +107,20 @@
             change(item.key)
         self._apply_changes(changes)
         self._revision = max(self._revision, changes.revision)
+        if read_boot_clock() >= self._reread_s:
+            self._revision = None
         await asyncio.sleep(_choose_pause(len(self._keys)))
 
+    def _mark_restored(self, snapshot: Snapshot, now: float) -> Snapshot:
+        """Mark the first snapshot of another era, and schedule one more."""
+        is_restored = self._era not in (None, snapshot.era)
+        if is_restored:
+            fields = {"former_era": self._era, "era": snapshot.era}
+            _log.warning("registry restored from an older copy", extra=fields)
+        self._era = snapshot.era
+        self._reread_s = now + REREAD_AFTER_S if is_restored else float("inf")
+        return replace(snapshot, is_restored=is_restored)
+
     def measure_silence(self) -> float:
         """Return the seconds since the registry responded, on the boot clock."""
         return read_boot_clock() - self._last_response_s
--- a/packages/gateway/tests/fakeregistry.py
+++ b/packages/gateway/tests/fakeregistry.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from persimmonferry_core.exceptions import (
+    HistoryReplaced,
     HistoryUnavailable,
     LeaseEnded,
     PlatformAnswerLost,
@@ -19,6 +20,8 @@
         self.open_leases: set[int] = set()
         self.history: list[Item] = []
         self.revision = 1
+        self.era = 1
+        self.restored_at = 0
         self.is_unavailable = False
         self.drops_answers = False
         self.oldest = 0
@@ -37,6 +40,17 @@
         self._changed = asyncio.Event()
         return self.revision
 
+    def restore(self, *keys):
+        """Come back from an older copy, with these items only, and without leases."""
+        self.era += 1
+        self.revision += 1
+        self.restored_at = self.revision
+        self.items = {key: self.items[key] for key in keys}
+        self.leases.clear()
+        self.open_leases.clear()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     def expire_lease(self, lease):
         self.open_leases.discard(lease)
         for key, holder in list(self.leases.items()):
@@ -51,22 +65,26 @@
 
     async def list_items(self, prefix):
         self._record_call("list")
-        return Snapshot(tuple(self.items.values()), self.revision)
+        return Snapshot(tuple(self.items.values()), self.revision, self.era)
 
     async def watch(self, prefix, after, wait_s):
         self._record_call("watch")
-        if after < self.oldest:
-            raise HistoryUnavailable("old")
+        self._check_history(after)
         try:
             async with asyncio.timeout(wait_s):
-                while not self._find(after):
+                while after >= self.restored_at and not self._find(after):
                     await self._changed.wait()
         except TimeoutError:
             pass
         self._record_call("watch ends")
+        self._check_history(after)
+        return Changes(self._find(after), self.revision)
+
+    def _check_history(self, after):
+        if after < self.restored_at:
+            raise HistoryReplaced("lost")
         if after < self.oldest:
             raise HistoryUnavailable("old")
-        return Changes(self._find(after), self.revision)
 
     def _find(self, after):
         return tuple(item for item in self.history if item.revision > after)
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -55,3 +55,12 @@
     fleet.record_registry_restored(10.0)
     fleet.remove("u1", 10.0 + REREGISTRATION_GRACE_S)
     assert fleet.records == {}
+
+
+# Upstreams that had registered since the copy was made were dropped at once.
+def test_entries_that_an_older_copy_lacks_are_used_during_the_grace_period():
+    fleet = make_fleet("u1", "u2")
+    fleet.record_history_replaced(10.0)
+    fleet.keep_only(frozenset(("u2",)), 10.0)
+    assert set(fleet.records) == {"u1", "u2"}
+    assert fleet.expire(10.0 + REREGISTRATION_GRACE_S) == ("u1",)
--- a/packages/gateway/tests/test_registry_watch.py
+++ b/packages/gateway/tests/test_registry_watch.py
@@ -2,6 +2,7 @@
 
 from fakeregistry import FakeRegistry
 from helpers import wait_until
+from persimmonferry_gateway import registry_watch
 from persimmonferry_gateway.registry_watch import RegistryWatch
 
 
@@ -9,10 +10,12 @@
     def __init__(self):
         self.items = {}
         self.snapshots = 0
+        self.restored = []
         self.contacts = []
 
     def take(self, snapshot):
         self.snapshots += 1
+        self.restored.append(snapshot.is_restored)
         self.items = {item.key: item.value for item in snapshot.items}
 
     def change(self, changes):
@@ -85,3 +88,44 @@
         assert registry.calls.count("watch") - before <= 8
 
     run_scenario(scenario)
+
+
+# Items that an older copy lacks counted as removed for good.
+def test_the_items_of_a_restored_registry_are_marked_and_read_once_more(monkeypatch):
+    monkeypatch.setattr(registry_watch, "REREAD_AFTER_S", 0.1)
+
+    async def scenario(registry, recorded, watch):
+        registry.restore()
+        await wait_until(lambda: recorded.snapshots == 2)
+        registry.put("b", b"2")
+        await wait_until(lambda: recorded.snapshots == 3)
+        assert recorded.restored == [False, True, False]
+
+    run_scenario(scenario)
+
+
+# A rise that only the list after an outage showed was taken for none.
+def test_a_rise_of_the_era_that_a_list_detects_is_marked():
+    async def scenario(registry, recorded, watch):
+        registry.oldest = registry.revision + 1
+        registry.put("b", b"2")
+        registry.era += 1
+        await wait_until(lambda: recorded.snapshots == 2)
+        assert recorded.restored == [False, True]
+
+    run_scenario(scenario)
+
+
+def test_two_rises_are_marked_one_after_the_other():
+    async def scenario(registry, recorded, watch):
+        for _ in range(2):
+            before = recorded.snapshots
+            registry.is_unavailable = True
+            registry.restore()
+            registry.restore()
+            await asyncio.sleep(0.2)
+            registry.is_unavailable = False
+            await wait_until(lambda before=before: recorded.snapshots == before + 1)
+        assert recorded.restored == [False, True, True]
+
+    run_scenario(scenario)
