Use no upstream by an entry of before it left

Suspected, shown by tests: an upstream that is leaving, or whose entry was removed, gets calls again when the store comes back from a copy in which it is ready; one that has restarted is called at its former address.

Cause: entries of a list replaced what was known, whatever their age.

Change: from a list of a restored registry no entry is used whose incarnation is older than the known one, or was leaving, or was dropped. An upstream that writes its entry again, about each second, is used again.

Why it works: an older copy can't show anything newer about an incarnation that this process has seen leaving.

--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -111,7 +111,7 @@
         names = frozenset(item.key.removeprefix(prefix) for item in items)
         for name in self.fleet.keep_only(names, now):
             self._forget(name)
-        self._apply(snapshot.items, now, since_s)
+        self._apply(snapshot.items, now, since_s, is_restored=snapshot.is_restored)
 
     def apply_changes(self, changes: Changes, now: float, since_s: float) -> None:
         """Apply changed items of the registry, with ``since_s`` as above."""
@@ -187,7 +187,14 @@
             )
             self._forget(name)
 
-    def _apply(self, items: tuple[Item, ...], now: float, since_s: float) -> None:
+    def _apply(
+        self,
+        items: tuple[Item, ...],
+        now: float,
+        since_s: float,
+        *,
+        is_restored: bool = False,
+    ) -> None:
         codec = self._codec
         for item in items:
             if item.key == codec.configuration_key:
@@ -195,7 +202,7 @@
             elif item.key.startswith(codec.weights_prefix):
                 self._apply_weights(item, now, since_s)
             elif item.key.startswith(codec.upstream_prefix):
-                self._apply_upstream(item, now)
+                self._apply_upstream(item, now, is_restored=is_restored)
 
     def _apply_configuration(self, item: Item, now: float) -> None:
         if item.value is None:
@@ -245,7 +252,7 @@
             self._configure(now)
             _log.info("weights wanted", extra={"model": model, "version": version})
 
-    def _apply_upstream(self, item: Item, now: float) -> None:
+    def _apply_upstream(self, item: Item, now: float, *, is_restored: bool) -> None:
         name = item.key.removeprefix(self._codec.upstream_prefix)
         if item.value is None:
             self._remove(name, now)
@@ -259,6 +266,9 @@
                 _log.warning("upstream entry malformed", extra=cause)
             self._remove(name, now)
             return
+        if is_restored and self.fleet.is_outdated(record):
+            _log.info("outdated upstream entry ignored", extra={"upstream": name})
+            return
         former = self.find_record(name)
         self.fleet.put(record)
         if former == record:
--- a/packages/gateway/src/persimmonferry_gateway/fleet.py
+++ b/packages/gateway/src/persimmonferry_gateway/fleet.py
@@ -9,6 +9,7 @@
 # Upstreams whose entries expired during a registry outage register again within this
 # time.
 REREGISTRATION_GRACE_S = 2.0
+MAX_DROPPED = 1024
 
 
 @dataclass
@@ -22,6 +23,8 @@
 
     records: dict[str, UpstreamRecord] = field(default_factory=dict)
     _removal_due_s: dict[str, float] = field(default_factory=dict)
+    # Incarnations of the upstreams that were dropped last.
+    _dropped: dict[str, int] = field(default_factory=dict)
     _is_registry_lost: bool = False
     _restored_s: float = float("-inf")
 
@@ -40,9 +43,25 @@
         self._is_registry_lost = False
         self._restored_s = now
 
+    def is_outdated(self, record: UpstreamRecord) -> bool:
+        """
+        Return whether an entry of an older copy has been replaced or removed since.
+
+        Its upstream has restarted, is leaving or is gone, unless it writes the entry
+        again.
+        """
+        dropped = self._dropped.get(record.name)
+        if dropped is not None and record.incarnation <= dropped:
+            return True
+        known = self.records.get(record.name)
+        if known is None or record.incarnation > known.incarnation:
+            return False
+        return record.incarnation < known.incarnation or known.is_leaving
+
     def put(self, record: UpstreamRecord) -> None:
         """Add or replace an entry."""
         self._removal_due_s.pop(record.name, None)
+        self._dropped.pop(record.name, None)
         self.records[record.name] = record
 
     def remove(self, name: str, now: float) -> None:
@@ -66,7 +85,11 @@
     def drop(self, name: str) -> None:
         """Drop an upstream at once."""
         self._removal_due_s.pop(name, None)
-        self.records.pop(name, None)
+        record = self.records.pop(name, None)
+        if record is not None:
+            self._dropped[name] = record.incarnation
+        if len(self._dropped) > MAX_DROPPED:
+            del self._dropped[next(iter(self._dropped))]
 
     def expire(self, now: float) -> tuple[str, ...]:
         """Drop and return the upstreams that did not register again in time."""
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -64,3 +64,33 @@
     fleet.keep_only(frozenset(("u2",)), 10.0)
     assert set(fleet.records) == {"u1", "u2"}
     assert fleet.expire(10.0 + REREGISTRATION_GRACE_S) == ("u1",)
+
+
+# Upstreams that were leaving or gone got calls again, by an entry from before.
+def test_an_entry_that_was_replaced_or_removed_since_the_copy_is_outdated():
+    fleet = make_fleet("left", "ready")
+    fleet.put(make_record("leaving", is_leaving=True))
+    fleet.put(make_record("restarted", incarnation=2))
+    fleet.remove("left", 5.0)
+    fleet.record_history_replaced(10.0)
+    outdated = [
+        name
+        for name in ("left", "ready", "leaving", "restarted", "new")
+        if fleet.is_outdated(make_record(name))
+    ]
+    assert outdated == ["left", "leaving", "restarted"]
+
+
+def test_an_upstream_that_writes_its_entry_again_is_used_again():
+    fleet = make_fleet("u1")
+    fleet.remove("u1", 5.0)
+    fleet.record_history_replaced(10.0)
+    fleet.put(make_record("u1"))
+    assert set(fleet.records) == {"u1"}
+    assert not fleet.is_outdated(make_record("u1"))
+
+
+def test_an_upstream_that_has_restarted_since_it_was_dropped_is_not_outdated():
+    fleet = make_fleet("u1")
+    fleet.remove("u1", 5.0)
+    assert not fleet.is_outdated(make_record("u1", incarnation=2))
