Let no leader act before one of the lost history has stopped

Suspected, shown by a test: the restored registry has no entry of a leader that was elected since the copy was made, so another gateway becomes the leader at once, and both give orders for up to three quarters of a lease.

Cause: the entry in the registry kept others out, and it is gone without its lease having ended.

Change: after a rise of the era a leader acts only once a whole lease has passed.

Why it works: the last renewal of a former leader was answered before the rise, and it acts for less than a lease after that.

--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -437,6 +437,8 @@
         self._cluster.apply_snapshot(
             snapshot, self._loop.time(), self._estimate_change_time()
         )
+        if snapshot.is_restored:
+            self._election.record_history_replaced(read_boot_clock())
         keys = {item.key for item in snapshot.items}
         self._election.record_leader(ROLLOUT_KEY in keys)
         self._gateways.clear()
--- a/packages/gateway/src/persimmonferry_gateway/leadership.py
+++ b/packages/gateway/src/persimmonferry_gateway/leadership.py
@@ -60,6 +60,7 @@
         self._lease_s = lease_s
         self._leadership: Leadership | None = None
         self._has_leader = True
+        self._act_from_s = float("-inf")
         self._wake = asyncio.Event()
         self._background = BackgroundTask(self._run)
 
@@ -70,9 +71,20 @@
         :param now: on the boot clock.
         """
         leadership = self._leadership
-        return (
-            leadership if leadership is not None and now < leadership.until_s else None
-        )
+        if leadership is None or not self._act_from_s <= now < leadership.until_s:
+            return None
+        return leadership
+
+    def record_history_replaced(self, now: float) -> None:
+        """
+        Record that the registry has come back from an older copy.
+
+        A leader of the lost history acts until its lease ends, although the registry
+        has no entry of it any more and lets another gateway become the leader.
+
+        :param now: on the boot clock.
+        """
+        self._act_from_s = now + self._lease_s
 
     def record_leader(self, has_leader: bool) -> None:
         """Record whether the registry has an entry of a leader."""
--- a/packages/gateway/tests/test_leadership.py
+++ b/packages/gateway/tests/test_leadership.py
@@ -112,3 +112,21 @@
         assert one.find_leadership(read_boot_clock()).fence > fence
 
     run_scenario(scenario)
+
+
+# The next leader acted while the one that the older copy lacked still did.
+def test_no_leader_acts_before_one_of_the_lost_history_has_stopped():
+    async def scenario(registry, one, other):
+        one.start()
+        await wait_until(lambda: is_leader(one))
+        former = one.find_leadership(read_boot_clock())
+        registry.restore()
+        restored_s = read_boot_clock()
+        for election in (one, other):
+            election.record_history_replaced(restored_s)
+        assert not is_leader(one)
+        other.start()
+        await wait_until(lambda: is_leader(one) or is_leader(other))
+        assert read_boot_clock() >= max(former.until_s, restored_s + LEASE_S)
+
+    run_scenario(scenario)
