Keep the gateways that a restored registry has lost

Suspected, shown by a test: after the store came back from a copy of before they registered, each gateway takes itself for the only one: it uses its share of the retry budget as if there were no others, and sends nobody its work, until the others have registered again.

Cause: a list without a gateway's entry was taken for its end.

Change: from a list of a restored registry only further gateways are taken.

Why it works: a gateway notices that its lease has ended at the next renewal, 1.7 s at most, and registers again.

--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -441,8 +441,7 @@
             self._election.record_history_replaced(read_boot_clock())
         keys = {item.key for item in snapshot.items}
         self._election.record_leader(ROLLOUT_KEY in keys)
-        self._gateways.clear()
-        self._apply_gateways(snapshot.items)
+        self._apply_all_gateways(snapshot)
         self._crash_reports.apply_snapshot(snapshot.items)
         self._after_registry_change()
 
@@ -470,6 +469,22 @@
             read_boot_clock(),
         )
 
+    def _apply_all_gateways(self, snapshot: Snapshot) -> None:
+        """
+        Replace the gateways with those of a snapshot.
+
+        Those that a restored registry has lost register again. Until then they still
+        share the work, the limits and the retry budget.
+        """
+        if not snapshot.is_restored:
+            self._gateways.clear()
+            self._apply_gateways(snapshot.items)
+            return
+        known = {GATEWAY_PREFIX + name for name in self._gateways}
+        self._apply_gateways(
+            tuple(item for item in snapshot.items if item.key not in known)
+        )
+
     def _apply_gateways(self, items: tuple[Item, ...]) -> None:
         entries = [item for item in items if item.key.startswith(GATEWAY_PREFIX)]
         for item in entries:
