Store quarantined parts again that a restored registry has lost, and release those that it brings back

Suspected, shown by tests: after the store came back from an older copy, a gateway that starts sends prompts with parts that crash engines; parts that were shown to be sound since the copy was made are refused again, and their entries stay for up to ten minutes.

Cause: entries were written only after a crash or the end of their lease, and each listed entry was restored. The lease to end was the one that the entry's writer had stated, which counts as ended in another era.

Change: after a list of a restored registry one gateway stores what is missing, and entries that this process had seen removed are removed again. The lease of an entry is read from the registry.

--- a/packages/gateway/src/persimmonferry_gateway/crash_reports.py
+++ b/packages/gateway/src/persimmonferry_gateway/crash_reports.py
@@ -17,11 +17,12 @@
 )
 from persimmonferry_daemon.periodic import BackgroundTask
 
-from persimmonferry_gateway.interfaces import Item, Registry
+from persimmonferry_gateway.interfaces import Item, Registry, Snapshot
 
 __all__ = ["CrashReports"]
 
 RETRY_S = 1.0
+MAX_REMOVED = 256
 MAX_HASH = (1 << 64) - 1
 
 _log = logging.getLogger(__name__)
@@ -72,6 +73,8 @@
         self._notify = notify
         self._stored: dict[str, _StoredEntry] = {}
         self._obsolete_leases: set[int] = set()
+        # Keys whose entries were removed last, oldest first.
+        self._removed: dict[str, None] = {}
         self._logged: frozenset[QuarantinedParts] = frozenset()
         self._is_changed = asyncio.Event()
         self._background = BackgroundTask(self._store_changes)
@@ -135,10 +138,21 @@
             self._log_changes()
             self._notify()
 
-    def apply_snapshot(self, items: Iterable[Item]) -> None:
+    def apply_snapshot(self, snapshot: Snapshot) -> None:
         """Replace what is stored with all items of the registry."""
         self._stored.clear()
-        self.apply_items(items)
+        if not snapshot.is_restored:
+            self.apply_items(snapshot.items)
+            return
+        # What was released since the copy was made is released again.
+        self.apply_items(
+            item for item in snapshot.items if item.key not in self._removed
+        )
+        self._obsolete_leases |= {
+            item.lease for item in snapshot.items if item.key in self._removed
+        }
+        if self._obsolete_leases or self._is_first_to_store():
+            self._is_changed.set()
 
     def apply_items(self, items: Iterable[Item]) -> None:
         """Apply changed items of the registry."""
@@ -154,6 +168,7 @@
     def _apply_item(self, item: Item) -> None:
         former = self._stored.pop(item.key, None)
         if item.value is None:
+            self._record_removed(item.key)
             # Leases may expire in an outage; one gateway stores the parts again.
             if former and self._quarantine.is_first_to_test(former.quarantined.parts):
                 self._is_changed.set()
@@ -165,9 +180,23 @@
             _log.warning("entry of quarantined parts malformed", extra=cause)
             return
         self._stored[item.key] = entry
+        self._removed.pop(item.key, None)
         self._quarantine.restore(entry.quarantined, self._read_clock())
         self._notify()
 
+    def _record_removed(self, key: str) -> None:
+        self._removed[key] = None
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
+
+    def _is_first_to_store(self) -> bool:
+        """Whether parts are missing in the registry that this gateway is to store."""
+        return any(
+            self._prefix + _make_key(item.parts) not in self._stored
+            and self._quarantine.is_first_to_test(item.parts)
+            for item in self._quarantine.list_quarantined()
+        )
+
     def _log_changes(self) -> None:
         quarantined = frozenset(self._quarantine.list_quarantined())
         for item in quarantined - self._logged:
@@ -239,4 +268,4 @@
     if not parts or max(map(abs, parts)) > MAX_HASH >> 1:
         raise ValueError("no parts, or parts that are not hashes")
     quarantined = QuarantinedParts(parts, int(document["crashes"]))
-    return _StoredEntry(quarantined, int(document["lease"]), item.revision)
+    return _StoredEntry(quarantined, item.lease, item.revision)
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -442,7 +442,7 @@
         keys = {item.key for item in snapshot.items}
         self._election.record_leader(ROLLOUT_KEY in keys)
         self._apply_all_gateways(snapshot)
-        self._crash_reports.apply_snapshot(snapshot.items)
+        self._crash_reports.apply_snapshot(snapshot)
         self._after_registry_change()
 
     def _apply_changes(self, changes: Changes) -> None:
