Ask a registry that was away without waiting for a change

Change: the first watch after a failed call does not wait. One more call each outage and gateway.

Evidence: test_the_first_watch_after_an_outage_does_not_wait fails without the change.

--- a/packages/gateway/src/persimmonferry_gateway/registry_watch.py
+++ b/packages/gateway/src/persimmonferry_gateway/registry_watch.py
@@ -100,7 +100,9 @@
             self._apply_snapshot(snapshot)
             self._revision = snapshot.revision
             return
-        changes = await self._registry.watch(ALL_KEYS, self._revision, WATCH_WAIT_S)
+        # After an outage all may have changed, also the registry's history.
+        wait_s = 0.0 if self._failures else WATCH_WAIT_S
+        changes = await self._registry.watch(ALL_KEYS, self._revision, wait_s)
         self._record_response()
         for item in changes.items:
             change = self._keys.discard if item.value is None else self._keys.add
--- a/packages/gateway/tests/test_registry_watch.py
+++ b/packages/gateway/tests/test_registry_watch.py
@@ -129,3 +129,14 @@
         assert recorded.restored == [False, True, True]
 
     run_scenario(scenario)
+
+
+# A change made during the outage came into force when the next watch had ended.
+def test_the_first_watch_after_an_outage_does_not_wait():
+    async def scenario(registry, recorded, watch):
+        registry.is_unavailable = True
+        await wait_until(lambda: recorded.contacts == [False])
+        registry.is_unavailable = False
+        await wait_until(lambda: recorded.contacts == [False, True], timeout_s=1.2)
+
+    run_scenario(scenario)
