--- a/packages/gateway/src/persimmonferry_gateway/crash_reports.py
+++ b/packages/gateway/src/persimmonferry_gateway/crash_reports.py
@@ -258,6 +258,7 @@
 
 
 def _encode_entry(item: QuarantinedParts, lease: int) -> bytes:
+    # Gateways of earlier versions read the lease from the value.
     document = {"parts": sorted(item.parts), "crashes": item.crashes, "lease": lease}
     return json.dumps(document).encode()
 
