Take a head without its last byte for one that was broken off

Callers saw: an answer whose connection was closed one byte before the end of its head as complete and empty, 200 with the seal of its engine.

Cause: at the end of the connection libcurl 8.23.0 passes the part of a line that it has to the header callback, and reports success where no length is missing, also in chunks. The part of the empty line is "\r". ResponseLines strips line ends, and took it for the empty line.

Change: only an empty line with its end completes a head.

It works as nothing but the line feed shows that the empty line has come whole; upstreams that end lines by a line feed alone are read as before.

--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -87,7 +87,7 @@
     Collects the header lines of a response; each interim response resets them.
 
     >>> lines = ResponseLines()
-    >>> for line in (b"HTTP/1.1 200 OK", b"A: 1", b""):
+    >>> for line in (b"HTTP/1.1 200 OK\\r\\n", b"A: 1\\r\\n", b"\\r\\n"):
     ...     lines.feed(line)
     >>> lines.status, lines.reason, lines.fields, lines.is_whole
     (200, 'OK', [('A', '1')], True)
@@ -120,7 +120,7 @@
 
     def feed(self, line: bytes) -> None:
         """
-        Parse one line.
+        Parse one line; the last line of a response that broke off may have no end.
 
         :raises ValueError: it is not a header line, the head is too long, or another
             response broke off in it.
@@ -145,7 +145,7 @@
             if not colon:
                 raise ValueError("response header line without a colon")
             self.fields.append((name, value.strip()))
-        else:
+        elif line.endswith(b"\n"):
             self._is_begun = False
             self.is_whole = self.status >= 200
 
