--- a/packages/gateway/src/persimmonferry_gateway/crash_reports.py
+++ b/packages/gateway/src/persimmonferry_gateway/crash_reports.py
@@ -22,7 +22,7 @@
 __all__ = ["CrashReports"]
 
 RETRY_S = 1.0
-MAX_REMOVED = 256
+MAX_REMOVED_KEYS = 256
 MAX_HASH = (1 << 64) - 1
 
 _log = logging.getLogger(__name__)
@@ -186,7 +186,7 @@
 
     def _record_removed(self, key: str) -> None:
         self._removed[key] = None
-        if len(self._removed) > MAX_REMOVED:
+        if len(self._removed) > MAX_REMOVED_KEYS:
             del self._removed[next(iter(self._removed))]
 
     def _is_first_to_store(self) -> bool:
--- a/packages/gateway/src/persimmonferry_gateway/fleet.py
+++ b/packages/gateway/src/persimmonferry_gateway/fleet.py
@@ -9,7 +9,7 @@
 # Upstreams whose entries expired during a registry outage register again within this
 # time.
 REREGISTRATION_GRACE_S = 2.0
-MAX_DROPPED = 1024
+MAX_DROPPED_UPSTREAMS = 1024
 
 
 @dataclass
@@ -88,7 +88,7 @@
         record = self.records.pop(name, None)
         if record is not None:
             self._dropped[name] = record.incarnation
-        if len(self._dropped) > MAX_DROPPED:
+        if len(self._dropped) > MAX_DROPPED_UPSTREAMS:
             del self._dropped[next(iter(self._dropped))]
 
     def expire(self, now: float) -> tuple[str, ...]:
