--- a/review/shared/clients.py
+++ b/review/shared/clients.py
@@ -95,7 +95,7 @@
     return size
 
 
-async def ask(channel: Channel, kind: str, number: int, prefix: str) -> dict:
+async def ask(channel: Channel, kind: str, number: int, prefix: str, size: int) -> dict:
     """Send a request, and return how it ended."""
     path, _, budget_ms, gap_s, is_prompt = KINDS[kind]
     parts = f"a{number % 60:x}:1861,b{number:x}:507" if is_prompt else ""
@@ -104,7 +104,7 @@
     request = encode_call(
         call_id,
         path,
-        body=b"x" * 600,
+        body=b"x" * size,
         budget_ms=budget_ms,
         parts=parts,
         tokens=tokens,
@@ -143,7 +143,9 @@
 
     async def send(kind: str, number: int) -> None:
         channel = idle.pop() if idle else Channel(job["port"])
-        print(json.dumps(await ask(channel, kind, number, job["prefix"])), flush=True)
+        size = job["sizes"].get(kind, 600)
+        result = await ask(channel, kind, number, job["prefix"], size)
+        print(json.dumps(result), flush=True)
         idle.append(channel)
 
     async def send_all(kind: str) -> None:
--- a/review/shared/parts.py
+++ b/review/shared/parts.py
@@ -513,6 +513,8 @@
             )
         )
         self.process: asyncio.subprocess.Process | None = None
+        # Set when the platform is to start the process no more.
+        self.is_over = False
 
     async def start(self) -> None:
         """Start the process."""
@@ -582,7 +584,7 @@
 ) -> None:
     """Kill the process if it exceeds ``memoryMb``, and start it again."""
     most, noted_s = 0, time.monotonic()
-    while True:
+    while not gateway.is_over:
         await asyncio.sleep(0.005)
         memory = read_memory(gateway.process.pid)
         most = max(most, memory)
@@ -598,10 +600,36 @@
             await gateway.start()
 
 
+async def end_all(
+    gateways: list[Gateway],
+    watches: list[asyncio.Task],
+    workers: list[Worker],
+    store: Store,
+) -> None:
+    """End all processes and stand-ins; the watches are those of ``play_platform``."""
+    for gateway in gateways:
+        gateway.is_over = True
+    await asyncio.gather(*watches, return_exceptions=True)
+    for gateway in gateways:
+        await gateway.end()
+    for worker in workers:
+        await worker.stop()
+    await store.stop()
+
+
 async def serve_clients(
-    gateway: Gateway, prefix: str, for_s: float, record: Record, results: list[dict]
+    gateway: Gateway,
+    prefix: str,
+    for_s: float,
+    record: Record,
+    results: list[dict],
+    sizes: dict[str, int] | None = None,
 ) -> None:
-    """Run the clients of a gateway as a process, and record their answers."""
+    """
+    Run the clients of a gateway as a process, and record their answers.
+
+    :param sizes: of the bodies, by kind of request; 600 bytes for the others.
+    """
     clients = await asyncio.create_subprocess_exec(
         sys.executable,
         str(Path(__file__).with_name("clients.py")),
@@ -611,6 +639,7 @@
     )
     try:
         job = {"port": gateway.front, "for_s": for_s, "prefix": prefix}
+        job["sizes"] = sizes or {}
         clients.stdin.write(json.dumps(job).encode() + b"\n")
         while line := await clients.stdout.readline():
             record.write(f"{gateway.name} answered: {line.decode().strip()}")
