--- a/review/shared/parts.py
+++ b/review/shared/parts.py
@@ -19,8 +19,8 @@
 KEY = "jnbanfqasnmgkcuyj8pj"
 MODEL = "daka510000"
 HOST = "nylo40.example"
-# LOST is broken by more.
-ALLOWED_LOST = 3
+# Ends by themselves of each of two processes that break the rule Fault.
+ENDS = 3
 
 
 def is_troubled() -> bool:
@@ -651,17 +651,17 @@
             await clients.wait()
 
 
-def judge_lost(
+def judge_ends(
     results: list[dict],
     workers: list[Worker],
     ends: dict[str, list[float]],
     record: Record,
 ) -> int:
     """
-    Return 1 if LOST is broken, 0 if it holds.
+    Return 1 if each process has ended by itself three times, 0 if not.
 
-    Counted are requests that a sound worker ran and that got no answer, as the gateway
-    closed their channel, which had carried answers before.
+    Counted as lost are requests that a sound worker ran and that got no answer, as the
+    gateway closed their channel, which had carried answers before.
     """
     ran = {call_id for worker in workers for call_id in worker.ran}
     lost = [
@@ -675,15 +675,15 @@
     whole = sum(item["end"] == "whole" and item["status"] == 200 for item in results)
     counts = {name: len(times) for name, times in ends.items()}
     text = (
-        f"{len(results)} requests, {whole} answered whole; lost: {len(lost)};"
-        f" processes that ended over the memory limit: {counts}"
+        f"{len(results)} requests, {whole} answered whole; processes that ended over"
+        f" the memory limit: {counts}; lost: {len(lost)}"
     )
     record.write(text)
     record.write(f"lost: {lost}")
     print(text)
     if not whole:
         return 2
-    return 1 if len(lost) > ALLOWED_LOST else 0
+    return 1 if all(count >= ENDS for count in counts.values()) else 0
 
 
 class Answer:
@@ -758,7 +758,13 @@
     async def limited(path: Path) -> int:
         task = asyncio.current_task()
         # The processes that were started are ended also then.
-        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        loop = asyncio.get_running_loop()
+
+        def stop() -> None:
+            loop.add_signal_handler(signal.SIGTERM, lambda: None)
+            task.cancel()
+
+        loop.add_signal_handler(signal.SIGTERM, stop)
         async with asyncio.timeout(115.0):
             return await body(path, record)
 
