Log each attempt of a call, the age of wanted weights and the retry budget in force

The logs could not tell a prompt that was sent too late from one that waited in its engine, nor show how many retries a process took and what its budget was. call ended has an entry for each attempt (sent, first event, weights, for how long these had been replaced, why it ended), weights wanted has the age of the change, retry budget in force the number of gateways that it counts, and the metrics retries and retries_refused. What is noted of a call is a module of its own.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -614,6 +614,13 @@
         """Take a retry of a plain service's call, as ``RetryBudget.allow`` does."""
         return self._find_budget(service).allow(attempts, now, ran=ran)
 
+    def list_retries(self) -> dict[str, tuple[int, int]]:
+        """Return the retries that were allowed and refused so far, by service."""
+        return {
+            service: (budget.granted, budget.refused)
+            for service, budget in self._retries.items()
+        }
+
     def _find_budget(self, service: str) -> RetryBudget:
         budget = self._retries.get(service)
         if budget is None:
--- a/packages/core/src/persimmonferry_core/retries.py
+++ b/packages/core/src/persimmonferry_core/retries.py
@@ -36,6 +36,8 @@
     the budget covers between half a window and a whole one.
 
     :param seed: of the jitter.
+    :ivar granted: retries that were allowed since the start.
+    :ivar refused: retries that were not allowed since the start.
     """
 
     def __init__(self, policy: RetryPolicy | None = None, seed: int = 0) -> None:
@@ -44,6 +46,8 @@
         self._half_start_s = 0.0
         self._requests = [0, 0]
         self._retries = [0, 0]
+        self.granted = 0
+        self.refused = 0
 
     def record_request(self, now: float) -> None:
         """Count a request that was admitted."""
@@ -69,8 +73,10 @@
         if ran or policy.counts_refusals:
             allowed = policy.min_retries + policy.share * sum(self._requests)
             if sum(self._retries) + 1 > allowed:
+                self.refused += 1
                 return None
             self._retries[0] += 1
+            self.granted += 1
         ceiling = min(policy.max_delay_s, policy.base_delay_s * 2 ** (attempts - 1))
         return ceiling * self._random.random()
 
--- a/packages/core/src/persimmonferry_core/weight_orders.py
+++ b/packages/core/src/persimmonferry_core/weight_orders.py
@@ -9,6 +9,7 @@
     "choose_loads",
     "estimate_change_time",
     "find_outdated",
+    "find_replacement_time",
     "is_loading",
     "is_order_lost",
     "may_read_stored",
@@ -121,11 +122,21 @@
     >>> may_read_stored(2, {2: 10.0}, 99.0)
     True
     """
-    replaced_s = min(
-        (named_s for newer, named_s in named.items() if newer > version),
-        default=float("inf"),
-    )
-    return now < replaced_s + REPLACED_READ_GRACE_S
+    replaced_s = find_replacement_time(version, named)
+    return replaced_s is None or now < replaced_s + REPLACED_READ_GRACE_S
+
+
+def find_replacement_time(version: int, named: Mapping[int, float]) -> float | None:
+    """
+    Return when the first newer version of the weights was named, None if none was.
+
+    :param named: when each version was named, as far as known.
+
+    >>> find_replacement_time(1, {2: 10.0, 3: 14.0})
+    10.0
+    """
+    newer = (named_s for other, named_s in named.items() if other > version)
+    return min(newer, default=None)
 
 
 def estimate_change_time(
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -1,7 +1,6 @@
 """Handles one call from its arrival to its outcome: answered, not run or unknown."""
 
 import asyncio
-import enum
 import logging
 import random
 from collections.abc import Callable
@@ -30,6 +29,13 @@
 
 from persimmonferry_gateway.answer_identity import AnswerFinder
 from persimmonferry_gateway.call_log import RateLimitedLog
+from persimmonferry_gateway.call_notes import (
+    AnswerEnd,
+    AttemptNote,
+    AttemptProgress,
+    CallNotes,
+    to_ms,
+)
 from persimmonferry_gateway.callers import CallerConnection
 from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.cluster_state import ClusterState
@@ -57,7 +63,6 @@
 ANSWER_TIMEOUT_OBJECTIVES = 3.0
 # Callers honour a Retry-After up to this share of the time they have left.
 MAX_RETRY_AFTER_SHARE = 1 / 3
-MS_PER_S = 1000
 # Added to the rank of calls past their objective; greater than the ranks of routes.
 LATE_RANK_PENALTY = 5
 
@@ -104,66 +109,6 @@
     idle_s: dict[str, float] = field(default_factory=dict)
 
 
-@dataclass
-class CallNotes:
-    """
-    What is logged of a call when it has ended.
-
-    :param started_s: when it was first sent to an upstream.
-    :param first_s: when its first event or its complete answer arrived.
-    :param limited_attempts: number of attempts at upstreams with a known limit.
-    :param kept_connections: number of attempts on connections that were already open.
-    :param losses: of attempts whose answer was not received whole, how far each got.
-    :param answer_ends: of attempts whose answer had begun, how it ended.
-    :param fetched_tokens: of its shared parts that the engine was to fetch.
-    :param saved_tokens: of its shared parts that the engine was to store.
-    """
-
-    upstreams: list[str] = field(default_factory=list)
-    started_s: float | None = None
-    first_s: float | None = None
-    outcome: str = ""
-    cause: str = ""
-    version: int | None = None
-    limited_attempts: int = 0
-    kept_connections: int = 0
-    losses: list["AttemptProgress"] = field(default_factory=list)
-    answer_ends: list["AnswerEnd"] = field(default_factory=list)
-    fetched_tokens: int = 0
-    saved_tokens: int = 0
-
-
-class AttemptProgress(enum.Enum):
-    """How far an attempt at an upstream got."""
-
-    SENT = "sent"
-    ANSWER_BEGUN = "answer begun"
-    CONTENT_RECEIVED = "content received"
-
-
-@dataclass(frozen=True)
-class AnswerEnd:
-    """
-    How the answer of an upstream ended.
-
-    :param framing: what was to mark its end.
-    :param partial_bytes: received of a stream's last event, if it is not complete.
-    :param failure: why the answer is not complete, None if it is.
-    """
-
-    framing: Framing
-    partial_bytes: int
-    failure: RequestFailure | None
-
-    def describe(self) -> dict[str, object]:
-        """Return the fields for the log."""
-        return {
-            "framing": self.framing.value,
-            "partial_bytes": self.partial_bytes,
-            "failure": self.failure and self.failure.value,
-        }
-
-
 class AttemptFailed(Exception):
     """
     An attempt that failed without a complete answer.
@@ -178,6 +123,13 @@
         self.ran = ran
         self.arrived = arrived
 
+    def describe(self) -> str:
+        """Return what is known of the attempt, for the log."""
+        if not self.arrived:
+            return "not sent"
+        cause = f"{self.error.code.name.lower()} {self.error.detail}".rstrip()
+        return f"{'may have run' if self.ran else 'not run'}: {cause}"
+
 
 class CallHandler:
     """
@@ -261,6 +213,7 @@
             "outcome": notes.outcome,
             "cause": notes.cause,
             "upstreams": notes.upstreams,
+            "attempts": [attempt.describe(begin_s) for attempt in notes.attempts],
             "version": notes.version,
             "limited_attempts": notes.limited_attempts,
             "kept_connections": notes.kept_connections,
@@ -269,10 +222,10 @@
             "parts": self._list_shared_parts(),
             "fetched_tokens": notes.fetched_tokens,
             "saved_tokens": notes.saved_tokens,
-            "budget_ms": _to_ms(self._budget_s),
-            "started_ms": notes.started_s and _to_ms(notes.started_s - begin_s),
-            "first_ms": notes.first_s and _to_ms(notes.first_s - begin_s),
-            "total_ms": _to_ms(self._context.read_clock() - begin_s),
+            "budget_ms": to_ms(self._budget_s),
+            "started_ms": notes.started_s and to_ms(notes.started_s - begin_s),
+            "first_ms": notes.first_s and to_ms(notes.first_s - begin_s),
+            "total_ms": to_ms(self._context.read_clock() - begin_s),
         }
         now = self._context.read_clock()
         is_failure = notes.outcome != "answered"
@@ -327,6 +280,24 @@
 
         :raises AttemptFailed: no complete answer was received.
         """
+        note = AttemptNote(record.name, self._context.read_clock(), version)
+        if version is not None:
+            note.replaced_s = self._find_replaced_age(version)
+        self.notes.attempts.append(note)
+        try:
+            await self._send(record, version)
+            note.end = "answered"
+        except AttemptFailed as failure:
+            note.end = failure.describe()
+            raise
+
+    def _find_replaced_age(self, version: int) -> float | None:
+        """Return for how long newer weights have been wanted, None if none are."""
+        model = self._call.prompt.model
+        replaced_s = self._context.cluster.find_replacement_time(model, version)
+        return None if replaced_s is None else read_boot_clock() - replaced_s
+
+    async def _send(self, record: UpstreamRecord, version: int | None) -> None:
         context = self._context
         now = context.read_clock()
         self._attempts += 1
@@ -525,6 +496,7 @@
                 continue
             if self._progress is not AttemptProgress.CONTENT_RECEIVED:
                 self._progress = AttemptProgress.CONTENT_RECEIVED
+                self.notes.attempts[-1].first_s = self._context.read_clock()
                 self._record_content()
             if not self._caller.is_head_sent:
                 self.notes.first_s = self._context.read_clock()
@@ -604,10 +576,6 @@
         return f"{version}"
 
 
-def _to_ms(seconds: float) -> int:
-    return round(seconds * MS_PER_S)
-
-
 def _choose_service(route: CallRoute) -> str:
     weights = [target.weight for target in route.targets]
     if len(weights) == 1 or sum(weights) <= 0:
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/call_notes.py
@@ -0,0 +1,122 @@
+"""What a gateway notes of a call and of its attempts, for the log."""
+
+import enum
+from dataclasses import dataclass, field
+
+from persimmonferry_adapters.http_client import RequestFailure
+
+from persimmonferry_gateway.upstream_client import Framing
+
+__all__ = ["AnswerEnd", "AttemptNote", "AttemptProgress", "CallNotes", "to_ms"]
+
+MS_PER_S = 1000
+
+
+class AttemptProgress(enum.Enum):
+    """How far an attempt at an upstream got."""
+
+    SENT = "sent"
+    ANSWER_BEGUN = "answer begun"
+    CONTENT_RECEIVED = "content received"
+
+
+@dataclass(frozen=True)
+class AnswerEnd:
+    """
+    How the answer of an upstream ended.
+
+    :param framing: what was to mark its end.
+    :param partial_bytes: received of a stream's last event, if it is not complete.
+    :param failure: why the answer is not complete, None if it is.
+    """
+
+    framing: Framing
+    partial_bytes: int
+    failure: RequestFailure | None
+
+    def describe(self) -> dict[str, object]:
+        """Return the fields for the log."""
+        return {
+            "framing": self.framing.value,
+            "partial_bytes": self.partial_bytes,
+            "failure": self.failure and self.failure.value,
+        }
+
+
+@dataclass
+class AttemptNote:
+    """
+    One attempt at an upstream.
+
+    :param sent_s: when it was sent.
+    :param version: of the weights at the engine, None at a plain service.
+    :param replaced_s: for how long newer weights had been wanted when it was sent, None
+        if none were.
+    :param first_s: when the first event of its stream arrived.
+    :param end: how it ended, empty if the call ended before it.
+    """
+
+    upstream: str
+    sent_s: float
+    version: int | None = None
+    replaced_s: float | None = None
+    first_s: float | None = None
+    end: str = ""
+
+    def describe(self, arrival_s: float) -> dict[str, object]:
+        """
+        Return the fields for the log.
+
+        :param arrival_s: when the call arrived.
+
+        >>> note = AttemptNote("e1", 10.5, 3, 8.25, 11.0, "answered")
+        >>> note.describe(10.0)["first_ms"], note.describe(10.0)["replaced_ms"]
+        (1000, 8250)
+        """
+        fields = {
+            "upstream": self.upstream,
+            "sent_ms": to_ms(self.sent_s - arrival_s),
+            "end": self.end or "call ended",
+        }
+        if self.version is not None:
+            fields["version"] = self.version
+        if self.replaced_s is not None:
+            fields["replaced_ms"] = to_ms(self.replaced_s)
+        if self.first_s is not None:
+            fields["first_ms"] = to_ms(self.first_s - arrival_s)
+        return fields
+
+
+@dataclass
+class CallNotes:
+    """
+    What is logged of a call when it has ended.
+
+    :param started_s: when it was first sent to an upstream.
+    :param first_s: when its first event or its complete answer arrived.
+    :param limited_attempts: number of attempts at upstreams with a known limit.
+    :param kept_connections: number of attempts on connections that were already open.
+    :param losses: of attempts whose answer was not received whole, how far each got.
+    :param answer_ends: of attempts whose answer had begun, how it ended.
+    :param fetched_tokens: of its shared parts that the engine was to fetch.
+    :param saved_tokens: of its shared parts that the engine was to store.
+    """
+
+    upstreams: list[str] = field(default_factory=list)
+    attempts: list[AttemptNote] = field(default_factory=list)
+    started_s: float | None = None
+    first_s: float | None = None
+    outcome: str = ""
+    cause: str = ""
+    version: int | None = None
+    limited_attempts: int = 0
+    kept_connections: int = 0
+    losses: list[AttemptProgress] = field(default_factory=list)
+    answer_ends: list[AnswerEnd] = field(default_factory=list)
+    fetched_tokens: int = 0
+    saved_tokens: int = 0
+
+
+def to_ms(seconds: float) -> int:
+    """Return whole milliseconds."""
+    return round(seconds * MS_PER_S)
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -6,8 +6,13 @@
 from persimmonferry_core.deployment import Deployment, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.upstream_limits import LimitNotice
-from persimmonferry_core.weight_orders import find_outdated, may_read_stored
+from persimmonferry_core.weight_orders import (
+    find_outdated,
+    find_replacement_time,
+    may_read_stored,
+)
 
+from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.dispatch_document import make_document, make_report
 from persimmonferry_gateway.fleet import Fleet
 from persimmonferry_gateway.interfaces import (
@@ -74,6 +79,14 @@
         """
         return may_read_stored(version, self._wanted_since.get(model, {}), now)
 
+    def find_replacement_time(self, model: str, version: int) -> float | None:
+        """
+        Return when newer weights than a version were first wanted, None if none are.
+
+        The time is on the boot clock.
+        """
+        return find_replacement_time(version, self._wanted_since.get(model, {}))
+
     def find_outdated(self, limit_s: float, now: float) -> frozenset[str]:
         """
         Return the engines whose weights were replaced more than ``limit_s`` ago.
@@ -250,7 +263,12 @@
             self.weights[model] = version
             self._wanted_since.setdefault(model, {})[version] = since_s
             self._configure(now)
-            _log.info("weights wanted", extra={"model": model, "version": version})
+            fields = {
+                "model": model,
+                "version": version,
+                "age_s": round(read_boot_clock() - since_s, 3),
+            }
+            _log.info("weights wanted", extra=fields)
 
     def _apply_upstream(self, item: Item, now: float, *, is_restored: bool) -> None:
         name = item.key.removeprefix(self._codec.upstream_prefix)
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -152,6 +152,7 @@
             self._dispatcher.upstream_limits.list_limits,
             self._dispatcher.upstream_limits.list_shares,
             self._crash_reports.count_crashes,
+            self._dispatcher.list_retries,
         )
         self._metrics_server = MetricsServer(settings.internal, self._metrics)
         self._store_index = CacheStoreIndex()
@@ -557,6 +558,10 @@
             attempts=MAX_ATTEMPTS,
             counts_refusals=True,
         )
+        _log.info(
+            "retry budget in force",
+            extra={"share": share, "floor": floor, "gateways": gateways},
+        )
         self._dispatcher.set_retry_policy(policy)
 
 
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -20,6 +20,7 @@
     :param read_limits: returns the calls per second that upstreams with a limit take.
     :param read_shares: returns the part of these limits that this gateway may use.
     :param read_quarantine: returns the number of crashes, by quarantined parts.
+    :param read_retries: returns the retries allowed and refused so far, by service.
     """
 
     def __init__(
@@ -28,6 +29,7 @@
         read_limits: Callable[[], Mapping[str, float]],
         read_shares: Callable[[], Mapping[str, float]],
         read_quarantine: Callable[[], Mapping[str, int]],
+        read_retries: Callable[[], Mapping[str, tuple[int, int]]],
     ) -> None:
         self.histograms = Histograms()
         self._outcomes: Counter[tuple[str, str]] = Counter()
@@ -38,6 +40,7 @@
         self._read_limits = read_limits
         self._read_shares = read_shares
         self._read_quarantine = read_quarantine
+        self._read_retries = read_retries
 
     def record(
         self,
@@ -89,6 +92,9 @@
             f'quarantined_parts{{parts="{parts}"}} {crashes}'
             for parts, crashes in sorted(self._read_quarantine().items())
         ]
+        for service, (granted, refused) in sorted(self._read_retries().items()):
+            lines.append(f'retries{{service="{service}"}} {granted}')
+            lines.append(f'retries_refused{{service="{service}"}} {refused}')
         lines += [
             f'registry_calls{{kind="{kind}"}} {count}'
             for kind, count in sorted(self._read_registry_calls().items())
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -9,11 +9,8 @@
 from persimmonferry_core.prompt_quarantine import hash_parts
 from persimmonferry_core.runs import RunEnd
 
-from persimmonferry_gateway.call_handler import (
-    AttemptFailed,
-    AttemptProgress,
-    CallHandler,
-)
+from persimmonferry_gateway.call_handler import AttemptFailed, CallHandler
+from persimmonferry_gateway.call_notes import AttemptProgress
 from persimmonferry_gateway.dispatch_document import name_tier
 
 __all__ = ["PromptHandler"]
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -7,6 +7,7 @@
         lambda: {"e1": 2.5},
         lambda: {"e1": 0.5},
         lambda: {"00ff": 2},
+        lambda: {"plain": (4, 1)},
     )
     metrics.record("t1", "ask", "answered", 1, 0, (), 0.1, 0.3)
     metrics.record("t1", "ask", "answered", 2, 1, ("sent",), 0.2, 0.4)
@@ -20,6 +21,8 @@
     assert 'upstream_limit_own_calls_per_s{upstream="e1"} 0.5' in lines
     assert 'lost_attempts{progress="sent"} 1' in lines
     assert 'quarantined_parts{parts="00ff"} 2' in lines
+    assert 'retries{service="plain"} 4' in lines
+    assert 'retries_refused{service="plain"} 1' in lines
     assert 'registry_calls{kind="kv-watch"} 3' in lines
     assert 'first_token_ms_count{account="t1",route="ask"} 2' in lines
     assert 'whole_answer_ms_count{account="t1",route="ask"} 3' in lines
