--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -399,3 +399,27 @@
         assert set(reported) == {"u0"}
         is_reported = bool(dispatcher.describe_started(made, heavy_only=True))
         assert is_reported == (number == 1)
+
+
+# Retries that were granted in several windows waited, and were sent in one.
+def test_retries_that_waited_are_not_counted_in_the_window_of_their_sending():
+    policy = RetryPolicy(
+        share=0.0, min_retries=3, window_s=10.0, base_delay_s=0.0, counts_refusals=True
+    )
+    dispatcher = Dispatcher(DOCUMENT, seed=1, retry_policy=policy)
+    names = frozenset(f"u{number}" for number in range(20))
+    for name in names:
+        dispatcher.report(make_report(name, slots=8), 0.0)
+    for number in range(15):
+        request = make_request(number, 4.0, "dawn", tokens=10)
+        assert isinstance(dispatcher.offer(request, 4.0), Queued)
+    first = dispatcher.assign(4.0)
+    # The retries wait, as no upstream takes work.
+    dispatcher.set_paused("test", names)
+    for number, assignment in enumerate(first):
+        now = (4.9, 10.1, 20.1)[number // 5]
+        dispatcher.failed(assignment.request.request_id, False, now)
+        assert dispatcher.assign(now) == ()
+    dispatcher.set_paused("test", frozenset())
+    # Each half of the window may have as many as the policy allows in a window.
+    assert 0 < len(dispatcher.assign(20.2)) <= 2 * policy.min_retries
