End prompts that have not begun before their engine's replaced weights expire

Cause: the moment of sending stood for the moment of running. An engine with replaced weights was left out 1.5 s before the limit, but a prompt begins with its first event, and nothing bounded its wait in the engine. Besides, a change counted from its arrival, though up to 0.8 s pass between two watches of the registry.

Change: - A prompt goes to an engine with replaced weights only if it is expected to begin in time: by the estimate, by the waits there now, and by the longest wait there within 5 s, twice as long where an attempt was ended before its first event (Router._starts_in_time). - 0.75 s before the limit the gateway ends what has not begun there. What may be resumed goes on elsewhere within the retry budget, the rest gets 504 (3007). The engine is not ejected for it. - A change counts from the registry's answer before the one that brought it.

Why it works: the bound no longer depends on how long an engine queues; the margin covers one check (0.25 s) and the way of the close to the engine.

The test of estimate_change_time demanded that a change after a gap of 2.5 s counts from now; that was part of the fault. The tests of find_outdated demand the same of find_start_limits.

--- a/packages/core/src/persimmonferry_core/codes.py
+++ b/packages/core/src/persimmonferry_core/codes.py
@@ -87,6 +87,9 @@
         3004, 502, Ran.UNKNOWN, "the answer belongs to a different run"
     )
     DUPLICATE_RUN = _Meaning(3006, 409, Ran.UNKNOWN, "this attempt was already started")
+    WEIGHTS_REPLACED = _Meaning(
+        3007, 504, Ran.UNKNOWN, "the engine did not start before its weights expired"
+    )
     INTERNAL_FAULT = _Meaning(3005, 500, Ran.UNKNOWN, "internal error")
 
     ANSWER_NOT_HELD = _Meaning(
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -1,6 +1,7 @@
 """Decisions of an entry: which requests are admitted, when they start and where."""
 
 import random
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from heapq import heappop, heappush
 
@@ -336,7 +337,13 @@
         self._charge(attempt, end.cached_tokens, end.total_tokens)
 
     def failed(
-        self, request_id: str, ran: bool, now: float, *, connected: bool = True
+        self,
+        request_id: str,
+        ran: bool,
+        now: float,
+        *,
+        connected: bool = True,
+        withdrawn: bool = False,
     ) -> Queued | Refused:
         """
         Record a failed attempt, and return whether the request is retried elsewhere.
@@ -347,6 +354,8 @@
         :param ran: whether it may have run.
         :param connected: False if no connection could be made: no upstream received
             the request, so neither an attempt nor the retry budget is used.
+        :param withdrawn: whether this entry ended the attempt, so that its upstream is
+            not to blame.
         """
         attempt = self._attempts.get(request_id)
         if attempt is None:
@@ -354,7 +363,10 @@
         failed_at = attempt.upstream
         if failed_at is not None:
             router = self._models[attempt.waiting.request.service].router
-            router.fail_run(attempt.waiting, failed_at, now, connected=connected)
+            if withdrawn:
+                router.end_run(attempt.waiting, failed_at, False, now)
+            else:
+                router.fail_run(attempt.waiting, failed_at, now, connected=connected)
             attempt.upstream = None
             attempt.number -= 0 if connected else 1
         waiting = attempt.waiting
@@ -585,6 +597,20 @@
         for model in self._models.values():
             model.router.set_paused(source, upstreams)
 
+    def set_start_limits(self, limits: Mapping[str, float]) -> None:
+        """Set until when runs may start at these upstreams; others have no limit."""
+        for model in self._models.values():
+            model.router.set_start_limits(limits)
+
+    def list_unstarted(self, upstreams: Iterable[str]) -> tuple[str, ...]:
+        """Return the requests at these upstreams whose first token has not arrived."""
+        found: list[str] = []
+        for name in upstreams:
+            model = self._models.get(self._services_of.get(name, ""))
+            if model is not None:
+                found += model.router.upstreams[name].list_unstarted()
+        return tuple(found)
+
     def count_cached_tokens(self, upstream: str) -> int:
         """Return about how many tokens an upstream's engine has in its cache."""
         return self._index.count_tokens(upstream)
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass
 from heapq import nlargest
 
@@ -231,6 +232,7 @@
         self._mean_prompt_tokens = 0.0
         self._pauses: dict[str, frozenset[str]] = {}
         self._paused: frozenset[str] = frozenset()
+        self._start_limits: Mapping[str, float] = {}
 
     def configure(self, service: Service, urgent_ranks: int) -> None:
         """
@@ -262,6 +264,24 @@
         self._paused = frozenset().union(*self._pauses.values())
         self._summary = None
 
+    def set_start_limits(self, limits: Mapping[str, float]) -> None:
+        """Set until when runs may start at these upstreams; others have no limit."""
+        self._start_limits = limits
+
+    def _starts_in_time(self, option: "_Option", now: float) -> bool:
+        """
+        Whether a run is expected to start before its upstream's limit.
+
+        Load pattern: engines have replaced weights, and others that crashed leave them
+        with more prompts than their estimates include. A run starts with its first
+        token, so what has lately waited there counts, too.
+        """
+        limit_s = self._start_limits.get(option.upstream.name)
+        if limit_s is None:
+            return True
+        wait_s = max(option.first_token_s, option.upstream.find_recent_wait(now))
+        return now + wait_s <= limit_s
+
     def set_limited(self, limited: frozenset[str], spent: frozenset[str]) -> None:
         """
         Set the upstreams that limit how many runs they take.
@@ -403,6 +423,8 @@
             self._estimate(upstream, held.get(upstream.name, 0), context)
             for upstream in candidates
         ]
+        if self._start_limits:
+            options = [item for item in options if self._starts_in_time(item, now)]
         best = self._choose_option(options)
         if best is None:
             return None
--- a/packages/core/src/persimmonferry_core/upstreams.py
+++ b/packages/core/src/persimmonferry_core/upstreams.py
@@ -23,6 +23,10 @@
 # Share of an engine's memory that runs may fill; the rest caches shared parts.
 MAX_RUN_MEMORY_RATIO = 0.92
 MAX_OVERFLOW_SLOT_RATIO = 0.5
+# Time for which a wait for a first token is expected again.
+RECENT_WAIT_S = 5.0
+# A run that was ended before its first token would have waited longer.
+UNENDED_WAIT_FACTOR = 2.0
 # Prefill that delays the next prompt by more than a round trip between entries.
 HEAVY_PREFILL_S = 0.015
 
@@ -187,6 +191,8 @@
         self._mean_peer_updated_s = 0.0
         self._own_memory = 0
         self._waiting: dict[str, _OwnRun] = {}
+        self._longest_wait_s = 0.0
+        self._longest_wait_noted_s = float("-inf")
 
     @property
     def name(self) -> str:
@@ -371,6 +377,7 @@
         if run is None or run.started:
             return None
         run.started_s = now
+        self._note_wait(now - run.dispatched_s, now)
         self._waiting.pop(run_id, None)
         self._prefill_event_s = now
         if not self.report.prefill_tokens_per_s and run.missing_tokens:
@@ -379,6 +386,28 @@
         expected_s = run.expected_s + FIRST_DECODE_STEP_S
         return (now - run.dispatched_s) / expected_s
 
+    def list_unstarted(self) -> tuple[str, ...]:
+        """Return the ids of this entry's runs whose first token has not arrived."""
+        return tuple(self._waiting)
+
+    def find_recent_wait(self, now: float) -> float:
+        """
+        Return for how long runs here have lately waited for their first token.
+
+        The engine may queue runs that this entry does not know of.
+        """
+        waits = [now - run.dispatched_s for run in self._waiting.values()]
+        if now < self._longest_wait_noted_s + RECENT_WAIT_S:
+            waits.append(self._longest_wait_s)
+        return max(waits, default=0.0)
+
+    def _note_wait(self, wait_s: float, now: float) -> None:
+        """Note a wait for a first token, if it is the longest of the recent ones."""
+        is_recent = now < self._longest_wait_noted_s + RECENT_WAIT_S
+        if wait_s >= self._longest_wait_s or not is_recent:
+            self._longest_wait_s = wait_s
+            self._longest_wait_noted_s = now
+
     def end_run(self, run_id: str, now: float, whole: bool) -> None:
         """Remove a run; a complete one updates the average duration of runs."""
         run = self.runs.pop(run_id, None)
@@ -388,6 +417,7 @@
         self._own_memory -= run.memory_tokens
         if not run.started:
             self._prefill_event_s = now
+            self._note_wait(UNENDED_WAIT_FACTOR * (now - run.dispatched_s), now)
         if whole:
             self.run_s += RUN_TIME_EWMA_ALPHA * (now - run.dispatched_s - self.run_s)
 
--- a/packages/core/src/persimmonferry_core/weight_orders.py
+++ b/packages/core/src/persimmonferry_core/weight_orders.py
@@ -8,8 +8,8 @@
     "WeightOrder",
     "choose_loads",
     "estimate_change_time",
-    "find_outdated",
     "find_replacement_time",
+    "find_start_limits",
     "is_loading",
     "is_order_lost",
     "may_read_stored",
@@ -21,9 +21,6 @@
 # Reports of engines lag by some hundred milliseconds; an order that an engine has not
 # counted after this time was lost on the way, or is delayed at the engine.
 ORDER_ACCEPT_TIMEOUT_S = 1.0
-# An open watch of the registry receives a change at once and is renewed within this
-# time; a longer gap means that this process was frozen or disconnected.
-MAX_WATCH_GAP_S = 2.5
 # During a rollout, prompts on replaced weights may still read the parts that are stored
 # for these weights, until this long after the newer weights were named.
 REPLACED_READ_GRACE_S = 3.5
@@ -145,25 +142,23 @@
     """
     Return the earliest time at which a change in the registry may have been made.
 
-    Load pattern: a gateway that was frozen or disconnected while new weights were
-    named, or that has just started, receives the change late. It must not send prompts
-    to engines with the previous weights for as long as the other gateways may. If the
-    registry is slow while a gateway starts, the time counts from its start, because
-    limits on its delays apply from then on.
+    Load pattern: a gateway that pauses between two watches, was frozen or disconnected
+    while new weights were named, or has just started, receives the change late. It must
+    not send prompts to engines with the previous weights for as long as the other
+    gateways may. If the registry is slow while a gateway starts, the time counts from
+    its start, because limits on its delays apply from then on.
 
     :param gap_s: time since the previous response, infinite for the first one.
     :param unknown_age_s: assumed age of a change if nothing is known about it.
     :param started_s: when the process started.
 
-    >>> estimate_change_time(1.6, 5.0, 0.0, 100.0)
-    100.0
+    >>> estimate_change_time(0.5, 5.0, 0.0, 100.0)
+    99.5
     >>> estimate_change_time(4.2, 5.0, 0.0, 100.0)
     95.8
     >>> estimate_change_time(float("inf"), 5.0, 98.5, 100.0)
     93.5
     """
-    if gap_s <= MAX_WATCH_GAP_S:
-        return now
     if gap_s == float("inf"):
         return started_s - unknown_age_s
     return now - min(gap_s, unknown_age_s)
@@ -190,27 +185,27 @@
     return accepted_orders == accepted_before
 
 
-def find_outdated(
-    versions: Mapping[str, int],
-    named: Mapping[int, float],
-    limit_s: float,
-    now: float,
-) -> frozenset[str]:
+def find_start_limits(
+    versions: Mapping[str, int], named: Mapping[int, float], limit_s: float
+) -> dict[str, float]:
     """
-    Return the engines that may start no runs, as newer weights were named long ago.
+    Return until when runs may start, for the engines whose weights were replaced.
 
     These may be all engines. Callers are then refused at once with a time to retry
     after, by which the engines have been ordered to load the newer weights.
 
     :param versions: of the weights of each engine.
-    :param named: when each version was first seen.
+    :param named: when each version was named, as far as known.
     :param limit_s: time after which replaced weights may no longer be used.
 
-    >>> sorted(find_outdated({"a": 1, "b": 2}, {2: 0.0, 3: 8.0}, 9.0, 9.5))
-    ['a']
-    >>> sorted(find_outdated({"a": 1}, {2: 0.0}, 9.0, 9.5))
-    ['a']
-    """
-    due = [version for version, heard_s in named.items() if now >= heard_s + limit_s]
-    newest = max(due, default=0)
-    return frozenset(name for name, held in versions.items() if held < newest)
+    >>> find_start_limits({"a": 1, "b": 2, "c": 3}, {2: 0.0, 3: 8.0}, 9.0)
+    {'a': 9.0, 'b': 17.0}
+    """
+    replaced = {
+        name: find_replacement_time(held, named) for name, held in versions.items()
+    }
+    return {
+        name: replaced_s + limit_s
+        for name, replaced_s in replaced.items()
+        if replaced_s is not None
+    }
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -401,6 +401,70 @@
         assert is_reported == (number == 1)
 
 
+# Prompts were sent to engines in which others had waited beyond the limit.
+def test_no_prompt_is_sent_where_others_waited_too_long_for_replaced_weights():
+    """Engines with replaced weights queue prompts that this entry does not know of."""
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    dispatcher.report(make_report("u0", slots=8), 0.0)
+    dispatcher.set_start_limits({"u0": 9.0})
+    sent_s = []
+    for step in range(40):
+        now = 0.25 * step
+        request = make_request(step, now, "dawn", tokens=10)
+        assert isinstance(dispatcher.offer(request, now), Queued)
+        for assignment in dispatcher.assign(now):
+            sent_s.append(now)
+            dispatcher.started(assignment.request.request_id, now + 2.6)
+            end = make_end(assignment.request.request_id)
+            dispatcher.finished(assignment.request.request_id, end, now + 2.7)
+    assert max(sent_s) + 2.6 <= 9.0
+    dispatcher.set_start_limits({})
+    assert dispatcher.assign(10.0)
+
+
+# Attempts that were ended before their first token did not count as waits.
+def test_prompts_are_sent_where_others_were_ended_before_their_first_token():
+    """A route with a short objective: attempts are ended after 1.2 s of 2.6 s."""
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    dispatcher.report(make_report("u0", slots=8), 0.0)
+    dispatcher.set_start_limits({"u0": 9.25})
+    sent_s = []
+    for step in range(40):
+        now = 0.25 * step
+        dispatcher.offer(make_request(step, now, "dawn", tokens=10), now)
+        for assignment in dispatcher.assign(now):
+            sent_s.append(now)
+            request_id = assignment.request.request_id
+            dispatcher.failed(request_id, True, now + 1.2, withdrawn=True)
+            dispatcher.cancel(request_id, now + 1.2)
+    assert max(sent_s) + 2.6 <= 10.0
+
+
+def test_runs_without_a_first_token_are_listed_by_upstream():
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    dispatcher.report(make_report("u0", slots=8), 0.0)
+    for number in range(2):
+        dispatcher.offer(make_request(number, 0.0, tokens=10), 0.0)
+    first, second = dispatcher.assign(0.0)
+    assert len(dispatcher.list_unstarted(["u0", "gone"])) == 2
+    dispatcher.started(first.request.request_id, 0.1)
+    assert dispatcher.list_unstarted(["u0"]) == (second.request.request_id,)
+    assert dispatcher.list_unstarted([]) == ()
+
+
+# An engine was ejected for prompts that the entry itself had ended.
+def test_withdrawn_prompts_eject_the_upstream():
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    for name in NAMES:
+        dispatcher.report(make_report(name, slots=8), 0.0)
+    for number in range(12):
+        dispatcher.offer(make_request(number, 0.0, tokens=10), 0.0)
+    for assignment in dispatcher.assign(0.0):
+        dispatcher.failed(assignment.request.request_id, True, 0.1, withdrawn=True)
+    ejector = dispatcher._models["notes"].router.ejector
+    assert ejector.count_ejected(0.1) == 0
+
+
 # Retries that were granted in several windows waited, and were sent in one.
 def test_retries_that_waited_are_not_counted_in_the_window_of_their_sending():
     policy = RetryPolicy(
--- a/packages/core/tests/test_weight_orders.py
+++ b/packages/core/tests/test_weight_orders.py
@@ -4,14 +4,13 @@
 
 from persimmonferry_core.weight_orders import (
     MAX_LOADING_RATIO,
-    MAX_WATCH_GAP_S,
     ORDER_ACCEPT_TIMEOUT_S,
     ORDER_TIMEOUT_S,
     REPLACED_READ_GRACE_S,
     EngineState,
     choose_loads,
     estimate_change_time,
-    find_outdated,
+    find_start_limits,
     is_loading,
     is_order_lost,
     may_read_stored,
@@ -81,19 +80,25 @@
     assert choose_loads([make_engine("a")], 2, 0.0) == ("a",)
 
 
-def test_engines_whose_weights_were_replaced_long_ago_are_outdated():
+def list_ended(limits, now):
+    """Return the engines at which runs may no longer start."""
+    return {name for name, limit_s in limits.items() if now >= limit_s}
+
+
+def test_no_runs_start_on_weights_that_were_replaced_long_ago():
     """Leaders that freeze one after the other leave an engine on old weights."""
     named = {2: 0.0, 3: 8.9}
-    versions = {"a": 1, "b": 2, "c": 3}
-    assert find_outdated(versions, named, 8.5, 8.4) == frozenset()
-    assert find_outdated(versions, named, 8.5, 8.5) == {"a"}
-    assert find_outdated(versions, named, 8.5, 17.4) == {"a", "b"}
+    limits = find_start_limits({"a": 1, "b": 2, "c": 3}, named, 8.5)
+    assert list_ended(limits, 8.4) == set()
+    assert list_ended(limits, 8.5) == {"a"}
+    assert list_ended(limits, 17.4) == {"a", "b"}
 
 
-def test_all_engines_can_be_outdated():
+def test_runs_may_start_at_no_engine_if_all_are_outdated():
     """The leader is frozen, and the engines delay its orders."""
-    assert find_outdated({"a": 1, "b": 2}, {3: 0.0}, 6.5, 6.4) == frozenset()
-    assert find_outdated({"a": 1, "b": 2}, {3: 0.0}, 6.5, 6.5) == {"a", "b"}
+    limits = find_start_limits({"a": 1, "b": 2}, {3: 0.0}, 6.5)
+    assert list_ended(limits, 6.4) == set()
+    assert list_ended(limits, 6.5) == {"a", "b"}
 
 
 def test_a_change_that_a_frozen_gateway_receives_late_dates_from_its_freeze():
@@ -101,11 +106,17 @@
     named_s = estimate_change_time(
         gap_s=4.0, unknown_age_s=5.0, started_s=0.0, now=104.0
     )
-    assert find_outdated({"a": 1}, {2: named_s}, 6.5, 106.5) == {"a"}
-    assert estimate_change_time(MAX_WATCH_GAP_S, 5.0, 0.0, 104.0) == 104.0
+    limits = find_start_limits({"a": 1}, {2: named_s}, 6.5)
+    assert list_ended(limits, 106.5) == {"a"}
     assert estimate_change_time(60.0, 5.0, 0.0, 104.0) == 99.0
 
 
+# Changes that were made between two watches counted from their arrival.
+def test_a_change_made_between_two_watches_dates_from_the_watch_before():
+    assert estimate_change_time(0.8, 5.0, 0.0, 104.0) == 103.2
+    assert estimate_change_time(2.3, 5.0, 0.0, 104.0) == 101.7
+
+
 def test_a_change_dates_from_the_gateway_start_if_the_registry_is_slow():
     """A power failure follows new weights before all engines have loaded them."""
     version_s, contact_s, margin_s = 10.0, 4.0, 1.5
@@ -113,10 +124,10 @@
     named_s = estimate_change_time(
         float("inf"), version_s - contact_s, started_s, heard_s
     )
-    limit_s = version_s - margin_s
     in_contact_s = started_s + contact_s
-    assert not find_outdated({"a": 1}, {3: named_s}, limit_s, started_s + 2.0)
-    assert find_outdated({"a": 1}, {3: named_s}, limit_s, in_contact_s - 1.0) == {"a"}
+    limits = find_start_limits({"a": 1}, {3: named_s}, version_s - margin_s)
+    assert not list_ended(limits, started_s + 2.0)
+    assert list_ended(limits, in_contact_s - 1.0) == {"a"}
 
 
 def test_stored_parts_are_read_for_a_limited_time_after_a_version_change():
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -86,6 +86,8 @@
         seconds, None when parts must not be fetched now.
     :param waiting: futures of the requests that the dispatcher has queued.
     :param waiting_parts: hashes of the parts of these requests.
+    :param withdrawals: functions that end the attempts of prompts at engines, unless
+        they have started.
     :param idle_s: time for which connections may be reused, by upstream.
     """
 
@@ -106,6 +108,7 @@
     crash_reports: CrashReports
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
     waiting_parts: dict[str, frozenset[int]] = field(default_factory=dict)
+    withdrawals: dict[str, Callable[[], None]] = field(default_factory=dict)
     idle_s: dict[str, float] = field(default_factory=dict)
 
 
@@ -170,6 +173,7 @@
         self._exchange: UpstreamExchange | None = None
         self._sent_s: float | None = None
         self._progress = AttemptProgress.SENT
+        self._is_withdrawn = False
 
     async def run(self) -> None:
         """Handle the call; every outcome is answered, logged and counted."""
@@ -284,12 +288,24 @@
         if version is not None:
             note.replaced_s = self._find_replaced_age(version)
         self.notes.attempts.append(note)
+        self._is_withdrawn = False
         try:
             await self._send(record, version)
             note.end = "answered"
-        except AttemptFailed as failure:
+        except AttemptFailed as found:
+            failure = found
+            if self._is_withdrawn:
+                error = OutcomeUnknown(ResultCode.WEIGHTS_REPLACED, record.name)
+                failure = AttemptFailed(error, ran=found.ran, arrived=found.arrived)
             note.end = failure.describe()
-            raise
+            raise failure from None
+
+    def _withdraw(self) -> None:
+        """End the present attempt unless its answer has begun."""
+        if self._progress is AttemptProgress.CONTENT_RECEIVED or not self._exchange:
+            return
+        self._is_withdrawn = True
+        self._exchange.cancel()
 
     def _find_replaced_age(self, version: int) -> float | None:
         """Return for how long newer weights have been wanted, None if none are."""
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -7,8 +7,8 @@
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.upstream_limits import LimitNotice
 from persimmonferry_core.weight_orders import (
-    find_outdated,
     find_replacement_time,
+    find_start_limits,
     may_read_stored,
 )
 
@@ -87,18 +87,19 @@
         """
         return find_replacement_time(version, self._wanted_since.get(model, {}))
 
-    def find_outdated(self, limit_s: float, now: float) -> frozenset[str]:
+    def find_start_limits(self, limit_s: float) -> dict[str, float]:
         """
-        Return the engines whose weights were replaced more than ``limit_s`` ago.
+        Return until when prompts may start at the engines with replaced weights.
 
-        :param now: on the boot clock.
+        :param limit_s: time after which replaced weights may no longer be used.
+        :returns: times on the boot clock, by engine.
         """
-        found: set[str] = set()
+        limits: dict[str, float] = {}
         for model, named in self._wanted_since.items():
             names = [record.name for record in self.list_engines(model)]
             held = {name: self._versions.get(name, 0) for name in names}
-            found |= find_outdated(held, named, limit_s, now)
-        return frozenset(found)
+            limits |= find_start_limits(held, named, limit_s)
+        return limits
 
     def list_engines(self, model: str) -> tuple[UpstreamRecord, ...]:
         """Return the upstreams that serve a model."""
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -68,9 +68,12 @@
 REGISTRATION_LEASE_S = 5.0
 # Interval of the checks for expired entries and for engines with outdated weights.
 MAINTENANCE_INTERVAL_S = 0.25
-# A prompt may begin at an engine some time after it was sent, so engines are paused
-# this long before the limit for replaced weights.
+# No prompts are sent to engines with replaced weights from this long before the limit
+# on; earlier ones only if they are expected to start in time.
 OUTDATED_MARGIN_S = 1.5
+# Prompts that have not started at these engines are ended this long before the limit:
+# the next check is up to one interval later, and an engine has to notice it.
+START_MARGIN_S = 0.75
 OUTDATED_SOURCE = "outdated weights"
 NO_CONFIGURATION_RETRY_S = 0.5
 NS_PER_MS = 1_000_000
@@ -542,11 +545,30 @@
     def _maintain(self) -> None:
         now = self._loop.time()
         self._cluster.expire(now)
-        limit_s = self._settings.replaced_weights_limit_s - OUTDATED_MARGIN_S
-        outdated = self._cluster.find_outdated(limit_s, read_boot_clock())
-        self._dispatcher.set_paused(OUTDATED_SOURCE, outdated)
+        self._limit_starts(now, read_boot_clock())
         self._loop.call_later(MAINTENANCE_INTERVAL_S, self._maintain)
 
+    def _limit_starts(self, now: float, boot_s: float) -> None:
+        """
+        Keep prompts from starting on weights that were replaced too long ago.
+
+        :param boot_s: the present time on the boot clock.
+        """
+        limits = self._cluster.find_start_limits(
+            self._settings.replaced_weights_limit_s
+        )
+        left = {name: limit_s - boot_s for name, limit_s in limits.items()}
+        outdated = (name for name, s in left.items() if s <= OUTDATED_MARGIN_S)
+        self._dispatcher.set_paused(OUTDATED_SOURCE, frozenset(outdated))
+        self._dispatcher.set_start_limits(
+            {name: now + s - START_MARGIN_S for name, s in left.items()}
+        )
+        ending = (name for name, s in left.items() if s <= START_MARGIN_S)
+        for request_id in self._dispatcher.list_unstarted(ending):
+            withdraw = self._context.withdrawals.get(request_id)
+            if withdraw is not None:
+                withdraw()
+
     def _set_retry_policy(self, gateways: int) -> None:
         settings = self._settings
         share = RETRY_MARGIN * settings.retry_share
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -39,12 +39,15 @@
                 self._queue(context.dispatcher.failed(self._id, False, now))
                 continue
             context.quarantine.record_sent(parts, now)
+            context.withdrawals[self._id] = self._withdraw
             try:
                 await self._attempt(record, int(assignment.version))
             except AttemptFailed as failure:
                 self._report_crash(record, failure)
                 self._fail(failure)
                 continue
+            finally:
+                del context.withdrawals[self._id]
             self._finish(assignment.version)
             return
 
@@ -68,6 +71,7 @@
             )
 
     def _record_content(self) -> None:
+        self._context.dispatcher.started(self._id, self._context.read_clock())
         self._context.crash_reports.report_answer(self._list_shared_parts())
 
     def _fail(self, failure: AttemptFailed) -> None:
@@ -75,7 +79,11 @@
         self._record_loss(failure)
         now = self._context.read_clock()
         answer = self._context.dispatcher.failed(
-            self._id, failure.ran, now, connected=failure.arrived
+            self._id,
+            failure.ran,
+            now,
+            connected=failure.arrived,
+            withdrawn=self._is_withdrawn,
         )
         self._attempts -= 0 if failure.arrived else 1
         is_begun = self._caller.is_head_sent
@@ -124,7 +132,6 @@
     def _record_first_event(self) -> None:
         now = self._context.read_clock()
         dispatcher = self._context.dispatcher
-        dispatcher.started(self._id, now)
         dispatcher.progressed(self._id, 1, now)
         if self.notes.upstreams:
             upstream, names = self.notes.upstreams[-1], self._block_names()
