Let gateways that restart or drop off the list retry within one budget

Cause: a budget of the whole fleet was kept by each process alone. - Each start began a new budget, with its fixed part. - The fixed part was divided by the gateways listed at the moment: by one before the first list, by fewer while leases had expired. - A retry counted when it was granted, but prompts wait in the queue after that: retries granted in several windows were sent in one. The halves of the window use the whole margin of one half.

Change (core/retry_shares.py, core/retries.py): - A process has no share of the fixed part in its first window, and none before it has seen its own entry. The part by calls needs no history. - A retry is reserved when it is granted, and counts in the window in which it is sent.

A gateway that others don't know yet is in its first window.

Tests in one process give gateways a start of long ago, as a process without its first window retries by its calls alone.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -16,7 +16,7 @@
 from persimmonferry_core.cooldowns import UpstreamCooldowns
 from persimmonferry_core.ejection import EjectionPolicy
 from persimmonferry_core.limits import AccountLimiter
-from persimmonferry_core.retries import RetryBudget, RetryPolicy
+from persimmonferry_core.retries import RetryBudget, RetryGrant, RetryPolicy
 from persimmonferry_core.routing import (
     BlockIndex,
     ImportPlan,
@@ -91,6 +91,7 @@
     delivered_tokens: int = 0
     version: str = ""
     is_delayed: bool = False
+    grant: RetryGrant | None = None
 
 
 class Dispatcher:
@@ -377,7 +378,8 @@
         delay_s = 0.0
         if connected:
             budget = self._find_budget(waiting.request.service)
-            delay_s = budget.allow(attempt.number, now, ran=ran)
+            attempt.grant = budget.reserve(attempt.number, now, ran=ran)
+            delay_s = attempt.grant and attempt.grant.delay_s
         if delay_s is None or now + delay_s > max(latest_s, waiting.expires_s):
             self._close(attempt, waiting.request.max_tokens)
             code = ResultCode.RETRIES_EXHAUSTED
@@ -735,6 +737,9 @@
         attempt = self._attempts[request.request_id]
         attempt.upstream = route.upstream
         attempt.number += 1
+        if attempt.grant is not None:
+            self._find_budget(request.service).record_sent(attempt.grant, now)
+            attempt.grant = None
         model.router.add_run(waiting, route, now)
         self.upstream_limits.take(route.upstream, now)
         limited = frozenset(self.upstream_limits.list_limits())
@@ -764,6 +769,8 @@
     def _close(self, attempt: _Attempt, unused_tokens: int) -> None:
         """Remove a request, and refund what it did not use of the limits."""
         request = attempt.waiting.request
+        if attempt.grant is not None:
+            self._find_budget(request.service).cancel(attempt.grant)
         del self._attempts[request.request_id]
         self.limits.complete_request(request.account, max(0, unused_tokens))
 
--- a/packages/core/src/persimmonferry_core/retries.py
+++ b/packages/core/src/persimmonferry_core/retries.py
@@ -3,7 +3,7 @@
 import random
 from dataclasses import dataclass
 
-__all__ = ["RetryBudget", "RetryPolicy"]
+__all__ = ["RetryBudget", "RetryGrant", "RetryPolicy"]
 
 
 @dataclass(frozen=True)
@@ -28,12 +28,26 @@
     counts_refusals: bool = False
 
 
+@dataclass(frozen=True)
+class RetryGrant:
+    """
+    A retry that is allowed, and has not been sent yet.
+
+    :param delay_s: before the retry may be sent.
+    :param is_counted: whether it uses the budget.
+    """
+
+    delay_s: float
+    is_counted: bool
+
+
 class RetryBudget:
     """
     Limits retries and resumptions to a share of the recent requests.
 
     The window has two halves; the older one counts until the newer one is complete, so
-    the budget covers between half a window and a whole one.
+    the budget covers between half a window and a whole one. A retry counts when it is
+    sent; until then it takes its place in each window, however long it waits.
 
     :param seed: of the jitter.
     :ivar granted: retries that were allowed since the start.
@@ -46,6 +60,7 @@
         self._half_start_s = 0.0
         self._requests = [0, 0]
         self._retries = [0, 0]
+        self._unsent = 0
         self.granted = 0
         self.refused = 0
 
@@ -56,7 +71,19 @@
 
     def allow(self, attempts: int, now: float, *, ran: bool) -> float | None:
         """
-        Take one retry from the budget.
+        Take one retry from the budget, which is sent after its delay.
+
+        :returns: the delay in seconds, None if it is not allowed; else as ``reserve``.
+        """
+        grant = self.reserve(attempts, now, ran=ran)
+        if grant is None:
+            return None
+        self.record_sent(grant, now)
+        return grant.delay_s
+
+    def reserve(self, attempts: int, now: float, *, ran: bool) -> RetryGrant | None:
+        """
+        Reserve one retry, which is then sent or cancelled.
 
         An attempt that did not run put no load on an upstream. Unless the policy counts
         refusals, its retry is limited only by the number of attempts, so that no
@@ -64,21 +91,34 @@
 
         :param attempts: of the request so far.
         :param ran: whether the failed attempt may have run.
-        :returns: the delay before the retry in seconds, None if it is not allowed.
+        :returns: None if the retry is not allowed.
         """
         self._advance(now)
         policy = self.policy
         if attempts >= policy.attempts:
             return None
-        if ran or policy.counts_refusals:
+        is_counted = ran or policy.counts_refusals
+        if is_counted:
             allowed = policy.min_retries + policy.share * sum(self._requests)
-            if sum(self._retries) + 1 > allowed:
+            if sum(self._retries) + self._unsent + 1 > allowed:
                 self.refused += 1
                 return None
-            self._retries[0] += 1
+            self._unsent += 1
             self.granted += 1
         ceiling = min(policy.max_delay_s, policy.base_delay_s * 2 ** (attempts - 1))
-        return ceiling * self._random.random()
+        return RetryGrant(ceiling * self._random.random(), is_counted)
+
+    def record_sent(self, grant: RetryGrant, now: float) -> None:
+        """Count a reserved retry, as it is sent now."""
+        if grant.is_counted:
+            self._advance(now)
+            self._unsent -= 1
+            self._retries[0] += 1
+
+    def cancel(self, grant: RetryGrant) -> None:
+        """Give a reserved retry back, as it will not be sent."""
+        if grant.is_counted:
+            self._unsent -= 1
 
     def _advance(self, now: float) -> None:
         half_s = self.policy.window_s / 2
--- a/packages/core/tests/test_retries.py
+++ b/packages/core/tests/test_retries.py
@@ -34,3 +34,16 @@
     budget = RetryBudget(RetryPolicy(min_retries=100, attempts=3))
     assert budget.allow(2, 0.0, ran=True) is not None
     assert budget.allow(3, 0.0, ran=False) is None
+
+
+def test_reserved_retries_count_until_they_are_sent_or_cancelled():
+    policy = RetryPolicy(share=0.0, min_retries=2, window_s=10.0)
+    budget = RetryBudget(policy)
+    first, second = (budget.reserve(1, 0.0, ran=True) for _ in range(2))
+    assert budget.reserve(1, 30.0, ran=True) is None
+    budget.cancel(first)
+    budget.record_sent(second, 30.0)
+    assert budget.allow(1, 30.0, ran=True) is not None
+    assert budget.allow(1, 39.9, ran=True) is None
+    assert budget.allow(1, 40.1, ran=True) is not None
+    assert (budget.granted, budget.refused) == (4, 2)
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -14,6 +14,7 @@
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.prompt_quarantine import PromptCrash, PromptQuarantine
 from persimmonferry_core.retries import RetryPolicy
+from persimmonferry_core.retry_shares import RetryShares
 from persimmonferry_core.schema import TeamDocument
 from persimmonferry_core.topology import Address
 from persimmonferry_core.upstream_limits import LimitNotice, make_notice
@@ -89,7 +90,8 @@
 # times its objective.
 ANSWER_OBJECTIVES = 10
 STOPPING_RETRY_S = 0.3
-# Each gateway uses only this share of the retry budget, as others may be busier.
+# Each gateway uses only this share of the retry budget: it counts retries in the two
+# halves of a window, and each of them may have as many.
 RETRY_MARGIN = 0.5
 MAX_ATTEMPTS = 3
 
@@ -102,6 +104,7 @@
 
     :param registry: the platform's metadata store.
     :param codec: encodes and decodes the platform's calls and entries.
+    :param started_s: when the process started, on the boot clock.
     """
 
     def __init__(
@@ -110,8 +113,9 @@
         registry: Registry,
         codec: Codec,
         client: CancellableClient,
+        started_s: float | None = None,
     ) -> None:
-        self._started_s = estimate_process_start()
+        self._started_s = estimate_process_start() if started_s is None else started_s
         self._settings = settings
         self._codec = codec
         self._loop = asyncio.get_running_loop()
@@ -149,6 +153,8 @@
             REGISTRATION_LEASE_S,
         )
         self._gateways: dict[str, Address] = {}
+        self._retry_shares = RetryShares(settings.name, self._started_s)
+        self._retry_policy: RetryPolicy | None = None
         self._prober = Prober(codec, client)
         self._metrics = CallMetrics(
             lambda: registry.calls,
@@ -224,7 +230,7 @@
         self._notice_end_s = float("inf")
         self._assign_timer: asyncio.TimerHandle | None = None
         self._assigned_s = 0.0
-        self._set_retry_policy(1)
+        self._update_retry_policy(read_boot_clock())
 
     async def start(self) -> None:
         """Start serving."""
@@ -261,7 +267,7 @@
         """Apply changed settings; calls in progress are not affected."""
         self._settings = settings
         self._rollout.apply_settings(settings)
-        self._set_retry_policy(max(1, len(self._gateways)))
+        self._update_retry_policy(read_boot_clock())
 
     async def _drain(self, began_s: float) -> None:
         """
@@ -504,9 +510,12 @@
         if entries:
             self._peers.set_peers(self._gateways)
             self._quarantine.set_entries(self._gateways)
-            self._set_retry_policy(len(self._gateways))
+            boot_s = read_boot_clock()
+            self._retry_shares.set_entries(self._gateways, boot_s)
+            self._update_retry_policy(boot_s)
 
     def _after_registry_change(self) -> None:
+        self._retry_shares.confirm(read_boot_clock())
         deployment = self._cluster.deployment
         if deployment is not None:
             self._server.limits = deployment.limits
@@ -546,6 +555,7 @@
         now = self._loop.time()
         self._cluster.expire(now)
         self._limit_starts(now, read_boot_clock())
+        self._update_retry_policy(read_boot_clock())
         self._loop.call_later(MAINTENANCE_INTERVAL_S, self._maintain)
 
     def _limit_starts(self, now: float, boot_s: float) -> None:
@@ -569,22 +579,32 @@
             if withdraw is not None:
                 withdraw()
 
-    def _set_retry_policy(self, gateways: int) -> None:
+    def _update_retry_policy(self, boot_s: float) -> None:
+        """
+        Update this gateway's share of the retries that all gateways may make.
+
+        :param boot_s: the present time on the boot clock.
+        """
         settings = self._settings
-        share = RETRY_MARGIN * settings.retry_share
-        floor = int(RETRY_MARGIN * settings.retry_floor / max(1, gateways))
+        window_s = settings.retry_window_s
+        fixed = RETRY_MARGIN * settings.retry_floor
         policy = RetryPolicy(
-            share=share,
-            min_retries=floor,
-            window_s=settings.retry_window_s,
+            share=RETRY_MARGIN * settings.retry_share,
+            min_retries=self._retry_shares.divide(fixed, window_s, boot_s),
+            window_s=window_s,
             attempts=MAX_ATTEMPTS,
             counts_refusals=True,
         )
-        _log.info(
-            "retry budget in force",
-            extra={"share": share, "floor": floor, "gateways": gateways},
-        )
+        if policy == self._retry_policy:
+            return
+        self._retry_policy = policy
         self._dispatcher.set_retry_policy(policy)
+        fields = {
+            "share": policy.share,
+            "fixed": policy.min_retries,
+            "gateways": self._retry_shares.count_entries(boot_s),
+        }
+        _log.info("retry budget in force", extra=fields)
 
 
 class _ReadinessHandler(RequestHandler):
