Relay no status that promises "not run" without the upstream's word for it

Callers got 503, 429 or 408 for orders and streams that had run (rule REFUSED). These statuses promise that a call has not run and never will, so callers send it again: their orders are doubled.

Cause: an upstream states that it did not run a call with Not-Executed, or 421; no other answer states it. The gateway knew this for its own retries, but relayed the status as the upstream's own, and a status is a promise to the caller, whoever gave it.

Change: such an answer counts as lost (ResponseHead.reads_as_not_run). What may be repeated is sent to another upstream within the budget; everything else gets 502, without a seal, with ran "unknown".

Why it works: the one place that accepts an answer for relaying now asks for both, the status and the statement. Whether this is what the users saw is not known: their record has no answer of the worker.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -390,6 +390,11 @@
             await exchange.read_body()
             error = NotRun(ResultCode.UPSTREAM_REFUSED, f"status {head.status}")
             raise AttemptFailed(error, ran=False)
+        if head.reads_as_not_run:
+            await exchange.read_body()
+            detail = f"status {head.status}, not stated whether it ran"
+            error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, detail)
+            raise AttemptFailed(error, ran=True)
         is_stream = head.status == 200 and self._route.kind is CallKind.STREAM
         if self._caller.is_head_sent and not is_stream:
             exchange.cancel()
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -179,6 +179,7 @@
     :param headers: that are forwarded to the caller.
     :param call_id: the id of the call that it answers, None when it has none.
     :param did_not_run: whether the upstream states that it did not run the call.
+    :param reads_as_not_run: whether callers take its status for that statement.
     :param is_other_upstream: whether the call was meant for another upstream, or for
         other weights.
     :param is_genuine: whether it has the seal of an upstream that ran the call.
@@ -199,6 +200,7 @@
     did_not_run: bool
     is_genuine: bool
     is_other_upstream: bool = False
+    reads_as_not_run: bool = False
     load: UpstreamLoad | None = None
     version: int | None = None
     idle_s: float | None = None
