--- a/packages/core/tests/test_retry_shares.py
+++ b/packages/core/tests/test_retry_shares.py
@@ -1,13 +1,10 @@
 import random
-from bisect import bisect_right
 
 import pytest
 from persimmonferry_core.retries import RetryBudget, RetryPolicy
 from persimmonferry_core.retry_shares import RETENTION_S, RetryShares
+from retry_counter import FIXED, RATIO, WINDOW_S, RetryCounter
 
-WINDOW_S = 10.0
-RATIO = 0.2
-FIXED = 58
 NAMES = tuple(f"e{number}" for number in range(5))
 
 
@@ -15,8 +12,7 @@
     """Entries whose upstreams fail every call; each retries what its budget allows."""
 
     def __init__(self):
-        self.requests = []
-        self.retries = []
+        self.counter = RetryCounter()
         self._random = random.Random(7)
         self._entries = {}
         for name in NAMES:
@@ -40,23 +36,13 @@
         fixed = shares.divide(FIXED / 2, WINDOW_S, now)
         budget.policy = RetryPolicy(RATIO / 2, fixed, WINDOW_S, counts_refusals=True)
         budget.record_request(now)
-        self.requests.append(now)
+        self.counter.calls.append(now)
         if budget.allow(1, now, ran=True) is not None:
-            self.retries.append(now)
+            self.counter.retries.append(now)
 
-    def find_worst(self):
+    def find_excess(self):
         """Return the most retries beyond what is allowed in any window."""
-        return max(self._judge(now) for now in self.retries)
-
-    def _judge(self, now):
-        begins = (now - WINDOW_S, now - 1.5 * WINDOW_S, now - 2 * WINDOW_S)
-        requests = max(_count(self.requests, at, at + WINDOW_S) for at in begins)
-        retries = _count(self.retries, now - WINDOW_S, now)
-        return retries - RATIO * requests - FIXED
-
-
-def _count(times, begin, end):
-    return bisect_right(times, end) - bisect_right(times, begin)
+        return self.counter.find_worst()[0]
 
 
 # Each start began a new budget.
@@ -71,8 +57,8 @@
             for name in NAMES:
                 fleet.start(name, now)
         fleet.call(now)
-    assert fleet.retries
-    assert fleet.find_worst() <= 0
+    assert fleet.counter.retries
+    assert fleet.find_excess() <= 0
 
 
 def test_entries_that_restart_in_turn_retry_beyond_the_budget():
@@ -82,7 +68,7 @@
         if step % 60 == 0:
             fleet.start(NAMES[step // 60 % len(NAMES)], now)
         fleet.call(now)
-    assert fleet.find_worst() <= 0
+    assert fleet.find_excess() <= 0
 
 
 # The fixed part was divided by the entries that were listed at the moment.
@@ -95,7 +81,7 @@
         if step % 200 == 150:
             fleet.list_only(NAMES, now)
         fleet.call(now)
-    assert fleet.find_worst() <= 0
+    assert fleet.find_excess() <= 0
 
 
 def test_an_entry_has_no_share_before_its_first_list_and_in_its_first_window():
