Give shares of the retry budget up before others that restart take them

Cause: a gateway kept its share of the fixed part for 50 s without a list that has its own entry, but one that restarts reads a list without it, and took a larger share 10 s after its start.

Change: a share is given up 10 s after the own entry was last seen (CONFIRMATION_TIMEOUT_S); those that left the list count for 15 s, and a process has no share for 15 s after its start (RETENTION_S). So whoever is not on a list has given its share up before another takes it: a lease ends 5 s after its last renewal, so the own entry was last seen before the other process read its list.

Tried and reverted: earning the fixed part from the start on (a token bucket), with shares halved for 15 s after a start.

--- a/packages/core/src/persimmonferry_core/retry_shares.py
+++ b/packages/core/src/persimmonferry_core/retry_shares.py
@@ -4,9 +4,12 @@
 
 __all__ = ["RetryShares"]
 
-# An entry that is no longer listed may still run, as its lease expired while it could
-# not renew it. It keeps its share for this time.
-RETENTION_S = 60.0
+# An entry that is not listed, or can't read the list, gives its share up after this
+# time. It may run on, turned away by the registry.
+CONFIRMATION_TIMEOUT_S = 10.0
+# Others count it for longer, as they receive changes of the list later. A process that
+# has started does not know of it, and has no share for as long.
+RETENTION_S = 15.0
 
 
 class RetryShares:
@@ -15,9 +18,9 @@
 
     Load pattern: the upstreams of a service fail, and entries restart or drop off the
     list meanwhile. A process does not know what the one before it has used, nor whether
-    an entry that is not listed has ended. So a process has no share in its first
-    window, entries that have left still count for a time, and an entry that may no
-    longer count for the others gives its share up before.
+    an entry that is not listed has ended. So a process has no share at first, entries
+    that have left still count for a time, and an entry that may no longer count for the
+    others gives its share up before.
 
     All times are on one clock, which counts time in which the process is suspended.
 
@@ -26,8 +29,11 @@
 
     >>> shares = RetryShares("e1", 0.0)
     >>> shares.set_entries(["e1", "e2"], 5.0)
-    >>> shares.divide(20, 10.0, 5.0), shares.divide(20, 10.0, 10.0)
-    (0, 10)
+    >>> shares.divide(20, 10.0, 5.0)
+    0
+    >>> shares.confirm(15.0)
+    >>> shares.divide(20, 10.0, 15.0)
+    10
     """
 
     def __init__(self, entry: str, started_s: float) -> None:
@@ -35,7 +41,7 @@
         self._started_s = started_s
         self._entries: frozenset[str] = frozenset()
         self._left_s: dict[str, float] = {}
-        self._confirmed_s: float | None = None
+        self._confirmed_s = float("-inf")
 
     def set_entries(self, entries: Iterable[str], now: float) -> None:
         """Set the names of the entries that are listed now."""
@@ -64,8 +70,8 @@
 
         :param retries: that all entries may make together.
         """
-        if self._confirmed_s is None or now < self._started_s + window_s:
+        if now < self._started_s + max(window_s, RETENTION_S):
             return 0
-        if now >= self._confirmed_s + RETENTION_S - window_s:
+        if now >= self._confirmed_s + CONFIRMATION_TIMEOUT_S:
             return 0
         return int(retries / self.count_entries(now))
