Count the bytes of answers that a gateway holds, by place

Hypotheses, before any change of logic:

Bytes of incomplete events: random bytes have an empty line each 85 KB, an event may take 1 MiB. 2. Bytes that were received and that the handler has not read yet: 16 MiB for each answer. 3. Bytes that wait for a caller: answers are written without waiting until the caller reads.

Logs and metrics could not tell these apart. New: metrics answer_bytes and answer_bytes_most by place (unread, event, body, unsent), and received_bytes of each attempt in the log. No logic changes.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -28,6 +28,7 @@
 from persimmonferry_core.prompt_quarantine import PromptQuarantine
 
 from persimmonferry_gateway.answer_identity import AnswerFinder
+from persimmonferry_gateway.answer_memory import Holding
 from persimmonferry_gateway.call_log import RateLimitedLog
 from persimmonferry_gateway.call_notes import (
     AnswerEnd,
@@ -167,6 +168,7 @@
         self._finder = AnswerFinder(context.codec.decode_response_head)
         resumes_after = call.resumes_after if route.is_resumable else None
         self._splitter = EventSplitter(resumes_after, self._finder.has_answer)
+        self._partial = Holding(context.client.answer_memory, "event")
         self._attempts = 0
         self._may_have_run = False
         self._avoid: frozenset[str] = frozenset()
@@ -299,6 +301,11 @@
                 failure = AttemptFailed(error, ran=found.ran, arrived=found.arrived)
             note.end = failure.describe()
             raise failure from None
+        finally:
+            if self._exchange is not None:
+                note.received_bytes = self._exchange.received_bytes
+                self._exchange.release()
+            self._partial.set_size(0)
 
     def _withdraw(self) -> None:
         """End the present attempt unless its answer has begun."""
@@ -513,6 +520,7 @@
                 exchange.cancel()
                 self._splitter.discard_partial()
                 raise self._refuse_answer(exchange, str(cause)) from None
+            self._partial.set_size(self._splitter.buffered_bytes)
             if not events:
                 continue
             if self._progress is not AttemptProgress.CONTENT_RECEIVED:
--- a/packages/gateway/src/persimmonferry_gateway/call_notes.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_notes.py
@@ -53,6 +53,7 @@
     :param replaced_s: for how long newer weights had been wanted when it was sent, None
         if none were.
     :param first_s: when the first event of its stream arrived.
+    :param received_bytes: of the body of its answer.
     :param end: how it ended, empty if the call ended before it.
     """
 
@@ -61,6 +62,7 @@
     version: int | None = None
     replaced_s: float | None = None
     first_s: float | None = None
+    received_bytes: int = 0
     end: str = ""
 
     def describe(self, arrival_s: float) -> dict[str, object]:
@@ -69,13 +71,14 @@
 
         :param arrival_s: when the call arrived.
 
-        >>> note = AttemptNote("e1", 10.5, 3, 8.25, 11.0, "answered")
+        >>> note = AttemptNote("e1", 10.5, 3, 8.25, 11.0, 40, "answered")
         >>> note.describe(10.0)["first_ms"], note.describe(10.0)["replaced_ms"]
         (1000, 8250)
         """
         fields = {
             "upstream": self.upstream,
             "sent_ms": to_ms(self.sent_s - arrival_s),
+            "received_bytes": self.received_bytes,
             "end": self.end or "call ended",
         }
         if self.version is not None:
--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -25,6 +25,8 @@
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
+from persimmonferry_gateway.answer_memory import AnswerMemory, Holding
+
 __all__ = ["AnswerBegun", "CallerConnection", "CallerServer", "ReceivedRequest"]
 
 BACKLOG = 1024
@@ -72,6 +74,7 @@
     :param announce_close: whether answers announce that the connection will be closed.
     :param version: of HTTP, as stated by the request.
     :param has_body: False if the answer must have no body, as that to HEAD.
+    :param unsent: counts the bytes that wait for the caller to read.
     """
 
     def __init__(
@@ -80,9 +83,11 @@
         announce_close: bool,
         version: str = CHUNKED_VERSION,
         has_body: bool = True,
+        unsent: Holding | None = None,
     ) -> None:
         self._connection = connection
         self._has_body = has_body
+        self._unsent = unsent
         self._announce_close = announce_close
         self._accepts_chunks = version == CHUNKED_VERSION
         self._is_unframed = False
@@ -134,6 +139,7 @@
         """Send a chunk of the body."""
         if not self.is_closed and data and self._has_body:
             _ignore_closed(self._connection.write(data))
+            self._count_unsent(len(data))
 
     def finish(self) -> None:
         """End the answer as a complete one."""
@@ -180,6 +186,16 @@
             self.is_closed = True
             self._connection.close()
 
+    def _count_unsent(self, size: int) -> None:
+        """Count bytes until they are handed to the kernel or the connection closes."""
+        unsent, stream = self._unsent, self._connection.stream
+        if unsent is None or stream.closed() or not stream.writing():
+            return
+        unsent.set_size(unsent.size + size)
+        future_add_done_callback(
+            self._flush(), lambda _: unsent.set_size(unsent.size - size)
+        )
+
     def _flush(self) -> Awaitable[None] | None:
         """Return the future of all bytes written so far, None without a connection."""
         stream = self._connection.stream
@@ -280,6 +296,7 @@
             self._server.is_stopping,
             self._line.version,
             has_body=request.method != "HEAD",
+            unsent=self._server.unsent,
         )
         self._server.accept(request, caller)
 
@@ -313,6 +330,7 @@
     Accepts callers' connections and reads their requests.
 
     :param accept: called with each complete request and the connection for its answer.
+    :param memory: counts the bytes of answers that are held.
     """
 
     def __init__(
@@ -321,7 +339,9 @@
         port: int,
         accept: Callable[[ReceivedRequest, CallerConnection], None],
         read_clock: Callable[[], float],
+        memory: AnswerMemory | None = None,
     ) -> None:
+        self.unsent = Holding(memory or AnswerMemory(), "unsent")
         self._read_clock = read_clock
         self.accept = accept
         self.limits: CallerLimits | None = None
--- a/packages/gateway/src/persimmonferry_gateway/events.py
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -70,6 +70,11 @@
         self.last_id = last_id
         return events
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Return the number of bytes that are held until their event is complete."""
+        return len(self._buffer)
+
     @property
     def has_partial(self) -> bool:
         """Whether an event has begun and is not complete."""
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -162,6 +162,7 @@
             self._dispatcher.upstream_limits.list_shares,
             self._crash_reports.count_crashes,
             self._dispatcher.list_retries,
+            client.answer_memory,
         )
         self._metrics_server = MetricsServer(settings.internal, self._metrics)
         self._store_index = CacheStoreIndex()
@@ -218,6 +219,7 @@
             settings.callers.port,
             self._accept,
             self._loop.time,
+            client.answer_memory,
         )
         self._readiness = HTTPServer(
             Application([(r"/.*", _ReadinessHandler, {"check": self._is_ready})])
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -9,6 +9,8 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from persimmonferry_gateway.answer_memory import AnswerMemory
+
 __all__ = ["CallMetrics", "MetricsServer"]
 
 
@@ -21,6 +23,7 @@
     :param read_shares: returns the part of these limits that this gateway may use.
     :param read_quarantine: returns the number of crashes, by quarantined parts.
     :param read_retries: returns the retries allowed and refused so far, by service.
+    :param answer_memory: counts the bytes of answers that are held.
     """
 
     def __init__(
@@ -30,6 +33,7 @@
         read_shares: Callable[[], Mapping[str, float]],
         read_quarantine: Callable[[], Mapping[str, int]],
         read_retries: Callable[[], Mapping[str, tuple[int, int]]],
+        answer_memory: AnswerMemory,
     ) -> None:
         self.histograms = Histograms()
         self._outcomes: Counter[tuple[str, str]] = Counter()
@@ -41,6 +45,7 @@
         self._read_shares = read_shares
         self._read_quarantine = read_quarantine
         self._read_retries = read_retries
+        self._answer_memory = answer_memory
 
     def record(
         self,
@@ -95,6 +100,10 @@
         for service, (granted, refused) in sorted(self._read_retries().items()):
             lines.append(f'retries{{service="{service}"}} {granted}')
             lines.append(f'retries_refused{{service="{service}"}} {refused}')
+        most = self._answer_memory.most
+        for place, size in sorted(self._answer_memory.present.items()):
+            lines.append(f'answer_bytes{{place="{place}"}} {size}')
+            lines.append(f'answer_bytes_most{{place="{place}"}} {most[place]}')
         lines += [
             f'registry_calls{{kind="{kind}"}} {count}'
             for kind, count in sorted(self._read_registry_calls().items())
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -23,6 +23,7 @@
     Mismatch,
     find_mismatch,
 )
+from persimmonferry_gateway.answer_memory import AnswerMemory, Holding
 from persimmonferry_gateway.interfaces import ResponseHead
 from persimmonferry_gateway.kept_connections import KeptConnections
 
@@ -67,12 +68,14 @@
     Tornado's curl client, with transfers that can be cancelled by the caller.
 
     :ivar kept_connections: connections of exchanges, which may be reused.
+    :ivar answer_memory: counts the bytes of answers that are held.
     """
 
     def initialize(self, *args: Any, **options: Any) -> None:
         """Set up the client, as Tornado's constructor does."""
         super().initialize(*args, **options)
         self.kept_connections = KeptConnections()
+        self.answer_memory = AnswerMemory()
 
     def cancel(self, transfer: Transfer) -> None:
         """Cancel a transfer that has not ended; libcurl closes its connection."""
@@ -189,7 +192,9 @@
         self._idle_s = max(1, int(idle_s))
         self._transfer: Transfer | None = None
         self._chunks: deque[bytes] = deque()
-        self._unread_bytes = 0
+        self.received_bytes = 0
+        self._unread = Holding(client.answer_memory, "unread")
+        self._body = Holding(client.answer_memory, "body")
         self._is_ended = False
         self._is_cancelled = False
         self._opened_descriptor: int | None = None
@@ -243,22 +248,26 @@
             await self._progress.wait()
         data = b"".join(self._chunks)
         self._chunks.clear()
-        self._unread_bytes = 0
+        self._unread.set_size(0)
         return data
 
     async def read_body(self) -> bytes:
         """Return the rest of the body; it is complete if ``loss`` is None."""
         chunks = []
-        size = 0
         while (chunk := await self.read_chunk()) is not None:
             chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_RESPONSE_BYTES:
+            self._body.set_size(self._body.size + len(chunk))
+            if self._body.size > MAX_RESPONSE_BYTES:
                 self.cancel()
                 self.loss = RequestFailure.TOO_LARGE
                 return b""
         return b"".join(chunks)
 
+    def release(self) -> None:
+        """Count the bytes of the response as held no more."""
+        self._unread.set_size(0)
+        self._body.set_size(0)
+
     def cancel(self) -> None:
         """Cancel the request, so that the upstream stops working on it."""
         if self._is_ended or self._is_cancelled:
@@ -343,8 +352,9 @@
         return 0 if self.mismatch is not None else len(line)
 
     def _read_data(self, data: bytes) -> int:
-        self._unread_bytes += len(data)
-        if self._unread_bytes > MAX_RESPONSE_BYTES:
+        self.received_bytes += len(data)
+        self._unread.set_size(self._unread.size + len(data))
+        if self._unread.size > MAX_RESPONSE_BYTES:
             # A short count makes libcurl end the transfer and close the connection.
             return 0
         self._chunks.append(data)
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -1,13 +1,19 @@
+from persimmonferry_gateway.answer_memory import AnswerMemory, Holding
 from persimmonferry_gateway.metrics import CallMetrics
 
 
 def test_outcomes_attempts_limits_and_latencies_are_printed():
+    memory = AnswerMemory()
+    unread = Holding(memory, "unread")
+    unread.set_size(70)
+    unread.set_size(20)
     metrics = CallMetrics(
         lambda: {"kv-watch": 3},
         lambda: {"e1": 2.5},
         lambda: {"e1": 0.5},
         lambda: {"00ff": 2},
         lambda: {"plain": (4, 1)},
+        memory,
     )
     metrics.record("t1", "ask", "answered", 1, 0, (), 0.1, 0.3)
     metrics.record("t1", "ask", "answered", 2, 1, ("sent",), 0.2, 0.4)
@@ -23,6 +29,8 @@
     assert 'quarantined_parts{parts="00ff"} 2' in lines
     assert 'retries{service="plain"} 4' in lines
     assert 'retries_refused{service="plain"} 1' in lines
+    assert 'answer_bytes{place="unread"} 20' in lines
+    assert 'answer_bytes_most{place="unread"} 70' in lines
     assert 'registry_calls{kind="kv-watch"} 3' in lines
     assert 'first_token_ms_count{account="t1",route="ask"} 2' in lines
     assert 'whole_answer_ms_count{account="t1",route="ask"} 3' in lines
