Receive answers no faster than they are processed and their callers read

Change: a transfer is paused (libcurl) while 64 KiB are unread, and a stream waits until its last events are handed to the kernel. All answers together hold a quarter of the process's memory (limits.memoryMb; 32 MiB if it is not stated); above it only the oldest of those over 64 KiB is received further, so that one is completed, and small answers always are.

--- a/packages/gateway/src/persimmonferry_gateway/answer_memory.py
+++ b/packages/gateway/src/persimmonferry_gateway/answer_memory.py
@@ -1,57 +1,143 @@
-"""Counts the bytes of answers that a gateway holds in memory."""
+"""Bounds the bytes of answers that a gateway holds in memory."""
 
+import enum
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
-__all__ = ["AnswerMemory", "Holding"]
+__all__ = ["AnswerMemory", "HeldAnswer", "Place"]
 
+# Each answer may hold this many bytes, however many others hold.
+MIN_ANSWER_BYTES = 64 * 1024
+DEFAULT_LIMIT_BYTES = 32 * 1024 * 1024
 
-class Holding:
+
+class Place(enum.Enum):
+    """Where a gateway holds bytes of answers."""
+
+    UNREAD = "unread"
+    EVENT = "event"
+    BODY = "body"
+    UNSENT = "unsent"
+
+
+class HeldAnswer:
     """
-    The bytes of one answer in one place.
+    The bytes of one answer that are held.
 
     :param memory: of the gateway, which counts them.
-    :param place: where they are held, as named in the metrics.
+    :param resume: called when the answer may be received again after ``may_grow`` has
+        returned False.
     """
 
-    def __init__(self, memory: "AnswerMemory", place: str) -> None:
+    def __init__(self, memory: "AnswerMemory", resume: Callable[[], None]) -> None:
+        self.resume = resume
         self.size = 0
+        self.is_receiving = True
         self._memory = memory
-        self._place = place
+        self._sizes: Counter[Place] = Counter()
+
+    def find_size(self, place: Place) -> int:
+        """Return the number of bytes that are held in one place."""
+        return self._sizes[place]
+
+    def set_size(self, place: Place, size: int) -> None:
+        """Set the number of bytes that are held in one place."""
+        change = size - self._sizes[place]
+        self._sizes[place] = size
+        self.size += change
+        self._memory.update(self, place, change)
+
+    def may_grow(self) -> bool:
+        """Return whether more may be received; if not, ``resume`` is called later."""
+        return self._memory.may_grow(self)
+
+    def end_receiving(self) -> None:
+        """Record that no more of the answer will be received."""
+        self.is_receiving = False
+        self._memory.discard(self)
 
-    def set_size(self, size: int) -> None:
-        """Set the number of bytes that are held now."""
-        self._memory.add(self._place, size - self.size)
-        self.size = size
+    def release(self) -> None:
+        """Count the answer as held no more."""
+        self.end_receiving()
+        for place in tuple(self._sizes):
+            self.set_size(place, 0)
 
 
 class AnswerMemory:
     """
-    The bytes of all answers that were received and are not passed on yet, by place.
-
-    >>> memory = AnswerMemory()
-    >>> first, second = Holding(memory, "unread"), Holding(memory, "unread")
-    >>> first.set_size(5), second.set_size(7), first.set_size(0)
-    (None, None, None)
-    >>> memory.present, memory.most
-    ({'unread': 7}, {'unread': 12})
+    The bytes of all answers that were received and are not passed on yet.
+
+    Small answers are always received. While all together hold the limit or more, only
+    the oldest of the large ones is received further, until it is complete, cut off or
+    out of time: so one answer makes progress, and the others wait in their connections.
+
+    >>> memory = AnswerMemory(200_000)
+    >>> first, second = (HeldAnswer(memory, print) for _ in range(2))
+    >>> first.set_size(Place.BODY, 100_000)
+    >>> second.set_size(Place.BODY, 100_000)
+    >>> first.may_grow(), second.may_grow()
+    (True, False)
+    >>> first.release()
+    <BLANKLINE>
+    >>> second.may_grow()
+    True
     """
 
-    def __init__(self) -> None:
-        self._present: Counter[str] = Counter()
-        self._most: Counter[str] = Counter()
+    def __init__(self, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
+        self.limit_bytes = limit_bytes
+        self._present: Counter[Place] = Counter()
+        self._most: Counter[Place] = Counter()
+        # In the order in which they became large.
+        self._large: dict[HeldAnswer, None] = {}
+        self._waiting: dict[HeldAnswer, None] = {}
 
     @property
-    def present(self) -> Mapping[str, int]:
+    def present(self) -> Mapping[Place, int]:
         """Return the bytes that are held now, by place."""
         return dict(self._present)
 
     @property
-    def most(self) -> Mapping[str, int]:
+    def most(self) -> Mapping[Place, int]:
         """Return the most bytes that were held at one time, by place."""
         return dict(self._most)
 
-    def add(self, place: str, size: int) -> None:
+    def may_grow(self, answer: HeldAnswer) -> bool:
+        """Return whether more of an answer may be received; if not, it waits."""
+        if self._has_room(answer):
+            return True
+        self._waiting[answer] = None
+        return False
+
+    def update(self, answer: HeldAnswer, place: Place, change: int) -> None:
+        """Record that an answer holds more bytes than before, or fewer."""
+        if answer.size < MIN_ANSWER_BYTES:
+            self._large.pop(answer, None)
+        elif answer.is_receiving:
+            self._large.setdefault(answer)
+        self.add(place, change)
+
+    def add(self, place: Place, change: int) -> None:
         """Count bytes that are held from now on; fewer if negative."""
-        self._present[place] += size
+        self._present[place] += change
         self._most[place] = max(self._most[place], self._present[place])
+        if change < 0:
+            self._resume_waiting()
+
+    def discard(self, answer: HeldAnswer) -> None:
+        """Let others be received in the place of an answer that has ended."""
+        self._waiting.pop(answer, None)
+        self._large.pop(answer, None)
+        self._resume_waiting()
+
+    def _resume_waiting(self) -> None:
+        for waiting in tuple(self._waiting):
+            if waiting in self._waiting and self._has_room(waiting):
+                del self._waiting[waiting]
+                waiting.resume()
+
+    def _has_room(self, answer: HeldAnswer) -> bool:
+        if answer.size < MIN_ANSWER_BYTES:
+            return True
+        if self._present.total() < self.limit_bytes:
+            return True
+        return answer is next(iter(self._large), answer)
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -28,7 +28,7 @@
 from persimmonferry_core.prompt_quarantine import PromptQuarantine
 
 from persimmonferry_gateway.answer_identity import AnswerFinder
-from persimmonferry_gateway.answer_memory import Holding
+from persimmonferry_gateway.answer_memory import Place
 from persimmonferry_gateway.call_log import RateLimitedLog
 from persimmonferry_gateway.call_notes import (
     AnswerEnd,
@@ -168,7 +168,6 @@
         self._finder = AnswerFinder(context.codec.decode_response_head)
         resumes_after = call.resumes_after if route.is_resumable else None
         self._splitter = EventSplitter(resumes_after, self._finder.has_answer)
-        self._partial = Holding(context.client.answer_memory, "event")
         self._attempts = 0
         self._may_have_run = False
         self._avoid: frozenset[str] = frozenset()
@@ -304,8 +303,7 @@
         finally:
             if self._exchange is not None:
                 note.received_bytes = self._exchange.received_bytes
-                self._exchange.release()
-            self._partial.set_size(0)
+                self._exchange.close()
 
     def _withdraw(self) -> None:
         """End the present attempt unless its answer has begun."""
@@ -520,7 +518,7 @@
                 exchange.cancel()
                 self._splitter.discard_partial()
                 raise self._refuse_answer(exchange, str(cause)) from None
-            self._partial.set_size(self._splitter.buffered_bytes)
+            exchange.held.set_size(Place.EVENT, self._splitter.buffered_bytes)
             if not events:
                 continue
             if self._progress is not AttemptProgress.CONTENT_RECEIVED:
@@ -532,6 +530,8 @@
                 self._record_first_event()
                 self._caller.send_head(head.status, head.reason, list(head.headers))
             self._caller.send_chunk(events)
+            # More of the stream is received when the caller has read this.
+            await self._caller.wait_until_sent()
         loss = exchange.loss or self._find_truncation(exchange)
         partial_bytes = self._splitter.partial_bytes
         self.notes.answer_ends.append(AnswerEnd(exchange.framing, partial_bytes, loss))
--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -25,7 +25,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
 
-from persimmonferry_gateway.answer_memory import AnswerMemory, Holding
+from persimmonferry_gateway.answer_memory import AnswerMemory, Place
 
 __all__ = ["AnswerBegun", "CallerConnection", "CallerServer", "ReceivedRequest"]
 
@@ -74,7 +74,7 @@
     :param announce_close: whether answers announce that the connection will be closed.
     :param version: of HTTP, as stated by the request.
     :param has_body: False if the answer must have no body, as that to HEAD.
-    :param unsent: counts the bytes that wait for the caller to read.
+    :param memory: counts the bytes that wait for the caller to read.
     """
 
     def __init__(
@@ -83,11 +83,11 @@
         announce_close: bool,
         version: str = CHUNKED_VERSION,
         has_body: bool = True,
-        unsent: Holding | None = None,
+        memory: AnswerMemory | None = None,
     ) -> None:
         self._connection = connection
         self._has_body = has_body
-        self._unsent = unsent
+        self._memory = memory
         self._announce_close = announce_close
         self._accepts_chunks = version == CHUNKED_VERSION
         self._is_unframed = False
@@ -175,7 +175,7 @@
 
     async def wait_until_sent(self) -> None:
         """Wait until all bytes are handed to the kernel or the connection is closed."""
-        flushed = self._flush()
+        flushed = self._find_flush()
         if flushed is not None:
             await asyncio.wait((flushed,))
 
@@ -188,13 +188,15 @@
 
     def _count_unsent(self, size: int) -> None:
         """Count bytes until they are handed to the kernel or the connection closes."""
-        unsent, stream = self._unsent, self._connection.stream
-        if unsent is None or stream.closed() or not stream.writing():
+        memory = self._memory
+        if memory is None or (flushed := self._find_flush()) is None:
             return
-        unsent.set_size(unsent.size + size)
-        future_add_done_callback(
-            self._flush(), lambda _: unsent.set_size(unsent.size - size)
-        )
+        memory.add(Place.UNSENT, size)
+        future_add_done_callback(flushed, lambda _: memory.add(Place.UNSENT, -size))
+
+    def _find_flush(self) -> Awaitable[None] | None:
+        """Return the future of all bytes written so far, None if none are waiting."""
+        return self._flush() if self._connection.stream.writing() else None
 
     def _flush(self) -> Awaitable[None] | None:
         """Return the future of all bytes written so far, None without a connection."""
@@ -296,7 +298,7 @@
             self._server.is_stopping,
             self._line.version,
             has_body=request.method != "HEAD",
-            unsent=self._server.unsent,
+            memory=self._server.memory,
         )
         self._server.accept(request, caller)
 
@@ -341,7 +343,7 @@
         read_clock: Callable[[], float],
         memory: AnswerMemory | None = None,
     ) -> None:
-        self.unsent = Holding(memory or AnswerMemory(), "unsent")
+        self.memory = memory or AnswerMemory()
         self._read_clock = read_clock
         self.accept = accept
         self.limits: CallerLimits | None = None
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -94,6 +94,8 @@
 # halves of a window, and each of them may have as many.
 RETRY_MARGIN = 0.5
 MAX_ATTEMPTS = 3
+# Share of the process's memory for answers; joining their parts takes as much again.
+ANSWER_MEMORY_SHARE = 0.25
 
 _log = logging.getLogger(__name__)
 
@@ -165,6 +167,8 @@
             client.answer_memory,
         )
         self._metrics_server = MetricsServer(settings.internal, self._metrics)
+        self._answer_memory = client.answer_memory
+        self._limit_answer_memory()
         self._store_index = CacheStoreIndex()
         self._stores = StoreWatch(
             self._store_index,
@@ -268,9 +272,16 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings; calls in progress are not affected."""
         self._settings = settings
+        self._limit_answer_memory()
         self._rollout.apply_settings(settings)
         self._update_retry_policy(read_boot_clock())
 
+    def _limit_answer_memory(self) -> None:
+        memory_bytes = self._settings.memory_bytes
+        if memory_bytes is not None:
+            limit_bytes = int(ANSWER_MEMORY_SHARE * memory_bytes)
+            self._answer_memory.limit_bytes = limit_bytes
+
     async def _drain(self, began_s: float) -> None:
         """
         Wait for the calls in progress, and close the server.
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -101,9 +101,10 @@
             lines.append(f'retries{{service="{service}"}} {granted}')
             lines.append(f'retries_refused{{service="{service}"}} {refused}')
         most = self._answer_memory.most
-        for place, size in sorted(self._answer_memory.present.items()):
-            lines.append(f'answer_bytes{{place="{place}"}} {size}')
-            lines.append(f'answer_bytes_most{{place="{place}"}} {most[place]}')
+        for place, size in self._answer_memory.present.items():
+            lines.append(f'answer_bytes{{place="{place.value}"}} {size}')
+            label = f'place="{place.value}"'
+            lines.append(f"answer_bytes_most{{{label}}} {most[place]}")
         lines += [
             f'registry_calls{{kind="{kind}"}} {count}'
             for kind, count in sorted(self._read_registry_calls().items())
--- a/packages/gateway/src/persimmonferry_gateway/settings.py
+++ b/packages/gateway/src/persimmonferry_gateway/settings.py
@@ -42,6 +42,7 @@
     :param retry_share: retries of all gateways, as a share of a service's calls.
     :param retry_window_s: window in which retries are counted.
     :param retry_floor: retries that all gateways may make in addition in a window.
+    :param memory_bytes: above which the process is killed, None if not stated.
     """
 
     name: str
@@ -60,6 +61,7 @@
     retry_share: float
     retry_window_s: float
     retry_floor: int
+    memory_bytes: int | None = None
 
 
 def merge_settings(
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import logging
 import re
 import socket
 from collections import deque
@@ -23,7 +24,7 @@
     Mismatch,
     find_mismatch,
 )
-from persimmonferry_gateway.answer_memory import AnswerMemory, Holding
+from persimmonferry_gateway.answer_memory import AnswerMemory, HeldAnswer, Place
 from persimmonferry_gateway.interfaces import ResponseHead
 from persimmonferry_gateway.kept_connections import KeptConnections
 
@@ -36,13 +37,18 @@
 # Several round trips between failure domains. A connection that takes longer waits for
 # the retransmission of its first packet; another upstream is faster.
 CONNECT_TIMEOUT_S = 0.3
-# Limit for a complete response and for the unread bytes of a stream: a faulty upstream
-# may send bytes without end.
+# A faulty upstream may send bytes without end.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# A transfer is paused while this many bytes of its response are unread. libcurl alone
+# would pass on all that has arrived, which may be megabytes at a time.
+MAX_UNREAD_BYTES = 64 * 1024
 # The line belongs to another response that broke off where this one begins.
 _STATUS_LINE_INSIDE = re.compile(r".HTTP/1\.[01] \d{3}")
 
 
+_log = logging.getLogger(__name__)
+
+
 class Framing(enum.Enum):
     """What marks the end of a response."""
 
@@ -84,6 +90,18 @@
             return
         self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
 
+    def resume(self, transfer: Transfer) -> None:
+        """Continue a transfer that was paused by its write callback."""
+        curl = transfer.curl
+        if curl.info is not transfer.info:
+            return
+        try:
+            curl.pause(pycurl.PAUSE_CONT)
+        except pycurl.error as error:
+            # libcurl reports the failure with the end of the transfer, too.
+            _log.info("transfer failed while paused", extra={"cause": str(error)})
+        self._set_timeout(0)
+
 
 class ResponseLines:
     """
@@ -193,8 +211,8 @@
         self._transfer: Transfer | None = None
         self._chunks: deque[bytes] = deque()
         self.received_bytes = 0
-        self._unread = Holding(client.answer_memory, "unread")
-        self._body = Holding(client.answer_memory, "body")
+        self.held = HeldAnswer(client.answer_memory, self._resume)
+        self._is_paused = False
         self._is_ended = False
         self._is_cancelled = False
         self._opened_descriptor: int | None = None
@@ -248,26 +266,24 @@
             await self._progress.wait()
         data = b"".join(self._chunks)
         self._chunks.clear()
-        self._unread.set_size(0)
+        self.held.set_size(Place.UNREAD, 0)
+        self._resume()
         return data
 
     async def read_body(self) -> bytes:
         """Return the rest of the body; it is complete if ``loss`` is None."""
         chunks = []
+        size = 0
         while (chunk := await self.read_chunk()) is not None:
             chunks.append(chunk)
-            self._body.set_size(self._body.size + len(chunk))
-            if self._body.size > MAX_RESPONSE_BYTES:
+            size += len(chunk)
+            self.held.set_size(Place.BODY, size)
+            if size > MAX_RESPONSE_BYTES:
                 self.cancel()
                 self.loss = RequestFailure.TOO_LARGE
                 return b""
         return b"".join(chunks)
 
-    def release(self) -> None:
-        """Count the bytes of the response as held no more."""
-        self._unread.set_size(0)
-        self._body.set_size(0)
-
     def cancel(self) -> None:
         """Cancel the request, so that the upstream stops working on it."""
         if self._is_ended or self._is_cancelled:
@@ -277,6 +293,12 @@
         if self._transfer is not None:
             self._client.cancel(self._transfer)
 
+    def close(self) -> None:
+        """Cancel the request unless it has ended, and drop what it holds."""
+        self.cancel()
+        self._chunks.clear()
+        self.held.release()
+
     async def _run(self) -> None:
         result = await self._fetch()
         if self._is_connection_stale and not self._is_cancelled:
@@ -287,6 +309,7 @@
         elif self.head is None:
             self.loss = RequestFailure.TRUNCATED
         self._is_ended = True
+        self.held.end_receiving()
         self._progress.set()
 
     async def _fetch(self) -> HTTPResponse | RequestFailure:
@@ -352,15 +375,22 @@
         return 0 if self.mismatch is not None else len(line)
 
     def _read_data(self, data: bytes) -> int:
+        """Called by libcurl for each part of the body, again after a pause."""
+        unread_bytes = self.held.find_size(Place.UNREAD)
+        if unread_bytes >= MAX_UNREAD_BYTES or not self.held.may_grow():
+            self._is_paused = True
+            return pycurl.WRITEFUNC_PAUSE
         self.received_bytes += len(data)
-        self._unread.set_size(self._unread.size + len(data))
-        if self._unread.size > MAX_RESPONSE_BYTES:
-            # A short count makes libcurl end the transfer and close the connection.
-            return 0
+        self.held.set_size(Place.UNREAD, unread_bytes + len(data))
         self._chunks.append(data)
         self._progress.set()
         return len(data)
 
+    def _resume(self) -> None:
+        if self._is_paused and self._transfer is not None and not self._is_cancelled:
+            self._is_paused = False
+            self._client.resume(self._transfer)
+
 
 def _set_socket_options(descriptor: int) -> None:
     opened = socket.socket(fileno=descriptor)
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -1,12 +1,11 @@
-from persimmonferry_gateway.answer_memory import AnswerMemory, Holding
+from persimmonferry_gateway.answer_memory import AnswerMemory, Place
 from persimmonferry_gateway.metrics import CallMetrics
 
 
 def test_outcomes_attempts_limits_and_latencies_are_printed():
     memory = AnswerMemory()
-    unread = Holding(memory, "unread")
-    unread.set_size(70)
-    unread.set_size(20)
+    memory.add(Place.UNREAD, 70)
+    memory.add(Place.UNREAD, -50)
     metrics = CallMetrics(
         lambda: {"kv-watch": 3},
         lambda: {"e1": 2.5},
--- a/packages/gateway/tests/test_upstream_client.py
+++ b/packages/gateway/tests/test_upstream_client.py
@@ -2,9 +2,17 @@
 
 import asyncio
 
+import pytest
 from persimmonferry_adapters.http_client import ConnectionReuse, RequestFailure
+from persimmonferry_gateway.answer_memory import MIN_ANSWER_BYTES, Place
 from persimmonferry_gateway.interfaces import ResponseHead
-from persimmonferry_gateway.upstream_client import CancellableClient, UpstreamExchange
+from persimmonferry_gateway.upstream_client import (
+    MAX_UNREAD_BYTES,
+    CancellableClient,
+    UpstreamExchange,
+)
+
+LARGE_BODY = bytes(range(256)) * 32 * 1024
 
 
 async def answer_calls(reader, writer):
@@ -14,6 +22,8 @@
         await reader.readuntil(b"\r\n\r\n")
         if target == b"/never":
             continue
+        if target == b"/large":
+            target = LARGE_BODY
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(target)}\r\nId: a\r\n\r\n"
         writer.write(head.encode() + target)
     writer.close()
@@ -24,7 +34,7 @@
     return ResponseHead(status, reason, (), dict(fields)["Id"], False, True)
 
 
-def run_exchanges(scenario, **options):
+def run_exchanges(scenario, limit_bytes=MIN_ANSWER_BYTES, **options):
     """Run a coroutine with a function that sends a call, and return its result."""
 
     async def main():
@@ -32,6 +42,8 @@
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         client = CancellableClient(force_instance=True, **options)
 
+        client.answer_memory.limit_bytes = limit_bytes
+
         def send(target):
             reuse = ConnectionReuse.NO_RESEND
             return UpstreamExchange(
@@ -80,3 +92,46 @@
 
     lost = RequestFailure.CONNECTION_LOST
     assert run_exchanges(scenario) == (None, True, lost)
+
+
+# A response was received as fast as it came, up to 16 MiB for each call.
+def test_responses_are_received_before_they_are_read():
+    async def scenario(send):
+        exchanges = [send("/large") for _ in range(4)]
+        memory = exchanges[0]._client.answer_memory
+        await asyncio.gather(*(exchange.wait_for_head() for exchange in exchanges))
+        await asyncio.sleep(0.3)
+        unread_bytes = memory.most[Place.UNREAD]
+        bodies = await asyncio.gather(*(exchange.read_body() for exchange in exchanges))
+        for exchange in exchanges:
+            exchange.close()
+        return unread_bytes, bodies, memory.present.values()
+
+    unread_bytes, bodies, left = run_exchanges(scenario)
+    # libcurl passes on 16 KiB at a time.
+    assert unread_bytes <= 4 * (MAX_UNREAD_BYTES + 16 * 1024)
+    assert bodies == [LARGE_BODY] * 4
+    assert set(left) == {0}
+
+
+# Bodies of many calls were received side by side, each up to 16 MiB.
+@pytest.mark.parametrize("cancelled", range(3))
+def test_large_bodies_exceed_the_limit_of_all_answers(cancelled):
+    async def scenario(send):
+        exchanges = [send("/large") for _ in range(3)]
+        memory = exchanges[0]._client.answer_memory
+
+        async def read(exchange):
+            body = await exchange.read_body()
+            exchange.close()
+            return body
+
+        tasks = [asyncio.create_task(read(exchange)) for exchange in exchanges]
+        await asyncio.sleep(0.002)
+        exchanges[cancelled].cancel()
+        bodies = await asyncio.gather(*tasks)
+        return memory.most, [body == LARGE_BODY for body in bodies]
+
+    most, are_whole = run_exchanges(scenario)
+    assert most[Place.BODY] < 2 * len(LARGE_BODY)
+    assert [are_whole[n] for n in range(3) if n != cancelled] == [True, True]
