Search each byte of a stream's event once

Cause: each part of an event was joined to all that was there before and searched from the beginning, so 1 MiB in parts of 400 bytes took 26 s of processor time on the one loop.

Change: bytes are added in place, and only the last three are searched again for the event's end.

Events are split as before in parts of any size (20 random streams).

--- a/packages/gateway/src/persimmonferry_gateway/events.py
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -9,6 +9,8 @@
 MAX_EVENT_BYTES = 1024 * 1024
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+# Of an event's end, so many bytes may have been searched before.
+_SEARCHED_AGAIN_BYTES = 3
 # No line of an event begins like this; an upstream that answers twice sends it.
 _STATUS_LINE = re.compile(rb"^HTTP/1\.[01] \d{3} ", re.MULTILINE)
 _EVENT_ID = re.compile(rb"^id:[ \t]*(\S+)[ \t\r]*$", re.MULTILINE)
@@ -43,7 +45,7 @@
     ) -> None:
         self.last_id = after
         self._has_answer = has_answer
-        self._buffer = b""
+        self._buffer = bytearray()
 
     def feed(self, data: bytes) -> bytes:
         """
@@ -52,11 +54,7 @@
         :raises ValueError: an event is longer than ``MAX_EVENT_BYTES``, or the bytes
             do not continue the stream: ids that don't increase, or another answer.
         """
-        data = self._buffer + data
-        end = 0
-        for match in _EVENT_END.finditer(data):
-            end = match.end()
-        events, self._buffer = data[:end], data[end:]
+        events = self._split(data)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"event longer than {MAX_EVENT_BYTES} bytes")
         if _STATUS_LINE.search(events) or self._has_answer(events):
@@ -70,6 +68,18 @@
         self.last_id = last_id
         return events
 
+    def _split(self, data: bytes) -> bytes:
+        tail = bytes(self._buffer[-_SEARCHED_AGAIN_BYTES:])
+        end = None
+        for match in _EVENT_END.finditer(tail + data):
+            end = match.end() - len(tail)
+        if end is None:
+            self._buffer += data
+            return b""
+        events = bytes(self._buffer) + data[:end]
+        self._buffer = bytearray(data[end:])
+        return events
+
     @property
     def buffered_bytes(self) -> int:
         """Return the number of bytes that are held until their event is complete."""
@@ -87,12 +97,12 @@
 
     def flush(self) -> bytes:
         """Return the bytes after the last complete event, at the end of the stream."""
-        rest, self._buffer = self._buffer, b""
+        rest, self._buffer = bytes(self._buffer), bytearray()
         return rest
 
     def discard_partial(self) -> None:
         """Drop the incomplete event of a truncated stream."""
-        self._buffer = b""
+        self._buffer = bytearray()
 
 
 def _is_increasing(earlier: str, later: str) -> bool:
--- a/packages/gateway/tests/test_events.py
+++ b/packages/gateway/tests/test_events.py
@@ -1,6 +1,9 @@
+import random
+import time
+
 import pytest
 from persimmonferry_gateway.answer_identity import AnswerFinder
-from persimmonferry_gateway.events import EventSplitter
+from persimmonferry_gateway.events import MAX_EVENT_BYTES, EventSplitter
 from persimmonferry_platform import PlatformCodec
 
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
@@ -40,3 +43,33 @@
     splitter = EventSplitter("1", FINDER.has_answer)
     with pytest.raises(ValueError, match="another answer"):
         splitter.feed(b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n")
+
+
+# The time to read an event grew with the square of its size: seconds for 1 MiB.
+@pytest.mark.parametrize("line", [b": " + b"c" * 400 + b"\n", b"data: " + b"t" * 400])
+def test_an_event_in_many_parts_delays_all_calls(line):
+    splitter = EventSplitter()
+    count = MAX_EVENT_BYTES // len(line)
+    began_s = time.process_time()
+    for _ in range(count):
+        assert splitter.feed(line) == b""
+    assert time.process_time() - began_s < 0.4
+    assert splitter.buffered_bytes == len(line) * count
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_events_are_split_alike_in_parts_of_any_size(seed):
+    source = random.Random(seed)
+    lines = [b"data: a", b"id:", b":", b"", b""]
+    ends = [b"\n", b"\r\n"]
+    text = b"".join(source.choice(lines) + source.choice(ends) for _ in range(60))
+    whole = EventSplitter()
+    expected = whole.feed(text), whole.partial_bytes, whole.flush()
+    parts = EventSplitter()
+    events, rest = b"", text
+    while rest:
+        size = source.randint(1, 9)
+        events += parts.feed(rest[:size])
+        rest = rest[size:]
+    found = events, parts.partial_bytes, parts.flush()
+    assert (found[0] + found[2], found[1]) == (expected[0] + expected[2], expected[1])
