Refuse a stream at its first bytes that are no event's, and after its last token

Cause: anything between two empty lines was an event, and a stream might have any number of them. Nothing counted such an attempt as failed when the caller left, so the engine got more prompts.

Change: a line of an event begins with a colon or the name of a field; a prompt's stream has at most as many events with ids as tokens were asked for, and 16 more; and between two ids there are at most 64 KiB of events. Other streams are refused with 3004 as those whose ids do not increase, so the attempt counts against its engine, and a prompt that may be resumed goes on at another one.

Tests, failing before (no such exception): test_bytes_of_no_event_are_relayed, test_more_events_are_relayed_than_tokens_were_asked_for, test_events_without_ids_are_relayed_without_end.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -167,7 +167,11 @@
         self._deadline_s = self._arrival_s + budget_s
         self._finder = AnswerFinder(context.codec.decode_response_head)
         resumes_after = call.resumes_after if route.is_resumable else None
-        self._splitter = EventSplitter(resumes_after, self._finder.has_answer)
+        self._splitter = EventSplitter(
+            resumes_after,
+            self._finder.has_answer,
+            call.prompt.max_tokens if call.prompt else None,
+        )
         self._attempts = 0
         self._may_have_run = False
         self._avoid: frozenset[str] = frozenset()
--- a/packages/gateway/src/persimmonferry_gateway/events.py
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -9,6 +9,16 @@
 MAX_EVENT_BYTES = 1024 * 1024
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+# No line of an event: it begins with neither a colon nor the name of a field.
+_NO_FIELD = re.compile(
+    rb"^(?!\Z|:|\r?\n|[A-Za-z][\w.-]{0,63}(?::|\r?\n))", re.MULTILINE
+)
+# Of a line, enough to tell whether it begins with a field.
+_LINE_HEAD_BYTES = 128
+# Events that hold no token, as one that ends the stream.
+MAX_EMPTY_EVENTS = 16
+# Between events with ids there may be comments, which keep the connection alive.
+MAX_UNNUMBERED_BYTES = 64 * 1024
 # Of an event's end, so many bytes may have been searched before.
 _SEARCHED_AGAIN_BYTES = 3
 # No line of an event begins like this; an upstream that answers twice sends it.
@@ -36,15 +46,21 @@
 
     :param after: id of the last event that the caller has.
     :param has_answer: whether bytes include another answer of the upstream.
+    :param max_tokens: of the stream, None if it is not known.
     """
 
     def __init__(
         self,
         after: str | None = None,
         has_answer: Callable[[bytes], bool] = lambda _: False,
+        max_tokens: int | None = None,
     ) -> None:
         self.last_id = after
         self._has_answer = has_answer
+        self._max_tokens = max_tokens
+        self._numbered_events = 0
+        self._unnumbered_bytes = 0
+        self._line_head = b""
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> bytes:
@@ -52,15 +68,19 @@
         Add bytes of the stream and return the events that are complete now.
 
         :raises ValueError: an event is longer than ``MAX_EVENT_BYTES``, or the bytes
-            do not continue the stream: ids that don't increase, or another answer.
+            do not continue the stream: ids that don't increase, another answer, lines
+            of no event, or more events than the stream may have.
         """
         events = self._split(data)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise ValueError(f"event longer than {MAX_EVENT_BYTES} bytes")
         if _STATUS_LINE.search(events) or self._has_answer(events):
             raise ValueError("another answer in the stream")
+        self._check_lines(data)
+        ids = _EVENT_ID.findall(events)
+        self._check_length(len(ids), len(events))
         last_id = self.last_id
-        for found in _EVENT_ID.findall(events):
+        for found in ids:
             event_id = found.decode("latin-1")
             if last_id is not None and not _is_increasing(last_id, event_id):
                 raise ValueError(f"event {event_id} after event {last_id}")
@@ -68,6 +88,31 @@
         self.last_id = last_id
         return events
 
+    def _check_lines(self, data: bytes) -> None:
+        """Refuse the first line of which no event can have one."""
+        text = self._line_head + data
+        begin = text.rfind(b"\n") + 1
+        self._line_head = text[begin : begin + _LINE_HEAD_BYTES]
+        # The beginning of a longer line has no end within the name of its field.
+        is_long = len(self._line_head) == _LINE_HEAD_BYTES
+        if _NO_FIELD.search(text if is_long else text[:begin]):
+            raise ValueError("line that is no part of an event")
+
+    def _check_length(self, ids: int, size: int) -> None:
+        """
+        Refuse a stream with more than it may have.
+
+        Each event with an id holds a token or more, but for a few.
+        """
+        if self._max_tokens is None:
+            return
+        self._numbered_events += ids
+        self._unnumbered_bytes = 0 if ids else self._unnumbered_bytes + size
+        if self._numbered_events > self._max_tokens + MAX_EMPTY_EVENTS:
+            raise ValueError(f"more events than {self._max_tokens} tokens have")
+        if self._unnumbered_bytes > MAX_UNNUMBERED_BYTES:
+            raise ValueError(f"more than {MAX_UNNUMBERED_BYTES} bytes without an id")
+
     def _split(self, data: bytes) -> bytes:
         tail = bytes(self._buffer[-_SEARCHED_AGAIN_BYTES:])
         end = None
@@ -103,6 +148,7 @@
     def discard_partial(self) -> None:
         """Drop the incomplete event of a truncated stream."""
         self._buffer = bytearray()
+        self._line_head = b""
 
 
 def _is_increasing(earlier: str, later: str) -> bool:
--- a/packages/gateway/tests/test_events.py
+++ b/packages/gateway/tests/test_events.py
@@ -3,7 +3,11 @@
 
 import pytest
 from persimmonferry_gateway.answer_identity import AnswerFinder
-from persimmonferry_gateway.events import MAX_EVENT_BYTES, EventSplitter
+from persimmonferry_gateway.events import (
+    MAX_EMPTY_EVENTS,
+    MAX_EVENT_BYTES,
+    EventSplitter,
+)
 from persimmonferry_platform import PlatformCodec
 
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
@@ -73,3 +77,42 @@
         rest = rest[size:]
     found = events, parts.partial_bytes, parts.flush()
     assert (found[0] + found[2], found[1]) == (expected[0] + expected[2], expected[1])
+
+
+@pytest.mark.parametrize("ends", [b"\n", b"\r\n"])
+@pytest.mark.parametrize("size", [1, 7, 4096])
+def test_all_lines_of_events_are_accepted(ends, size):
+    lines = [b"weight-versions: 3", b"id: 1", b"event", b"data", b": note", b":", b""]
+    long_line = b"data: " + b"x" * 5000
+    text = ends.join([*lines, long_line, b"retry:9", b"", b""])
+    splitter = EventSplitter(max_tokens=1)
+    parts = (text[n : n + size] for n in range(0, len(text), size))
+    assert b"".join(splitter.feed(part) for part in parts) + splitter.flush() == text
+
+
+# Bytes that are no event were relayed until the caller left.
+@pytest.mark.parametrize("noise", [b"\x00\xf3\n", b"<p>\n", b"\xfe" * 128, b"a b: c\n"])
+@pytest.mark.parametrize("size", [1, 4096])
+def test_bytes_of_no_event_are_relayed(noise, size):
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\n") == b"id: 1\ndata: a\n\n"
+    with pytest.raises(ValueError, match="no part of an event"):
+        for begin in range(0, len(noise), size):
+            splitter.feed(noise[begin : begin + size])
+
+
+# Events without end were relayed until the caller left.
+def test_more_events_are_relayed_than_tokens_were_asked_for():
+    splitter = EventSplitter(max_tokens=5)
+    for number in range(5 + MAX_EMPTY_EVENTS):
+        assert splitter.feed(b"id: %d\ndata: a\n\n" % number)
+    with pytest.raises(ValueError, match="more events"):
+        splitter.feed(b"id: 99\ndata: a\n\n")
+
+
+@pytest.mark.parametrize("event", [b"data: a\n\n", b": a\n\n"])
+def test_events_without_ids_are_relayed_without_end(event):
+    splitter = EventSplitter(max_tokens=5)
+    with pytest.raises(ValueError, match="without an id"):
+        for _ in range(5):
+            splitter.feed(event * 4096)
