Bound the answers to the gateway's own calls

Cause: an answer that is received as a whole had only the bound of Tornado's client, 100 MiB; each of three orders at once had a second for it.

Change: answers to orders, reports and frees may have 64 KiB, those of store VMs and of the platform's store 16 MiB; the transfer is ended at the first byte above, and the failure is "response too large" (an order's outcome is unknown, as before). Trailers count with the head, 64 KiB together.

--- a/packages/adapters/src/persimmonferry_adapters/http_client.py
+++ b/packages/adapters/src/persimmonferry_adapters/http_client.py
@@ -1,6 +1,8 @@
 """HTTP requests that report how far they got when no complete response came back."""
 
 import enum
+from functools import partial
+from io import BytesIO
 from typing import Any, NoReturn
 
 import pycurl
@@ -11,6 +13,8 @@
 
 __all__ = [
     "CONNECT_TIMEOUT_S",
+    "MAX_RESPONSE_BYTES",
+    "MAX_SHORT_RESPONSE_BYTES",
     "ConnectionReuse",
     "Request",
     "RequestFailure",
@@ -24,6 +28,10 @@
 
 CONNECT_TIMEOUT_S = 0.5
 DEFAULT_TIMEOUT_S = 5.0
+# A faulty server may send bytes without end.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# For responses that hold a few fields.
+MAX_SHORT_RESPONSE_BYTES = 64 * 1024
 
 
 class RequestFailure(enum.Enum):
@@ -70,10 +78,13 @@
     ``sent`` tells whether a byte of it may have been sent, ``headers_complete`` whether
     all headers of the response have arrived: libcurl accepts a response that is
     truncated within its headers as complete. ``local_port`` identifies the connection
-    on which it was sent.
+    on which it was sent. ``is_too_large`` tells that the body of the response exceeded
+    its limit, at which the transfer is ended.
 
     :param timeout_s: for request and response; 0 means no limit.
     :param connect_timeout_s: for a new connection; included in ``timeout_s``.
+    :param max_response_bytes: limit of a body that is received as a whole, None for
+        that of the client.
     :param options: further options of Tornado's ``HTTPRequest``.
     """
 
@@ -88,6 +99,7 @@
         reuse: ConnectionReuse = ConnectionReuse.NEVER,
         timeout_s: float = DEFAULT_TIMEOUT_S,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        max_response_bytes: int | None = None,
         **options: Any,
     ) -> None:
         # An empty value keeps libcurl from adding a content type of its own.
@@ -96,7 +108,9 @@
         self._sending_forbidden = False
         self.sent = False
         self.headers_complete = False
+        self.is_too_large = False
         self.local_port: int | None = None
+        self._max_response_bytes = max_response_bytes
         self.http = HTTPRequest(
             url,
             method=method,
@@ -121,6 +135,9 @@
             curl.setopt(pycurl.FRESH_CONNECT, 1)
         if self._reuse is ConnectionReuse.NEVER:
             curl.setopt(pycurl.FORBID_REUSE, 1)
+        if self._max_response_bytes is not None:
+            receive = partial(self._receive_body, curl.info["buffer"])
+            curl.setopt(pycurl.WRITEFUNCTION, receive)
 
     def forbid_sending(self) -> None:
         """Keep the request from being sent, even if it is queued in the client."""
@@ -133,6 +150,13 @@
         elif line in ("\r\n", "\n"):
             self.headers_complete = True
 
+    def _receive_body(self, buffer: BytesIO, data: bytes) -> int:
+        """Called by libcurl for each part of the body; a short count ends it."""
+        if buffer.tell() + len(data) > self._max_response_bytes:
+            self.is_too_large = True
+            return 0
+        return buffer.write(data)
+
     def check_sending(
         self, _remote_ip: str, _local_ip: str, _remote_port: int, local_port: int
     ) -> int:
@@ -160,6 +184,8 @@
     except CurlError as error:
         if not request.sent:
             return RequestFailure.NOT_SENT
+        if request.is_too_large:
+            return RequestFailure.TOO_LARGE
         return _FAILURES_BY_CURL_CODE.get(error.errno, RequestFailure.CONNECTION_LOST)
     except (ValueError, KeyError, pycurl.error):
         # Tornado could not prepare the request.
--- a/packages/adapters/tests/test_http_client.py
+++ b/packages/adapters/tests/test_http_client.py
@@ -1,8 +1,11 @@
 import asyncio
 
+import pytest
 from persimmonferry_adapters.http_client import (
+    MAX_SHORT_RESPONSE_BYTES,
     ConnectionReuse,
     Request,
+    RequestFailure,
     close_connection,
     fetch_complete,
 )
@@ -43,3 +46,21 @@
         await server.stop()
 
     asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
+@pytest.mark.parametrize("excess", [0, 1])
+def test_a_body_above_its_limit_is_refused(excess):
+    body = b"x" * (MAX_SHORT_RESPONSE_BYTES + excess)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+
+    async def scenario():
+        server = RawServer(lambda request: RawAnswer(head + body))
+        await server.start()
+        async with open_session() as client:
+            limit = {"max_response_bytes": MAX_SHORT_RESPONSE_BYTES}
+            found = await fetch_complete(client, Request(server.url + "/", **limit))
+        await server.stop()
+        return found if excess else found.body
+
+    expected = RequestFailure.TOO_LARGE if excess else body
+    assert asyncio.run(asyncio.wait_for(scenario(), 10)) == expected
--- a/packages/gateway/src/persimmonferry_gateway/probes.py
+++ b/packages/gateway/src/persimmonferry_gateway/probes.py
@@ -3,6 +3,7 @@
 import logging
 
 from persimmonferry_adapters.http_client import (
+    MAX_SHORT_RESPONSE_BYTES,
     ConnectionReuse,
     Request,
     RequestFailure,
@@ -48,6 +49,7 @@
             headers=dict(self._codec.encode_expected_upstream(record.name)),
             reuse=ConnectionReuse.NEVER,
             timeout_s=REPORT_CALL_TIMEOUT_S,
+            max_response_bytes=MAX_SHORT_RESPONSE_BYTES,
         )
         result = await fetch_complete(self._client, request)
         if isinstance(result, RequestFailure) or result.code != 200:
--- a/packages/gateway/src/persimmonferry_gateway/stores.py
+++ b/packages/gateway/src/persimmonferry_gateway/stores.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 
 from persimmonferry_adapters.http_client import (
+    MAX_RESPONSE_BYTES,
+    MAX_SHORT_RESPONSE_BYTES,
     ConnectionReuse,
     Request,
     RequestFailure,
@@ -177,6 +179,7 @@
             content_type=content_type,
             reuse=ConnectionReuse.NEVER,
             timeout_s=CALL_TIMEOUT_S,
+            max_response_bytes=MAX_SHORT_RESPONSE_BYTES,
         )
         result = await fetch_complete(self._client, request)
         outcome = result.value if isinstance(result, RequestFailure) else result.code
@@ -329,6 +332,7 @@
             headers=dict(headers),
             reuse=reuse,
             timeout_s=timeout_s,
+            max_response_bytes=MAX_RESPONSE_BYTES,
         )
         result = await fetch_complete(self._client, request)
         if isinstance(result, RequestFailure) or result.code != 200:
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -11,6 +11,7 @@
 
 import pycurl
 from persimmonferry_adapters.http_client import (
+    MAX_RESPONSE_BYTES,
     ConnectionReuse,
     Request,
     RequestFailure,
@@ -37,8 +38,6 @@
 # Several round trips between failure domains. A connection that takes longer waits for
 # the retransmission of its first packet; another upstream is faster.
 CONNECT_TIMEOUT_S = 0.3
-# A faulty upstream may send bytes without end.
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # A transfer is paused while this many bytes of its response are unread. libcurl alone
 # would pass on all that has arrived, which may be megabytes at a time.
 MAX_UNREAD_BYTES = 64 * 1024
@@ -146,9 +145,7 @@
         :raises ValueError: it is not a header line, the head is too long, or another
             response broke off in it.
         """
-        self._size += len(line)
-        if self._size > MAX_HEAD_BYTES:
-            raise ValueError(f"response head longer than {MAX_HEAD_BYTES} bytes")
+        self._count(line)
         text = line.decode("latin-1").rstrip("\r\n")
         if _STATUS_LINE_INSIDE.search(text):
             raise ValueError("status line inside a line of the response head")
@@ -170,6 +167,19 @@
             self._is_begun = False
             self.is_whole = self.status >= 200
 
+    def skip_trailer(self, line: bytes) -> None:
+        """
+        Count a line after the body, which is not relayed.
+
+        :raises ValueError: head and trailers are too long.
+        """
+        self._count(line)
+
+    def _count(self, line: bytes) -> None:
+        self._size += len(line)
+        if self._size > MAX_HEAD_BYTES:
+            raise ValueError(f"response head longer than {MAX_HEAD_BYTES} bytes")
+
 
 class UpstreamExchange:
     """
@@ -358,10 +368,10 @@
 
     def _read_line(self, line: bytes) -> int:
         """Called by libcurl for each line; a short count aborts the transfer."""
-        if self.head is not None:
-            # A trailer after the chunks of the body.
-            return len(line)
         try:
+            if self.head is not None:
+                self._lines.skip_trailer(line)
+                return len(line)
             self._lines.feed(line)
         except ValueError:
             return 0
--- a/packages/gateway/src/persimmonferry_gateway/weights.py
+++ b/packages/gateway/src/persimmonferry_gateway/weights.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from persimmonferry_adapters.http_client import (
+    MAX_SHORT_RESPONSE_BYTES,
     ConnectionReuse,
     Request,
     RequestFailure,
@@ -289,6 +290,7 @@
             headers=dict(self._codec.encode_expected_upstream(record.name)),
             reuse=ConnectionReuse.NEVER,
             timeout_s=ORDER_CALL_TIMEOUT_S,
+            max_response_bytes=MAX_SHORT_RESPONSE_BYTES,
         )
         result = await fetch_complete(self._client, request)
         if isinstance(result, RequestFailure):
