Eject an engine whose streams hold more than was asked for

Prompts were sent again and again to engines that begin each stream and never end it: 45 of 62 failed prompts of one gateway went to one engine in 12 s of the flood trial (events without ids), each broken off.

Cause: the first event counts as a success and resets the count of failures, so three failures in a row never come.

Change: one stream that was cut off at its limit ejects its engine, within the largest share that may be ejected (a third), and a probe that begins in time but has no end ejects it again.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -345,6 +345,7 @@
         *,
         connected: bool = True,
         withdrawn: bool = False,
+        endless: bool = False,
     ) -> Queued | Refused:
         """
         Record a failed attempt, and return whether the request is retried elsewhere.
@@ -357,6 +358,8 @@
             the request, so neither an attempt nor the retry budget is used.
         :param withdrawn: whether this entry ended the attempt, so that its upstream is
             not to blame.
+        :param endless: whether this entry ended the attempt, as its answer held more
+            than was asked for.
         """
         attempt = self._attempts.get(request_id)
         if attempt is None:
@@ -367,7 +370,13 @@
             if withdrawn:
                 router.end_run(attempt.waiting, failed_at, False, now)
             else:
-                router.fail_run(attempt.waiting, failed_at, now, connected=connected)
+                router.fail_run(
+                    attempt.waiting,
+                    failed_at,
+                    now,
+                    connected=connected,
+                    endless=endless,
+                )
             attempt.upstream = None
             attempt.number -= 0 if connected else 1
         waiting = attempt.waiting
--- a/packages/core/src/persimmonferry_core/ejection.py
+++ b/packages/core/src/persimmonferry_core/ejection.py
@@ -221,6 +221,19 @@
             health.failures += UNREACHABLE_FAILURES - 1
         self.record_failure(upstream, now)
 
+    def record_endless(self, upstream: str, now: float) -> None:
+        """
+        Record a stream that was cut off, as it held more than was asked for.
+
+        Load pattern: engines begin each stream in time and then send without end. The
+        first events count as successes, so the failures between them never add up, and
+        each stream takes processor time from all other calls.
+        """
+        health = self._healths.get(upstream)
+        if health is not None:
+            health.failures += self.policy.failures - 1
+        self.record_failure(upstream, now)
+
     def count_ejected(self, now: float) -> int:
         """Return how many upstreams are ejected or half-open."""
         return sum(1 for name in self._limited if self._is_ejected(name, now))
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -560,15 +560,24 @@
             upstream.end_run(waiting.request.request_id, now, whole)
 
     def fail_run(
-        self, waiting: WaitingRequest, name: str, now: float, *, connected: bool = True
+        self,
+        waiting: WaitingRequest,
+        name: str,
+        now: float,
+        *,
+        connected: bool = True,
+        endless: bool = False,
     ) -> None:
         """
         Remove a run that its upstream refused or lost.
 
         :param connected: False if no connection to it could be made.
+        :param endless: whether it was cut off, as it held more than was asked for.
         """
         self.end_run(waiting, name, False, now)
-        if connected:
+        if endless:
+            self.ejector.record_endless(name, now)
+        elif connected:
             self.ejector.record_failure(name, now)
         else:
             self.ejector.record_unreachable(name, now)
--- a/packages/core/tests/test_ejection.py
+++ b/packages/core/tests/test_ejection.py
@@ -140,3 +140,16 @@
     assert isinstance(ejector.find_state("u1", 1.2), Closed)
     ejector.record_unreachable("u1", 1.3)
     assert not isinstance(ejector.find_state("u1", 1.3), Closed)
+
+
+# The first token of each stream reset the count of failures.
+def test_an_upstream_whose_streams_have_no_end_stays_in_use():
+    ejector = make_ejector(base_s=5.0)
+    ejector.record_success("u1", 1.0, 1.0)
+    ejector.record_endless("u1", 1.1)
+    assert ejector.limit_slots("u1", 8, 1.1) == 0
+    ejector.limit_slots("u1", 8, 6.2)
+    ejector.record_dispatch("u1", 6.2)
+    ejector.record_success("u1", 1.0, 6.3)
+    ejector.record_endless("u1", 6.4)
+    assert ejector.limit_slots("u1", 8, 11.0) == 0
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -41,7 +41,7 @@
 from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.cluster_state import ClusterState
 from persimmonferry_gateway.crash_reports import CrashReports
-from persimmonferry_gateway.events import EventSplitter
+from persimmonferry_gateway.events import EndlessStream, EventSplitter
 from persimmonferry_gateway.interfaces import Codec, ForwardOptions, ResponseHead
 from persimmonferry_gateway.metrics import CallMetrics
 from persimmonferry_gateway.upstream_client import (
@@ -119,10 +119,19 @@
 
     :param ran: whether it may have run.
     :param arrived: False when no connection to the upstream could be made.
+    :param endless: whether it was ended, as its answer held more than was asked for.
     """
 
-    def __init__(self, error: FerryError, *, ran: bool, arrived: bool = True) -> None:
+    def __init__(
+        self,
+        error: FerryError,
+        *,
+        ran: bool,
+        arrived: bool = True,
+        endless: bool = False,
+    ) -> None:
         super().__init__(error)
+        self.endless = endless
         self.error = error
         self.ran = ran
         self.arrived = arrived
@@ -521,7 +530,9 @@
             except ValueError as cause:
                 exchange.cancel()
                 self._splitter.discard_partial()
-                raise self._refuse_answer(exchange, str(cause)) from None
+                failure = self._refuse_answer(exchange, str(cause))
+                failure.endless = isinstance(cause, EndlessStream)
+                raise failure from None
             exchange.held.set_size(Place.EVENT, self._splitter.buffered_bytes)
             if not events:
                 continue
--- a/packages/gateway/src/persimmonferry_gateway/events.py
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Callable
 
-__all__ = ["EventSplitter"]
+__all__ = ["EndlessStream", "EventSplitter"]
 
 # An event holds a few tokens; a faulty upstream may send bytes without end.
 MAX_EVENT_BYTES = 1024 * 1024
@@ -26,6 +26,10 @@
 _EVENT_ID = re.compile(rb"^id:[ \t]*(\S+)[ \t\r]*$", re.MULTILINE)
 
 
+class EndlessStream(ValueError):
+    """A stream holds more than was asked for."""
+
+
 class EventSplitter:
     """
     Returns complete events only, so that a truncated stream can be resumed.
@@ -67,13 +71,14 @@
         """
         Add bytes of the stream and return the events that are complete now.
 
-        :raises ValueError: an event is longer than ``MAX_EVENT_BYTES``, or the bytes
-            do not continue the stream: ids that don't increase, another answer, lines
-            of no event, or more events than the stream may have.
+        :raises EndlessStream: an event is longer than ``MAX_EVENT_BYTES``, or there are
+            more events than the stream may have.
+        :raises ValueError: the bytes do not continue the stream: ids that don't
+            increase, another answer, or lines of no event.
         """
         events = self._split(data)
         if len(self._buffer) > MAX_EVENT_BYTES:
-            raise ValueError(f"event longer than {MAX_EVENT_BYTES} bytes")
+            raise EndlessStream(f"event longer than {MAX_EVENT_BYTES} bytes")
         if _STATUS_LINE.search(events) or self._has_answer(events):
             raise ValueError("another answer in the stream")
         self._check_lines(data)
@@ -109,9 +114,10 @@
         self._numbered_events += ids
         self._unnumbered_bytes = 0 if ids else self._unnumbered_bytes + size
         if self._numbered_events > self._max_tokens + MAX_EMPTY_EVENTS:
-            raise ValueError(f"more events than {self._max_tokens} tokens have")
+            raise EndlessStream(f"more events than {self._max_tokens} tokens have")
         if self._unnumbered_bytes > MAX_UNNUMBERED_BYTES:
-            raise ValueError(f"more than {MAX_UNNUMBERED_BYTES} bytes without an id")
+            cause = f"more than {MAX_UNNUMBERED_BYTES} bytes without an id"
+            raise EndlessStream(cause)
 
     def _split(self, data: bytes) -> bytes:
         tail = bytes(self._buffer[-_SEARCHED_AGAIN_BYTES:])
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -84,6 +84,7 @@
             now,
             connected=failure.arrived,
             withdrawn=self._is_withdrawn,
+            endless=failure.endless,
         )
         self._attempts -= 0 if failure.arrived else 1
         is_begun = self._caller.is_head_sent
