Count only relayed events against the tokens that were asked for

Also: each answer may hold 128 KiB whatever others hold, so that a stream that waits for its caller (80 KiB) is never the large answer that all others wait for.

Test, failing before: test_a_refused_stream_uses_up_the_tokens_of_the_next.

--- a/packages/gateway/src/persimmonferry_gateway/answer_memory.py
+++ b/packages/gateway/src/persimmonferry_gateway/answer_memory.py
@@ -6,8 +6,9 @@
 
 __all__ = ["AnswerMemory", "HeldAnswer", "Place"]
 
-# Each answer may hold this many bytes, however many others hold.
-MIN_ANSWER_BYTES = 64 * 1024
+# Each answer may hold this many bytes, however many others hold. A stream that waits
+# for its caller holds fewer, so it is never the one that all others wait for.
+MIN_ANSWER_BYTES = 128 * 1024
 DEFAULT_LIMIT_BYTES = 32 * 1024 * 1024
 
 
@@ -71,14 +72,15 @@
     the oldest of the large ones is received further, until it is complete, cut off or
     out of time: so one answer makes progress, and the others wait in their connections.
 
-    >>> memory = AnswerMemory(200_000)
-    >>> first, second = (HeldAnswer(memory, print) for _ in range(2))
-    >>> first.set_size(Place.BODY, 100_000)
-    >>> second.set_size(Place.BODY, 100_000)
+    >>> memory = AnswerMemory(400_000)
+    >>> first = HeldAnswer(memory, lambda: print("resume the first"))
+    >>> second = HeldAnswer(memory, lambda: print("resume the second"))
+    >>> first.set_size(Place.BODY, 200_000)
+    >>> second.set_size(Place.BODY, 200_000)
     >>> first.may_grow(), second.may_grow()
     (True, False)
     >>> first.release()
-    <BLANKLINE>
+    resume the second
     >>> second.may_grow()
     True
     """
--- a/packages/gateway/src/persimmonferry_gateway/events.py
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -20,7 +20,7 @@
 # Of events without ids, as comments that keep the connection alive, and of those after
 # the last token.
 MAX_EXCESS_BYTES = 64 * 1024
-# Of an event's end, so many bytes may have been searched before.
+# The end of an event may begin in the last bytes that were searched before.
 _SEARCHED_AGAIN_BYTES = 3
 # No line of an event begins like this; an upstream that answers twice sends it.
 _STATUS_LINE = re.compile(rb"^HTTP/1\.[01] \d{3} ", re.MULTILINE)
@@ -112,13 +112,13 @@
         """
         if self._max_tokens is None:
             return
-        self._numbered_events += ids
-        most_events = self._max_tokens + MAX_EMPTY_EVENTS
-        is_expected = ids > 0 and self._numbered_events <= most_events
-        self._excess_bytes = 0 if is_expected else self._excess_bytes + size
-        if self._excess_bytes > MAX_EXCESS_BYTES:
+        events = self._numbered_events + ids
+        is_expected = ids > 0 and events <= self._max_tokens + MAX_EMPTY_EVENTS
+        excess_bytes = 0 if is_expected else self._excess_bytes + size
+        if excess_bytes > MAX_EXCESS_BYTES:
             cause = f"more than {MAX_EXCESS_BYTES} bytes that were not asked for"
             raise EndlessStream(cause)
+        self._numbered_events, self._excess_bytes = events, excess_bytes
 
     def _split(self, data: bytes) -> bytes:
         tail = bytes(self._buffer[-_SEARCHED_AGAIN_BYTES:])
@@ -156,6 +156,7 @@
         """Drop the incomplete event of a truncated stream."""
         self._buffer = bytearray()
         self._line_head = b""
+        self._excess_bytes = 0
 
 
 def _is_increasing(earlier: str, later: str) -> bool:
--- a/packages/gateway/tests/test_events.py
+++ b/packages/gateway/tests/test_events.py
@@ -121,3 +121,15 @@
     for number in range(5 + MAX_EMPTY_EVENTS):
         event = b"id: %d\n" % number + text
         assert splitter.feed(b": waiting\n\n" + event).endswith(event)
+
+
+# Events that were refused counted as those of the stream that resumes theirs.
+def test_a_refused_stream_uses_up_the_tokens_of_the_next():
+    splitter = EventSplitter(max_tokens=2)
+    flood = b"".join(b"id: %d\ndata: aaaa\n\n" % number for number in range(2, 9999))
+    splitter.feed(b"id: 1\ndata: a\n\n")
+    with pytest.raises(EndlessStream):
+        splitter.feed(flood)
+    splitter.discard_partial()
+    event = b"id: 2\ndata: " + b"x" * (2 * MAX_EXCESS_BYTES) + b"\n\n"
+    assert splitter.feed(event) == event
