Break off a stream without end that its caller has begun to receive

Cause: what the caller has of a stream is taken for a part of its answer whenever the route may be resumed.

Change: such a stream is broken off visibly, as those that may not be resumed; its engine is ejected as before. If nothing was relayed, the prompt goes on at another engine as before.

Test, failing before in both cases: test_events_of_a_stream_without_end_are_completed.

--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -88,6 +88,9 @@
         )
         self._attempts -= 0 if failure.arrived else 1
         is_begun = self._caller.is_head_sent
+        if failure.endless and is_begun:
+            # What the caller has received need not be a part of its answer.
+            raise failure.error
         if failure.ran and not (self._route.is_resumable and self._can_repeat()):
             raise failure.error
         if isinstance(answer, Refused):
