Spend less processor time on the lines and the accounting of sound streams

Change: the lines of a part are matched in one pass; a part that ends with an event is passed on as it is; places are strings, and sizes that stay the same are not counted. What is accepted and refused is unchanged, by the tests of all lines and of 20 random streams in parts of any size.

--- a/packages/gateway/src/persimmonferry_gateway/answer_memory.py
+++ b/packages/gateway/src/persimmonferry_gateway/answer_memory.py
@@ -12,7 +12,7 @@
 DEFAULT_LIMIT_BYTES = 32 * 1024 * 1024
 
 
-class Place(enum.Enum):
+class Place(enum.StrEnum):
     """Where a gateway holds bytes of answers."""
 
     UNREAD = "unread"
@@ -44,6 +44,8 @@
     def set_size(self, place: Place, size: int) -> None:
         """Set the number of bytes that are held in one place."""
         change = size - self._sizes[place]
+        if not change:
+            return
         self._sizes[place] = size
         self.size += change
         self._memory.update(self, place, change)
@@ -113,16 +115,18 @@
     def update(self, answer: HeldAnswer, place: Place, change: int) -> None:
         """Record that an answer holds more bytes than before, or fewer."""
         if answer.size < MIN_ANSWER_BYTES:
-            self._large.pop(answer, None)
+            if self._large:
+                self._large.pop(answer, None)
         elif answer.is_receiving:
             self._large.setdefault(answer)
         self.add(place, change)
 
     def add(self, place: Place, change: int) -> None:
         """Count bytes that are held from now on; fewer if negative."""
-        self._present[place] += change
-        self._most[place] = max(self._most[place], self._present[place])
-        if change < 0:
+        present = self._present[place] = self._present[place] + change
+        if present > self._most[place]:
+            self._most[place] = present
+        if change < 0 and self._waiting:
             self._resume_waiting()
 
     def discard(self, answer: HeldAnswer) -> None:
--- a/packages/gateway/src/persimmonferry_gateway/events.py
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -9,10 +9,9 @@
 MAX_EVENT_BYTES = 1024 * 1024
 
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
-# No line of an event: it begins with neither a colon nor the name of a field.
-_NO_FIELD = re.compile(
-    rb"^(?!\Z|:|\r?\n|[A-Za-z][\w.-]{0,63}(?::|\r?\n))", re.MULTILINE
-)
+# Lines of events: comments, and fields with or without a value.
+_LINES = re.compile(rb"(?:(?:[A-Za-z][\w.-]{0,63}+)?+(?::[^\n]*+|\r?+)\n)*+")
+_LINE_BEGIN = re.compile(rb"(?:[A-Za-z][\w.-]{0,63}+)?+:")
 # Of a line, enough to tell whether it begins with a field.
 _LINE_HEAD_BYTES = 128
 # Events that hold no token, as one that ends the stream.
@@ -96,12 +95,13 @@
 
     def _check_lines(self, data: bytes) -> None:
         """Refuse the first line of which no event can have one."""
-        text = self._line_head + data
+        text = self._line_head + data if self._line_head else data
         begin = text.rfind(b"\n") + 1
-        self._line_head = text[begin : begin + _LINE_HEAD_BYTES]
-        # The beginning of a longer line has no end within the name of its field.
-        is_long = len(self._line_head) == _LINE_HEAD_BYTES
-        if _NO_FIELD.search(text if is_long else text[:begin]):
+        head = self._line_head = text[begin : begin + _LINE_HEAD_BYTES]
+        is_long = len(head) == _LINE_HEAD_BYTES
+        if not _LINES.fullmatch(text, 0, begin) or (
+            is_long and not _LINE_BEGIN.match(head)
+        ):
             raise ValueError("line that is no part of an event")
 
     def _check_length(self, ids: int, size: int) -> None:
@@ -121,6 +121,8 @@
         self._numbered_events, self._excess_bytes = events, excess_bytes
 
     def _split(self, data: bytes) -> bytes:
+        if not self._buffer and data.endswith(b"\n\n"):
+            return data
         tail = bytes(self._buffer[-_SEARCHED_AGAIN_BYTES:])
         end = None
         for match in _EVENT_END.finditer(tail + data):
