Refuse event ids that are too long to log and to resume from

Callers saw nothing yet: found by reading, with the question which bytes of an upstream are still without a bound.

Cause: the id of an event was whatever follows "id:", up to 1 MiB. It was logged with a refused stream, sent as a header to the engine that resumes it, and one of more than 4,300 digits raised an error of Python's int where ids are compared. A call id in another answer's head was logged whole, up to 64 KiB.

Change: a stream with an id of more than 1,024 bytes is refused (3004); of the other call's id, 128 characters are logged.

Measured: test_ids_without_end_are_kept, failing before in both cases: 500,000 digits were kept as the last id, or ended in "Exceeds the limit (4300 digits) for integer string conversion".

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -62,6 +62,8 @@
 # A call that may be repeated is sent to another upstream when no response has begun
 # after this many times the route's objective.
 ANSWER_TIMEOUT_OBJECTIVES = 3.0
+# A call id that is logged with an answer to another call is cut to this length.
+MAX_LOGGED_ID_CHARS = 128
 # Callers honour a Retry-After up to this share of the time they have left.
 MAX_RETRY_AFTER_SHARE = 1 / 3
 # Added to the rank of calls past their objective; greater than the ranks of routes.
@@ -563,12 +565,13 @@
     def _refuse_answer(self, exchange: UpstreamExchange, cause: str) -> AttemptFailed:
         """Log an answer that is not relayed, and return the failure of its attempt."""
         upstream = self.notes.upstreams[-1]
+        received = exchange.head.call_id
         fields = {
             "call": self._call.call_id,
             "cause": cause,
             "upstream": upstream,
             "attempt": self._attempts,
-            "received_call": exchange.head.call_id,
+            "received_call": received and received[:MAX_LOGGED_ID_CHARS],
             "status": exchange.head.status,
             "is_connection_kept": exchange.is_connection_kept,
             "local_port": exchange.local_port,
--- a/packages/gateway/src/persimmonferry_gateway/events.py
+++ b/packages/gateway/src/persimmonferry_gateway/events.py
@@ -14,6 +14,8 @@
 _LINE_BEGIN = re.compile(rb"(?:[A-Za-z][\w.-]{0,63}+)?+:")
 # Of a line, enough to tell whether it begins with a field.
 _LINE_HEAD_BYTES = 128
+# An id is logged, and sent with the call that resumes its stream.
+MAX_ID_BYTES = 1024
 # Events that hold no token, as one that ends the stream.
 MAX_EMPTY_EVENTS = 16
 # Of events without ids, as comments that keep the connection alive, and of those after
@@ -74,7 +76,7 @@
         :raises EndlessStream: an event is longer than ``MAX_EVENT_BYTES``, or there are
             more events than the stream may have.
         :raises ValueError: the bytes do not continue the stream: ids that don't
-            increase, another answer, or lines of no event.
+            increase or are too long, another answer, or lines of no event.
         """
         events = self._split(data)
         if len(self._buffer) > MAX_EVENT_BYTES:
@@ -86,6 +88,8 @@
         self._check_length(len(ids), len(events))
         last_id = self.last_id
         for found in ids:
+            if len(found) > MAX_ID_BYTES:
+                raise ValueError(f"event id longer than {MAX_ID_BYTES} bytes")
             event_id = found.decode("latin-1")
             if last_id is not None and not _is_increasing(last_id, event_id):
                 raise ValueError(f"event {event_id} after event {last_id}")
--- a/packages/gateway/tests/test_events.py
+++ b/packages/gateway/tests/test_events.py
@@ -133,3 +133,13 @@
     splitter.discard_partial()
     event = b"id: 2\ndata: " + b"x" * (2 * MAX_EXCESS_BYTES) + b"\n\n"
     assert splitter.feed(event) == event
+
+
+# The id, up to 1 MiB, was logged and sent to the next engine.
+@pytest.mark.parametrize("first", [b"", b"id: 1\ndata: a\n\n"])
+def test_ids_without_end_are_kept(first):
+    splitter = EventSplitter()
+    with pytest.raises(ValueError, match="id longer than") as raised:
+        splitter.feed(first + b"id: " + b"9" * 500_000 + b"\n\n")
+    assert len(str(raised.value)) < 100
+    assert splitter.last_id is None
