Keep whole answers no longer than their callers wait for them

Callers saw their gateway end over its memory while other callers didn't read large answers.

Cause: a call was over as soon as its answer was written. What its caller had not read stayed until it disconnected, outside of each bound: the account counted these bytes, but the oldest large answer was still received and written on top of them.

Change: a call lasts until its answer is handed to the kernel, and is broken off at its deadline ("caller read too slowly"). While callers have not read the limit of all answers or more, no large answer is received further.

Measured, 72 callers of 4 MB that read nothing, 6 s: 374 MB before, below the limit of 150 MB after. Failing before: test_answers_that_callers_do_not_read_exceed_the_memory (374 < 150) and test_an_answer_is_kept_beyond_the_time_of_its_caller (4,000,000 bytes kept, 0 expected). test_large_answers_reach_callers_that_read_slowly_but_in_time passes before and after: it guards the fix.

Why it works: nobody waits for an answer after its deadline, so what is held then serves no one; until then the account stops the next one.

--- a/packages/gateway/src/persimmonferry_gateway/answer_memory.py
+++ b/packages/gateway/src/persimmonferry_gateway/answer_memory.py
@@ -73,6 +73,7 @@
     Small answers are always received. While all together hold the limit or more, only
     the oldest of the large ones is received further, until it is complete, cut off or
     out of time: so one answer makes progress, and the others wait in their connections.
+    While callers have not read the limit or more, none of the large ones is.
 
     >>> memory = AnswerMemory(400_000)
     >>> first = HeldAnswer(memory, lambda: print("resume the first"))
@@ -146,4 +147,6 @@
             return True
         if self._present.total() < self.limit_bytes:
             return True
+        if self._present[Place.UNSENT] >= self.limit_bytes:
+            return False
         return answer is next(iter(self._large), answer)
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -197,6 +197,8 @@
         try:
             async with asyncio.timeout(max(0.0, limit_s)):
                 await self._serve()
+                # Nobody waits for what is not read in time.
+                await self._caller.wait_until_sent()
             self.notes.outcome = self.notes.outcome or "answered"
         except TimeoutError:
             self._end_at_deadline()
@@ -274,6 +276,10 @@
         return now - self._sent_s >= ANSWER_TIMEOUT_OBJECTIVES * self._route.objective_s
 
     def _end_at_deadline(self) -> None:
+        if self._caller.is_answer_ended:
+            self.notes.outcome = "caller read too slowly"
+            self._caller.abort()
+            return
         if self._may_have_run:
             self._end_with(OutcomeUnknown(ResultCode.UPSTREAM_TIMEOUT))
         else:
--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -70,6 +70,7 @@
     An answer has one head and one end: whatever else is sent would be read as a part of
     it, or as the answer to the next request of the connection. ``is_closed`` tells that
     nothing more can be sent: the answer has ended, or the connection is closed.
+    ``is_answer_ended`` tells that its end was written, and may wait to be sent.
 
     :param announce_close: whether answers announce that the connection will be closed.
     :param version: of HTTP, as stated by the request.
@@ -93,6 +94,8 @@
         self._is_unframed = False
         self.is_closed = False
         self.is_head_sent = False
+        self.is_answer_ended = False
+        self._last_flush: Awaitable[None] | None = None
         self._on_disconnect: Callable[[], None] | None = None
         connection.set_close_callback(self._record_close)
 
@@ -150,6 +153,8 @@
             self._connection.finish()
         elif (flushed := self._flush()) is not None:
             future_add_done_callback(flushed, self._end_unframed)
+        self.is_answer_ended = True
+        self._last_flush = self._find_flush()
         # From here on, the connection may be in use for the next request.
         self.is_closed = True
 
@@ -182,7 +187,9 @@
     def abort(self) -> None:
         """Close the connection so that the answer is visibly truncated."""
         self._on_disconnect = None
-        if not self.is_closed:
+        # Until it is sent, the connection is not in use for the next request.
+        is_sending = self._last_flush is not None and not self._last_flush.done()
+        if is_sending or not self.is_closed:
             self.is_closed = True
             self._connection.close()
 
