--- a/packages/gateway/src/persimmonferry_gateway/answer_identity.py
+++ b/packages/gateway/src/persimmonferry_gateway/answer_identity.py
@@ -6,7 +6,13 @@
 
 from persimmonferry_gateway.interfaces import ResponseHead
 
-__all__ = ["AnswerFinder", "HeadDecoder", "Mismatch", "find_mismatch"]
+__all__ = [
+    "AnswerFinder",
+    "HeadDecoder",
+    "Mismatch",
+    "ends_with_part_of_status_line",
+    "find_mismatch",
+]
 
 HeadDecoder = Callable[[int, str, list[tuple[str, str]]], ResponseHead]
 
@@ -21,6 +27,11 @@
 _HEAD_END = re.compile(rb"\r\n|[^\r\n]*+\r?\Z")
 # A status line that ends a body; with other text behind the status it is a document.
 _CUT_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}[\w '-]*+\r?")
+# Less than the status of another answer, at the end of a body.
+_STATUS_LINE_BEGIN = re.compile(
+    rb"H(?:T(?:T(?:P(?:/(?:1(?:\.(?:[01](?: \d{0,2})?)?)?)?)?)?)?)?\Z"
+)
+_LONGEST_BEGIN_BYTES = len(b"HTTP/1.1 20")
 
 
 class Mismatch(enum.Enum):
@@ -47,6 +58,20 @@
     return None
 
 
+def ends_with_part_of_status_line(body: bytes) -> bool:
+    """
+    Return whether the end of a body may be the begin of another answer.
+
+    It may be text as well, so that alone tells nothing.
+
+    >>> ends_with_part_of_status_line(b"confirmed: HTTP/1.1 2")
+    True
+    >>> ends_with_part_of_status_line(b"confirmed: HTTP/2 ")
+    False
+    """
+    return bool(_STATUS_LINE_BEGIN.search(body[-_LONGEST_BEGIN_BYTES:]))
+
+
 class AnswerFinder:
     r"""
     Finds other answers of an upstream inside the content of an answer.
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -89,6 +89,16 @@
             return
         self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "cancelled")
 
+    def _finish(
+        self,
+        curl: pycurl.Curl,
+        curl_error: int | None = None,
+        curl_message: str | None = None,
+    ) -> None:
+        # Tornado uses the handle again at once.
+        curl.info["is_connection_open"] = curl.getinfo(pycurl.LASTSOCKET) != -1
+        super()._finish(curl, curl_error, curl_message)
+
     def resume(self, transfer: Transfer) -> None:
         """Continue a transfer that was paused by its write callback."""
         curl = transfer.curl
@@ -119,6 +129,7 @@
         self.fields: list[tuple[str, str]] = []
         self.is_whole = False
         self._is_begun = False
+        self._is_persistent = True
         self._size = 0
 
     @property
@@ -153,7 +164,8 @@
             if self._is_begun:
                 raise ValueError("status line inside the response head")
             self._is_begun = True
-            _, _, rest = text.partition(" ")
+            version, _, rest = text.partition(" ")
+            self._is_persistent = version != "HTTP/1.0"
             code, _, self.reason = rest.partition(" ")
             self.status = int(code)
             self.fields = []
@@ -167,6 +179,12 @@
             self._is_begun = False
             self.is_whole = self.status >= 200
 
+    @property
+    def announces_close(self) -> bool:
+        """Whether the upstream closes the connection after the response."""
+        values = [value for name, value in self.fields if name.lower() == "connection"]
+        return not self._is_persistent or "close" in ",".join(values).lower()
+
     def skip_trailer(self, line: bytes) -> None:
         """
         Count a line after the body, which is not relayed.
@@ -227,6 +245,7 @@
         self._is_cancelled = False
         self._opened_descriptor: int | None = None
         self._is_connection_stale = False
+        self._is_connection_open = False
         self._progress = asyncio.Event()
         has_body = bool(body) or method in ("POST", "PUT", "PATCH")
         self._make_request = partial(
@@ -255,6 +274,15 @@
         """Return the own port of its connection, None before it was sent."""
         return self._request.local_port
 
+    @property
+    def was_connection_dropped(self) -> bool:
+        """
+        Whether libcurl closed the connection after a response that announced no close.
+
+        It does so if more bytes arrived with the end of the response.
+        """
+        return not (self._is_connection_open or self._lines.announces_close)
+
     @property
     def framing(self) -> Framing:
         """Return what marks the end of the response."""
@@ -325,6 +353,8 @@
     async def _fetch(self) -> HTTPResponse | RequestFailure:
         self._request.http.prepare_curl_callback = self._prepare
         result = await fetch(self._client, self._request)
+        if self._transfer is not None:
+            self._is_connection_open = self._transfer.info["is_connection_open"]
         self._transfer = None
         return result
 
