Refuse an answer whose last chunk is completed by another answer

Callers got a chunked answer as complete that its upstream had cut before the end of the last chunk.

Cause: the lines after the last chunk were counted, not read, so the head of the upstream's second answer passed for an extension of the last chunk and for trailers.

Change: a line after the body must be a field, and none may hold the id of a call or a seal; else the transfer is aborted, and the answer counts as lost.

Why it works: a second answer begins with a status line, which is no field; where that line is taken for a chunk extension, its fields state the call.

--- a/packages/gateway/src/persimmonferry_gateway/answer_identity.py
+++ b/packages/gateway/src/persimmonferry_gateway/answer_identity.py
@@ -12,6 +12,7 @@
     "Mismatch",
     "ends_with_part_of_status_line",
     "find_mismatch",
+    "is_identified",
 ]
 
 HeadDecoder = Callable[[int, str, list[tuple[str, str]]], ResponseHead]
@@ -58,6 +59,12 @@
     return None
 
 
+def is_identified(fields: list[tuple[str, str]], decode_head: HeadDecoder) -> bool:
+    """Return whether fields hold the id of a call or a seal."""
+    decoded = decode_head(0, "", fields)
+    return decoded.call_id is not None or decoded.is_genuine
+
+
 def ends_with_part_of_status_line(body: bytes) -> bool:
     """
     Return whether the end of a body may be the begin of another answer.
@@ -112,5 +119,4 @@
         lines = head.decode("latin-1").split("\r\n")
         rows = (line.partition(":") for line in lines[1:])
         fields = [(name, value.strip()) for name, colon, value in rows if colon]
-        decoded = self._decode_head(0, "", fields)
-        return decoded.call_id is not None or decoded.is_genuine
+        return is_identified(fields, self._decode_head)
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -24,6 +24,7 @@
     HeadDecoder,
     Mismatch,
     find_mismatch,
+    is_identified,
 )
 from persimmonferry_gateway.answer_memory import AnswerMemory, HeldAnswer, Place
 from persimmonferry_gateway.interfaces import ResponseHead
@@ -41,6 +42,7 @@
 # A transfer is paused while this many bytes of its response are unread. libcurl alone
 # would pass on all that has arrived, which may be megabytes at a time.
 MAX_UNREAD_BYTES = 64 * 1024
+_FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # The line belongs to another response that broke off where this one begins.
 _STATUS_LINE_INSIDE = re.compile(r".HTTP/1\.[01] \d{3}")
 
@@ -185,13 +187,24 @@
         values = [value for name, value in self.fields if name.lower() == "connection"]
         return not self._is_persistent or "close" in ",".join(values).lower()
 
-    def skip_trailer(self, line: bytes) -> None:
+    def parse_trailer(self, line: bytes) -> list[tuple[str, str]]:
         """
-        Count a line after the body, which is not relayed.
+        Return the field in a line after the body; trailers are not relayed.
 
-        :raises ValueError: head and trailers are too long.
+        :raises ValueError: it is no field, or head and trailers are too long.
+
+        >>> ResponseLines().parse_trailer(b"HTTP/1.1 200 OK\\r\\n")
+        Traceback (most recent call last):
+        ValueError: no field after the body: 'HTTP/1.1 200 OK'
         """
         self._count(line)
+        text = line.decode("latin-1").rstrip("\r\n")
+        if not text:
+            return []
+        name, colon, value = text.partition(":")
+        if not colon or not _FIELD_NAME.fullmatch(name):
+            raise ValueError(f"no field after the body: {text[:60]!r}")
+        return [(name, value.strip())]
 
     def _count(self, line: bytes) -> None:
         self._size += len(line)
@@ -400,8 +413,8 @@
         """Called by libcurl for each line; a short count aborts the transfer."""
         try:
             if self.head is not None:
-                self._lines.skip_trailer(line)
-                return len(line)
+                fields = self._lines.parse_trailer(line)
+                return 0 if is_identified(fields, self._decode_head) else len(line)
             self._lines.feed(line)
         except ValueError:
             return 0
