Refuse a body completed by another answer also if that arrives later

Cause: looked only for a connection that libcurl had closed. It does so if the bytes behind the body were received together with it; otherwise it reads no more than the length, and the rest waits in the socket.

Change: while a body ends with a part of a status line, its socket is asked whether more bytes wait, at the moment of the last bytes, when no other call can have used the connection. Bodies with chunks are left out: their ends are marked.

--- a/packages/gateway/src/persimmonferry_gateway/answer_identity.py
+++ b/packages/gateway/src/persimmonferry_gateway/answer_identity.py
@@ -7,6 +7,7 @@
 from persimmonferry_gateway.interfaces import ResponseHead
 
 __all__ = [
+    "LONGEST_PART_BYTES",
     "AnswerFinder",
     "HeadDecoder",
     "Mismatch",
@@ -29,10 +30,10 @@
 # A status line that ends a body; with other text behind the status it is a document.
 _CUT_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}[\w '-]*+\r?")
 # Less than the status of another answer, at the end of a body.
-_STATUS_LINE_BEGIN = re.compile(
+_PART_OF_STATUS_LINE = re.compile(
     rb"H(?:T(?:T(?:P(?:/(?:1(?:\.(?:[01](?: \d{0,2})?)?)?)?)?)?)?)?\Z"
 )
-_LONGEST_BEGIN_BYTES = len(b"HTTP/1.1 20")
+LONGEST_PART_BYTES = len(b"HTTP/1.1 20")
 
 
 class Mismatch(enum.Enum):
@@ -76,7 +77,7 @@
     >>> ends_with_part_of_status_line(b"confirmed: HTTP/2 ")
     False
     """
-    return bool(_STATUS_LINE_BEGIN.search(body[-_LONGEST_BEGIN_BYTES:]))
+    return bool(_PART_OF_STATUS_LINE.search(body[-LONGEST_PART_BYTES:]))
 
 
 class AnswerFinder:
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -27,10 +27,7 @@
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.prompt_quarantine import PromptQuarantine
 
-from persimmonferry_gateway.answer_identity import (
-    AnswerFinder,
-    ends_with_part_of_status_line,
-)
+from persimmonferry_gateway.answer_identity import AnswerFinder
 from persimmonferry_gateway.answer_memory import Place
 from persimmonferry_gateway.call_log import RateLimitedLog
 from persimmonferry_gateway.call_notes import (
@@ -521,7 +518,7 @@
         is_framed = exchange.framing is not Framing.CONNECTION
         if self._finder.has_answer(body, is_framed=is_framed):
             raise self._refuse_answer(exchange, "another answer in the body")
-        if exchange.was_connection_dropped and ends_with_part_of_status_line(body):
+        if exchange.ends_in_another:
             raise self._refuse_answer(exchange, "body completed by another answer")
         if head.status >= 500 and self._can_repeat():
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -21,14 +21,19 @@
 from tornado.httpclient import HTTPResponse
 
 from persimmonferry_gateway.answer_identity import (
+    LONGEST_PART_BYTES,
     HeadDecoder,
     Mismatch,
+    ends_with_part_of_status_line,
     find_mismatch,
     is_identified,
 )
 from persimmonferry_gateway.answer_memory import AnswerMemory, HeldAnswer, Place
 from persimmonferry_gateway.interfaces import ResponseHead
-from persimmonferry_gateway.kept_connections import KeptConnections
+from persimmonferry_gateway.kept_connections import (
+    KeptConnections,
+    has_unread_bytes,
+)
 
 __all__ = ["CancellableClient", "Framing", "ResponseLines", "UpstreamExchange"]
 
@@ -259,6 +264,9 @@
         self._opened_descriptor: int | None = None
         self._is_connection_stale = False
         self._is_connection_open = False
+        self._descriptor: int | None = None
+        self._body_end = b""
+        self._is_followed = False
         self._progress = asyncio.Event()
         has_body = bool(body) or method in ("POST", "PUT", "PATCH")
         self._make_request = partial(
@@ -288,13 +296,17 @@
         return self._request.local_port
 
     @property
-    def was_connection_dropped(self) -> bool:
+    def ends_in_another(self) -> bool:
         """
-        Whether libcurl closed the connection after a response that announced no close.
+        Whether the body ended with a part of a status line, and more bytes followed.
 
-        It does so if more bytes arrived with the end of the response.
+        They wait in the socket, or libcurl dropped them and closed the connection.
         """
-        return not (self._is_connection_open or self._lines.announces_close)
+        if self.framing is not Framing.LENGTH:
+            return False
+        was_dropped = not (self._is_connection_open or self._lines.announces_close)
+        is_followed = self._is_followed or was_dropped
+        return is_followed and ends_with_part_of_status_line(self._body_end)
 
     @property
     def framing(self) -> Framing:
@@ -401,6 +413,7 @@
     def _check_connection(self, *addresses: Any) -> int:
         """Called by libcurl before the first byte is sent on a connection."""
         connections = self._client.kept_connections
+        self._descriptor = self._opened_descriptor or connections.find(addresses)
         if self._opened_descriptor is not None:
             connections.record_opened(self._opened_descriptor, addresses)
         elif not self.was_sent and connections.has_waiting_bytes(addresses):
@@ -436,6 +449,12 @@
         self.received_bytes += len(data)
         self.held.set_size(Place.UNREAD, unread_bytes + len(data))
         self._chunks.append(data)
+        self._body_end = (self._body_end + data)[-LONGEST_PART_BYTES:]
+        self._is_followed = (
+            ends_with_part_of_status_line(self._body_end)
+            and self._descriptor is not None
+            and has_unread_bytes(self._descriptor)
+        )
         self._progress.set()
         return len(data)
 
