Look behind bodies with a length only

Cause: the search for a part of a status line, which needs at the end of a body with a length, ran on each part of each stream as well, where it is never used: 0.64 us a part, 0.05 ms for a stream of 76 events.

Change: whether the response has a length is known from its head, and parts of other responses are not searched. In the metrics, one label is built once.

--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -102,8 +102,8 @@
             lines.append(f'retries_refused{{service="{service}"}} {refused}')
         most = self._answer_memory.most
         for place, size in self._answer_memory.present.items():
-            lines.append(f'answer_bytes{{place="{place.value}"}} {size}')
             label = f'place="{place.value}"'
+            lines.append(f"answer_bytes{{{label}}} {size}")
             lines.append(f"answer_bytes_most{{{label}}} {most[place]}")
         lines += [
             f'registry_calls{{kind="{kind}"}} {count}'
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -265,6 +265,8 @@
         self._is_connection_stale = False
         self._is_connection_open = False
         self._descriptor: int | None = None
+        self._has_length = False
+        # Stays empty unless the response has a length; other ends are marked.
         self._body_end = b""
         self._is_followed = False
         self._progress = asyncio.Event()
@@ -302,8 +304,6 @@
 
         They wait in the socket, or libcurl dropped them and closed the connection.
         """
-        if self.framing is not Framing.LENGTH:
-            return False
         was_dropped = not (self._is_connection_open or self._lines.announces_close)
         is_followed = self._is_followed or was_dropped
         return is_followed and ends_with_part_of_status_line(self._body_end)
@@ -436,6 +436,7 @@
         self.head = self._decode_head(
             self._lines.status, self._lines.reason, self._lines.fields
         )
+        self._has_length = self._lines.framing is Framing.LENGTH
         self.mismatch = find_mismatch(self.head, self._call_id)
         self._progress.set()
         return 0 if self.mismatch is not None else len(line)
@@ -449,14 +450,19 @@
         self.received_bytes += len(data)
         self.held.set_size(Place.UNREAD, unread_bytes + len(data))
         self._chunks.append(data)
+        if self._has_length:
+            self._look_behind(data)
+        self._progress.set()
+        return len(data)
+
+    def _look_behind(self, data: bytes) -> None:
+        """Note whether bytes wait behind a body that may end in another response."""
         self._body_end = (self._body_end + data)[-LONGEST_PART_BYTES:]
         self._is_followed = (
             ends_with_part_of_status_line(self._body_end)
             and self._descriptor is not None
             and has_unread_bytes(self._descriptor)
         )
-        self._progress.set()
-        return len(data)
 
     def _resume(self) -> None:
         if self._is_paused and self._transfer is not None and not self._is_cancelled:
