Log for each attempt how long its upstream may work on it, and whether it was cut off

The logs could not tell who ended an attempt, the gateway or its upstream, and until when an upstream that does not notice a closed connection may go on. The attempts of `call ended` get `budget_ms` and `cut_off`.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -325,6 +325,7 @@
             if self._exchange is not None:
                 note.received_bytes = self._exchange.received_bytes
                 self._exchange.close()
+                note.is_cut_off = self._exchange.is_cut_off
 
     def _withdraw(self) -> None:
         """End the present attempt unless its answer has begun."""
@@ -359,6 +360,7 @@
             rank=self._engine_rank(now) if self._call.prompt else None,
             resumes_after=self._splitter.last_id or self._call.resumes_after,
         )
+        self.notes.attempts[-1].budget_s = options.budget_s
         if version is not None:
             options = self._add_cache_sources(options, version)
         repeatable = self._route.may_repeat
--- a/packages/gateway/src/persimmonferry_gateway/call_notes.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_notes.py
@@ -55,6 +55,9 @@
     :param first_s: when the first event of its stream arrived.
     :param received_bytes: of the body of its answer.
     :param end: how it ended, empty if the call ended before it.
+    :param budget_s: time that the upstream was given.
+    :param is_cut_off: whether the gateway closed its connection, so that the upstream
+        may work on it until that time has passed.
     """
 
     upstream: str
@@ -64,6 +67,8 @@
     first_s: float | None = None
     received_bytes: int = 0
     end: str = ""
+    budget_s: float = 0.0
+    is_cut_off: bool = False
 
     def describe(self, arrival_s: float) -> dict[str, object]:
         """
@@ -80,6 +85,8 @@
             "sent_ms": to_ms(self.sent_s - arrival_s),
             "received_bytes": self.received_bytes,
             "end": self.end or "call ended",
+            "budget_ms": to_ms(self.budget_s),
+            "cut_off": self.is_cut_off,
         }
         if self.version is not None:
             fields["version"] = self.version
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -261,6 +261,7 @@
         self._is_paused = False
         self._is_ended = False
         self._is_cancelled = False
+        self._is_refused = False
         self._opened_descriptor: int | None = None
         self._is_connection_stale = False
         self._is_connection_open = False
@@ -287,6 +288,16 @@
         """Whether any byte of the request may have reached the upstream."""
         return self._request.sent
 
+    @property
+    def is_cut_off(self) -> bool:
+        """
+        Whether it was sent, and its connection closed before the response had ended.
+
+        The upstream may not notice this, and work on it until its time budget ends.
+        """
+        is_limited = self.loss in (RequestFailure.TIMED_OUT, RequestFailure.TOO_LARGE)
+        return self.was_sent and (self._is_cancelled or self._is_refused or is_limited)
+
     @property
     def is_connection_kept(self) -> bool:
         """Whether it was sent on a connection that had carried other requests."""
@@ -424,22 +435,27 @@
 
     def _read_line(self, line: bytes) -> int:
         """Called by libcurl for each line; a short count aborts the transfer."""
+        self._is_refused = not self._accept_line(line)
+        return 0 if self._is_refused else len(line)
+
+    def _accept_line(self, line: bytes) -> bool:
+        """Parse a line, and return whether it can be one of the response."""
         try:
             if self.head is not None:
                 fields = self._lines.parse_trailer(line)
-                return 0 if is_identified(fields, self._decode_head) else len(line)
+                return not is_identified(fields, self._decode_head)
             self._lines.feed(line)
         except ValueError:
-            return 0
+            return False
         if not self._lines.is_whole:
-            return len(line)
+            return True
         self.head = self._decode_head(
             self._lines.status, self._lines.reason, self._lines.fields
         )
         self._has_length = self._lines.framing is Framing.LENGTH
         self.mismatch = find_mismatch(self.head, self._call_id)
         self._progress.set()
-        return 0 if self.mismatch is not None else len(line)
+        return self.mismatch is None
 
     def _read_data(self, data: bytes) -> int:
         """Called by libcurl for each part of the body, again after a pause."""
