Let an upstream's time budget, not a closed connection, show that an attempt has ended

Cause: the close of a connection stood for the end of a run. After three objectives without an answer, after bytes of no event, and 0.75 s before the limit on replaced weights the gateway closed the connection, and took the run for ended. The protocol says that most workers drop a request then; it says of all that they stop work at the time budget that they receive (Deadline-Ms), also of a request that waits in their queue. That budget was the caller's, seconds longer.

Change: an attempt gets a time budget of its own. Where a prompt may go on elsewhere it ends with the time allowed for the first event and the longest expected answer, and the prompt goes on 0.2 s before that end at the earliest (0.4 s are allowed). Where no time would be left for that, it stays where it is. At an engine with replaced weights the budget ends 0.5 s before the limit, and a prompt is sent only if its answer is expected to end by then.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -12,6 +12,7 @@
     Refused,
     WaitingRequest,
 )
+from persimmonferry_core.attempt_budgets import AnswerTimeEstimator
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.cooldowns import UpstreamCooldowns
 from persimmonferry_core.ejection import EjectionPolicy
@@ -235,6 +236,12 @@
         model = self._models.get(service)
         return model.router.summarize().prefill_tokens_per_s if model else 0.0
 
+    def estimate_longest_answer(self, service: str, max_tokens: int) -> float:
+        """Return the seconds from the first to the last event of a long answer."""
+        model = self._models.get(service)
+        times = model.router.answer_times if model else AnswerTimeEstimator()
+        return times.estimate_longest(max_tokens)
+
     def find_fetch_sources(
         self, upstream: str, block_names: tuple[str, ...], now: float
     ) -> tuple[str | None, ...]:
@@ -333,6 +340,10 @@
         model = self._models[request.service]
         share = min(1.0, end.total_tokens / max(1, request.max_tokens))
         model.answer_share += ANSWER_SHARE_EWMA_ALPHA * (share - model.answer_share)
+        if attempt.upstream is not None:
+            model.router.record_answer(
+                attempt.waiting, attempt.upstream, end.total_tokens, now
+            )
         self._end_attempt(attempt, now, whole=True)
         self._close(attempt, request.max_tokens - end.total_tokens)
         self._charge(attempt, end.cached_tokens, end.total_tokens)
@@ -346,6 +357,7 @@
         connected: bool = True,
         withdrawn: bool = False,
         endless: bool = False,
+        resend_s: float = 0.0,
     ) -> Queued | Refused:
         """
         Record a failed attempt, and return whether the request is retried elsewhere.
@@ -360,6 +372,8 @@
             not to blame.
         :param endless: whether this entry ended the attempt, as its answer held more
             than was asked for.
+        :param resend_s: until then the upstream may work on the attempt, so that the
+            request must not go on elsewhere.
         """
         attempt = self._attempts.get(request_id)
         if attempt is None:
@@ -388,7 +402,7 @@
         if connected:
             budget = self._find_budget(waiting.request.service)
             attempt.grant = budget.reserve(attempt.number, now, ran=ran)
-            delay_s = attempt.grant and attempt.grant.delay_s
+            delay_s = attempt.grant and max(attempt.grant.delay_s, resend_s - now)
         if delay_s is None or now + delay_s > max(latest_s, waiting.expires_s):
             self._close(attempt, waiting.request.max_tokens)
             code = ResultCode.RETRIES_EXHAUSTED
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -7,6 +7,7 @@
 from heapq import nlargest
 
 from persimmonferry_core.admission import PromptRequest, WaitingRequest
+from persimmonferry_core.attempt_budgets import AnswerTimeEstimator
 from persimmonferry_core.blockindex import BlockIndex
 from persimmonferry_core.ejection import Closed, Ejector
 from persimmonferry_core.fetch_sources import choose_fetch_sources
@@ -217,6 +218,7 @@
         self._index = index
         self._random = generator
         self.mix = PriorityMix()
+        self.answer_times = AnswerTimeEstimator()
         self.urgent_ranks = 0
         self.ejector = Ejector()
         self._urgent = _Occupancy()
@@ -268,19 +270,21 @@
         """Set until when runs may start at these upstreams; others have no limit."""
         self._start_limits = limits
 
-    def _starts_in_time(self, option: "_Option", now: float) -> bool:
+    def _ends_in_time(self, option: "_Option", max_tokens: int, now: float) -> bool:
         """
-        Whether a run is expected to start before its upstream's limit.
+        Whether a run is expected to end before its upstream's limit on starts.
 
         Load pattern: engines have replaced weights, and others that crashed leave them
         with more prompts than their estimates include. A run starts with its first
-        token, so what has lately waited there counts, too.
+        token, so what has lately waited there counts, too. Its time budget ends at the
+        limit, so that it can't start later, and would cut it off.
         """
         limit_s = self._start_limits.get(option.upstream.name)
         if limit_s is None:
             return True
         wait_s = max(option.first_token_s, option.upstream.find_recent_wait(now))
-        return now + wait_s <= limit_s
+        answer_s = self.answer_times.estimate_mean(max_tokens)
+        return now + wait_s + answer_s <= limit_s
 
     def set_limited(self, limited: frozenset[str], spent: frozenset[str]) -> None:
         """
@@ -424,7 +428,10 @@
             for upstream in candidates
         ]
         if self._start_limits:
-            options = [item for item in options if self._starts_in_time(item, now)]
+            tokens = request.max_tokens
+            options = [
+                item for item in options if self._ends_in_time(item, tokens, now)
+            ]
         best = self._choose_option(options)
         if best is None:
             return None
@@ -549,6 +556,16 @@
         if slowness is not None:
             self.ejector.record_success(name, slowness, now)
 
+    def record_answer(
+        self, waiting: WaitingRequest, name: str, tokens: int, now: float
+    ) -> None:
+        """Record the length of a complete answer, before its run is removed."""
+        upstream = self.upstreams.get(name)
+        run = upstream and upstream.runs.get(waiting.request.request_id)
+        if run is not None and run.started_s is not None:
+            max_tokens = waiting.request.max_tokens
+            self.answer_times.record(tokens, max_tokens, now - run.started_s)
+
     def end_run(
         self, waiting: WaitingRequest, name: str, whole: bool, now: float
     ) -> None:
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -433,6 +433,56 @@
         assert dispatcher.assign(10.0)
 
 
+# Answers were cut off at the limit, as their engine's time budget ends there.
+def test_prompts_whose_answers_end_after_the_limit_are_sent():
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    dispatcher.report(make_report("u0", slots=8), 0.0)
+    sent_s = []
+    for step in range(120):
+        now = 0.25 * step
+        if step == 80:
+            dispatcher.set_start_limits({"u0": 29.0})
+        request = make_request(step, now, "dawn", tokens=10)
+        assert isinstance(dispatcher.offer(request, now), Queued)
+        for assignment in dispatcher.assign(now):
+            sent_s.append(now)
+            request_id = assignment.request.request_id
+            dispatcher.started(request_id, now + 0.1)
+            dispatcher.finished(request_id, make_end(request_id), now + 2.1)
+    assert 24.0 < max(sent_s) <= 29.0 - 2.0
+
+
+# A prompt went on at another engine while the one before could still work on it.
+@pytest.mark.parametrize("resend_s", [1.0, 1.6])
+def test_a_prompt_goes_on_before_its_upstream_must_have_ended(resend_s):
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    for name in ("u0", "u1"):
+        dispatcher.report(make_report(name, slots=8), 0.0)
+    dispatcher.offer(make_request(0, 0.0, "dawn", tokens=10), 0.0)
+    (first,) = dispatcher.assign(0.0)
+    request_id = first.request.request_id
+    answer = dispatcher.failed(request_id, True, 1.2, resend_s=resend_s)
+    assert isinstance(answer, Queued)
+    sent = []
+    for step in range(40):
+        now = 1.2 + 0.02 * step
+        sent += [(now, item.upstream) for item in dispatcher.assign(now)]
+    ((sent_s, upstream),) = sent
+    assert resend_s <= sent_s < max(1.2, resend_s) + 0.1
+    assert upstream != first.upstream
+
+
+# A caller waited for a second attempt that could only begin after it had left.
+def test_a_prompt_waits_for_the_end_of_an_attempt_longer_than_its_caller():
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    for name in ("u0", "u1"):
+        dispatcher.report(make_report(name, slots=8), 0.0)
+    dispatcher.offer(make_request(0, 0.0, "dawn", tokens=10), 0.0)
+    (first,) = dispatcher.assign(0.0)
+    answer = dispatcher.failed(first.request.request_id, True, 1.2, resend_s=1e6)
+    assert isinstance(answer, Refused)
+
+
 def test_runs_without_a_first_token_are_listed_by_upstream():
     dispatcher = Dispatcher(DOCUMENT, seed=1)
     dispatcher.report(make_report("u0", slots=8), 0.0)
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -11,6 +11,7 @@
     RequestFailure,
     make_upstream_error,
 )
+from persimmonferry_core.attempt_budgets import AttemptBudget, find_resend_time
 from persimmonferry_core.cache_stores import CacheStoreIndex
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.deployment import (
@@ -87,6 +88,8 @@
         call, which was sent at the given time.
     :param find_fetch_deadline: returns the deadline of a fetch that may take the given
         seconds, None when parts must not be fetched now.
+    :param find_weights_left: returns the seconds for which prompts may still begin on a
+        version of a model's weights, None without a limit.
     :param waiting: futures of the requests that the dispatcher has queued.
     :param waiting_parts: hashes of the parts of these requests.
     :param withdrawals: functions that end the attempts of prompts at engines, unless
@@ -107,6 +110,7 @@
     metrics: CallMetrics
     record_limit: Callable[[UpstreamRecord, ResponseHead, float], None]
     find_fetch_deadline: Callable[[float], float | None]
+    find_weights_left: Callable[[str, int], float | None]
     quarantine: PromptQuarantine
     crash_reports: CrashReports
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
@@ -122,6 +126,7 @@
     :param ran: whether it may have run.
     :param arrived: False when no connection to the upstream could be made.
     :param endless: whether it was ended, as its answer held more than was asked for.
+    :ivar resend_s: until then its upstream may still work on it.
     """
 
     def __init__(
@@ -134,6 +139,7 @@
     ) -> None:
         super().__init__(error)
         self.endless = endless
+        self.resend_s = 0.0
         self.error = error
         self.ran = ran
         self.arrived = arrived
@@ -320,6 +326,10 @@
                 error = OutcomeUnknown(ResultCode.WEIGHTS_REPLACED, record.name)
                 failure = AttemptFailed(error, ran=found.ran, arrived=found.arrived)
             note.end = failure.describe()
+            self._exchange.close()
+            if self._exchange.is_cut_off:
+                sent_s = self._exchange.sent_s
+                failure.resend_s = find_resend_time(sent_s, note.budget_s)
             raise failure from None
         finally:
             if self._exchange is not None:
@@ -351,19 +361,19 @@
         if context.dispatcher.upstream_limits.find(record.name) is not None:
             self.notes.limited_attempts += 1
         self.notes.started_s = self.notes.started_s or now
+        budget = self._choose_budget(version, now)
+        self.notes.attempts[-1].budget_s = budget.work_s
         options = ForwardOptions(
             upstream=record.name,
-            budget_s=max(0.0, self._deadline_s - now),
+            budget_s=budget.work_s,
             account=self._account.name if self._account else None,
             version=version,
             cache_scope=self._cache_scope(version),
             rank=self._engine_rank(now) if self._call.prompt else None,
             resumes_after=self._splitter.last_id or self._call.resumes_after,
         )
-        self.notes.attempts[-1].budget_s = options.budget_s
         if version is not None:
             options = self._add_cache_sources(options, version)
-        repeatable = self._route.may_repeat
         exchange = self._exchange = UpstreamExchange(
             context.client,
             record.address,
@@ -377,9 +387,6 @@
             idle_s=context.idle_s.get(record.name, DEFAULT_IDLE_S),
             timeout_s=options.budget_s + 1.0,
         )
-        answer_timeout_s = None
-        if repeatable and self._attempts < self._route.max_attempts:
-            answer_timeout_s = ANSWER_TIMEOUT_OBJECTIVES * self._route.objective_s
         was_possible = self._may_have_run
         # Set before sending, as a timeout may end the call at any moment; restored if
         # the upstream states that it did not run the call.
@@ -387,7 +394,7 @@
         self._sent_s = now
         self._progress = AttemptProgress.SENT
         try:
-            async with asyncio.timeout(answer_timeout_s):
+            async with asyncio.timeout(budget.answer_s):
                 head = await exchange.wait_for_head()
         except TimeoutError:
             if asyncio.current_task().cancelling():
@@ -436,6 +443,17 @@
         else:
             await self._relay_whole(exchange, head)
 
+    def _choose_budget(self, version: int | None, now: float) -> AttemptBudget:
+        """Return the limits on the time of the present attempt."""
+        left_s = max(0.0, self._deadline_s - now)
+        return AttemptBudget(left_s, self._find_answer_timeout())
+
+    def _find_answer_timeout(self) -> float | None:
+        """Return after how long without an answer the call may go on elsewhere."""
+        if not self._can_repeat():
+            return None
+        return ANSWER_TIMEOUT_OBJECTIVES * self._route.objective_s
+
     def _add_cache_sources(
         self, options: ForwardOptions, version: int
     ) -> ForwardOptions:
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -193,6 +193,7 @@
             self._metrics,
             self._record_limit,
             self._find_fetch_deadline,
+            self._find_weights_left,
             self._quarantine,
             self._crash_reports,
         )
@@ -558,6 +559,14 @@
             return None
         return self._stores.find_fetch_deadline(longest_s)
 
+    def _find_weights_left(self, model: str, version: int) -> float | None:
+        """Return how long prompts may still begin on a version, None for no limit."""
+        replaced_s = self._cluster.find_replacement_time(model, version)
+        if replaced_s is None:
+            return None
+        limit_s = replaced_s + self._settings.replaced_weights_limit_s
+        return limit_s - read_boot_clock()
+
     def _record_registry_reachable(self, is_reachable: bool) -> None:
         if is_reachable:
             self._cluster.fleet.record_registry_restored(self._loop.time())
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -137,7 +137,7 @@
     What the gateway adds to a call that it forwards to an upstream.
 
     :param upstream: name of the upstream; another one at its address refuses the call.
-    :param budget_s: time left until the caller's deadline.
+    :param budget_s: time after which the upstream ends its work on the call.
     :param version: of the weights, None for a plain service; an upstream with another
         version refuses the call.
     :param cache_scope: cached parts are only found under an equal scope.
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from persimmonferry_core.attempt_budgets import AttemptBudget, choose_prompt_budget
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.deployment import UpstreamRecord
 from persimmonferry_core.dispatch import Assignment, PromptRequest, Refused
@@ -85,6 +86,7 @@
             connected=failure.arrived,
             withdrawn=self._is_withdrawn,
             endless=failure.endless,
+            resend_s=failure.resend_s,
         )
         self._attempts -= 0 if failure.arrived else 1
         is_begun = self._caller.is_head_sent
@@ -168,6 +170,19 @@
             caller_deadline_s=self._arrival_s + self._find_max_wait(),
         )
 
+    def _choose_budget(self, version: int | None, now: float) -> AttemptBudget:
+        context, prompt = self._context, self._call.prompt
+        stream_s = context.dispatcher.estimate_longest_answer(
+            self._service, prompt.max_tokens
+        )
+        return choose_prompt_budget(
+            max(0.0, self._deadline_s - now),
+            self._find_answer_timeout(),
+            stream_s,
+            self._arrival_s + self._find_max_wait() - now,
+            context.find_weights_left(prompt.model, version),
+        )
+
     def _find_max_wait(self) -> float:
         """Return how long the call may wait for an engine."""
         silence_s = self._route.silence_limit_s or self._budget_s
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -228,6 +228,7 @@
     :param decode_head: decodes the status, reason and fields of a response.
     :param reuse: whether it may be sent on an open connection.
     :param idle_s: open connections that were idle for longer are not used.
+    :ivar sent_s: when it was sent, None before that.
     """
 
     def __init__(
@@ -262,6 +263,7 @@
         self._is_ended = False
         self._is_cancelled = False
         self._is_refused = False
+        self.sent_s: float | None = None
         self._opened_descriptor: int | None = None
         self._is_connection_stale = False
         self._is_connection_open = False
@@ -424,6 +426,8 @@
     def _check_connection(self, *addresses: Any) -> int:
         """Called by libcurl before the first byte is sent on a connection."""
         connections = self._client.kept_connections
+        # Tornado's own clock is the time of day.
+        self.sent_s = self._client.io_loop.asyncio_loop.time()
         self._descriptor = self._opened_descriptor or connections.find(addresses)
         if self._opened_descriptor is not None:
             connections.record_opened(self._opened_descriptor, addresses)
