Send no prompt to an engine with replaced weights that gives no sign of life

An engine that stands still reads later what waited in its socket, and begins it on weights that were replaced too long ago; its time budget counts from then, and a closed connection does not take back what was written to it.

Change: while a prompt waits to begin at an engine with replaced weights, and nothing has begun or ended there for 0.5 s, it gets no more. What was sent in the 0.5 s before can't be taken back.

--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -52,6 +52,8 @@
 # A call that an upstream with a limit takes is better used for a large request; less
 # than the time of a large prompt.
 LIMITED_UPSTREAM_PENALTY_S = 0.2
+# An engine with replaced weights that was silent for this long gets no prompt.
+MAX_OUTDATED_SILENCE_S = 0.5
 PROMPT_SIZE_EWMA_ALPHA = 0.05
 PRIORITY_MIX_DECAY = 0.99
 OCCUPANCY_WINDOW_S = 10.0
@@ -277,11 +279,14 @@
         Load pattern: engines have replaced weights, and others that crashed leave them
         with more prompts than their estimates include. A run starts with its first
         token, so what has lately waited there counts, too. Its time budget ends at the
-        limit, so that it can't start later, and would cut it off.
+        limit, so that it can't start later, and would cut it off. The budget counts
+        from when the upstream reads the run, so a silent one gets none.
         """
         limit_s = self._start_limits.get(option.upstream.name)
         if limit_s is None:
             return True
+        if option.upstream.find_silence(now) > MAX_OUTDATED_SILENCE_S:
+            return False
         wait_s = max(option.first_token_s, option.upstream.find_recent_wait(now))
         answer_s = self.answer_times.estimate_mean(max_tokens)
         return now + wait_s + answer_s <= limit_s
--- a/packages/core/src/persimmonferry_core/upstreams.py
+++ b/packages/core/src/persimmonferry_core/upstreams.py
@@ -193,6 +193,7 @@
         self._waiting: dict[str, _OwnRun] = {}
         self._longest_wait_s = 0.0
         self._longest_wait_noted_s = float("-inf")
+        self._last_sign_s = float("-inf")
 
     @property
     def name(self) -> str:
@@ -376,7 +377,7 @@
         run = self.runs.get(run_id)
         if run is None or run.started:
             return None
-        run.started_s = now
+        run.started_s = self._last_sign_s = now
         self._note_wait(now - run.dispatched_s, now)
         self._waiting.pop(run_id, None)
         self._prefill_event_s = now
@@ -401,6 +402,17 @@
             waits.append(self._longest_wait_s)
         return max(waits, default=0.0)
 
+    def find_silence(self, now: float) -> float:
+        """
+        Return for how long no run here has begun or ended while one waited to begin.
+
+        An engine that stands still gives no other sign, and begins later what was sent.
+        """
+        oldest_s = min(
+            (run.dispatched_s for run in self._waiting.values()), default=now
+        )
+        return now - max(oldest_s, self._last_sign_s)
+
     def _note_wait(self, wait_s: float, now: float) -> None:
         """Note a wait for a first token, if it is the longest of the recent ones."""
         is_recent = now < self._longest_wait_noted_s + RECENT_WAIT_S
@@ -419,6 +431,7 @@
             self._prefill_event_s = now
             self._note_wait(UNENDED_WAIT_FACTOR * (now - run.dispatched_s), now)
         if whole:
+            self._last_sign_s = now
             self.run_s += RUN_TIME_EWMA_ALPHA * (now - run.dispatched_s - self.run_s)
 
     def estimate_backlog(self, priority: int, others_share: float, now: float) -> float:
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -452,6 +452,31 @@
     assert 24.0 < max(sent_s) <= 29.0 - 2.0
 
 
+# An engine that stood still got prompts, and began them later on replaced weights.
+@pytest.mark.parametrize("is_limited", [True, False])
+def test_prompts_are_sent_to_an_engine_that_stands_still(is_limited):
+    stands_still_s, ended_s = 2.0, 8.0
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    dispatcher.report(make_report("u0", slots=64), 0.0)
+    if is_limited:
+        dispatcher.set_start_limits({"u0": 9.25})
+    sent_s = []
+    for step in range(int(ended_s / 0.1)):
+        now = 0.1 * step
+        dispatcher.offer(make_request(step, now, "dawn", tokens=10), now)
+        for assignment in dispatcher.assign(now):
+            sent_s.append(now)
+            request_id = assignment.request.request_id
+            if now < stands_still_s:
+                dispatcher.started(request_id, now + 0.05)
+                dispatcher.finished(request_id, make_end(request_id), now + 0.09)
+    assert max(sent_s) > stands_still_s
+    if is_limited:
+        assert max(sent_s) < stands_still_s + 0.75
+    else:
+        assert max(sent_s) > stands_still_s + 2.0
+
+
 # A prompt went on at another engine while the one before could still work on it.
 @pytest.mark.parametrize("resend_s", [1.0, 1.6])
 def test_a_prompt_goes_on_before_its_upstream_must_have_ended(resend_s):
