Count an engine as silent also after the gateway has ended what waited there

The silence lasts until the engine begins, completes or refuses a run. The test now cuts its prompts off after 1.2 s, and fails before.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -381,6 +381,8 @@
         failed_at = attempt.upstream
         if failed_at is not None:
             router = self._models[attempt.waiting.request.service].router
+            if connected and not ran:
+                router.record_refusal(failed_at, now)
             if withdrawn:
                 router.end_run(attempt.waiting, failed_at, False, now)
             else:
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -571,6 +571,12 @@
             max_tokens = waiting.request.max_tokens
             self.answer_times.record(tokens, max_tokens, now - run.started_s)
 
+    def record_refusal(self, name: str, now: float) -> None:
+        """Record that an upstream stated that it did not run a request."""
+        upstream = self.upstreams.get(name)
+        if upstream is not None:
+            upstream.record_sign(now)
+
     def end_run(
         self, waiting: WaitingRequest, name: str, whole: bool, now: float
     ) -> None:
--- a/packages/core/src/persimmonferry_core/upstreams.py
+++ b/packages/core/src/persimmonferry_core/upstreams.py
@@ -193,7 +193,7 @@
         self._waiting: dict[str, _OwnRun] = {}
         self._longest_wait_s = 0.0
         self._longest_wait_noted_s = float("-inf")
-        self._last_sign_s = float("-inf")
+        self._silent_since_s: float | None = None
 
     @property
     def name(self) -> str:
@@ -363,6 +363,8 @@
             memory_tokens,
         )
         self.runs[run_id] = self._waiting[run_id] = run
+        if self._silent_since_s is None:
+            self._silent_since_s = now
         self._own_memory += memory_tokens
         self._peak_runs = max(self._peak_runs, len(self.runs))
         self._unreported_runs += 1
@@ -377,9 +379,10 @@
         run = self.runs.get(run_id)
         if run is None or run.started:
             return None
-        run.started_s = self._last_sign_s = now
+        run.started_s = now
         self._note_wait(now - run.dispatched_s, now)
         self._waiting.pop(run_id, None)
+        self.record_sign(now)
         self._prefill_event_s = now
         if not self.report.prefill_tokens_per_s and run.missing_tokens:
             tokens = run.missing_tokens + run.ahead_tokens
@@ -404,14 +407,16 @@
 
     def find_silence(self, now: float) -> float:
         """
-        Return for how long no run here has begun or ended while one waited to begin.
+        Return for how long the upstream has answered nothing that was sent to it.
 
-        An engine that stands still gives no other sign, and begins later what was sent.
+        An engine that stands still gives no other sign, and begins later what was sent
+        to it, also if its run has been ended here.
         """
-        oldest_s = min(
-            (run.dispatched_s for run in self._waiting.values()), default=now
-        )
-        return now - max(oldest_s, self._last_sign_s)
+        return 0.0 if self._silent_since_s is None else now - self._silent_since_s
+
+    def record_sign(self, now: float) -> None:
+        """Record that the upstream has begun, completed or refused a run."""
+        self._silent_since_s = now if self._waiting else None
 
     def _note_wait(self, wait_s: float, now: float) -> None:
         """Note a wait for a first token, if it is the longest of the recent ones."""
@@ -431,7 +436,7 @@
             self._prefill_event_s = now
             self._note_wait(UNENDED_WAIT_FACTOR * (now - run.dispatched_s), now)
         if whole:
-            self._last_sign_s = now
+            self.record_sign(now)
             self.run_s += RUN_TIME_EWMA_ALPHA * (now - run.dispatched_s - self.run_s)
 
     def estimate_backlog(self, priority: int, others_share: float, now: float) -> float:
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -461,8 +461,11 @@
     if is_limited:
         dispatcher.set_start_limits({"u0": 9.25})
     sent_s = []
+    cut_off = []
     for step in range(int(ended_s / 0.1)):
         now = 0.1 * step
+        while cut_off and cut_off[0][0] <= now:
+            dispatcher.failed(cut_off.pop(0)[1], True, now, resend_s=1e6)
         dispatcher.offer(make_request(step, now, "dawn", tokens=10), now)
         for assignment in dispatcher.assign(now):
             sent_s.append(now)
@@ -470,6 +473,8 @@
             if now < stands_still_s:
                 dispatcher.started(request_id, now + 0.05)
                 dispatcher.finished(request_id, make_end(request_id), now + 0.09)
+            else:
+                cut_off.append((now + 1.2, request_id))
     assert max(sent_s) > stands_still_s
     if is_limited:
         assert max(sent_s) < stands_still_s + 0.75
