Count from the real start of a process, not from its processor time

Cause: a gateway that has just started does not know since when weights have been replaced, and takes replaced weights for usable until 3 s after its start (contactMs; from then on it counts as in touch). It estimated its start as the present time less the processor time that it had used. On real machines a starting process also waits: for the processor, the disk, or while it is stopped.

Change: the kernel's record of the start (/proc/self/stat, on the boot clock) is used where it is of the same clock.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -12,7 +12,6 @@
     Refused,
     WaitingRequest,
 )
-from persimmonferry_core.attempt_budgets import AnswerTimeEstimator
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.cooldowns import UpstreamCooldowns
 from persimmonferry_core.ejection import EjectionPolicy
@@ -238,9 +237,7 @@
 
     def estimate_longest_answer(self, service: str, max_tokens: int) -> float:
         """Return the seconds from the first to the last event of a long answer."""
-        model = self._models.get(service)
-        times = model.router.answer_times if model else AnswerTimeEstimator()
-        return times.estimate_longest(max_tokens)
+        return self._models[service].router.answer_times.estimate_longest(max_tokens)
 
     def find_fetch_sources(
         self, upstream: str, block_names: tuple[str, ...], now: float
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -278,9 +278,9 @@
 
         Load pattern: engines have replaced weights, and others that crashed leave them
         with more prompts than their estimates include. A run starts with its first
-        token, so what has lately waited there counts, too. Its time budget ends at the
-        limit, so that it can't start later, and would cut it off. The budget counts
-        from when the upstream reads the run, so a silent one gets none.
+        token, so what has lately waited there counts, too. Its time budget ends about
+        at the limit, and would cut off a longer answer. The budget counts from when
+        the upstream reads the run, so an upstream that is silent gets none.
         """
         limit_s = self._start_limits.get(option.upstream.name)
         if limit_s is None:
--- a/packages/gateway/src/persimmonferry_gateway/clocks.py
+++ b/packages/gateway/src/persimmonferry_gateway/clocks.py
@@ -1,6 +1,9 @@
 """The boot clock of this VM, and bounds for a remote clock."""
 
+import logging
+import os
 import time
+from pathlib import Path
 
 __all__ = ["ClockBounds", "estimate_process_start", "read_boot_clock"]
 
@@ -9,6 +12,13 @@
 MAX_BOUNDS_AGE_S = 20.0
 # Remote times are whole milliseconds, and clocks drift.
 CLOCK_TOLERANCE_S = 0.005
+# A start that seems longer ago is a time on another clock.
+MAX_START_S = 60.0
+# Position of the start time in /proc/PID/stat, after the name in parentheses.
+START_FIELD = 19
+PROCESS_STATUS = Path("/proc/self/stat")
+
+_log = logging.getLogger(__name__)
 
 
 def read_boot_clock() -> float:
@@ -17,8 +27,28 @@
 
 
 def estimate_process_start() -> float:
-    """Return about when this process started, on the boot clock, by its CPU time."""
-    return read_boot_clock() - time.process_time()
+    """
+    Return about when this process started, on the boot clock; never much later.
+
+    The process may have been stopped or waited for the processor since then. Where the
+    kernel's record is of another clock, only the processor time is known.
+    """
+    now = read_boot_clock()
+    latest_s = now - time.process_time()
+    try:
+        started_s = _read_process_start()
+    except (OSError, ValueError, IndexError) as error:
+        fields = {"path": str(PROCESS_STATUS), "cause": str(error)}
+        _log.warning("start of the process unknown", extra=fields)
+        return latest_s
+    is_same_clock = now - MAX_START_S <= started_s <= now
+    return min(started_s, latest_s) if is_same_clock else latest_s
+
+
+def _read_process_start() -> float:
+    """Return when this process started, as the kernel recorded it."""
+    _, _, fields = PROCESS_STATUS.read_text().rpartition(")")
+    return int(fields.split()[START_FIELD]) / os.sysconf("SC_CLK_TCK")
 
 
 class ClockBounds:
--- a/packages/gateway/tests/test_clocks.py
+++ b/packages/gateway/tests/test_clocks.py
@@ -1,5 +1,14 @@
+import subprocess
+import sys
+
 import pytest
-from persimmonferry_gateway.clocks import MAX_BOUNDS_AGE_S, ClockBounds
+from persimmonferry_gateway import clocks
+from persimmonferry_gateway.clocks import (
+    MAX_BOUNDS_AGE_S,
+    ClockBounds,
+    estimate_process_start,
+    read_boot_clock,
+)
 
 OFFSET_S = 1000.0
 
@@ -41,3 +50,27 @@
     clock = make_clock((0.0, 0.01, 0.02))
     assert not clock.is_outdated(MAX_BOUNDS_AGE_S)
     assert clock.is_outdated(MAX_BOUNDS_AGE_S + 0.02)
+
+
+# The time in which a process got no processor was left out.
+def test_the_estimated_start_of_a_process_is_too_late():
+    program = (
+        "import time; time.sleep(0.7);"
+        "from persimmonferry_gateway.clocks import *;"
+        "print(read_boot_clock() - estimate_process_start())"
+    )
+    path = {"PYTHONPATH": ":".join(sys.path)}
+    command = [sys.executable, "-c", program]
+    output = subprocess.run(command, env=path, capture_output=True, check=True).stdout
+    assert 0.7 <= float(output) < 30.0
+
+
+@pytest.mark.parametrize("status", [None, "1 (a) S 2", "1 (a b) S " + "0 " * 40])
+def test_a_start_on_another_clock_is_ignored(tmp_path, monkeypatch, status):
+    path = tmp_path / "stat"
+    if status is not None:
+        path.write_text(status)
+    monkeypatch.setattr(clocks, "PROCESS_STATUS", path)
+    monkeypatch.setattr(clocks, "MAX_START_S", 1.0)
+    now = read_boot_clock()
+    assert 0.0 <= now - estimate_process_start() < 60.0
