--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -333,6 +333,7 @@
             raise failure from None
         finally:
             if self._exchange is not None:
+                note.local_port = self._exchange.local_port
                 note.received_bytes = self._exchange.received_bytes
                 self._exchange.close()
                 note.is_cut_off = self._exchange.is_cut_off
@@ -519,6 +520,8 @@
     def _record_head(self, record: UpstreamRecord, head: ResponseHead) -> None:
         context = self._context
         now = context.read_clock()
+        note = self.notes.attempts[-1]
+        note.head_s, note.refused_s = now, head.refuses_for_s
         if head.idle_s is not None:
             context.idle_s[record.name] = head.idle_s - IDLE_MARGIN_S
         context.cluster.record_load(record.name, head.load, head.version, now)
--- a/packages/gateway/src/persimmonferry_gateway/call_notes.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_notes.py
@@ -58,6 +58,9 @@
     :param budget_s: time that the upstream was given.
     :param is_cut_off: whether the gateway closed its connection, so that the upstream
         may work on it until that time has passed.
+    :param local_port: own port of its connection, None if it was not sent.
+    :param head_s: when the head of its answer had arrived.
+    :param refused_s: for how long the upstream takes no calls, by its answer.
     """
 
     upstream: str
@@ -69,6 +72,9 @@
     end: str = ""
     budget_s: float = 0.0
     is_cut_off: bool = False
+    local_port: int | None = None
+    head_s: float | None = None
+    refused_s: float | None = None
 
     def describe(self, arrival_s: float) -> dict[str, object]:
         """
@@ -87,7 +93,12 @@
             "end": self.end or "call ended",
             "budget_ms": to_ms(self.budget_s),
             "cut_off": self.is_cut_off,
+            "local_port": self.local_port,
         }
+        if self.head_s is not None:
+            fields["head_ms"] = to_ms(self.head_s - arrival_s)
+        if self.refused_s is not None:
+            fields["refused_ms"] = to_ms(self.refused_s)
         if self.version is not None:
             fields["version"] = self.version
         if self.replaced_s is not None:
