Send no call twice on one connection

Cause: the id in an answer names a call, not an attempt, and connections are kept by address, beyond a call. A call memorized the names of the upstreams it had tried, and took a new connection for a name it had tried before. So a copy of a refusal counted for a later attempt with the same id in two ways: when the id came again at the same gateway, and, within one call, when an upstream had started again under another name at its address (its former name gets 421, the new one the copy of it).

Each connection now keeps the hashes of the ids it has carried, 256 at most, and is closed instead of carrying one again, or one more than it keeps: what is forgotten is not trusted. A connection that is not known is not used either. A repeated attempt at an upstream no longer needs a rule of its own.

--- a/packages/adapters/src/persimmonferry_adapters/http_client.py
+++ b/packages/adapters/src/persimmonferry_adapters/http_client.py
@@ -62,7 +62,7 @@
     A server may answer twice, the second time late. On a reused connection that answer
     is taken for the one to the next request, so only a request whose answer can be
     identified, or whose server is a process of the product, may reuse one. ``NEW`` is
-    for a request that was sent to the server before: its answers can't be told apart.
+    for a request that may not be sent on the connections that are open.
     """
 
     ALLOWED = "allowed"
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -6,11 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from persimmonferry_adapters.http_client import (
-    ConnectionReuse,
-    RequestFailure,
-    make_upstream_error,
-)
+from persimmonferry_adapters.http_client import RequestFailure, make_upstream_error
 from persimmonferry_core.attempt_budgets import AttemptBudget, find_resend_time
 from persimmonferry_core.cache_stores import CacheStoreIndex
 from persimmonferry_core.codes import ResultCode
@@ -355,9 +351,6 @@
         context = self._context
         now = context.read_clock()
         self._attempts += 1
-        reuse = ConnectionReuse.NO_RESEND
-        if record.name in self.notes.upstreams:
-            reuse = ConnectionReuse.NEW
         self.notes.upstreams.append(record.name)
         if context.dispatcher.upstream_limits.find(record.name) is not None:
             self.notes.limited_attempts += 1
@@ -384,7 +377,6 @@
             self._call.body,
             call_id=self._call.call_id,
             decode_head=context.codec.decode_response_head,
-            reuse=reuse,
             idle_s=context.idle_s.get(record.name, DEFAULT_IDLE_S),
             timeout_s=options.budget_s + 1.0,
         )
--- a/packages/gateway/src/persimmonferry_gateway/kept_connections.py
+++ b/packages/gateway/src/persimmonferry_gateway/kept_connections.py
@@ -1,12 +1,15 @@
-"""Detects kept connections on which an upstream has sent more than its answers."""
+"""Finds kept connections on which a call could get an answer that is not its own."""
 
 import select
 import socket
+from array import array
 
 __all__ = ["ConnectionAddresses", "KeptConnections", "has_unread_bytes"]
 
 # Remote and local address, remote and local port.
 ConnectionAddresses = tuple[str, str, int, int]
+# Bounds the memory of a connection, which is then closed.
+MAX_CALLS = 256
 
 
 def has_unread_bytes(descriptor: int) -> bool:
@@ -23,16 +26,21 @@
 
 class KeptConnections:
     """
-    Descriptors of connections, by their addresses.
+    Descriptors of connections and the calls that they have carried, by their addresses.
 
     libcurl looks for waiting bytes only on connections that were idle for a second.
     Bytes that wait before a request is sent belong to no request, or the connection has
     ended.
+
+    An upstream may send an answer twice. The id in it names a call, not an attempt, so
+    a call that is sent again needs a connection that has not carried it before.
     """
 
     def __init__(self) -> None:
         self._descriptors: dict[ConnectionAddresses, int] = {}
         self._addresses: dict[int, ConnectionAddresses] = {}
+        # Hashes of the ids of calls, as ids may be long.
+        self._calls: dict[int, array[int]] = {}
 
     def record_opened(self, descriptor: int, addresses: ConnectionAddresses) -> None:
         """Record a new connection; descriptors of closed ones are used again."""
@@ -41,16 +49,29 @@
             del self._descriptors[former]
         self._addresses[descriptor] = addresses
         self._descriptors[addresses] = descriptor
+        self._calls[descriptor] = array("q")
+
+    def record_call(self, descriptor: int, call_id: str) -> None:
+        """Record that a call is sent on a connection."""
+        self._calls[descriptor].append(hash(call_id))
 
     def find(self, addresses: ConnectionAddresses) -> int | None:
         """Return the descriptor of an open connection, None if it is not known."""
         return self._descriptors.get(addresses)
 
-    def has_waiting_bytes(self, addresses: ConnectionAddresses) -> bool:
-        """Return whether bytes or the end of an open connection wait to be read."""
+    def may_carry(self, addresses: ConnectionAddresses, call_id: str) -> bool:
+        """Return whether the next answer on an open connection can only be a call's."""
         descriptor = self.find(addresses)
         if descriptor is None:
             return False
-        poll = select.poll()
-        poll.register(descriptor, select.POLLIN)
-        return bool(poll.poll(0))
+        calls = self._calls[descriptor]
+        if len(calls) >= MAX_CALLS or hash(call_id) in calls:
+            return False
+        return not _has_waiting_bytes(descriptor)
+
+
+def _has_waiting_bytes(descriptor: int) -> bool:
+    """Return whether bytes or the end of a connection wait to be read."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -226,7 +226,6 @@
 
     :param call_id: states the request in its response.
     :param decode_head: decodes the status, reason and fields of a response.
-    :param reuse: whether it may be sent on an open connection.
     :param idle_s: open connections that were idle for longer are not used.
     :ivar sent_s: when it was sent, None before that.
     """
@@ -241,7 +240,6 @@
         body: bytes,
         call_id: str,
         decode_head: HeadDecoder,
-        reuse: ConnectionReuse,
         idle_s: float,
         timeout_s: float,
     ) -> None:
@@ -262,7 +260,7 @@
         self._is_paused = False
         self._is_ended = False
         self._is_cancelled = False
-        self._is_refused = False
+        self._is_rejected = False
         self.sent_s: float | None = None
         self._opened_descriptor: int | None = None
         self._is_connection_stale = False
@@ -282,7 +280,7 @@
             timeout_s=timeout_s,
             connect_timeout_s=CONNECT_TIMEOUT_S,
         )
-        self._request = self._make_request(reuse=reuse)
+        self._request = self._make_request(reuse=ConnectionReuse.NO_RESEND)
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -298,7 +296,7 @@
         The upstream may not notice this, and work on it until its time budget ends.
         """
         is_limited = self.loss in (RequestFailure.TIMED_OUT, RequestFailure.TOO_LARGE)
-        return self.was_sent and (self._is_cancelled or self._is_refused or is_limited)
+        return self.was_sent and (self._is_cancelled or self._is_rejected or is_limited)
 
     @property
     def is_connection_kept(self) -> bool:
@@ -428,19 +426,21 @@
         connections = self._client.kept_connections
         # Tornado's own clock is the time of day.
         self.sent_s = self._client.io_loop.asyncio_loop.time()
-        self._descriptor = self._opened_descriptor or connections.find(addresses)
         if self._opened_descriptor is not None:
             connections.record_opened(self._opened_descriptor, addresses)
-        elif not self.was_sent and connections.has_waiting_bytes(addresses):
+        elif not self.was_sent and not connections.may_carry(addresses, self._call_id):
             # Aborting closes the connection; the request is sent on a new one.
             self._is_connection_stale = True
             return pycurl.PREREQFUNC_ABORT
+        self._descriptor = connections.find(addresses)
+        if self._descriptor is not None:
+            connections.record_call(self._descriptor, self._call_id)
         return self._request.check_sending(*addresses)
 
     def _read_line(self, line: bytes) -> int:
         """Called by libcurl for each line; a short count aborts the transfer."""
-        self._is_refused = not self._accept_line(line)
-        return 0 if self._is_refused else len(line)
+        self._is_rejected = not self._accept_line(line)
+        return 0 if self._is_rejected else len(line)
 
     def _accept_line(self, line: bytes) -> bool:
         """Parse a line, and return whether it can be one of the response."""
--- a/packages/gateway/tests/test_kept_connections.py
+++ b/packages/gateway/tests/test_kept_connections.py
@@ -1,7 +1,7 @@
 import socket
 
 import pytest
-from persimmonferry_gateway.kept_connections import KeptConnections
+from persimmonferry_gateway.kept_connections import MAX_CALLS, KeptConnections
 
 
 @pytest.fixture
@@ -26,7 +26,7 @@
     kept = KeptConnections()
     addresses = find_addresses(own)
     kept.record_opened(own.fileno(), addresses)
-    assert not kept.has_waiting_bytes(addresses)
+    assert kept.may_carry(addresses, "c2")
     match event:
         case "bytes":
             other.send(b"x")
@@ -37,15 +37,30 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0" + bytes(4)
             )
             other.close()
-    assert kept.has_waiting_bytes(addresses)
+    assert not kept.may_carry(addresses, "c2")
 
 
 def test_a_descriptor_that_is_used_again_belongs_to_its_new_connection(connection):
     own, other = connection
-    other.send(b"x")
     kept = KeptConnections()
     former = ("127.0.0.1", "127.0.0.1", 1, 2)
     kept.record_opened(own.fileno(), former)
+    kept.record_call(own.fileno(), "c1")
     kept.record_opened(own.fileno(), find_addresses(own))
-    assert not kept.has_waiting_bytes(former)
-    assert kept.has_waiting_bytes(find_addresses(own))
+    assert not kept.may_carry(former, "c1")
+    assert kept.may_carry(find_addresses(own), "c1")
+    other.send(b"x")
+    assert not kept.may_carry(find_addresses(own), "c1")
+
+
+# A call came again on the connection that could carry a copy of its refusal.
+def test_a_call_is_sent_twice_on_one_connection(connection):
+    own, _ = connection
+    kept = KeptConnections()
+    addresses = find_addresses(own)
+    kept.record_opened(own.fileno(), addresses)
+    for number in range(MAX_CALLS):
+        assert kept.may_carry(addresses, f"c{number}")
+        kept.record_call(own.fileno(), f"c{number}")
+        assert not kept.may_carry(addresses, "c0")
+    assert not kept.may_carry(addresses, "another")
