Close a connection whose answer is a refusal

Callers got 502 for calls that met the copy of another call's refusal, as such an answer leaves open whether they ran.

Cause: a refusal is followed by its copy on the same connection, which was kept for the next call.

The transfer is now ended at the last line of a refusal's head, in libcurl's callback: a refusal has mostly no body, so that its connection would be used again before the call handler sees it. What an upstream refused has not been cut off, so that a call goes on at once, as before.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -415,11 +415,9 @@
             self._may_have_run = was_possible
             if head.is_other_upstream and version is not None:
                 context.check_version(record.name)
-            await exchange.read_body()
             error = NotRun(ResultCode.UPSTREAM_REFUSED, f"status {head.status}")
             raise AttemptFailed(error, ran=False)
         if head.reads_as_not_run:
-            await exchange.read_body()
             detail = f"status {head.status}, not stated whether it ran"
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, detail)
             raise AttemptFailed(error, ran=True)
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -208,6 +208,11 @@
     refuses_for_s: float | None = None
     calls_per_s: float | None = None
 
+    @property
+    def is_refusal(self) -> bool:
+        """Whether the call did not run, or its caller would take it so."""
+        return self.did_not_run or self.reads_as_not_run
+
 
 @dataclass(frozen=True)
 class EngineReport:
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -223,6 +223,7 @@
 
     A response that can't be that to the request is aborted at the end of its head, and
     its connection closed, as the later responses on it belong to other requests, too.
+    So is a refusal, as a copy of it would take the place of the next response.
 
     :param call_id: states the request in its response.
     :param decode_head: decodes the status, reason and fields of a response.
@@ -295,6 +296,8 @@
 
         The upstream may not notice this, and work on it until its time budget ends.
         """
+        if self._is_refusal:
+            return False
         is_limited = self.loss in (RequestFailure.TIMED_OUT, RequestFailure.TOO_LARGE)
         return self.was_sent and (self._is_cancelled or self._is_rejected or is_limited)
 
@@ -324,6 +327,11 @@
         """Return what marks the end of the response."""
         return self._lines.framing
 
+    @property
+    def _is_refusal(self) -> bool:
+        is_own = self.head is not None and self.mismatch is None
+        return is_own and self.head.is_refusal
+
     async def wait_for_head(self) -> ResponseHead | None:
         """Wait for the head of the response; return None if it was not complete."""
         while self.head is None and not self._is_ended:
@@ -440,7 +448,7 @@
     def _read_line(self, line: bytes) -> int:
         """Called by libcurl for each line; a short count aborts the transfer."""
         self._is_rejected = not self._accept_line(line)
-        return 0 if self._is_rejected else len(line)
+        return 0 if self._is_rejected or self._is_refusal else len(line)
 
     def _accept_line(self, line: bytes) -> bool:
         """Parse a line, and return whether it can be one of the response."""
