Use no kept connection of an upstream that has answered twice

Cause: each of its kept connections held the copy of an earlier answer, which took the place of the 503 with Retry-After. Each such call closed its own connection only, so the next one met the next copy.

An answer that states a call which its connection has carried before shows that the upstream answers twice. All connections to that address that are open are then closed when they would be used next; later ones are new. An unknown id, or none, shows nothing about other connections.

--- a/packages/gateway/src/persimmonferry_gateway/kept_connections.py
+++ b/packages/gateway/src/persimmonferry_gateway/kept_connections.py
@@ -55,6 +55,20 @@
         """Record that a call is sent on a connection."""
         self._calls[descriptor].append(hash(call_id))
 
+    def record_answer(self, descriptor: int, call_id: str) -> None:
+        """
+        Record that the answer to the last call on a connection states another call.
+
+        If the connection has carried that call, its upstream sends answers twice. Their
+        copies may wait on its other connections, so none of those is used again.
+        """
+        if hash(call_id) not in self._calls[descriptor]:
+            return
+        remote_ip, _, remote_port, _ = self._addresses[descriptor]
+        for addresses in self._addresses.values():
+            if (addresses[0], addresses[2]) == (remote_ip, remote_port):
+                self._descriptors.pop(addresses, None)
+
     def find(self, addresses: ConnectionAddresses) -> int | None:
         """Return the descriptor of an open connection, None if it is not known."""
         return self._descriptors.get(addresses)
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -466,6 +466,9 @@
         )
         self._has_length = self._lines.framing is Framing.LENGTH
         self.mismatch = find_mismatch(self.head, self._call_id)
+        if self.mismatch is Mismatch.OTHER_CALL and self._descriptor is not None:
+            connections = self._client.kept_connections
+            connections.record_answer(self._descriptor, self.head.call_id)
         self._progress.set()
         return self.mismatch is None
 
