Log a fingerprint of each call

`call ended` has the id of a call, which differs each time, its route and its account, but neither its path nor its body. No decision reads it yet.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -1,6 +1,7 @@
 """Handles one call from its arrival to its outcome: answered, not run or unknown."""
 
 import asyncio
+import functools
 import logging
 import random
 from collections.abc import Callable
@@ -25,6 +26,7 @@
 )
 from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
 from persimmonferry_core.fetch_sources import choose_fetch_timeout, is_fetch_faster
+from persimmonferry_core.fingerprints import format_hash, hash_call
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.prompt_quarantine import PromptQuarantine
 
@@ -227,6 +229,13 @@
         if failure.ran:
             self.notes.losses.append(self._progress)
 
+    @functools.cached_property
+    def _fingerprint(self) -> int:
+        """Hash that is equal for calls of one caller with the same path and body."""
+        call = self._call
+        account = self._account.name if self._account else ""
+        return hash_call(call.method, call.host, call.target, account, call.body)
+
     def _list_shared_parts(self) -> list[str]:
         prompt = self._call.prompt
         return [part.name for part in prompt.shared_parts] if prompt else []
@@ -235,6 +244,7 @@
         notes, begin_s = self.notes, self._arrival_s
         fields = {
             "call": self._call.call_id,
+            "fingerprint": format_hash(self._fingerprint),
             "route": self._route.name,
             "service": self._service,
             "account": self._account.name if self._account else None,
