--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -3,10 +3,10 @@
 import random
 from functools import partial
 
-from persimmonferry_core.prompt_quarantine import (
+from persimmonferry_core.quarantine import (
     MAX_PATTERNS,
-    PromptCrash,
-    PromptQuarantine,
+    Crash,
+    Quarantine,
 )
 
 from bench.capacity import measure_time
@@ -28,11 +28,11 @@
     """
     generator = random.Random(seed)
     names = [f"e{number}" for number in range(entries)]
-    quarantines = [PromptQuarantine(name) for name in names]
+    quarantines = [Quarantine(name) for name in names]
     for quarantine in quarantines:
         quarantine.set_entries(names)
     crashed, refused = [], 0
-    answers: list[tuple[float, PromptQuarantine, frozenset[int]]] = []
+    answers: list[tuple[float, Quarantine, frozenset[int]]] = []
     for step in range(int(DURATION_S / STEP_S)):
         now = step * STEP_S
         while answers and answers[0][0] <= now:
@@ -41,7 +41,7 @@
                 quarantine.record_answer(parts, at_s)
                 continue
             crashed.append(at_s)
-            crash = PromptCrash(f"u{len(crashed)}", 1, parts, at_s)
+            crash = Crash(f"u{len(crashed)}", 1, parts, at_s)
             for other in quarantines:
                 other.record_crash(crash, at_s + MESSAGE_S)
         if generator.random() >= prompts_per_s * STEP_S:
@@ -74,10 +74,10 @@
     """Measure the time of a check and of an answer, without and with patterns."""
     rows = []
     for patterns in (0, 1, MAX_PATTERNS):
-        quarantine = PromptQuarantine("e1")
+        quarantine = Quarantine("e1")
         for number in range(patterns):
             parts = frozenset((100 + 2 * number, 101 + 2 * number))
-            crash = PromptCrash(f"u{number}", 1, parts, 0.0)
+            crash = Crash(f"u{number}", 1, parts, 0.0)
             quarantine.record_crash(crash, 0.0)
         parts = frozenset((COMMON, SUBJECT))
         check = measure_time(partial(quarantine.find_wait, parts, 1.0))
--- a/packages/core/src/persimmonferry_core/codes.py
+++ b/packages/core/src/persimmonferry_core/codes.py
@@ -75,8 +75,8 @@
     UPSTREAM_BUSY = _Meaning(2022, 503, Ran.NO, "the upstream has no free slot")
     HEAD_TOO_LARGE = _Meaning(2023, 431, Ran.NO, "the head of the request is too large")
     UNKNOWN_ROUTE = _Meaning(2024, 404, Ran.NO, "no such route")
-    PROMPT_QUARANTINED = _Meaning(
-        2025, 503, Ran.NO, "engines crashed on parts of this prompt"
+    CALL_QUARANTINED = _Meaning(
+        2025, 503, Ran.NO, "upstreams crashed on this call or on parts of its prompt"
     )
     FENCING_REFUSED = _Meaning(2021, 409, Ran.NO, "the fencing token is outdated")
 
--- a/packages/core/src/persimmonferry_core/prompt_quarantine.py
+++ b/packages/core/src/persimmonferry_core/quarantine.py
@@ -11,8 +11,8 @@
 
 __all__ = [
     "RETENTION_S",
-    "PromptCrash",
-    "PromptQuarantine",
+    "Crash",
+    "Quarantine",
     "QuarantinedParts",
     "hash_parts",
 ]
@@ -59,7 +59,7 @@
 
 
 @dataclass(frozen=True)
-class PromptCrash:
+class Crash:
     """
     The loss of an answer that had begun, but had no content yet.
 
@@ -137,7 +137,7 @@
         return self.last_s + (RETENTION_S if self.is_quarantined else SUSPICION_S)
 
 
-class PromptQuarantine:
+class Quarantine:
     """
     Refuses prompts with parts that crash the engines which answer them.
 
@@ -152,10 +152,10 @@
 
     :param entry: name of the entry that decides.
 
-    >>> quarantine = PromptQuarantine("e1")
-    >>> quarantine.record_crash(PromptCrash("u1", 1, frozenset({7, 8}), 1.0), 1.0)
+    >>> quarantine = Quarantine("e1")
+    >>> quarantine.record_crash(Crash("u1", 1, frozenset({7, 8}), 1.0), 1.0)
     True
-    >>> quarantine.record_crash(PromptCrash("u2", 1, frozenset({6, 8}), 2.0), 2.0)
+    >>> quarantine.record_crash(Crash("u2", 1, frozenset({6, 8}), 2.0), 2.0)
     True
     >>> quarantine.find_wait(frozenset({5, 8}), 3.0)
     19.0
@@ -180,7 +180,7 @@
         self._entries = frozenset(entries) | {self._entry}
         self._places.clear()
 
-    def drop_answered(self, crash: PromptCrash) -> PromptCrash:
+    def drop_answered(self, crash: Crash) -> Crash:
         """Return a crash without the parts that this entry observed to be sound."""
         oldest_s = crash.lost_s - ANSWER_AGE_S
         parts = frozenset(
@@ -190,7 +190,7 @@
         )
         return replace(crash, parts=parts)
 
-    def record_crash(self, crash: PromptCrash, now: float) -> bool:
+    def record_crash(self, crash: Crash, now: float) -> bool:
         """
         Record a crash that this entry or another one has observed.
 
--- a/packages/core/tests/test_prompt_quarantine.py
+++ b/packages/core/tests/test_quarantine.py
@@ -3,14 +3,14 @@
 import random
 
 import pytest
-from persimmonferry_core.prompt_quarantine import (
+from persimmonferry_core.quarantine import (
     FIRST_TEST_S,
     MAX_PATTERNS,
     RETENTION_S,
     SUSPICION_S,
     TEST_INTERVAL_S,
-    PromptCrash,
-    PromptQuarantine,
+    Crash,
+    Quarantine,
     QuarantinedParts,
 )
 
@@ -19,11 +19,11 @@
 
 
 def crash(number, parts=CRASHING, lost_s=None):
-    return PromptCrash(f"u{number}", 1, frozenset(parts), lost_s or float(number))
+    return Crash(f"u{number}", 1, frozenset(parts), lost_s or float(number))
 
 
 def make_quarantined(*crashes, entry="e1"):
-    quarantine = PromptQuarantine(entry)
+    quarantine = Quarantine(entry)
     for item in crashes or (crash(1), crash(2)):
         quarantine.record_crash(item, item.lost_s)
     return quarantine
@@ -56,7 +56,7 @@
 
 
 def test_parts_that_were_answered_shortly_before_a_crash_are_sound():
-    quarantine = PromptQuarantine("e1")
+    quarantine = Quarantine("e1")
     quarantine.record_answer(frozenset((COMMON,)), 0.5)
     for item in (crash(1), crash(2, (COMMON, OTHER, 9))):
         quarantine.record_crash(item, item.lost_s)
@@ -72,7 +72,7 @@
 
 
 def test_an_entry_with_few_prompts_receives_which_parts_are_sound():
-    idle, busy = PromptQuarantine("e1"), PromptQuarantine("e2")
+    idle, busy = Quarantine("e1"), Quarantine("e2")
     for item in (crash(1, (COMMON, 8)), crash(2, (COMMON, 9))):
         idle.record_crash(item, item.lost_s)
         busy.record_crash(item, item.lost_s)
@@ -85,7 +85,7 @@
 
 
 def test_an_entry_that_quarantined_nothing_releases_a_sound_part_of_others():
-    one, other = PromptQuarantine("e1"), PromptQuarantine("e2")
+    one, other = Quarantine("e1"), Quarantine("e2")
     sound = frozenset((SUBJECT,))
     other.record_answer(sound, 0.5)
     for item in (crash(1, sound), crash(2, sound)):
@@ -98,7 +98,7 @@
 
 # A common part was quarantined when few engines were left to answer prompts with it.
 def test_a_repeated_report_brings_no_part_back_that_was_answered_since():
-    quarantine = PromptQuarantine("e1")
+    quarantine = Quarantine("e1")
     quarantine.record_answer(frozenset((COMMON,)), 0.5)
     assert quarantine.record_crash(crash(1), 1.0)
     assert quarantine.record_crash(crash(4, (COMMON, 9)), 4.0)
@@ -108,7 +108,7 @@
 
 
 def test_parts_that_were_answered_are_not_reported():
-    quarantine = PromptQuarantine("e1")
+    quarantine = Quarantine("e1")
     quarantine.record_answer(frozenset((COMMON,)), 0.5)
     assert quarantine.drop_answered(crash(1)).parts == CRASHING - {COMMON}
 
@@ -125,7 +125,7 @@
 
 def test_two_parts_that_crash_engines_are_both_quarantined():
     first, second = frozenset((COMMON, 5)), frozenset((COMMON, 6))
-    quarantine = PromptQuarantine("e1")
+    quarantine = Quarantine("e1")
     for number, parts in enumerate((first, second, first, second), 1):
         quarantine.record_crash(crash(number, parts), float(number))
         quarantine.record_answer(frozenset((COMMON,)), number + 0.2)
@@ -177,7 +177,7 @@
 
 
 def test_restored_parts_are_refused_and_a_crash_of_them_counts():
-    quarantine = PromptQuarantine("e1")
+    quarantine = Quarantine("e1")
     quarantine.restore(QuarantinedParts(CRASHING, 2), 100.0)
     assert quarantine.find_wait(CRASHING, 101.0) == FIRST_TEST_S - 1.0
     quarantine.restore(QuarantinedParts(CRASHING, 2), 110.0)
@@ -187,7 +187,7 @@
 
 
 def test_any_stored_number_of_crashes_is_accepted():
-    quarantine = PromptQuarantine("e1")
+    quarantine = Quarantine("e1")
     quarantine.restore(QuarantinedParts(CRASHING, 10**9), 0.0)
     assert quarantine.find_wait(CRASHING, 0.0) == 300.0
 
@@ -207,7 +207,7 @@
 def test_engines_that_crash_for_other_causes_quarantine_no_common_part(seed):
     """Each entry observes its own answers, and all crashes after a delay."""
     draw = random.Random(seed)
-    quarantine = PromptQuarantine("e1")
+    quarantine = Quarantine("e1")
     refused = 0
     for step in range(600):
         now = 0.1 * step
--- a/packages/core/tests/test_quarantine_histories.py
+++ b/packages/core/tests/test_quarantine_histories.py
@@ -5,7 +5,7 @@
 import random
 
 import pytest
-from persimmonferry_core.prompt_quarantine import PromptCrash, PromptQuarantine
+from persimmonferry_core.quarantine import Crash, Quarantine
 
 # The bounds of the users' rules BUDGET and LOST.
 CRASHES = 5
@@ -44,7 +44,7 @@
         self._upstreams = itertools.count()
 
     def start(self, name):
-        quarantine = PromptQuarantine(name)
+        quarantine = Quarantine(name)
         quarantine.set_entries(self.names)
         return quarantine
 
@@ -97,7 +97,7 @@
             return
         if cause is not None:
             self.crashed[cause].append(now)
-        crash = PromptCrash(f"u{next(self._upstreams)}", 1, parts, now)
+        crash = Crash(f"u{next(self._upstreams)}", 1, parts, now)
         self.quarantines[index].record_crash(crash, now)
         self.reporters[crash] = index
         for other in range(len(self.names)):
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -28,7 +28,7 @@
 from persimmonferry_core.fetch_sources import choose_fetch_timeout, is_fetch_faster
 from persimmonferry_core.fingerprints import format_hash, hash_call
 from persimmonferry_core.incoming import IncomingCall
-from persimmonferry_core.prompt_quarantine import PromptQuarantine
+from persimmonferry_core.quarantine import Quarantine
 
 from persimmonferry_gateway.answer_identity import AnswerFinder
 from persimmonferry_gateway.answer_memory import Place
@@ -113,7 +113,7 @@
     record_limit: Callable[[UpstreamRecord, ResponseHead, float], None]
     find_fetch_deadline: Callable[[float], float | None]
     find_weights_left: Callable[[str, int], float | None]
-    quarantine: PromptQuarantine
+    quarantine: Quarantine
     crash_reports: CrashReports
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
     waiting_parts: dict[str, frozenset[int]] = field(default_factory=dict)
--- a/packages/gateway/src/persimmonferry_gateway/crash_reports.py
+++ b/packages/gateway/src/persimmonferry_gateway/crash_reports.py
@@ -8,10 +8,10 @@
 from dataclasses import dataclass
 
 from persimmonferry_core.exceptions import PlatformError, SwapConflict
-from persimmonferry_core.prompt_quarantine import (
+from persimmonferry_core.quarantine import (
     RETENTION_S,
-    PromptCrash,
-    PromptQuarantine,
+    Crash,
+    Quarantine,
     QuarantinedParts,
     hash_parts,
 )
@@ -56,11 +56,11 @@
 
     def __init__(
         self,
-        quarantine: PromptQuarantine,
+        quarantine: Quarantine,
         registry: Registry,
         prefix: str,
         read_clock: Callable[[], float],
-        announce_crash: Callable[[PromptCrash], None],
+        announce_crash: Callable[[Crash], None],
         announce_sound: Callable[[frozenset[int]], None],
         notify: Callable[[], None],
     ) -> None:
@@ -94,7 +94,7 @@
         now = self._read_clock()
         names = tuple(names)
         crash = self._quarantine.drop_answered(
-            PromptCrash(upstream, incarnation, hash_parts(names), now)
+            Crash(upstream, incarnation, hash_parts(names), now)
         )
         if not self._quarantine.record_crash(crash, now):
             return
@@ -121,7 +121,7 @@
         self._is_changed.set()
 
     def receive(
-        self, crashes: tuple[PromptCrash, ...], sound: frozenset[int], sender: str
+        self, crashes: tuple[Crash, ...], sound: frozenset[int], sender: str
     ) -> None:
         """Apply what another gateway has observed."""
         now = self._read_clock()
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -12,7 +12,7 @@
 from persimmonferry_core.dispatch import Dispatcher, Refused
 from persimmonferry_core.exceptions import FerryError, NotRun
 from persimmonferry_core.incoming import IncomingCall
-from persimmonferry_core.prompt_quarantine import PromptCrash, PromptQuarantine
+from persimmonferry_core.quarantine import Crash, Quarantine
 from persimmonferry_core.retries import RetryPolicy
 from persimmonferry_core.retry_shares import RetryShares
 from persimmonferry_core.schema import TeamDocument
@@ -138,7 +138,7 @@
             self._record_peer_limit,
             self._record_peer_crashes,
         )
-        self._quarantine = PromptQuarantine(settings.name)
+        self._quarantine = Quarantine(settings.name)
         self._crash_reports = CrashReports(
             self._quarantine,
             registry,
@@ -424,7 +424,7 @@
         return self._cluster.record_limit(notice, sender, self._loop.time())
 
     def _record_peer_crashes(
-        self, crashes: tuple[PromptCrash, ...], sound: frozenset[int], sender: str
+        self, crashes: tuple[Crash, ...], sound: frozenset[int], sender: str
     ) -> None:
         self._crash_reports.receive(crashes, sound, sender)
 
@@ -434,7 +434,7 @@
         for request_id, parts in tuple(self._context.waiting_parts.items()):
             wait_s = self._quarantine.find_wait(parts, now)
             if wait_s is not None:
-                code = ResultCode.PROMPT_QUARANTINED
+                code = ResultCode.CALL_QUARANTINED
                 self._resolve(request_id, Refused(request_id, code, wait_s))
 
     def _check_version(self, upstream: str) -> None:
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -8,7 +8,7 @@
 
 from persimmonferry_core.cache_stores import PartEvent, StoreUpdate
 from persimmonferry_core.dispatch import Dispatcher
-from persimmonferry_core.prompt_quarantine import PromptCrash
+from persimmonferry_core.quarantine import Crash
 from persimmonferry_core.topology import Address
 from persimmonferry_core.upstream_limits import LimitNotice
 from persimmonferry_core.upstream_subsets import UpstreamSubsets
@@ -123,14 +123,14 @@
         record_version: Callable[[str, int, float], None],
         apply_update: Callable[[StoreUpdate], None],
         record_limit: Callable[[LimitNotice, str], bool],
-        record_crashes: Callable[[tuple[PromptCrash, ...], frozenset[int], str], None],
+        record_crashes: Callable[[tuple[Crash, ...], frozenset[int], str], None],
     ) -> None:
         self._record_version = record_version
         self._record_limit = record_limit
         self._own_notices: dict[str, _OwnNotice] = {}
         self._record_crashes = record_crashes
         # How often each crash is still to be announced.
-        self._own_crashes: dict[PromptCrash, int] = {}
+        self._own_crashes: dict[Crash, int] = {}
         self._apply_update = apply_update
         self._updates: list[StoreUpdate] = []
         # Retained longer than the work that a peer reported.
@@ -289,7 +289,7 @@
         if is_changed:
             self._send_limits((own,))
 
-    def announce_crash(self, crash: PromptCrash) -> None:
+    def announce_crash(self, crash: Crash) -> None:
         """Announce to all gateways that an engine was lost with a prompt."""
         self._own_crashes[crash] = CRASH_REPETITIONS
         self._send_crash(crash)
@@ -366,7 +366,7 @@
     def _handle_crashes(self, payload: CrashNews) -> None:
         now = self._loop.time()
         crashes = tuple(
-            PromptCrash(
+            Crash(
                 item.upstream,
                 item.incarnation,
                 frozenset(item.parts),
@@ -533,7 +533,7 @@
                 del self._own_crashes[crash]
         self._call_later("crashes", self._repetition_interval_s, self._repeat_crashes)
 
-    def _send_crash(self, crash: PromptCrash) -> None:
+    def _send_crash(self, crash: Crash) -> None:
         age_ms = round((self._loop.time() - crash.lost_s) * MS_PER_S)
         item = CrashedPrompt(
             crash.upstream, crash.incarnation, age_ms, sorted(crash.parts)
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -7,7 +7,7 @@
 from persimmonferry_core.deployment import UpstreamRecord
 from persimmonferry_core.dispatch import Assignment, PromptRequest, Refused
 from persimmonferry_core.exceptions import NotRun
-from persimmonferry_core.prompt_quarantine import hash_parts
+from persimmonferry_core.quarantine import hash_parts
 from persimmonferry_core.runs import RunEnd
 
 from persimmonferry_gateway.call_handler import AttemptFailed, CallHandler
@@ -61,7 +61,7 @@
         context = self._context
         wait_s = context.quarantine.find_wait(parts, context.read_clock())
         if wait_s is not None:
-            raise NotRun(ResultCode.PROMPT_QUARANTINED, "", wait_s)
+            raise NotRun(ResultCode.CALL_QUARANTINED, "", wait_s)
 
     def _report_crash(self, record: UpstreamRecord, failure: AttemptFailed) -> None:
         """Report an engine that was lost after it had begun an answer."""
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -4,7 +4,7 @@
 from persimmonferry_core.admission import PromptRequest
 from persimmonferry_core.cache_stores import PartEvent, StoreUpdate
 from persimmonferry_core.dispatch import Dispatcher
-from persimmonferry_core.prompt_quarantine import PromptCrash
+from persimmonferry_core.quarantine import Crash
 from persimmonferry_core.schema import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.topology import Address
 from persimmonferry_core.upstream_limits import LimitNotice
@@ -271,7 +271,7 @@
         # The first repetition has nothing to announce yet.
         await asyncio.sleep(0.1)
         now = asyncio.get_running_loop().time()
-        crash = PromptCrash("u1", 4, frozenset((-7, 8)), now)
+        crash = Crash("u1", 4, frozenset((-7, 8)), now)
         one.exchange.announce_crash(crash)
         await wait_until(lambda: other.crashes, timeout_s=0.3)
         other.crashes.clear()
