Quarantine calls that crash upstreams

Callers lost sound calls: one request (same path, caller and body, another id each time) crashed each worker that ran it, on each attempt and each time that it came again, and with them all other calls there.

Cause: the quarantine knew prompts by their shared parts, once their answer had begun; nothing remembered a call that an upstream had ended without an answer, and a call was repeated at the next upstream after it. Now the fingerprint of a call is one more part that only equal calls have: a connection that the upstream ends or resets before a whole head is a crash of it, for prompts also one before the first content; any whole answer clears it. After two crashes equal calls are refused at all gateways, and nothing is sent again. After one, a call may still be repeated, as a crash ends all calls at its upstream. Messages to the other gateways, entries of the registry and tests are those of the parts; crashes and answers of the same 10 ms share datagrams.

--- a/packages/core/src/persimmonferry_core/fingerprints.py
+++ b/packages/core/src/persimmonferry_core/fingerprints.py
@@ -2,26 +2,27 @@
 
 import hashlib
 
+from persimmonferry_core.incoming import IncomingCall
+
 __all__ = ["HASH_BYTES", "format_hash", "hash_call"]
 
 HASH_BYTES = 8
 _MAX_HASH = (1 << 8 * HASH_BYTES) - 1
 
 
-def hash_call(method: str, host: str, target: str, account: str, body: bytes) -> int:
+def hash_call(call: IncomingCall, account: str) -> int:
     """
-    Return a signed number that stands for a call; its id is not a part of it.
+    Return a signed number that stands for a call of an account.
 
-    >>> first = hash_call("GET", "shop.example", "/list", "a1", b"")
-    >>> first == hash_call("GET", "shop.example", "/list", "a1", b"")
-    True
-    >>> first == hash_call("GET", "shop.example", "/list", "a2", b"")
-    False
+    The call's id and its other headers are not a part of it, but the parts of a prompt
+    are: they stand for its text.
     """
+    parts = call.prompt.parts if call.prompt else ()
+    names = " ".join(part.name for part in parts)
     # No field but the body can contain a line feed.
-    head = "\n".join((method, host.lower(), target, account, ""))
+    head = "\n".join((call.method, call.host, call.target, account, names, ""))
     digest = hashlib.blake2b(head.encode(errors="replace"), digest_size=HASH_BYTES)
-    digest.update(body)
+    digest.update(call.body)
     return int.from_bytes(digest.digest(), "big", signed=True)
 
 
--- a/packages/core/tests/test_quarantine.py
+++ b/packages/core/tests/test_quarantine.py
@@ -6,6 +6,9 @@
 from persimmonferry_core.quarantine import (
     FIRST_TEST_S,
     MAX_PATTERNS,
+    MAX_RECEIVED,
+    MAX_REPORTED,
+    MAX_SINGLES,
     RETENTION_S,
     SUSPICION_S,
     TEST_INTERVAL_S,
@@ -186,6 +189,16 @@
     assert quarantine.find_wait(CRASHING, 120.0) == 2 * FIRST_TEST_S
 
 
+# A call stayed refused at gateways that received its stored entry after its answer.
+def test_an_entry_that_arrives_after_an_answer_restores_nothing():
+    quarantine = make_quarantined()
+    quarantine.record_sound(CRASHING, 3.0)
+    quarantine.restore(QuarantinedParts(CRASHING, 2), 3.1)
+    assert quarantine.find_wait(CRASHING, 3.2) is None
+    quarantine.restore(QuarantinedParts(CRASHING, 2), 7.0)
+    assert quarantine.find_wait(CRASHING, 7.1) is not None
+
+
 def test_any_stored_number_of_crashes_is_accepted():
     quarantine = Quarantine("e1")
     quarantine.restore(QuarantinedParts(CRASHING, 10**9), 0.0)
@@ -219,3 +232,76 @@
             quarantine.record_answer(parts, now)
     assert refused <= 60
     assert quarantine.find_wait(frozenset((COMMON, 9)), 60.0) is None
+
+
+def report(quarantine, upstream, fingerprints, now):
+    """Report the calls that were lost with an upstream."""
+    for fingerprint in fingerprints:
+        crash = Crash(upstream, 1, frozenset((fingerprint,)), now)
+        quarantine.record_crash(quarantine.drop_answered(crash), now)
+
+
+# Sound calls were refused that ran at the same upstreams as one that crashes them.
+def test_of_six_calls_at_each_upstream_that_crashes_only_the_common_one_is_refused():
+    quarantine = Quarantine("e1")
+    for number in range(3):
+        sound = range(100 + 5 * number, 105 + 5 * number)
+        report(quarantine, f"u{number}", (BAD, *sound), float(number))
+    assert quarantine.find_wait(frozenset((BAD,)), 3.0) is not None
+    waits = [quarantine.find_wait(frozenset((item,)), 3.0) for item in range(100, 115)]
+    assert not any(waits)
+
+
+# Load pattern: many callers read one list, and connections of all upstreams are reset.
+@pytest.mark.parametrize("seed", range(10))
+def test_equal_sound_calls_are_rarely_refused_where_connections_are_reset(seed):
+    draw = random.Random(seed)
+    quarantines = [Quarantine(f"e{number}") for number in range(5)]
+    refused = 0
+    for step in range(1200):
+        now = 0.05 * step
+        sender = draw.choice(quarantines)
+        parts = frozenset((SUBJECT,))
+        if sender.find_wait(parts, now) is not None:
+            refused += 1
+        elif draw.random() < 0.3:
+            found = sender.drop_answered(Crash(f"u{step}", 1, parts, now))
+            for quarantine in quarantines if found.parts else ():
+                quarantine.record_crash(found, now + 0.01)
+        else:
+            sound = sender.record_answer(parts, now)
+            for quarantine in quarantines if sound else ():
+                quarantine.record_sound(sound, now + 0.01)
+    assert refused <= 60
+
+
+def test_an_answer_clears_a_call_that_was_lost_with_two_upstreams():
+    quarantine = Quarantine("e1")
+    for number in (1, 2):
+        report(quarantine, f"u{number}", (BAD, OTHER), float(number))
+    assert quarantine.find_wait(frozenset((OTHER,)), 2.5) is not None
+    assert quarantine.record_answer(frozenset((OTHER,)), 3.0) == {OTHER}
+    assert quarantine.find_wait(frozenset((OTHER,)), 3.0) is None
+    assert quarantine.find_wait(frozenset((BAD,)), 3.0) is not None
+    # The test after a while crashes no upstream any more.
+    parts = frozenset((BAD,))
+    assert quarantine.find_wait(parts, 2.0 + FIRST_TEST_S) is None
+    quarantine.record_sent(parts, 2.0 + FIRST_TEST_S)
+    quarantine.record_answer(parts, 2.1 + FIRST_TEST_S)
+    assert quarantine.list_quarantined() == ()
+
+
+# Load pattern: a flood of calls, all different, beside one that crashes upstreams.
+def test_thousands_of_lost_calls_do_not_replace_a_quarantined_one():
+    quarantine = Quarantine("e1")
+    report(quarantine, "u1", (BAD,), 0.1)
+    report(quarantine, "u2", (BAD,), 0.2)
+    for number in range(3 * MAX_SINGLES):
+        report(quarantine, f"v{number}", (1000 + number,), 0.3 + 0.001 * number)
+        assert len(quarantine._singles) <= MAX_SINGLES
+    now = 0.3 + 0.003 * MAX_SINGLES
+    assert quarantine.find_wait(frozenset((BAD,)), now) is not None
+    assert len(quarantine._received_s) <= MAX_RECEIVED
+    assert len(quarantine._reported_s) <= MAX_REPORTED
+    assert quarantine.find_wait(frozenset((5,)), now + SUSPICION_S) is None
+    assert set(quarantine._singles) == {BAD}
--- a/packages/core/tests/test_quarantine_histories.py
+++ b/packages/core/tests/test_quarantine_histories.py
@@ -7,8 +7,9 @@
 import pytest
 from persimmonferry_core.quarantine import Crash, Quarantine
 
-# The bounds of the users' rules BUDGET and LOST.
+# The bounds of the users' rules BUDGET and LOST, for parts and for whole calls.
 CRASHES = 5
+CALL_CRASHES = 3
 CONTACT_S = 3.0
 ALLOWED_LATER_PROMPTS = 3
 MIN_BEGUN_SHARE = 0.5
@@ -16,6 +17,9 @@
 REPETITIONS = 6
 BAD_PARTS = (1, 2)
 COMMON_PARTS = (3, 4)
+# Fingerprint of a call that crashes upstreams, and of sound ones that come again.
+DEADLY = 5
+SOUND_CALLS = range(200, 240)
 
 
 class History:
@@ -35,9 +39,10 @@
         self.frozen_s = self.draw.uniform(5.0, 15.0)
         self.resumed_s = self.frozen_s + self.draw.choice((3.0, 8.0))
         self.restart_s = self.draw.uniform(10.0, 50.0)
-        self.sent_bad = {part: [] for part in BAD_PARTS}
-        self.crashed = {part: [] for part in BAD_PARTS}
+        self.sent_bad = {part: [] for part in (*BAD_PARTS, DEADLY)}
+        self.crashed = {part: [] for part in (*BAD_PARTS, DEADLY)}
         self.sound = []
+        self.sound_calls = []
         self.reporters = {}
         self._events = []
         self._order = itertools.count()
@@ -57,6 +62,7 @@
         while now < DURATION_S:
             now += self.draw.expovariate(prompts_per_s)
             self.at(now, self.send)
+            self.at(now, self.send_call)
         while self._events:
             now, _, act, arguments = heapq.heappop(self._events)
             act(now, *arguments)
@@ -89,6 +95,32 @@
         answered_s = now + self.draw.uniform(0.1, 0.6)
         self.at(answered_s, self.answer, index, parts, is_lost, cause if bad else None)
 
+    def send_call(self, now):
+        """Send a call without a prompt; some crash their upstream with others on it."""
+        index = self.draw.randrange(len(self.names))
+        if index == self.frozen and self.frozen_s <= now < self.resumed_s:
+            return
+        is_deadly = self.draw.random() < 0.06
+        fingerprint = DEADLY if is_deadly else self.draw.choice(SOUND_CALLS)
+        parts = frozenset((fingerprint,))
+        is_sent = self.quarantines[index].find_wait(parts, now) is None
+        if not is_deadly:
+            self.sound_calls.append((now, is_sent))
+        if not is_sent:
+            return
+        self.quarantines[index].record_sent(parts, now)
+        answered_s = now + self.draw.uniform(0.02, 0.1)
+        if not is_deadly:
+            is_lost = self.draw.random() < 0.02
+            self.at(answered_s, self.answer, index, parts, is_lost, None)
+            return
+        self.sent_bad[DEADLY].append(now)
+        self.at(answered_s, self.answer, index, parts, True, DEADLY)
+        for _ in range(5):
+            index = self.draw.randrange(len(self.names))
+            parts = frozenset((self.draw.choice(SOUND_CALLS),))
+            self.at(answered_s, self.answer, index, parts, True, None)
+
     def answer(self, now, index, parts, is_lost, cause):
         if not is_lost:
             sound = self.quarantines[index].record_answer(parts, now)
@@ -97,8 +129,10 @@
             return
         if cause is not None:
             self.crashed[cause].append(now)
-        crash = Crash(f"u{next(self._upstreams)}", 1, parts, now)
-        self.quarantines[index].record_crash(crash, now)
+        lost = Crash(f"u{next(self._upstreams)}", 1, parts, now)
+        crash = self.quarantines[index].drop_answered(lost)
+        if not self.quarantines[index].record_crash(crash, now):
+            return
         self.reporters[crash] = index
         for other in range(len(self.names)):
             arrivals = (
@@ -132,11 +166,12 @@
 def test_random_histories_keep_the_bounds(entries, seed):
     history = History(seed, entries)
     history.run(prompts_per_s=15.0 + entries)
-    for cause in BAD_PARTS:
-        crashed_s = history.crashed[cause]
-        if len(crashed_s) >= CRASHES:
-            bound_s = crashed_s[CRASHES - 1] + CONTACT_S
+    for cause, crashed_s in history.crashed.items():
+        crashes = CALL_CRASHES if cause == DEADLY else CRASHES
+        if len(crashed_s) >= crashes:
+            bound_s = crashed_s[crashes - 1] + CONTACT_S
             later = [at_s for at_s in history.sent_bad[cause] if at_s > bound_s]
             assert len(later) <= ALLOWED_LATER_PROMPTS
-    later = [is_sent for at_s, is_sent in history.sound if at_s > 2 * CONTACT_S]
-    assert sum(later) / len(later) >= MIN_BEGUN_SHARE
+    for sound in (history.sound, history.sound_calls):
+        later = [is_sent for at_s, is_sent in sound if at_s > 2 * CONTACT_S]
+        assert sum(later) / len(later) >= MIN_BEGUN_SHARE
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -232,9 +232,38 @@
     @functools.cached_property
     def _fingerprint(self) -> int:
         """Hash that is equal for calls of one caller with the same path and body."""
-        call = self._call
-        account = self._account.name if self._account else ""
-        return hash_call(call.method, call.host, call.target, account, call.body)
+        return hash_call(self._call, self._account.name if self._account else "")
+
+    def _find_parts(self) -> frozenset[int]:
+        """Return the hashes for which the call may be quarantined."""
+        return frozenset((self._fingerprint,))
+
+    def _check_quarantine(self) -> None:
+        """
+        Refuse a call that is quarantined.
+
+        :raises NotRun: with the time for which it stays quarantined.
+        """
+        context = self._context
+        wait_s = context.quarantine.find_wait(self._find_parts(), context.read_clock())
+        if wait_s is not None:
+            raise NotRun(ResultCode.CALL_QUARANTINED, "", wait_s)
+
+    def _report_crash(self, record: UpstreamRecord, failure: AttemptFailed) -> None:
+        """Report an upstream that was lost before it had begun an answer."""
+        is_lost = failure.ran and self._exchange.is_ended_by_upstream
+        if is_lost and not self._is_withdrawn:
+            self._report_lost_parts(record, frozenset((self._fingerprint,)))
+
+    def _report_lost_parts(self, record: UpstreamRecord, parts: frozenset[int]) -> None:
+        self._context.crash_reports.report_crash(
+            record.name, record.incarnation, parts, self._call.call_id
+        )
+
+    def _report_answer(self) -> None:
+        """Report that an upstream answers the call."""
+        parts = frozenset((self._fingerprint,))
+        self._context.crash_reports.report_answer(parts)
 
     def _list_shared_parts(self) -> list[str]:
         prompt = self._call.prompt
@@ -550,6 +579,7 @@
             raise self._refuse_answer(exchange, "another answer in the body")
         if exchange.ends_in_another:
             raise self._refuse_answer(exchange, "body completed by another answer")
+        self._report_answer()
         if head.status >= 500 and self._can_repeat():
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
             raise AttemptFailed(error, ran=True)
@@ -579,6 +609,7 @@
             if self._progress is not AttemptProgress.CONTENT_RECEIVED:
                 self._progress = AttemptProgress.CONTENT_RECEIVED
                 self.notes.attempts[-1].first_s = self._context.read_clock()
+                self._report_answer()
                 self._record_content()
             if not self._caller.is_head_sent:
                 self.notes.first_s = self._context.read_clock()
--- a/packages/gateway/src/persimmonferry_gateway/crash_reports.py
+++ b/packages/gateway/src/persimmonferry_gateway/crash_reports.py
@@ -1,4 +1,4 @@
-"""Reports which prompts crashed engines, and stores the quarantined parts."""
+"""Reports which calls crashed upstreams, and stores what is quarantined."""
 
 import asyncio
 import hashlib
@@ -8,15 +8,16 @@
 from dataclasses import dataclass
 
 from persimmonferry_core.exceptions import PlatformError, SwapConflict
+from persimmonferry_core.fingerprints import format_hash
 from persimmonferry_core.quarantine import (
     RETENTION_S,
     Crash,
     Quarantine,
     QuarantinedParts,
-    hash_parts,
 )
 from persimmonferry_daemon.periodic import BackgroundTask
 
+from persimmonferry_gateway.call_log import RateLimitedLog
 from persimmonferry_gateway.interfaces import Item, Registry, Snapshot
 
 __all__ = ["CrashReports"]
@@ -50,7 +51,7 @@
 
     :param announce_crash: sends a crash to all other gateways.
     :param announce_sound: sends them parts that are sound.
-    :param notify: called when prompts may have to be refused that were not before.
+    :param notify: called when calls may have to be refused that were not before.
     :param prefix: of the keys in the registry.
     """
 
@@ -75,6 +76,7 @@
         self._obsolete_leases: set[int] = set()
         # Keys whose entries were removed last, oldest first.
         self._removed: dict[str, None] = {}
+        self._log = RateLimitedLog(_log)
         self._logged: frozenset[QuarantinedParts] = frozenset()
         self._is_changed = asyncio.Event()
         self._background = BackgroundTask(self._store_changes)
@@ -88,26 +90,21 @@
         await self._background.stop()
 
     def report_crash(
-        self, upstream: str, incarnation: int, names: Iterable[str]
+        self, upstream: str, incarnation: int, parts: frozenset[int], call_id: str
     ) -> None:
-        """Report that an engine was lost when it began to answer a prompt."""
+        """Report that an upstream was lost when it had begun a call."""
         now = self._read_clock()
-        names = tuple(names)
-        crash = self._quarantine.drop_answered(
-            Crash(upstream, incarnation, hash_parts(names), now)
-        )
+        crash = self._quarantine.drop_answered(Crash(upstream, incarnation, parts, now))
         if not self._quarantine.record_crash(crash, now):
             return
-        fields = {"upstream": upstream, "parts": names, "by": "its answer"}
-        _log.warning("engine lost with prompt", extra=fields)
+        self._log_crash(crash, {"by": "its connection", "call": call_id}, now)
         self._announce_crash(crash)
         self._log_changes()
         self._is_changed.set()
         self._notify()
 
-    def report_answer(self, names: Iterable[str]) -> None:
-        """Report the first content of an answer to a prompt."""
-        parts = hash_parts(names)
+    def report_answer(self, parts: frozenset[int]) -> None:
+        """Report an answer to a call with these parts."""
         if not parts:
             return
         sound = self._quarantine.record_answer(parts, self._read_clock())
@@ -132,8 +129,7 @@
         for crash in crashes:
             if self._quarantine.record_crash(crash, now):
                 is_new = True
-                fields = {"upstream": crash.upstream, "by": sender}
-                _log.info("engine lost with prompt", extra=fields)
+                self._log_crash(crash, {"by": sender}, now)
         if is_new:
             self._log_changes()
             self._notify()
@@ -197,6 +193,10 @@
             for item in self._quarantine.list_quarantined()
         )
 
+    def _log_crash(self, crash: Crash, origin: dict[str, str], now: float) -> None:
+        fields = {"upstream": crash.upstream, "parts": _to_text(crash.parts), **origin}
+        self._log.write("upstream lost with call", fields, now, is_failure=True)
+
     def _log_changes(self) -> None:
         quarantined = frozenset(self._quarantine.list_quarantined())
         for item in quarantined - self._logged:
@@ -249,7 +249,7 @@
     >>> _to_text((255, -1))
     'ffffffffffffffff,00000000000000ff'
     """
-    return ",".join(f"{part & MAX_HASH:016x}" for part in sorted(parts))
+    return ",".join(map(format_hash, sorted(parts)))
 
 
 def _make_key(parts: Iterable[int]) -> str:
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -71,6 +71,13 @@
 MAX_LIMITS = 20
 # Crashes are announced again at the same intervals, this many times.
 CRASH_REPETITIONS = 5
+# Crashes and answers within this time are announced together.
+CRASH_NEWS_DELAY_S = 0.01
+MAX_OWN_CRASHES = 512
+# Hashes in one datagram; a crash takes up as much as some hashes more.
+MAX_SOUND = 100
+MAX_CRASH_HASHES = 102
+CRASH_OVERHEAD_HASHES = 6
 MS_PER_S = 1000
 
 _Work = TypeVar("_Work")
@@ -131,6 +138,9 @@
         self._record_crashes = record_crashes
         # How often each crash is still to be announced.
         self._own_crashes: dict[Crash, int] = {}
+        # Not sent yet.
+        self._new_crashes: dict[Crash, None] = {}
+        self._new_sound: set[int] = set()
         self._apply_update = apply_update
         self._updates: list[StoreUpdate] = []
         # Retained longer than the work that a peer reported.
@@ -290,14 +300,41 @@
             self._send_limits((own,))
 
     def announce_crash(self, crash: Crash) -> None:
-        """Announce to all gateways that an engine was lost with a prompt."""
+        """
+        Announce to all gateways that an upstream was lost with a call.
+
+        Load pattern: all calls at an upstream are lost at once, and answered by others
+        some milliseconds later. What is observed within ``CRASH_NEWS_DELAY_S`` is sent
+        in the same datagrams.
+        """
         self._own_crashes[crash] = CRASH_REPETITIONS
-        self._send_crash(crash)
+        if len(self._own_crashes) > MAX_OWN_CRASHES:
+            del self._own_crashes[next(iter(self._own_crashes))]
+        self._new_crashes[crash] = None
+        self._plan_crash_news()
 
     def announce_sound(self, parts: frozenset[int]) -> None:
-        """Announce to all gateways that prompts with these parts are answered."""
-        news = CrashNews(self._name, [], sorted(parts))
-        self._send(encode(PeerMessage(crashes=news)), self._addresses)
+        """Announce to all gateways that calls with these parts are answered."""
+        for crash in tuple(self._own_crashes):
+            if crash.parts <= parts:
+                del self._own_crashes[crash]
+                self._new_crashes.pop(crash, None)
+        self._new_sound |= parts
+        self._plan_crash_news()
+
+    def _plan_crash_news(self) -> None:
+        if "crash news" not in self._timers:
+            self._call_later("crash news", CRASH_NEWS_DELAY_S, self._send_crash_news)
+
+    def _send_crash_news(self) -> None:
+        del self._timers["crash news"]
+        sound, self._new_sound = sorted(self._new_sound), set()
+        for first in range(0, len(sound), MAX_SOUND):
+            batch = sound[first : first + MAX_SOUND]
+            news = CrashNews(self._name, [], batch)
+            self._send(encode(PeerMessage(crashes=news)), self._addresses)
+        crashes, self._new_crashes = self._new_crashes, {}
+        self._send_crashes(crashes)
 
     def find_last_loading(self) -> float:
         """Return when a peer last announced loading engines, on the boot clock."""
@@ -526,19 +563,34 @@
         self._call_later("limits", interval_s, self._repeat_limits)
 
     def _repeat_crashes(self) -> None:
+        self._send_crashes(self._own_crashes)
         for crash, left in tuple(self._own_crashes.items()):
-            self._send_crash(crash)
             self._own_crashes[crash] = left - 1
             if left <= 1:
                 del self._own_crashes[crash]
         self._call_later("crashes", self._repetition_interval_s, self._repeat_crashes)
 
-    def _send_crash(self, crash: Crash) -> None:
-        age_ms = round((self._loop.time() - crash.lost_s) * MS_PER_S)
-        item = CrashedPrompt(
-            crash.upstream, crash.incarnation, age_ms, sorted(crash.parts)
-        )
-        news = CrashNews(self._name, [item], [])
+    def _send_crashes(self, crashes: Iterable[Crash]) -> None:
+        """Send crashes, in as few datagrams as hold them."""
+        now = self._loop.time()
+        batch: list[CrashedPrompt] = []
+        room = MAX_CRASH_HASHES
+        for crash in crashes:
+            size = len(crash.parts) + CRASH_OVERHEAD_HASHES
+            if batch and size > room:
+                self._send_crash_batch(batch)
+                batch, room = [], MAX_CRASH_HASHES
+            age_ms = round((now - crash.lost_s) * MS_PER_S)
+            parts = sorted(crash.parts)
+            batch.append(
+                CrashedPrompt(crash.upstream, crash.incarnation, age_ms, parts)
+            )
+            room -= size
+        if batch:
+            self._send_crash_batch(batch)
+
+    def _send_crash_batch(self, batch: list[CrashedPrompt]) -> None:
+        news = CrashNews(self._name, batch, [])
         self._send(encode(PeerMessage(crashes=news)), self._addresses)
 
     @property
--- a/packages/gateway/src/persimmonferry_gateway/plain_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/plain_handler.py
@@ -20,6 +20,7 @@
         context = self._context
         context.dispatcher.plain_offered(self._service, self._arrival_s)
         while True:
+            self._check_quarantine()
             now = context.read_clock()
             name = context.dispatcher.choose_plain(self._service, now, self._avoid)
             record = context.cluster.find_record(name) if name else None
@@ -28,9 +29,11 @@
                 wait_s = wait_s or NO_UPSTREAM_RETRY_S
                 raise NotRun(ResultCode.NO_UPSTREAM, "", wait_s)
             context.dispatcher.plain_started(self._id, record.name, now)
+            context.quarantine.record_sent(self._find_parts(), now)
             try:
                 await self._attempt(record, None)
             except AttemptFailed as failure:
+                self._report_crash(record, failure)
                 await self._fail(failure, record)
                 continue
             context.dispatcher.plain_finished(self._id, context.read_clock())
@@ -48,6 +51,7 @@
         context.dispatcher.plain_finished(self._id, now, whole=False)
         if failure.ran and not self._can_repeat():
             raise failure.error
+        self._check_quarantine()
         delay_s = context.dispatcher.allow_plain_retry(
             self._service, self._attempts, now, ran=failure.ran
         )
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -1,6 +1,7 @@
 """Handles prompts for model engines: queues, assigns, streams and resumes them."""
 
 import asyncio
+import functools
 
 from persimmonferry_core.attempt_budgets import AttemptBudget, choose_prompt_budget
 from persimmonferry_core.codes import ResultCode
@@ -28,12 +29,12 @@
 
     async def _serve(self) -> None:
         context = self._context
-        parts = hash_parts(self._list_shared_parts())
-        self._check_quarantine(parts)
+        parts = self._find_parts()
+        self._check_quarantine()
         self._queue(context.dispatcher.offer(self._make_request(), self._arrival_s))
         while True:
             assignment = await self._wait_for_assignment(parts)
-            self._check_quarantine(parts)
+            self._check_quarantine()
             record = context.cluster.find_record(assignment.upstream)
             now = context.read_clock()
             if record is None:
@@ -52,28 +53,24 @@
             self._finish(assignment.version)
             return
 
-    def _check_quarantine(self, parts: frozenset[int]) -> None:
-        """
-        Refuse a prompt with quarantined parts.
+    def _find_parts(self) -> frozenset[int]:
+        return super()._find_parts() | self._shared_hashes
 
-        :raises NotRun: with the time for which they stay quarantined.
-        """
-        context = self._context
-        wait_s = context.quarantine.find_wait(parts, context.read_clock())
-        if wait_s is not None:
-            raise NotRun(ResultCode.CALL_QUARANTINED, "", wait_s)
+    @functools.cached_property
+    def _shared_hashes(self) -> frozenset[int]:
+        return hash_parts(self._list_shared_parts())
 
     def _report_crash(self, record: UpstreamRecord, failure: AttemptFailed) -> None:
-        """Report an engine that was lost after it had begun an answer."""
+        """Report an engine that was lost before the first content of an answer."""
+        super()._report_crash(record, failure)
         is_begun = self._progress is AttemptProgress.ANSWER_BEGUN
         if failure.ran and is_begun and failure.error.code in _LOSS_CODES:
-            self._context.crash_reports.report_crash(
-                record.name, record.incarnation, self._list_shared_parts()
-            )
+            for parts in (super()._find_parts(), self._shared_hashes):
+                self._report_lost_parts(record, parts)
 
     def _record_content(self) -> None:
         self._context.dispatcher.started(self._id, self._context.read_clock())
-        self._context.crash_reports.report_answer(self._list_shared_parts())
+        self._context.crash_reports.report_answer(self._shared_hashes)
 
     def _fail(self, failure: AttemptFailed) -> None:
         """Queue the call again if it may be retried, otherwise raise its error."""
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import errno
 import logging
 import re
 import socket
@@ -47,6 +48,10 @@
 # A transfer is paused while this many bytes of its response are unread. libcurl alone
 # would pass on all that has arrived, which may be megabytes at a time.
 MAX_UNREAD_BYTES = 64 * 1024
+# The network lost a connection with these errors, not the upstream.
+_NETWORK_ERRORS = frozenset(
+    (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ENETDOWN)
+)
 _FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # The line belongs to another response that broke off where this one begins.
 _STATUS_LINE_INSIDE = re.compile(r".HTTP/1\.[01] \d{3}")
@@ -104,6 +109,7 @@
     ) -> None:
         # Tornado uses the handle again at once.
         curl.info["is_connection_open"] = curl.getinfo(pycurl.LASTSOCKET) != -1
+        curl.info["errno"] = curl.getinfo(pycurl.OS_ERRNO)
         super()._finish(curl, curl_error, curl_message)
 
     def resume(self, transfer: Transfer) -> None:
@@ -267,6 +273,7 @@
         self._opened_descriptor: int | None = None
         self._is_connection_stale = False
         self._is_connection_open = False
+        self._errno = 0
         self._descriptor: int | None = None
         self._has_length = False
         # Stays empty unless the response has a length; other ends are marked.
@@ -300,6 +307,16 @@
         is_limited = self.loss in (RequestFailure.TIMED_OUT, RequestFailure.TOO_LARGE)
         return self.was_sent and (self._is_cancelled or self._is_refused or is_limited)
 
+    @property
+    def is_ended_by_upstream(self) -> bool:
+        """Whether the upstream ended or reset the connection before a whole head."""
+        is_lost = self.loss in (
+            RequestFailure.CONNECTION_LOST,
+            RequestFailure.TRUNCATED,
+        )
+        is_own_end = self.is_cut_off or self._errno in _NETWORK_ERRORS
+        return self.was_sent and self.head is None and is_lost and not is_own_end
+
     @property
     def is_connection_kept(self) -> bool:
         """Whether it was sent on a connection that had carried other requests."""
@@ -393,6 +410,7 @@
         result = await fetch(self._client, self._request)
         if self._transfer is not None:
             self._is_connection_open = self._transfer.info["is_connection_open"]
+            self._errno = self._transfer.info["errno"]
         self._transfer = None
         return result
 
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -285,3 +285,22 @@
         await wait_until(lambda: other.crashes[-1][:2] == ((), frozenset((8,))))
 
     run_scenario(scenario)
+
+
+# Load pattern: an upstream is lost with a hundred calls, which others then answer.
+def test_crashes_and_answers_at_the_same_time_share_datagrams():
+    async def scenario(one, other):
+        now = asyncio.get_running_loop().time()
+        crashes = [Crash("u1", 4, frozenset((part,)), now) for part in range(100)]
+        for crash in crashes:
+            one.exchange.announce_crash(crash)
+        await wait_until(lambda: sum(len(news[0]) for news in other.crashes) == 100)
+        assert len(other.crashes) <= 10
+        other.crashes.clear()
+        for crash in crashes:
+            one.exchange.announce_sound(crash.parts)
+        await wait_until(lambda: sum(len(news[1]) for news in other.crashes) == 100)
+        assert len(other.crashes) == 1
+        assert not one.exchange._own_crashes
+
+    run_scenario(scenario)
