Keep released calls released when their stored entry arrives late

A call whose test had been answered stayed refused at the gateways that received its stored entry after the announcement of the answer, for 600 s: the entry was being written when the call was released, and its restoration did not look at answers. The gateway that had released it ended no lease either, as it had not received the entry. Seen in test_an_answer_of_any_status_clears_the_call_at_all_gateways: four of five gateways held it 1.5 s after the answer, with the entry 13 to 108 ms after it; parts of prompts have the same race. Restoring now leaves out what was answered within 3 s, and the gateway that announced the answer ends the lease of such an entry.

--- a/packages/core/src/persimmonferry_core/quarantine.py
+++ b/packages/core/src/persimmonferry_core/quarantine.py
@@ -287,19 +287,22 @@
         for _, pattern in self._list_contained(parts):
             pattern.tested_s = now
 
-    def restore(self, quarantined: QuarantinedParts, now: float) -> None:
+    def restore(self, quarantined: QuarantinedParts, now: float) -> bool:
         """
         Restore quarantined parts that other entries have stored.
 
-        An answer may be announced before the stored entry arrives, which ends with it.
+        An answer may be announced before the stored entry arrives.
+
+        :returns: False if all of them were answered lately.
         """
         parts = self._drop_sound(quarantined.parts, now)
         self._reported_s.update(dict.fromkeys(parts, now))
         known = self._find_pattern(parts)
-        if parts and (known is None or quarantined.crashes > known.count()):
+        if parts and not (known and known.count() >= quarantined.crashes):
             restored = _Pattern({}, quarantined.crashes, now, now)
             self._add_pattern(parts, restored)
             self._drop_excess()
+        return bool(parts)
 
     def is_first_to_test(self, parts: frozenset[int]) -> bool:
         """Whether this entry is the first that may test these parts."""
--- a/packages/core/tests/test_quarantine.py
+++ b/packages/core/tests/test_quarantine.py
@@ -193,7 +193,7 @@
 def test_an_entry_that_arrives_after_an_answer_restores_nothing():
     quarantine = make_quarantined()
     quarantine.record_sound(CRASHING, 3.0)
-    quarantine.restore(QuarantinedParts(CRASHING, 2), 3.1)
+    assert not quarantine.restore(QuarantinedParts(CRASHING, 2), 3.1)
     assert quarantine.find_wait(CRASHING, 3.2) is None
     quarantine.restore(QuarantinedParts(CRASHING, 2), 7.0)
     assert quarantine.find_wait(CRASHING, 7.1) is not None
--- a/packages/gateway/src/persimmonferry_gateway/crash_reports.py
+++ b/packages/gateway/src/persimmonferry_gateway/crash_reports.py
@@ -24,6 +24,7 @@
 
 RETRY_S = 1.0
 MAX_REMOVED_KEYS = 256
+MAX_ANNOUNCED_PARTS = 4096
 MAX_HASH = (1 << 64) - 1
 
 _log = logging.getLogger(__name__)
@@ -74,6 +75,8 @@
         self._notify = notify
         self._stored: dict[str, _StoredEntry] = {}
         self._obsolete_leases: set[int] = set()
+        # Parts that this gateway announced as sound last, oldest first.
+        self._announced: dict[int, None] = {}
         # Keys whose entries were removed last, oldest first.
         self._removed: dict[str, None] = {}
         self._log = RateLimitedLog(_log)
@@ -111,6 +114,9 @@
         if not sound:
             return
         self._announce_sound(sound)
+        self._announced |= dict.fromkeys(sound)
+        while len(self._announced) > MAX_ANNOUNCED_PARTS:
+            del self._announced[next(iter(self._announced))]
         self._log_changes()
         for entry in self._stored.values():
             if entry.quarantined.parts & sound:
@@ -177,8 +183,12 @@
             return
         self._stored[item.key] = entry
         self._removed.pop(item.key, None)
-        self._quarantine.restore(entry.quarantined, self._read_clock())
-        self._notify()
+        if self._quarantine.restore(entry.quarantined, self._read_clock()):
+            self._notify()
+        elif entry.quarantined.parts & self._announced.keys():
+            # It was being written when this gateway released the parts.
+            self._obsolete_leases.add(entry.lease)
+            self._is_changed.set()
 
     def _record_removed(self, key: str) -> None:
         self._removed[key] = None
