Repeat a call at the same address on a new connection

A prompt got 502 when its only upstream had lost its connections: the second attempt took another one that was lost too.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -7,7 +7,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from persimmonferry_adapters.http_client import RequestFailure, make_upstream_error
+from persimmonferry_adapters.http_client import (
+    ConnectionReuse,
+    RequestFailure,
+    make_upstream_error,
+)
 from persimmonferry_core.attempt_budgets import AttemptBudget, find_resend_time
 from persimmonferry_core.cache_stores import CacheStoreIndex
 from persimmonferry_core.codes import ResultCode
@@ -190,6 +194,7 @@
         self._attempts = 0
         self._may_have_run = False
         self._avoid: frozenset[str] = frozenset()
+        self._tried_addresses: set[str] = set()
         self._exchange: UpstreamExchange | None = None
         self._sent_s: float | None = None
         self._progress = AttemptProgress.SENT
@@ -391,6 +396,9 @@
         now = context.read_clock()
         self._attempts += 1
         self.notes.upstreams.append(record.name)
+        # Its open connections may all be lost, as the one that was used before.
+        needs_new = record.address in self._tried_addresses
+        self._tried_addresses.add(record.address)
         if context.dispatcher.upstream_limits.find(record.name) is not None:
             self.notes.limited_attempts += 1
         self.notes.started_s = self.notes.started_s or now
@@ -416,6 +424,7 @@
             self._call.body,
             call_id=self._call.call_id,
             decode_head=context.codec.decode_response_head,
+            reuse=ConnectionReuse.NEW if needs_new else ConnectionReuse.NO_RESEND,
             idle_s=context.idle_s.get(record.name, DEFAULT_IDLE_S),
             timeout_s=options.budget_s + 1.0,
         )
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -233,6 +233,7 @@
 
     :param call_id: states the request in its response.
     :param decode_head: decodes the status, reason and fields of a response.
+    :param reuse: whether it may be sent on an open connection.
     :param idle_s: open connections that were idle for longer are not used.
     :ivar sent_s: when it was sent, None before that.
     """
@@ -247,6 +248,7 @@
         body: bytes,
         call_id: str,
         decode_head: HeadDecoder,
+        reuse: ConnectionReuse,
         idle_s: float,
         timeout_s: float,
     ) -> None:
@@ -288,7 +290,7 @@
             timeout_s=timeout_s,
             connect_timeout_s=CONNECT_TIMEOUT_S,
         )
-        self._request = self._make_request(reuse=ConnectionReuse.NO_RESEND)
+        self._request = self._make_request(reuse=reuse)
         self._task = asyncio.create_task(self._run())
 
     @property
--- a/packages/gateway/tests/test_probes.py
+++ b/packages/gateway/tests/test_probes.py
@@ -2,6 +2,7 @@
 import json
 
 import pytest
+from persimmonferry_adapters.http_client import ConnectionReuse
 from persimmonferry_gateway.probes import Prober
 from persimmonferry_gateway.upstream_client import CancellableClient, UpstreamExchange
 from persimmonferry_platform import PlatformCodec
@@ -24,6 +25,7 @@
         b"",
         "id-1",
         PlatformCodec().decode_response_head,
+        ConnectionReuse.NO_RESEND,
         60.0,
         2.0,
     )
--- a/packages/gateway/tests/test_upstream_client.py
+++ b/packages/gateway/tests/test_upstream_client.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from persimmonferry_adapters.http_client import RequestFailure
+from persimmonferry_adapters.http_client import ConnectionReuse, RequestFailure
 from persimmonferry_gateway.answer_memory import MIN_ANSWER_BYTES, Place
 from persimmonferry_gateway.interfaces import ResponseHead
 from persimmonferry_gateway.upstream_client import (
@@ -45,6 +45,7 @@
         client.answer_memory.limit_bytes = limit_bytes
 
         def send(target):
+            reuse = ConnectionReuse.NO_RESEND
             return UpstreamExchange(
                 client,
                 address,
@@ -54,6 +55,7 @@
                 b"",
                 "a",
                 decode_head,
+                reuse,
                 4.0,
                 2.0,
             )
