--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -7,11 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from persimmonferry_adapters.http_client import (
-    ConnectionReuse,
-    RequestFailure,
-    make_upstream_error,
-)
+from persimmonferry_adapters.http_client import RequestFailure, make_upstream_error
 from persimmonferry_core.attempt_budgets import AttemptBudget, find_resend_time
 from persimmonferry_core.cache_stores import CacheStoreIndex
 from persimmonferry_core.codes import ResultCode
@@ -28,7 +24,7 @@
 from persimmonferry_core.fetch_sources import choose_fetch_timeout, is_fetch_faster
 from persimmonferry_core.fingerprints import format_hash, hash_call
 from persimmonferry_core.incoming import IncomingCall
-from persimmonferry_core.prompt_quarantine import PromptQuarantine
+from persimmonferry_core.quarantine import Quarantine
 
 from persimmonferry_gateway.answer_identity import AnswerFinder
 from persimmonferry_gateway.answer_memory import Place
@@ -113,7 +109,7 @@
     record_limit: Callable[[UpstreamRecord, ResponseHead, float], None]
     find_fetch_deadline: Callable[[float], float | None]
     find_weights_left: Callable[[str, int], float | None]
-    quarantine: PromptQuarantine
+    quarantine: Quarantine
     crash_reports: CrashReports
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
     waiting_parts: dict[str, frozenset[int]] = field(default_factory=dict)
@@ -365,9 +361,6 @@
         context = self._context
         now = context.read_clock()
         self._attempts += 1
-        reuse = ConnectionReuse.NO_RESEND
-        if record.name in self.notes.upstreams:
-            reuse = ConnectionReuse.NEW
         self.notes.upstreams.append(record.name)
         if context.dispatcher.upstream_limits.find(record.name) is not None:
             self.notes.limited_attempts += 1
@@ -394,7 +387,6 @@
             self._call.body,
             call_id=self._call.call_id,
             decode_head=context.codec.decode_response_head,
-            reuse=reuse,
             idle_s=context.idle_s.get(record.name, DEFAULT_IDLE_S),
             timeout_s=options.budget_s + 1.0,
         )
@@ -433,11 +425,9 @@
             self._may_have_run = was_possible
             if head.is_other_upstream and version is not None:
                 context.check_version(record.name)
-            await exchange.read_body()
             error = NotRun(ResultCode.UPSTREAM_REFUSED, f"status {head.status}")
             raise AttemptFailed(error, ran=False)
         if head.reads_as_not_run:
-            await exchange.read_body()
             detail = f"status {head.status}, not stated whether it ran"
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, detail)
             raise AttemptFailed(error, ran=True)
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -223,10 +223,10 @@
 
     A response that can't be that to the request is aborted at the end of its head, and
     its connection closed, as the later responses on it belong to other requests, too.
+    So is a refusal, as a copy of it would take the place of the next response.
 
     :param call_id: states the request in its response.
     :param decode_head: decodes the status, reason and fields of a response.
-    :param reuse: whether it may be sent on an open connection.
     :param idle_s: open connections that were idle for longer are not used.
     :ivar sent_s: when it was sent, None before that.
     """
@@ -241,7 +241,6 @@
         body: bytes,
         call_id: str,
         decode_head: HeadDecoder,
-        reuse: ConnectionReuse,
         idle_s: float,
         timeout_s: float,
     ) -> None:
@@ -262,7 +261,7 @@
         self._is_paused = False
         self._is_ended = False
         self._is_cancelled = False
-        self._is_refused = False
+        self._is_rejected = False
         self.sent_s: float | None = None
         self._opened_descriptor: int | None = None
         self._is_connection_stale = False
@@ -282,7 +281,7 @@
             timeout_s=timeout_s,
             connect_timeout_s=CONNECT_TIMEOUT_S,
         )
-        self._request = self._make_request(reuse=reuse)
+        self._request = self._make_request(reuse=ConnectionReuse.NO_RESEND)
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -297,8 +296,10 @@
 
         The upstream may not notice this, and work on it until its time budget ends.
         """
+        if self._is_refusal:
+            return False
         is_limited = self.loss in (RequestFailure.TIMED_OUT, RequestFailure.TOO_LARGE)
-        return self.was_sent and (self._is_cancelled or self._is_refused or is_limited)
+        return self.was_sent and (self._is_cancelled or self._is_rejected or is_limited)
 
     @property
     def is_connection_kept(self) -> bool:
@@ -326,6 +327,11 @@
         """Return what marks the end of the response."""
         return self._lines.framing
 
+    @property
+    def _is_refusal(self) -> bool:
+        is_own = self.head is not None and self.mismatch is None
+        return is_own and self.head.is_refusal
+
     async def wait_for_head(self) -> ResponseHead | None:
         """Wait for the head of the response; return None if it was not complete."""
         while self.head is None and not self._is_ended:
@@ -428,19 +434,21 @@
         connections = self._client.kept_connections
         # Tornado's own clock is the time of day.
         self.sent_s = self._client.io_loop.asyncio_loop.time()
-        self._descriptor = self._opened_descriptor or connections.find(addresses)
         if self._opened_descriptor is not None:
             connections.record_opened(self._opened_descriptor, addresses)
-        elif not self.was_sent and connections.has_waiting_bytes(addresses):
+        elif not self.was_sent and not connections.may_carry(addresses, self._call_id):
             # Aborting closes the connection; the request is sent on a new one.
             self._is_connection_stale = True
             return pycurl.PREREQFUNC_ABORT
+        self._descriptor = connections.find(addresses)
+        if self._descriptor is not None:
+            connections.record_call(self._descriptor, self._call_id)
         return self._request.check_sending(*addresses)
 
     def _read_line(self, line: bytes) -> int:
         """Called by libcurl for each line; a short count aborts the transfer."""
-        self._is_refused = not self._accept_line(line)
-        return 0 if self._is_refused else len(line)
+        self._is_rejected = not self._accept_line(line)
+        return 0 if self._is_rejected or self._is_refusal else len(line)
 
     def _accept_line(self, line: bytes) -> bool:
         """Parse a line, and return whether it can be one of the response."""
@@ -458,6 +466,9 @@
         )
         self._has_length = self._lines.framing is Framing.LENGTH
         self.mismatch = find_mismatch(self.head, self._call_id)
+        if self.mismatch is Mismatch.OTHER_CALL and self._descriptor is not None:
+            connections = self._client.kept_connections
+            connections.record_answer(self._descriptor, self.head.call_id)
         self._progress.set()
         return self.mismatch is None
 
