Use no kept connection of an upstream that has sent bytes of no request

Whatever can't be the answer on a kept connection now retires the upstream's connections that are open: a head of another call or of none, a line that is no head, and what libcurl can't read. It is decided in one place, at the end of the transfer, by the connection's addresses, as descriptors are used again.

--- a/packages/gateway/src/persimmonferry_gateway/kept_connections.py
+++ b/packages/gateway/src/persimmonferry_gateway/kept_connections.py
@@ -55,19 +55,16 @@
         """Record that a call is sent on a connection."""
         self._calls[descriptor].append(hash(call_id))
 
-    def record_answer(self, descriptor: int, call_id: str) -> None:
+    def retire_upstream(self, addresses: ConnectionAddresses) -> None:
         """
-        Record that the answer to the last call on a connection states another call.
+        Use no connection again that is open now to the remote address of this one.
 
-        If the connection has carried that call, its upstream sends answers twice. Their
-        copies may wait on its other connections, so none of those is used again.
+        Bytes of no request on one connection of an upstream may wait on others, too.
         """
-        if hash(call_id) not in self._calls[descriptor]:
-            return
-        remote_ip, _, remote_port, _ = self._addresses[descriptor]
-        for addresses in self._addresses.values():
-            if (addresses[0], addresses[2]) == (remote_ip, remote_port):
-                self._descriptors.pop(addresses, None)
+        remote_ip, _, remote_port, _ = addresses
+        for other in self._addresses.values():
+            if (other[0], other[2]) == (remote_ip, remote_port):
+                self._descriptors.pop(other, None)
 
     def find(self, addresses: ConnectionAddresses) -> int | None:
         """Return the descriptor of an open connection, None if it is not known."""
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -32,6 +32,7 @@
 from persimmonferry_gateway.answer_memory import AnswerMemory, HeldAnswer, Place
 from persimmonferry_gateway.interfaces import ResponseHead
 from persimmonferry_gateway.kept_connections import (
+    ConnectionAddresses,
     KeptConnections,
     has_unread_bytes,
 )
@@ -52,6 +53,8 @@
 _NETWORK_ERRORS = frozenset(
     (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ENETDOWN)
 )
+# Errors of libcurl about bytes that are no response.
+_UNREADABLE_CODES = (pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY)
 _FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # The line belongs to another response that broke off where this one begins.
 _STATUS_LINE_INSIDE = re.compile(r".HTTP/1\.[01] \d{3}")
@@ -110,6 +113,7 @@
         # Tornado uses the handle again at once.
         curl.info["is_connection_open"] = curl.getinfo(pycurl.LASTSOCKET) != -1
         curl.info["errno"] = curl.getinfo(pycurl.OS_ERRNO)
+        curl.info["is_readable"] = curl_error not in _UNREADABLE_CODES
         super()._finish(curl, curl_error, curl_message)
 
     def resume(self, transfer: Transfer) -> None:
@@ -275,6 +279,7 @@
         self._is_connection_stale = False
         self._is_connection_open = False
         self._errno = 0
+        self._addresses: ConnectionAddresses | None = None
         self._descriptor: int | None = None
         self._has_length = False
         # Stays empty unless the response has a length; other ends are marked.
@@ -419,7 +424,10 @@
         if self._transfer is not None:
             self._is_connection_open = self._transfer.info["is_connection_open"]
             self._errno = self._transfer.info["errno"]
+            self._is_rejected |= not self._transfer.info["is_readable"]
         self._transfer = None
+        if self._is_rejected and self.is_connection_kept:
+            self._client.kept_connections.retire_upstream(self._addresses)
         return result
 
     def _prepare(self, curl: pycurl.Curl) -> None:
@@ -460,6 +468,7 @@
             # Aborting closes the connection; the request is sent on a new one.
             self._is_connection_stale = True
             return pycurl.PREREQFUNC_ABORT
+        self._addresses = addresses
         self._descriptor = connections.find(addresses)
         if self._descriptor is not None:
             connections.record_call(self._descriptor, self._call_id)
@@ -486,9 +495,6 @@
         )
         self._has_length = self._lines.framing is Framing.LENGTH
         self.mismatch = find_mismatch(self.head, self._call_id)
-        if self.mismatch is Mismatch.OTHER_CALL and self._descriptor is not None:
-            connections = self._client.kept_connections
-            connections.record_answer(self._descriptor, self.head.call_id)
         self._progress.set()
         return self.mismatch is None
 
--- a/packages/gateway/tests/test_kept_connections.py
+++ b/packages/gateway/tests/test_kept_connections.py
@@ -66,17 +66,11 @@
     assert not kept.may_carry(addresses, "another")
 
 
-# Copies of answers hid on other connections that an upstream wanted no calls.
-def test_the_connections_of_an_upstream_that_answers_twice_are_used_again(connection):
-    own, _ = connection
+# Bytes of no request hid on other connections that an upstream wanted no calls.
+def test_the_connections_of_an_upstream_that_sent_other_bytes_are_used_again():
     kept = KeptConnections()
-    addresses = find_addresses(own)
-    other = (*addresses[:3], addresses[3] + 1)
-    apart = (*addresses[:2], addresses[2] + 1, addresses[3])
-    for descriptor, opened in ((own.fileno(), addresses), (0, other), (1, apart)):
-        kept.record_opened(descriptor, opened)
-        kept.record_call(descriptor, "c1")
-    kept.record_answer(0, "unknown")
-    assert kept.find(addresses) == own.fileno()
-    kept.record_answer(0, "c1")
-    assert [kept.find(item) for item in (addresses, other, apart)] == [None, None, 1]
+    opened = [("u1", "own", 80, 1), ("u1", "own", 80, 2), ("u1", "own", 81, 3)]
+    for descriptor, addresses in enumerate(opened, start=1000):
+        kept.record_opened(descriptor, addresses)
+    kept.retire_upstream(opened[1])
+    assert [kept.find(addresses) for addresses in opened] == [None, None, 1002]
