--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -5,6 +5,7 @@
 
 from persimmonferry_core.quarantine import (
     MAX_PATTERNS,
+    MAX_SINGLES,
     Crash,
     Quarantine,
 )
@@ -86,6 +87,21 @@
     return rows
 
 
+def measure_call_cost() -> list[tuple]:
+    """Measure the same, for calls without a prompt, beside lost ones."""
+    rows = []
+    for calls in (0, 100, MAX_SINGLES):
+        quarantine = Quarantine("e1")
+        for number in range(calls):
+            crash = Crash(f"u{number}", 1, frozenset((100 + number,)), 0.0)
+            quarantine.record_crash(crash, 0.0)
+        parts = frozenset((COMMON,))
+        check = measure_time(partial(quarantine.find_wait, parts, 0.5))
+        answer = measure_time(partial(quarantine.record_answer, parts, 0.5))
+        rows.append((calls, f"{check:.1f}", f"{answer:.1f}"))
+    return rows
+
+
 def main() -> None:
     """Print the tables."""
     print_table(
@@ -94,3 +110,5 @@
         measure_crashes(),
     )
     print_table("Cost", ("patterns", "check, us", "answer, us"), measure_cost())
+    columns = ("lost calls", "check, us", "answer, us")
+    print_table("Cost of calls", columns, measure_call_cost())
