--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -396,7 +396,7 @@
         now = context.read_clock()
         self._attempts += 1
         self.notes.upstreams.append(record.name)
-        # Its open connections may all be lost, as the one that was used before.
+        # All open connections may be lost, as the one of the attempt before.
         needs_new = record.address in self._tried_addresses
         self._tried_addresses.add(record.address)
         if context.dispatcher.upstream_limits.find(record.name) is not None:
@@ -456,7 +456,7 @@
         self._sent_s = None
         self.notes.kept_connections += exchange.is_connection_kept
         if exchange.mismatch is not None:
-            raise self._refuse_answer(exchange, exchange.mismatch.value)
+            raise self._reject_answer(exchange, exchange.mismatch.value)
         self._record_head(record, head)
         context.record_limit(record, head, now)
         if head.did_not_run:
@@ -578,9 +578,9 @@
             raise AttemptFailed(error, ran=True)
         is_framed = exchange.framing is not Framing.CONNECTION
         if self._finder.has_answer(body, is_framed=is_framed):
-            raise self._refuse_answer(exchange, "another answer in the body")
+            raise self._reject_answer(exchange, "another answer in the body")
         if exchange.ends_in_another:
-            raise self._refuse_answer(exchange, "body completed by another answer")
+            raise self._reject_answer(exchange, "body completed by another answer")
         self._report_answer()
         if head.status >= 500 and self._can_repeat():
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
@@ -602,7 +602,7 @@
             except ValueError as cause:
                 exchange.cancel()
                 self._splitter.discard_partial()
-                failure = self._refuse_answer(exchange, str(cause))
+                failure = self._reject_answer(exchange, str(cause))
                 failure.endless = isinstance(cause, EndlessStream)
                 raise failure from None
             exchange.held.set_size(Place.EVENT, self._splitter.buffered_bytes)
@@ -633,7 +633,7 @@
         self._caller.send_chunk(rest)
         self._caller.finish()
 
-    def _refuse_answer(self, exchange: UpstreamExchange, cause: str) -> AttemptFailed:
+    def _reject_answer(self, exchange: UpstreamExchange, cause: str) -> AttemptFailed:
         """Log an answer that is not relayed, and return the failure of its attempt."""
         upstream = self.notes.upstreams[-1]
         received = exchange.head.call_id
--- a/packages/gateway/src/persimmonferry_gateway/kept_connections.py
+++ b/packages/gateway/src/persimmonferry_gateway/kept_connections.py
@@ -8,7 +8,7 @@
 
 # Remote and local address, remote and local port.
 ConnectionAddresses = tuple[str, str, int, int]
-# Bounds the memory of a connection, which is then closed.
+# A connection that has carried this many calls is closed, as their ids take memory.
 MAX_CALLS = 256
 
 
@@ -71,7 +71,7 @@
         return self._descriptors.get(addresses)
 
     def may_carry(self, addresses: ConnectionAddresses, call_id: str) -> bool:
-        """Return whether the next answer on an open connection can only be a call's."""
+        """Return whether no answer but its own can follow a call on a connection."""
         descriptor = self.find(addresses)
         if descriptor is None:
             return False
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -308,7 +308,8 @@
         """
         Whether it was sent, and its connection closed before the response had ended.
 
-        The upstream may not notice this, and work on it until its time budget ends.
+        The upstream may not notice this, and work on it until its time budget ends. One
+        that refuses a request does not work on it.
         """
         if self._is_refusal:
             return False
@@ -475,7 +476,12 @@
         return self._request.check_sending(*addresses)
 
     def _read_line(self, line: bytes) -> int:
-        """Called by libcurl for each line; a short count aborts the transfer."""
+        """
+        Called by libcurl for each line; a short count aborts the transfer.
+
+        Aborting closes the connection at once; libcurl may send the next request on it
+        as soon as a transfer has ended.
+        """
         self._is_rejected = not self._accept_line(line)
         return 0 if self._is_rejected or self._is_refusal else len(line)
 
