Send one call at a time to an upstream until its answers can be read again

Traced: the 503 with Retry-After lay behind the copy of a 200, and a burst followed 0.67 s later.

Cause: an answer that could not be read counted as nothing but a failure of its call; that its upstream might take no calls was not considered.

After such an answer the upstream gets one call a second until the head of one of its answers has been read, which states whether it takes calls. Others go to other upstreams, or are refused with the time until the next one. Assignments of prompts in one round count, too. A new incarnation starts anew.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -29,6 +29,7 @@
 from persimmonferry_core.runs import RunEnd
 from persimmonferry_core.schema import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.services import ModelService, PlainService
+from persimmonferry_core.unread_answers import UnreadAnswers
 from persimmonferry_core.upstream_limits import UpstreamLimits
 from persimmonferry_core.usage import UsageMeter
 
@@ -136,6 +137,7 @@
         self._entries: tuple[str, ...] = (entry,)
         self._subset: frozenset[str] | None = None
         self._cooldowns = UpstreamCooldowns()
+        self._unread = UnreadAnswers()
         self.upstream_limits = UpstreamLimits(entry)
         self._models: dict[str, ModelService] = {}
         self._plain: dict[str, PlainService] = {}
@@ -201,6 +203,7 @@
             return
         if report.incarnation > known.report.incarnation:
             self._cooldowns.clear(report.name)
+            self._unread.clear(report.name)
             self._index.remove_upstream(report.name)
         pool.apply(report, now)
 
@@ -516,7 +519,7 @@
         closed = (
             self._cooldowns.list_cooling(now)
             | self.upstream_limits.list_unshared(now)
-            | self.upstream_limits.list_spent(now)
+            | self._list_spent(now)
         )
         return plain.choose(excluded, now, closed)
 
@@ -524,6 +527,14 @@
         """Send nothing to an upstream until a time, because it refuses calls."""
         self._cooldowns.note(upstream, until_s)
 
+    def record_unread_answer(self, upstream: str) -> None:
+        """Record that bytes of no request took the place of an upstream's answer."""
+        self._unread.record(upstream)
+
+    def record_read_answer(self, upstream: str) -> None:
+        """Record that the head of an upstream's answer was read."""
+        self._unread.clear(upstream)
+
     def find_upstream_wait(self, service: str, now: float) -> float | None:
         """
         Return the seconds until an upstream of a service takes calls of this entry.
@@ -536,7 +547,11 @@
             limit_s = self.upstream_limits.find_wait(name, now)
             if limit_s is None:
                 continue
-            wait_s = max(limit_s, self._cooldowns.find_wait(name, now))
+            wait_s = max(
+                limit_s,
+                self._cooldowns.find_wait(name, now),
+                self._unread.find_wait(name, now),
+            )
             if not wait_s:
                 return None
             soonest_s = wait_s if soonest_s is None else min(soonest_s, wait_s)
@@ -547,18 +562,23 @@
         cooling = self._cooldowns.list_cooling(now)
         unshared = self.upstream_limits.list_unshared(now)
         limited = frozenset(self.upstream_limits.list_limits())
-        spent = self.upstream_limits.list_spent(now)
+        spent = self._list_spent(now)
         for model in self._models.values():
             model.router.set_paused(COOLDOWN_PAUSE, cooling)
             model.router.set_paused(LIMIT_PAUSE, unshared)
             model.router.set_limited(limited, spent)
 
+    def _list_spent(self, now: float) -> frozenset[str]:
+        """Return the upstreams that take no call yet, but will soon."""
+        return self.upstream_limits.list_spent(now) | self._unread.list_spaced(now)
+
     def plain_started(self, call_id: str, upstream: str, now: float) -> None:
         """Record a call that is sent to an upstream of a plain service."""
         plain = self._plain.get(self._services_of.get(upstream, ""))
         if plain is not None:
             self._plain_runs[call_id] = upstream
             self.upstream_limits.take(upstream, now)
+            self._unread.record_sent(upstream, now)
             plain.start(call_id, upstream, now)
 
     def plain_finished(self, call_id: str, now: float, whole: bool = True) -> None:
@@ -764,8 +784,9 @@
             attempt.grant = None
         model.router.add_run(waiting, route, now)
         self.upstream_limits.take(route.upstream, now)
+        self._unread.record_sent(route.upstream, now)
         limited = frozenset(self.upstream_limits.list_limits())
-        model.router.set_limited(limited, self.upstream_limits.list_spent(now))
+        model.router.set_limited(limited, self._list_spent(now))
         model.record_computed_share(route.missing_tokens, request.prompt_tokens)
         version = model.router.upstreams[route.upstream].report.version
         attempt.version = version
@@ -834,6 +855,7 @@
 
     def _drop_upstream(self, name: str) -> None:
         self._cooldowns.clear(name)
+        self._unread.clear(name)
         pool = self._find_pool(self._services_of.pop(name, ""))
         if pool is not None:
             pool.remove(name)
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -513,6 +513,26 @@
     assert isinstance(answer, Refused)
 
 
+# A burst reached an upstream whose refusal of all calls had not been read.
+def test_a_burst_reaches_upstreams_whose_last_answer_was_not_read():
+    dispatcher = make_plain(1)
+    for name in ("u0", "u1"):
+        dispatcher.report(make_report(name, slots=8), 0.0)
+    for name in ("o0", "u0"):
+        dispatcher.record_unread_answer(name)
+    assert dispatcher.choose_plain("orders", 1.0) == "o0"
+    dispatcher.plain_started("c0", "o0", 1.0)
+    assert dispatcher.choose_plain("orders", 1.1) is None
+    assert dispatcher.find_upstream_wait("orders", 1.25) == 0.75
+    for number in range(8):
+        dispatcher.offer(make_request(number, 1.0, tokens=10), 1.0)
+    sent = [item.upstream for item in dispatcher.assign(1.0)]
+    assert (sent.count("u0"), sent.count("u1")) == (1, 7)
+    for name in ("o0", "u0"):
+        dispatcher.record_read_answer(name)
+    assert dispatcher.choose_plain("orders", 1.3) == "o0"
+
+
 def test_runs_without_a_first_token_are_listed_by_upstream():
     dispatcher = Dispatcher(DOCUMENT, seed=1)
     dispatcher.report(make_report("u0", slots=8), 0.0)
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -366,6 +366,8 @@
                 error = OutcomeUnknown(ResultCode.WEIGHTS_REPLACED, record.name)
                 failure = AttemptFailed(error, ran=found.ran, arrived=found.arrived)
             note.end = failure.describe()
+            if self._exchange.is_answer_hidden:
+                self._context.dispatcher.record_unread_answer(record.name)
             self._exchange.close()
             if self._exchange.is_cut_off:
                 sent_s = self._exchange.sent_s
@@ -560,6 +562,7 @@
         now = context.read_clock()
         note = self.notes.attempts[-1]
         note.head_s, note.refused_s = now, head.refuses_for_s
+        context.dispatcher.record_read_answer(record.name)
         if head.idle_s is not None:
             context.idle_s[record.name] = head.idle_s - IDLE_MARGIN_S
         context.cluster.record_load(record.name, head.load, head.version, now)
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -331,6 +331,11 @@
         """Whether it was sent on a connection that had carried other requests."""
         return self.was_sent and self._opened_descriptor is None
 
+    @property
+    def is_answer_hidden(self) -> bool:
+        """Whether bytes of no request took the place of its response."""
+        return self._is_rejected and self.is_connection_kept
+
     @property
     def local_port(self) -> int | None:
         """Return the own port of its connection, None before it was sent."""
@@ -427,7 +432,7 @@
             self._errno = self._transfer.info["errno"]
             self._is_rejected |= not self._transfer.info["is_readable"]
         self._transfer = None
-        if self._is_rejected and self.is_connection_kept:
+        if self.is_answer_hidden:
             self._client.kept_connections.retire_upstream(self._addresses)
         return result
 
