--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -6,11 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from persimmonferry_adapters.http_client import (
-    ConnectionReuse,
-    RequestFailure,
-    make_upstream_error,
-)
+from persimmonferry_adapters.http_client import RequestFailure, make_upstream_error
 from persimmonferry_core.attempt_budgets import AttemptBudget, find_resend_time
 from persimmonferry_core.cache_stores import CacheStoreIndex
 from persimmonferry_core.codes import ResultCode
@@ -333,6 +329,7 @@
             raise failure from None
         finally:
             if self._exchange is not None:
+                note.local_port = self._exchange.local_port
                 note.received_bytes = self._exchange.received_bytes
                 self._exchange.close()
                 note.is_cut_off = self._exchange.is_cut_off
@@ -354,9 +351,6 @@
         context = self._context
         now = context.read_clock()
         self._attempts += 1
-        reuse = ConnectionReuse.NO_RESEND
-        if record.name in self.notes.upstreams:
-            reuse = ConnectionReuse.NEW
         self.notes.upstreams.append(record.name)
         if context.dispatcher.upstream_limits.find(record.name) is not None:
             self.notes.limited_attempts += 1
@@ -383,7 +377,6 @@
             self._call.body,
             call_id=self._call.call_id,
             decode_head=context.codec.decode_response_head,
-            reuse=reuse,
             idle_s=context.idle_s.get(record.name, DEFAULT_IDLE_S),
             timeout_s=options.budget_s + 1.0,
         )
@@ -422,11 +415,9 @@
             self._may_have_run = was_possible
             if head.is_other_upstream and version is not None:
                 context.check_version(record.name)
-            await exchange.read_body()
             error = NotRun(ResultCode.UPSTREAM_REFUSED, f"status {head.status}")
             raise AttemptFailed(error, ran=False)
         if head.reads_as_not_run:
-            await exchange.read_body()
             detail = f"status {head.status}, not stated whether it ran"
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, detail)
             raise AttemptFailed(error, ran=True)
@@ -519,6 +510,8 @@
     def _record_head(self, record: UpstreamRecord, head: ResponseHead) -> None:
         context = self._context
         now = context.read_clock()
+        note = self.notes.attempts[-1]
+        note.head_s, note.refused_s = now, head.refuses_for_s
         if head.idle_s is not None:
             context.idle_s[record.name] = head.idle_s - IDLE_MARGIN_S
         context.cluster.record_load(record.name, head.load, head.version, now)
