--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -1,12 +1,17 @@
 """Handles one call from its arrival to its outcome: answered, not run or unknown."""
 
 import asyncio
+import functools
 import logging
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from persimmonferry_adapters.http_client import RequestFailure, make_upstream_error
+from persimmonferry_adapters.http_client import (
+    ConnectionReuse,
+    RequestFailure,
+    make_upstream_error,
+)
 from persimmonferry_core.attempt_budgets import AttemptBudget, find_resend_time
 from persimmonferry_core.cache_stores import CacheStoreIndex
 from persimmonferry_core.codes import ResultCode
@@ -21,8 +26,9 @@
 )
 from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
 from persimmonferry_core.fetch_sources import choose_fetch_timeout, is_fetch_faster
+from persimmonferry_core.fingerprints import format_hash, hash_call
 from persimmonferry_core.incoming import IncomingCall
-from persimmonferry_core.prompt_quarantine import PromptQuarantine
+from persimmonferry_core.quarantine import Quarantine
 
 from persimmonferry_gateway.answer_identity import AnswerFinder
 from persimmonferry_gateway.answer_memory import Place
@@ -107,7 +113,7 @@
     record_limit: Callable[[UpstreamRecord, ResponseHead, float], None]
     find_fetch_deadline: Callable[[float], float | None]
     find_weights_left: Callable[[str, int], float | None]
-    quarantine: PromptQuarantine
+    quarantine: Quarantine
     crash_reports: CrashReports
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
     waiting_parts: dict[str, frozenset[int]] = field(default_factory=dict)
@@ -188,6 +194,7 @@
         self._attempts = 0
         self._may_have_run = False
         self._avoid: frozenset[str] = frozenset()
+        self._tried_addresses: set[str] = set()
         self._exchange: UpstreamExchange | None = None
         self._sent_s: float | None = None
         self._progress = AttemptProgress.SENT
@@ -223,6 +230,42 @@
         if failure.ran:
             self.notes.losses.append(self._progress)
 
+    @functools.cached_property
+    def _fingerprint(self) -> int:
+        """Hash that is equal for calls of one caller with the same path and body."""
+        return hash_call(self._call, self._account.name if self._account else "")
+
+    def _find_parts(self) -> frozenset[int]:
+        """Return the hashes for which the call may be quarantined."""
+        return frozenset((self._fingerprint,))
+
+    def _check_quarantine(self) -> None:
+        """
+        Refuse a call that is quarantined.
+
+        :raises NotRun: with the time for which it stays quarantined.
+        """
+        context = self._context
+        wait_s = context.quarantine.find_wait(self._find_parts(), context.read_clock())
+        if wait_s is not None:
+            raise NotRun(ResultCode.CALL_QUARANTINED, "", wait_s)
+
+    def _report_crash(self, record: UpstreamRecord, failure: AttemptFailed) -> None:
+        """Report an upstream that was lost before it had begun an answer."""
+        is_lost = failure.ran and self._exchange.is_ended_by_upstream
+        if is_lost and not self._is_withdrawn:
+            self._report_lost_parts(record, frozenset((self._fingerprint,)))
+
+    def _report_lost_parts(self, record: UpstreamRecord, parts: frozenset[int]) -> None:
+        self._context.crash_reports.report_crash(
+            record.name, record.incarnation, parts, self._call.call_id
+        )
+
+    def _report_answer(self) -> None:
+        """Report that an upstream answers the call."""
+        parts = frozenset((self._fingerprint,))
+        self._context.crash_reports.report_answer(parts)
+
     def _list_shared_parts(self) -> list[str]:
         prompt = self._call.prompt
         return [part.name for part in prompt.shared_parts] if prompt else []
@@ -231,6 +274,7 @@
         notes, begin_s = self.notes, self._arrival_s
         fields = {
             "call": self._call.call_id,
+            "fingerprint": format_hash(self._fingerprint),
             "route": self._route.name,
             "service": self._service,
             "account": self._account.name if self._account else None,
@@ -352,6 +396,9 @@
         now = context.read_clock()
         self._attempts += 1
         self.notes.upstreams.append(record.name)
+        # Its open connections may all be lost, as the one that was used before.
+        needs_new = record.address in self._tried_addresses
+        self._tried_addresses.add(record.address)
         if context.dispatcher.upstream_limits.find(record.name) is not None:
             self.notes.limited_attempts += 1
         self.notes.started_s = self.notes.started_s or now
@@ -377,6 +424,7 @@
             self._call.body,
             call_id=self._call.call_id,
             decode_head=context.codec.decode_response_head,
+            reuse=ConnectionReuse.NEW if needs_new else ConnectionReuse.NO_RESEND,
             idle_s=context.idle_s.get(record.name, DEFAULT_IDLE_S),
             timeout_s=options.budget_s + 1.0,
         )
@@ -533,6 +581,7 @@
             raise self._refuse_answer(exchange, "another answer in the body")
         if exchange.ends_in_another:
             raise self._refuse_answer(exchange, "body completed by another answer")
+        self._report_answer()
         if head.status >= 500 and self._can_repeat():
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
             raise AttemptFailed(error, ran=True)
@@ -562,6 +611,7 @@
             if self._progress is not AttemptProgress.CONTENT_RECEIVED:
                 self._progress = AttemptProgress.CONTENT_RECEIVED
                 self.notes.attempts[-1].first_s = self._context.read_clock()
+                self._report_answer()
                 self._record_content()
             if not self._caller.is_head_sent:
                 self.notes.first_s = self._context.read_clock()
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -4,7 +4,7 @@
 from persimmonferry_core.admission import PromptRequest
 from persimmonferry_core.cache_stores import PartEvent, StoreUpdate
 from persimmonferry_core.dispatch import Dispatcher
-from persimmonferry_core.prompt_quarantine import PromptCrash
+from persimmonferry_core.quarantine import Crash
 from persimmonferry_core.schema import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.topology import Address
 from persimmonferry_core.upstream_limits import LimitNotice
@@ -271,7 +271,7 @@
         # The first repetition has nothing to announce yet.
         await asyncio.sleep(0.1)
         now = asyncio.get_running_loop().time()
-        crash = PromptCrash("u1", 4, frozenset((-7, 8)), now)
+        crash = Crash("u1", 4, frozenset((-7, 8)), now)
         one.exchange.announce_crash(crash)
         await wait_until(lambda: other.crashes, timeout_s=0.3)
         other.crashes.clear()
@@ -285,3 +285,22 @@
         await wait_until(lambda: other.crashes[-1][:2] == ((), frozenset((8,))))
 
     run_scenario(scenario)
+
+
+# Load pattern: an upstream is lost with a hundred calls, which others then answer.
+def test_crashes_and_answers_at_the_same_time_share_datagrams():
+    async def scenario(one, other):
+        now = asyncio.get_running_loop().time()
+        crashes = [Crash("u1", 4, frozenset((part,)), now) for part in range(100)]
+        for crash in crashes:
+            one.exchange.announce_crash(crash)
+        await wait_until(lambda: sum(len(news[0]) for news in other.crashes) == 100)
+        assert len(other.crashes) <= 10
+        other.crashes.clear()
+        for crash in crashes:
+            one.exchange.announce_sound(crash.parts)
+        await wait_until(lambda: sum(len(news[1]) for news in other.crashes) == 100)
+        assert len(other.crashes) == 1
+        assert not one.exchange._own_crashes
+
+    run_scenario(scenario)
