--- a/packages/core/src/persimmonferry_core/deployment.py
+++ b/packages/core/src/persimmonferry_core/deployment.py
@@ -171,6 +171,7 @@
 
     :param incarnation: start time of the process, in milliseconds since 1970.
     :param weights: loaded weight version of each model.
+    :param build: version of its software; versions have no order.
     """
 
     name: str
@@ -181,6 +182,7 @@
     is_leaving: bool
     incarnation: int
     weights: tuple[tuple[str, int], ...] = ()
+    build: str = ""
 
     def find_version(self, model: str) -> int | None:
         """Return the loaded weight version of a model, or None."""
--- a/packages/core/src/persimmonferry_core/incoming.py
+++ b/packages/core/src/persimmonferry_core/incoming.py
@@ -48,6 +48,8 @@
     :param budget_s: maximum time that the caller waits; None if not given.
     :param resumes_after: id of the last event of a stream that the caller received, or
         None.
+    :param resumes_call: id of the call that brought the first event of that stream, or
+        None.
     """
 
     call_id: str
@@ -61,3 +63,4 @@
     budget_s: float | None
     prompt: PromptShape | None
     resumes_after: str | None
+    resumes_call: str | None = None
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -65,7 +65,7 @@
 # A call that may be repeated is sent to another upstream when no response has begun
 # after this many times the route's objective.
 ANSWER_TIMEOUT_OBJECTIVES = 3.0
-# A call id that is logged with an answer to another call is cut to this length.
+# Ids of other calls and of events are cut to this length in logs.
 MAX_LOGGED_ID_CHARS = 128
 # Callers honour a Retry-After up to this share of the time they have left.
 MAX_RETRY_AFTER_SHARE = 1 / 3
@@ -288,6 +288,8 @@
             "losses": [progress.value for progress in notes.losses],
             "answer_ends": [end.describe() for end in notes.answer_ends],
             "parts": self._list_shared_parts(),
+            "resumes_call": _limit_id(self._call.resumes_call),
+            "resumes_after": _limit_id(self._call.resumes_after),
             "fetched_tokens": notes.fetched_tokens,
             "saved_tokens": notes.saved_tokens,
             "budget_ms": to_ms(self._budget_s),
@@ -353,6 +355,7 @@
         :raises AttemptFailed: no complete answer was received.
         """
         note = AttemptNote(record.name, self._context.read_clock(), version)
+        note.build = record.build
         if version is not None:
             note.replaced_s = self._find_replaced_age(version)
         self.notes.attempts.append(note)
@@ -645,7 +648,7 @@
             "cause": cause,
             "upstream": upstream,
             "attempt": self._attempts,
-            "received_call": received and received[:MAX_LOGGED_ID_CHARS],
+            "received_call": _limit_id(received),
             "status": exchange.head.status,
             "is_connection_kept": exchange.is_connection_kept,
             "local_port": exchange.local_port,
@@ -697,6 +700,10 @@
         return f"{version}"
 
 
+def _limit_id(text: str | None) -> str | None:
+    return text and text[:MAX_LOGGED_ID_CHARS]
+
+
 def _choose_service(route: CallRoute) -> str:
     weights = [target.weight for target in route.targets]
     if len(weights) == 1 or sum(weights) <= 0:
--- a/packages/gateway/src/persimmonferry_gateway/call_notes.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_notes.py
@@ -61,6 +61,7 @@
     :param local_port: own port of its connection, None if it was not sent.
     :param head_s: when the head of its answer had arrived.
     :param refused_s: for how long the upstream takes no calls, by its answer.
+    :param build: version of the upstream's software.
     """
 
     upstream: str
@@ -75,6 +76,7 @@
     local_port: int | None = None
     head_s: float | None = None
     refused_s: float | None = None
+    build: str = ""
 
     def describe(self, arrival_s: float) -> dict[str, object]:
         """
@@ -88,6 +90,7 @@
         """
         fields = {
             "upstream": self.upstream,
+            "build": self.build,
             "sent_ms": to_ms(self.sent_s - arrival_s),
             "received_bytes": self.received_bytes,
             "end": self.end or "call ended",
