Let a stream go on only at upstreams with the software version that began it

A stream was resumed by route, weights and load alone, within a call as over tries. Class: a continuation is placed by the state of the present moment, while what it continues fixes where it may go.

Now the version that sends the first event is part of the request from then on. Over tries it is found by the call that the caller names in Resumes: each gateway remembers the streams that began at it and, while a service has several versions, announces each of them before its first event to three gateways chosen by a ring of hashes, where any other gateway asks (stream_origins, stream_directory). Before: one version, nothing announced. A gateway that stops hands over what it remembers. What is not known is refused (2027), never guessed; what no upstream can continue is refused too (2026). Streams that wait for the few upstreams of their version neither block others in the queue nor count in admission and throughput.

--- a/packages/core/src/persimmonferry_core/admission.py
+++ b/packages/core/src/persimmonferry_core/admission.py
@@ -39,6 +39,7 @@
     :param block_sizes: tokens of each block, if they differ.
     :param caller_deadline_s: when the caller stops waiting; None if an answer later
         than promised is useless.
+    :param build: of the upstreams at which its stream may go on; empty for any.
     """
 
     request_id: str
@@ -53,6 +54,7 @@
     block_tokens: int = 1000
     block_sizes: tuple[int, ...] = ()
     caller_deadline_s: float | None = None
+    build: str = ""
 
     def count_tokens(self, depth: int) -> int:
         """
@@ -115,6 +117,7 @@
     :param expires_s: time after which starting its run is useless; not before
         ``promised_start_s``.
     :param memory_tokens: expected use of the engine's memory by the run.
+    :param build: of the upstreams at which its stream may go on; empty for any.
     """
 
     request: PromptRequest
@@ -125,6 +128,7 @@
     version: str = ""
     expires_s: float = 0.0
     memory_tokens: int = 0
+    build: str = ""
 
     @property
     def accepts_late_start(self) -> bool:
@@ -290,22 +294,44 @@
             queue.remove(waiting.request.request_id)
         self._overdue.push(_make_entry(waiting, waiting.expires_s), 1.0)
 
-    def iterate(self, priorities: frozenset[int], limit: int) -> list[WaitingRequest]:
+    def iterate(
+        self,
+        priorities: frozenset[int],
+        limit: int,
+        builds: frozenset[str] = frozenset(),
+    ) -> list[WaitingRequest]:
         """
         Return waiting requests in the order in which they should start.
 
+        Load pattern: many streams wait for the few upstreams of their build, and are
+        due before all other requests. Those that can't start don't count.
+
         :param priorities: ranks of the tiers to include.
         :param limit: most requests of one tier.
+        :param builds: of the upstreams that have room.
         """
+
+        def may_start(entry: QueueEntry[WaitingRequest]) -> bool:
+            return not entry.item.build or entry.item.build in builds
+
         streams = (
-            islice(queue.iterate(), limit)
+            islice(filter(may_start, queue.iterate()), limit)
             for tier, queue in self._queues.items()
             if len(queue) and self.rank(tier) in priorities
         )
         on_time = [entry.item for entry in merge(*streams, key=_start_order)]
-        late = (entry.item for entry in islice(self._overdue.iterate(), limit))
+        overdue = filter(may_start, self._overdue.iterate())
+        late = (entry.item for entry in islice(overdue, limit))
         return on_time + [item for item in late if item.priority in priorities]
 
+    @property
+    def is_backlogged(self) -> bool:
+        """Whether requests wait that may start at upstreams of any build."""
+        queues = (*self._queues.values(), self._overdue)
+        return any(
+            not entry.item.build for queue in queues for entry in queue.iterate()
+        )
+
     def find_priorities(self) -> list[int]:
         """Return the ranks of the tiers with waiting requests, most urgent first."""
         ranks = {self.rank(tier) for tier, queue in self._queues.items() if len(queue)}
--- a/packages/core/src/persimmonferry_core/codes.py
+++ b/packages/core/src/persimmonferry_core/codes.py
@@ -78,6 +78,12 @@
     CALL_QUARANTINED = _Meaning(
         2025, 503, Ran.NO, "upstreams crashed on this call or on parts of its prompt"
     )
+    BUILD_GONE = _Meaning(
+        2026, 503, Ran.NO, "no upstream has the software version that began the stream"
+    )
+    STREAM_UNKNOWN = _Meaning(
+        2027, 503, Ran.NO, "which software version began the stream is not known"
+    )
     FENCING_REFUSED = _Meaning(2021, 409, Ran.NO, "the fencing token is outdated")
 
     UPSTREAM_LOST = _Meaning(3001, 502, Ran.UNKNOWN, "the upstream was lost")
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -315,7 +315,7 @@
                 assignments += made
                 cost_s += sum(self._cost_of(item) for item in made)
                 made = self._assign_scanned(model, now)
-            model.throughput.record(cost_s, len(model.queue) > 0, now)
+            model.throughput.record(cost_s, model.queue.is_backlogged, now)
         return tuple(assignments)
 
     def started(self, request_id: str, now: float) -> None:
@@ -358,6 +358,7 @@
         withdrawn: bool = False,
         endless: bool = False,
         resend_s: float = 0.0,
+        build: str = "",
     ) -> Queued | Refused:
         """
         Record a failed attempt, and return whether the request is retried elsewhere.
@@ -374,6 +375,7 @@
             than was asked for.
         :param resend_s: until then the upstream may work on the attempt, so that the
             request must not go on elsewhere.
+        :param build: that began the answer; empty before its first event.
         """
         attempt = self._attempts.get(request_id)
         if attempt is None:
@@ -409,10 +411,19 @@
             self._close(attempt, waiting.request.max_tokens)
             code = ResultCode.RETRIES_EXHAUSTED
             return Refused(request_id, code, NO_UPSTREAM_RETRY_S)
+        build = waiting.build or build
+        if build and not self._serves_build(waiting.request.service, build):
+            self._close(attempt, waiting.request.max_tokens)
+            code = ResultCode.BUILD_GONE
+            return Refused(request_id, code, NO_UPSTREAM_RETRY_S)
         excluded = waiting.excluded | ({failed_at} if failed_at else frozenset())
         version = attempt.version if attempt.delivered_tokens else ""
         attempt.waiting = replace(
-            waiting, excluded=excluded, promised_start_s=latest_s, version=version
+            waiting,
+            excluded=excluded,
+            promised_start_s=latest_s,
+            version=version,
+            build=build,
         )
         attempt.is_delayed = True
         heappush(self._delayed, (now + delay_s, request_id))
@@ -728,15 +739,22 @@
             return Refused(request.request_id, ResultCode.UNKNOWN_TIER, None)
         if request.request_id in self._attempts:
             return Refused(request.request_id, ResultCode.DUPLICATE_RUN, None)
+        if request.build and not self._serves_build(request.service, request.build):
+            code = ResultCode.BUILD_GONE
+            return Refused(request.request_id, code, NO_UPSTREAM_RETRY_S)
         return None
 
+    def _serves_build(self, service: str, build: str) -> bool:
+        return self._models[service].router.serves_build(build)
+
     def _make_waiting(
         self, request: PromptRequest, model: ModelService
     ) -> WaitingRequest:
         tier = model.queue.find_tier(request.tier)
         prefill_s = model.router.estimate_prefill(request)
         latest = request.arrival_s + max(0.0, tier.promised_wait_s - prefill_s)
-        cost_s = model.estimate_cost(request)
+        # A stream that is taken up was admitted before, and is no new demand.
+        cost_s = 0.0 if request.build else model.estimate_cost(request)
         priority = model.queue.rank(request.tier)
         last = latest
         if request.caller_deadline_s is not None:
@@ -750,6 +768,7 @@
             priority,
             expires_s=last,
             memory_tokens=memory_tokens,
+            build=request.build,
         )
 
     def _assign_scanned(self, model: ModelService, now: float) -> list[Assignment]:
@@ -761,7 +780,8 @@
         )
         made = []
         misses: dict[int, int] = {}
-        for waiting in model.queue.iterate(priorities, MAX_SCANNED_PER_TIER):
+        builds = router.find_open_builds(now) if priorities else frozenset()
+        for waiting in model.queue.iterate(priorities, MAX_SCANNED_PER_TIER, builds):
             if misses.get(waiting.priority, 0) >= MAX_SCAN_MISSES:
                 continue
             route = router.choose(waiting, now)
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -394,6 +394,23 @@
             for upstream in in_subset
         )
 
+    def find_open_builds(self, now: float) -> frozenset[str]:
+        """Return the builds of the upstreams that could start a run about now."""
+        ahead_s = MAX_START_BACKLOG_S + MAX_IMPORT_BACKLOG_S
+        usable = (self.upstreams[name] for name in self.summarize().names)
+        return frozenset(
+            upstream.report.build
+            for upstream in usable
+            if upstream.free_slots > 0
+            and upstream.name not in self._spent
+            and upstream.estimate_backlog(LAST_PRIORITY, 1.0, now) <= ahead_s
+        )
+
+    def serves_build(self, build: str) -> bool:
+        """Whether any upstream of a build is there that does not leave."""
+        reports = (upstream.report for upstream in self.upstreams.values())
+        return any(item.build == build and not item.leaving for item in reports)
+
     def _find_last_ahead(self, priority: int) -> int:
         """
         Return the least urgent priority that an engine computes before a new prompt.
@@ -513,9 +530,13 @@
         self, waiting: WaitingRequest, held: dict[str, int]
     ) -> list[Upstream]:
         """Return all upstreams of a small service, or a sample of a large one."""
-        names = list(self.summarize().in_subset)
+        names = self._list_names(waiting.build)
         if len(names) > ALL_CANDIDATES:
-            holders = nlargest(HOLDER_CANDIDATES, held, key=held.get)
+            holders = (
+                nlargest(HOLDER_CANDIDATES, held.keys() & set(names), key=held.get)
+                if waiting.build
+                else nlargest(HOLDER_CANDIDATES, held, key=held.get)
+            )
             names = [*self._random.sample(names, SAMPLED_CANDIDATES), *holders]
         # Breaks ties at random, so that entries don't all choose the same upstream.
         offset = int(self._random.random() * len(names))
@@ -534,6 +555,15 @@
             return usable
         return [up for up in usable if up.name not in waiting.excluded] or usable
 
+    def _list_names(self, build: str) -> list[str]:
+        """Return the upstreams to use; others than the subset if it lacks the build."""
+        fleet = self.summarize()
+        if not build:
+            return list(fleet.in_subset)
+        known = self.upstreams
+        names = [name for name in fleet.names if known[name].report.build == build]
+        return [name for name in names if name in fleet.in_subset] or names
+
     def add_run(self, waiting: WaitingRequest, route: Route, now: float) -> None:
         """Count a dispatched run."""
         upstream = self.upstreams[route.upstream]
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/stream_origins.py
@@ -0,0 +1,169 @@
+"""Which service and build began each stream, as only upstreams of that build go on."""
+
+import hashlib
+from bisect import bisect
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from persimmonferry_core.fingerprints import HASH_BYTES
+
+__all__ = ["MAX_LIFETIME_S", "StreamOrigin", "StreamOrigins", "hash_stream"]
+
+# Streams are forgotten after this time, however long their callers want to wait.
+MAX_LIFETIME_S = 600.0
+# Entries that remember each stream; two of them may be lost together.
+HOLDERS = 3
+MAX_STREAMS = 65_536
+EXPIRY_INTERVAL_S = 1.0
+
+
+def hash_stream(call_id: str, account: str) -> int:
+    """
+    Return a signed number that stands for the stream that began with a call.
+
+    Accounts choose the ids of their calls, so equal ids of two of them differ.
+
+    >>> hash_stream("c1", "a") == hash_stream("c1", "b")
+    False
+    """
+    text = f"{len(account)}:{account}{call_id}".encode(errors="replace")
+    digest = hashlib.blake2b(text, digest_size=HASH_BYTES).digest()
+    return int.from_bytes(digest, "big", signed=True)
+
+
+@dataclass(frozen=True)
+class StreamOrigin:
+    """
+    Where a stream began.
+
+    :param stream: as of ``hash_stream``.
+    :param build: software version of the upstream that sent the first event.
+    :param expires_s: when the caller no longer waits for the stream.
+    """
+
+    stream: int
+    service: str
+    build: str
+    expires_s: float
+
+
+class StreamOrigins:
+    """
+    Remembers where streams began, and decides which entries have to know it.
+
+    Load pattern: upstreams of several builds serve in one service, and callers take
+    streams up again at any entry, when the one before has just been killed. So an entry
+    announces each stream when it begins to a few entries, chosen by the hash of the
+    stream, where any other one finds it. No entry knows all streams, and the number of
+    messages for a stream does not grow with the fleet. While a service has one build,
+    nothing is announced; when another one comes, the streams under way are.
+
+    :param entry: name of the entry that decides.
+
+    >>> origins = StreamOrigins("e1")
+    >>> origins.set_builds({"s": frozenset({"v1"})}, 15.0, 0.0)
+    ()
+    >>> origins.record_own(StreamOrigin(7, "s", "v1", 20.0), 1.0)
+    False
+    >>> origins.set_builds({"s": frozenset({"v1", "v2"})}, 15.0, 2.0)
+    (StreamOrigin(stream=7, service='s', build='v1', expires_s=20.0),)
+    >>> origins.find(7, 3.0).build
+    'v1'
+    """
+
+    def __init__(self, entry: str) -> None:
+        self._entry = entry
+        self._ring: list[tuple[int, str]] = []
+        self._builds: Mapping[str, frozenset[str]] = {}
+        # Until when streams of builds that have left may be taken up.
+        self._left_until_s: dict[tuple[str, str], float] = {}
+        self._streams: dict[int, StreamOrigin] = {}
+        self._own: set[int] = set()
+        self._expired_s = float("-inf")
+        self.set_entries(())
+
+    def set_entries(self, entries: Iterable[str]) -> None:
+        """Set the names of all entries."""
+        names = {*entries, self._entry}
+        self._ring = sorted((hash_stream(name, ""), name) for name in names)
+
+    def list_holders(self, stream: int) -> tuple[str, ...]:
+        """Return the other entries that remember a stream; all entries agree."""
+        count = min(HOLDERS, len(self._ring))
+        first = bisect(self._ring, (stream, ""))
+        places = ((first + step) % len(self._ring) for step in range(count))
+        names = (self._ring[place][1] for place in places)
+        return tuple(name for name in names if name != self._entry)
+
+    def set_builds(
+        self, builds: Mapping[str, frozenset[str]], lifetime_s: float, now: float
+    ) -> tuple[StreamOrigin, ...]:
+        """
+        Set the builds that serve in each service.
+
+        :param lifetime_s: longest time for which callers wait for a stream.
+        :returns: own streams that are to be announced now.
+        """
+        former = {name for name in self._builds if self.is_mixed(name, now)}
+        until_s = now + min(lifetime_s, MAX_LIFETIME_S)
+        for service, known in self._builds.items():
+            for build in known - builds.get(service, frozenset()):
+                self._left_until_s[(service, build)] = until_s
+        self._builds = builds
+        begun = {name for name in builds if self.is_mixed(name, now)} - former
+        if not begun:
+            return ()
+        self._expire(now)
+        own = (self._streams[stream] for stream in self._own)
+        return tuple(origin for origin in own if origin.service in begun)
+
+    def is_mixed(self, service: str, now: float) -> bool:
+        """Whether streams of several builds of a service may be under way."""
+        serving = self._builds.get(service, frozenset())
+        if len(serving) > 1:
+            return True
+        return any(
+            name == service and build not in serving and until_s > now
+            for (name, build), until_s in self._left_until_s.items()
+        )
+
+    def record_own(self, origin: StreamOrigin, now: float) -> bool:
+        """Record a stream that began at this entry; return whether to announce it."""
+        self.record(origin, now)
+        self._own.add(origin.stream)
+        return self.is_mixed(origin.service, now)
+
+    def record(self, origin: StreamOrigin, now: float) -> None:
+        """Record a stream that began at another entry."""
+        self._expire(now)
+        self._streams.setdefault(origin.stream, origin)
+        if len(self._streams) > MAX_STREAMS:
+            self._forget(next(iter(self._streams)))
+
+    def find(self, stream: int, now: float) -> StreamOrigin | None:
+        """Return where a stream began, None if this entry does not know it."""
+        self._expire(now)
+        return self._streams.get(stream)
+
+    def list_mixed(self, now: float) -> tuple[StreamOrigin, ...]:
+        """Return the streams of services with several builds, for other entries."""
+        self._expire(now)
+        mixed = {name for name in self._builds if self.is_mixed(name, now)}
+        return tuple(
+            origin for origin in self._streams.values() if origin.service in mixed
+        )
+
+    def _forget(self, stream: int) -> None:
+        del self._streams[stream]
+        self._own.discard(stream)
+
+    def _expire(self, now: float) -> None:
+        if now < self._expired_s + EXPIRY_INTERVAL_S:
+            return
+        self._expired_s = now
+        for stream, origin in tuple(self._streams.items()):
+            if origin.expires_s <= now:
+                self._forget(stream)
+        for item, until_s in tuple(self._left_until_s.items()):
+            if until_s <= now:
+                del self._left_until_s[item]
--- a/packages/core/src/persimmonferry_core/upstreams.py
+++ b/packages/core/src/persimmonferry_core/upstreams.py
@@ -43,6 +43,7 @@
     :param decode_tokens_per_s: of one run.
     :param leaving: whether the upstream is draining and takes no new work.
     :param memory_tokens: shared by runs and cached parts, 0 if unknown.
+    :param build: version of its software.
     """
 
     name: str
@@ -60,6 +61,7 @@
     decode_tokens_per_s: float
     leaving: bool = False
     memory_tokens: int = 0
+    build: str = ""
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/packages/core/tests/test_stream_origins.py
@@ -0,0 +1,90 @@
+from persimmonferry_core.stream_origins import (
+    HOLDERS,
+    MAX_STREAMS,
+    StreamOrigin,
+    StreamOrigins,
+    hash_stream,
+)
+
+ENTRIES = [f"g{number}" for number in range(40)]
+
+
+def make_origins(entry="g0", builds=("v1", "v2")):
+    origins = StreamOrigins(entry)
+    origins.set_entries(ENTRIES)
+    origins.set_builds({"s": frozenset(builds)}, 15.0, 0.0)
+    return origins
+
+
+def begin(stream, expires_s=20.0, build="v1"):
+    return StreamOrigin(stream, "s", build, expires_s)
+
+
+def test_entries_agree_on_the_holders_of_a_stream():
+    everyone = {name: make_origins(name) for name in ENTRIES}
+    for number in range(50):
+        stream = hash_stream(f"call-{number}", "t1")
+        holders = {
+            frozenset(origins.list_holders(stream)) | {name}
+            for name, origins in everyone.items()
+        }
+        assert len(frozenset.intersection(*holders)) == HOLDERS or HOLDERS in {
+            len(found) for found in holders
+        }
+        assert max(len(found) for found in holders) == HOLDERS + 1
+
+
+def test_most_holders_stay_when_an_entry_leaves():
+    before, after = make_origins(), make_origins()
+    after.set_entries(ENTRIES[:-1])
+    for number in range(200):
+        stream = hash_stream(f"call-{number}", "t1")
+        kept = {*before.list_holders(stream)} & {*after.list_holders(stream)}
+        assert len(kept) >= HOLDERS - 2
+
+
+def test_a_build_that_has_left_counts_while_its_streams_may_be_taken_up():
+    origins = make_origins()
+    origins.set_builds({"s": frozenset({"v2"})}, 15.0, 10.0)
+    assert origins.is_mixed("s", 24.9)
+    assert not origins.is_mixed("s", 25.1)
+
+
+def test_a_build_that_comes_back_is_the_same():
+    origins = make_origins(builds=("v1",))
+    origins.set_builds({"s": frozenset()}, 15.0, 1.0)
+    origins.set_builds({"s": frozenset({"v1"})}, 15.0, 2.0)
+    assert not origins.is_mixed("s", 2.0)
+
+
+def test_only_own_streams_are_announced_when_another_build_comes():
+    origins = make_origins(builds=("v1",))
+    assert not origins.record_own(begin(1), 1.0)
+    origins.record(begin(2), 1.0)
+    builds = {"s": frozenset({"v1", "v2"})}
+    assert [item.stream for item in origins.set_builds(builds, 15.0, 2.0)] == [1]
+    assert origins.set_builds(builds, 15.0, 3.0) == ()
+    assert origins.record_own(begin(3), 3.0)
+    assert [item.stream for item in origins.list_mixed(3.0)] == [1, 2, 3]
+
+
+def test_a_stream_is_forgotten_when_its_caller_no_longer_waits():
+    origins = make_origins()
+    origins.record_own(begin(1, expires_s=5.0), 1.0)
+    assert origins.find(1, 4.0).build == "v1"
+    assert origins.find(1, 6.5) is None
+
+
+def test_the_first_origin_of_a_stream_counts():
+    origins = make_origins()
+    origins.record_own(begin(1), 1.0)
+    origins.record(begin(1, build="v2"), 2.0)
+    assert origins.find(1, 3.0).build == "v1"
+
+
+def test_what_is_remembered_is_bounded():
+    origins = make_origins()
+    for stream in range(MAX_STREAMS + 10):
+        origins.record_own(begin(stream, expires_s=500.0), 1.0)
+    assert origins.find(9, 1.5) is None
+    assert origins.find(10, 1.5) is not None
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -29,6 +29,11 @@
 from persimmonferry_core.fingerprints import format_hash, hash_call
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.quarantine import Quarantine
+from persimmonferry_core.stream_origins import (
+    MAX_LIFETIME_S,
+    StreamOrigin,
+    hash_stream,
+)
 
 from persimmonferry_gateway.answer_identity import AnswerFinder
 from persimmonferry_gateway.answer_memory import Place
@@ -47,6 +52,7 @@
 from persimmonferry_gateway.events import EndlessStream, EventSplitter
 from persimmonferry_gateway.interfaces import Codec, ForwardOptions, ResponseHead
 from persimmonferry_gateway.metrics import CallMetrics
+from persimmonferry_gateway.stream_directory import StreamDirectory
 from persimmonferry_gateway.upstream_client import (
     CancellableClient,
     Framing,
@@ -69,6 +75,8 @@
 MAX_LOGGED_ID_CHARS = 128
 # Callers honour a Retry-After up to this share of the time they have left.
 MAX_RETRY_AFTER_SHARE = 1 / 3
+# After which a stream that can't go on may be taken up again.
+UNKNOWN_STREAM_RETRY_S = 1.0
 # Added to the rank of calls past their objective; greater than the ranks of routes.
 LATE_RANK_PENALTY = 5
 
@@ -115,6 +123,7 @@
     find_weights_left: Callable[[str, int], float | None]
     quarantine: Quarantine
     crash_reports: CrashReports
+    streams: StreamDirectory
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
     waiting_parts: dict[str, frozenset[int]] = field(default_factory=dict)
     withdrawals: dict[str, Callable[[], None]] = field(default_factory=dict)
@@ -191,6 +200,8 @@
             self._finder.has_answer,
             call.prompt.max_tokens if call.prompt else None,
         )
+        # That began the stream; empty until then.
+        self._build = ""
         self._attempts = 0
         self._may_have_run = False
         self._avoid: frozenset[str] = frozenset()
@@ -250,6 +261,40 @@
         if wait_s is not None:
             raise NotRun(ResultCode.CALL_QUARANTINED, "", wait_s)
 
+    @functools.cached_property
+    def _stream(self) -> int:
+        """Number of the stream, which an earlier call of the caller may have begun."""
+        call_id = self._call.resumes_call or self._call.call_id
+        return hash_stream(call_id, self._account.name if self._account else "")
+
+    async def _find_origin(self) -> None:
+        """
+        Find where a stream began that the caller takes up again.
+
+        :raises NotRun: that is not known, and any of several builds may have begun it.
+        """
+        call, route, streams = self._call, self._route, self._context.streams
+        if call.resumes_after is None or not route.is_resumable:
+            return
+        services = {target.service for target in route.targets}
+        if not any(map(streams.is_mixed, services)):
+            return
+        found = await streams.find(self._stream) if call.resumes_call else None
+        if found is None:
+            raise NotRun(ResultCode.STREAM_UNKNOWN, "", UNKNOWN_STREAM_RETRY_S)
+        if found.service in services:
+            self._service, self._build = found.service, found.build
+
+    def _record_origin(self, build: str) -> None:
+        """Record the build that began the stream, before its caller has any of it."""
+        if self._build or not self._route.is_resumable:
+            return
+        self._build = build
+        budget_s = max(self._budget_s, self._call.budget_s or 0.0)
+        expires_s = self._arrival_s + min(budget_s, MAX_LIFETIME_S)
+        origin = StreamOrigin(self._stream, self._service, build, expires_s)
+        self._context.streams.record(origin)
+
     def _report_crash(self, record: UpstreamRecord, failure: AttemptFailed) -> None:
         """Report an upstream that was lost before it had begun an answer."""
         is_lost = failure.ran and self._exchange.is_ended_by_upstream
@@ -621,6 +666,7 @@
                 self._record_content()
             if not self._caller.is_head_sent:
                 self.notes.first_s = self._context.read_clock()
+                self._record_origin(self.notes.attempts[-1].build)
                 self._record_first_event()
                 self._caller.send_head(head.status, head.reason, list(head.headers))
             self._caller.send_chunk(events)
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -111,6 +111,21 @@
         records = self.fleet.records.values()
         return tuple(record.name for record in records if record.weights)
 
+    def list_builds(self) -> dict[str, frozenset[str]]:
+        """Return the builds of the upstreams of each service."""
+        found: dict[str, set[str]] = {}
+        for record in self.fleet.records.values():
+            found.setdefault(record.service, set()).add(record.build)
+        return {service: frozenset(builds) for service, builds in found.items()}
+
+    def list_other_builds(self, service: str, build: str) -> frozenset[str]:
+        """Return the upstreams of a service with another build."""
+        return frozenset(
+            record.name
+            for record in self.fleet.records.values()
+            if record.service == service and record.build != build
+        )
+
     def apply_snapshot(self, snapshot: Snapshot, now: float, since_s: float) -> None:
         """
         Replace the state with all items of the registry.
--- a/packages/gateway/src/persimmonferry_gateway/dispatch_document.py
+++ b/packages/gateway/src/persimmonferry_gateway/dispatch_document.py
@@ -135,4 +135,5 @@
         decode_tokens_per_s=ASSUMED_DECODE_TOKENS_PER_S,
         leaving=record.is_leaving,
         memory_tokens=engine.cache_tokens if engine else 0,
+        build=record.build,
     )
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -16,9 +16,11 @@
 from persimmonferry_core.retries import RetryPolicy
 from persimmonferry_core.retry_shares import RetryShares
 from persimmonferry_core.schema import TeamDocument
+from persimmonferry_core.stream_origins import StreamOrigins
 from persimmonferry_core.topology import Address
 from persimmonferry_core.upstream_limits import LimitNotice, make_notice
 from persimmonferry_core.weight_orders import estimate_change_time
+from persimmonferry_wire.generated.peers.ttypes import StreamNews
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
@@ -52,6 +54,7 @@
 from persimmonferry_gateway.registry_watch import RegistryWatch
 from persimmonferry_gateway.settings import GatewaySettings
 from persimmonferry_gateway.stores import StoreWatch
+from persimmonferry_gateway.stream_directory import StreamDirectory
 from persimmonferry_gateway.upstream_client import CancellableClient
 from persimmonferry_gateway.weights import WeightRollout
 
@@ -137,6 +140,11 @@
             self._apply_store_update,
             self._record_peer_limit,
             self._record_peer_crashes,
+            self._receive_stream_news,
+        )
+        self._origins = StreamOrigins(settings.name)
+        self._streams = StreamDirectory(
+            settings.name, self._origins, self._loop.time, self._peers.send_streams
         )
         self._quarantine = Quarantine(settings.name)
         self._crash_reports = CrashReports(
@@ -196,6 +204,7 @@
             self._find_weights_left,
             self._quarantine,
             self._crash_reports,
+            self._streams,
         )
         self._registry_watch = RegistryWatch(
             registry,
@@ -264,6 +273,7 @@
         await self._registration.stop()
         await self._drain(began_s)
         await self._server.close()
+        self._streams.hand_over()
         self._peers.stop()
         await self._metrics_server.stop()
         await self._stores.stop()
@@ -428,6 +438,9 @@
     ) -> None:
         self._crash_reports.receive(crashes, sound, sender)
 
+    def _receive_stream_news(self, news: StreamNews) -> None:
+        self._streams.receive(news)
+
     def _refuse_quarantined(self) -> None:
         """Refuse the queued prompts that have been quarantined."""
         now = self._loop.time()
@@ -524,6 +537,7 @@
         if entries:
             self._peers.set_peers(self._gateways)
             self._quarantine.set_entries(self._gateways)
+            self._origins.set_entries(self._gateways)
             boot_s = read_boot_clock()
             self._retry_shares.set_entries(self._gateways, boot_s)
             self._update_retry_policy(boot_s)
@@ -534,6 +548,10 @@
         if deployment is not None:
             self._server.limits = deployment.limits
             self._stores.configure(deployment.stores)
+            lifetimes = (route.timeout_s for route in deployment.routes)
+            self._streams.set_builds(
+                self._cluster.list_builds(), max(lifetimes, default=0.0)
+            )
         self._peers.set_engines(self._cluster.list_engine_names())
         self._schedule_assignment()
 
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -27,6 +27,7 @@
     PeerMessage,
     PeerNews,
     StartedWork,
+    StreamNews,
     UpstreamLimit,
 )
 
@@ -119,6 +120,7 @@
         gateway, and with its name; returns False for an outdated notice.
     :param record_crashes: called with the crashes that another gateway has observed,
         the parts with which it has received an answer, and its name.
+    :param receive_streams: called with another gateway's news of streams.
     """
 
     def __init__(
@@ -131,7 +133,9 @@
         apply_update: Callable[[StoreUpdate], None],
         record_limit: Callable[[LimitNotice, str], bool],
         record_crashes: Callable[[tuple[Crash, ...], frozenset[int], str], None],
+        receive_streams: Callable[[StreamNews], None],
     ) -> None:
+        self._receive_streams = receive_streams
         self._record_version = record_version
         self._record_limit = record_limit
         self._own_notices: dict[str, _OwnNotice] = {}
@@ -184,6 +188,7 @@
             timer.cancel()
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     @property
     def interval_s(self) -> float:
@@ -322,6 +327,10 @@
         self._new_sound |= parts
         self._plan_crash_news()
 
+    def send_streams(self, news: StreamNews, names: Iterable[str]) -> None:
+        """Send news of streams to the named gateways."""
+        self._send(encode(PeerMessage(streams=news)), names)
+
     def _plan_crash_news(self) -> None:
         if "crash news" not in self._timers:
             self._call_later("crash news", CRASH_NEWS_DELAY_S, self._send_crash_news)
@@ -354,6 +363,7 @@
             or message.loading
             or message.limits
             or message.crashes
+            or message.streams
         )
         if payload is None or payload.sender not in self._addresses:
             return
@@ -366,6 +376,8 @@
             self._handle_limits(message.limits)
         elif message.crashes is not None:
             self._handle_crashes(message.crashes)
+        elif message.streams is not None:
+            self._receive_streams(message.streams)
         elif message.started is not None:
             self._handle_started(message.started)
         else:
--- a/packages/gateway/src/persimmonferry_gateway/plain_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/plain_handler.py
@@ -18,11 +18,13 @@
 
     async def _serve(self) -> None:
         context = self._context
+        await self._find_origin()
         context.dispatcher.plain_offered(self._service, self._arrival_s)
         while True:
             self._check_quarantine()
             now = context.read_clock()
-            name = context.dispatcher.choose_plain(self._service, now, self._avoid)
+            avoid = self._avoid | self._list_other_builds()
+            name = context.dispatcher.choose_plain(self._service, now, avoid)
             record = context.cluster.find_record(name) if name else None
             if record is None:
                 wait_s = context.dispatcher.find_upstream_wait(self._service, now)
@@ -39,6 +41,12 @@
             context.dispatcher.plain_finished(self._id, context.read_clock())
             return
 
+    def _list_other_builds(self) -> frozenset[str]:
+        """Return the upstreams that may not continue the stream."""
+        if not self._build:
+            return frozenset()
+        return self._context.cluster.list_other_builds(self._service, self._build)
+
     async def _fail(self, failure: AttemptFailed, record: UpstreamRecord) -> None:
         self._record_loss(failure)
         context = self._context
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -31,14 +31,18 @@
         context = self._context
         parts = self._find_parts()
         self._check_quarantine()
+        await self._find_origin()
         self._queue(context.dispatcher.offer(self._make_request(), self._arrival_s))
         while True:
             assignment = await self._wait_for_assignment(parts)
             self._check_quarantine()
             record = context.cluster.find_record(assignment.upstream)
             now = context.read_clock()
-            if record is None:
-                self._queue(context.dispatcher.failed(self._id, False, now))
+            if record is None or self._build not in ("", record.build):
+                answer = context.dispatcher.failed(
+                    self._id, False, now, build=self._build
+                )
+                self._queue(answer)
                 continue
             context.quarantine.record_sent(parts, now)
             context.withdrawals[self._id] = self._withdraw
@@ -84,6 +88,7 @@
             withdrawn=self._is_withdrawn,
             endless=failure.endless,
             resend_s=failure.resend_s,
+            build=self._build,
         )
         self._attempts -= 0 if failure.arrived else 1
         is_begun = self._caller.is_head_sent
@@ -165,6 +170,7 @@
             block_tokens=1,
             block_sizes=tuple(part.tokens for part in prompt.parts),
             caller_deadline_s=self._arrival_s + self._find_max_wait(),
+            build=self._build,
         )
 
     def _choose_budget(self, version: int | None, now: float) -> AttemptBudget:
--- /dev/null
+++ b/packages/gateway/src/persimmonferry_gateway/stream_directory.py
@@ -0,0 +1,152 @@
+"""Announces where streams began, and asks other gateways where one did."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from persimmonferry_core.stream_origins import StreamOrigin, StreamOrigins
+from persimmonferry_wire.generated.peers.ttypes import BegunStream, StreamNews
+
+__all__ = ["StreamDirectory"]
+
+# The question is asked again after the first time, as datagrams may be lost.
+ANSWER_TIMEOUTS_S = (0.1, 0.15)
+# Streams in one datagram; the names of services and builds take up most of it.
+MAX_STREAMS_SENT = 12
+MS_PER_S = 1000
+
+_log = logging.getLogger(__name__)
+
+
+@dataclass
+class _Question:
+    """
+    A stream whose origin other gateways were asked for.
+
+    :param open: the gateways that have not answered.
+    """
+
+    open: set[str]
+    is_answered: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+class StreamDirectory:
+    """
+    Finds where streams began, also those that began at other gateways.
+
+    :param send: sends news to the named gateways.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        origins: StreamOrigins,
+        read_clock: Callable[[], float],
+        send: Callable[[StreamNews, Iterable[str]], None],
+    ) -> None:
+        self._name = name
+        self._origins = origins
+        self._read_clock = read_clock
+        self._send = send
+        self._questions: dict[int, _Question] = {}
+
+    def set_builds(
+        self, builds: Mapping[str, frozenset[str]], lifetime_s: float
+    ) -> None:
+        """Set the builds that serve in each service, as ``StreamOrigins`` does."""
+        now = self._read_clock()
+        self._announce(self._origins.set_builds(builds, lifetime_s, now))
+
+    def is_mixed(self, service: str) -> bool:
+        """Whether streams of several builds of a service may be under way."""
+        return self._origins.is_mixed(service, self._read_clock())
+
+    def record(self, origin: StreamOrigin) -> None:
+        """Record a stream before its caller receives the first event."""
+        if self._origins.record_own(origin, self._read_clock()):
+            self._announce((origin,))
+
+    async def find(self, stream: int) -> StreamOrigin | None:
+        """
+        Return where a stream began, None if no gateway that was asked knows it.
+
+        :param stream: as of ``hash_stream``.
+        """
+        found = self._origins.find(stream, self._read_clock())
+        holders = self._origins.list_holders(stream)
+        if found is not None or not holders:
+            return found
+        question = self._questions.setdefault(stream, _Question(set(holders)))
+        try:
+            for timeout_s in ANSWER_TIMEOUTS_S:
+                news = StreamNews(self._name, [], [stream], [])
+                self._send(news, tuple(question.open))
+                try:
+                    async with asyncio.timeout(timeout_s):
+                        await question.is_answered.wait()
+                    break
+                except TimeoutError:
+                    continue
+        finally:
+            self._questions.pop(stream, None)
+        found = self._origins.find(stream, self._read_clock())
+        if found is None:
+            fields = {"holders": holders, "silent": sorted(question.open)}
+            _log.warning("origin of stream unknown", extra=fields)
+        return found
+
+    def receive(self, news: StreamNews) -> None:
+        """Apply another gateway's news, and answer what it asks for."""
+        now = self._read_clock()
+        for item in news.begun:
+            expires_s = now + item.left_ms / MS_PER_S
+            origin = StreamOrigin(item.stream, item.service_name, item.build, expires_s)
+            self._origins.record(origin, now)
+            if item.stream in self._questions:
+                self._questions[item.stream].is_answered.set()
+        for stream in news.unknown:
+            question = self._questions.get(stream)
+            if question is not None:
+                question.open.discard(news.sender)
+                if not question.open:
+                    question.is_answered.set()
+        if news.asked:
+            self._answer(news.asked, news.sender, now)
+
+    def hand_over(self) -> None:
+        """Announce all that this gateway remembers, as its process ends."""
+        self._announce(self._origins.list_mixed(self._read_clock()))
+
+    def _announce(self, origins: Iterable[StreamOrigin]) -> None:
+        """Send at once, as a caller may take its stream up at any moment."""
+        recipients: dict[str, list[StreamOrigin]] = {}
+        for origin in origins:
+            for name in self._origins.list_holders(origin.stream):
+                recipients.setdefault(name, []).append(origin)
+        for name, found in recipients.items():
+            self._send_origins(found, name)
+
+    def _answer(self, asked: list[int], sender: str, now: float) -> None:
+        asked = asked[:MAX_STREAMS_SENT]
+        found = [self._origins.find(stream, now) for stream in asked]
+        self._send_origins([origin for origin in found if origin], sender)
+        pairs = zip(asked, found, strict=True)
+        unknown = [stream for stream, origin in pairs if origin is None]
+        if unknown:
+            self._send(StreamNews(self._name, [], [], unknown), (sender,))
+
+    def _send_origins(self, origins: list[StreamOrigin], name: str) -> None:
+        now = self._read_clock()
+        begun = [
+            BegunStream(
+                origin.stream,
+                origin.service,
+                origin.build,
+                max(0, round((origin.expires_s - now) * MS_PER_S)),
+            )
+            for origin in origins
+        ]
+        for first in range(0, len(begun), MAX_STREAMS_SENT):
+            batch = begun[first : first + MAX_STREAMS_SENT]
+            self._send(StreamNews(self._name, batch, [], []), (name,))
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -39,6 +39,7 @@
         self.versions = {}
         self.updates = []
         self.crashes = []
+        self.streams = []
         self.exchange = PeerExchange(
             name,
             incarnation,
@@ -48,6 +49,7 @@
             self.updates.append,
             self.record_limit,
             lambda *news: self.crashes.append(news),
+            self.streams.append,
         )
 
     def record_limit(self, notice, sender):
--- a/packages/gateway/tests/test_storewatch.py
+++ b/packages/gateway/tests/test_storewatch.py
@@ -38,6 +38,7 @@
             lambda update: self.watch.apply_update(update),
             lambda *_: False,
             lambda *_: None,
+            lambda _: None,
         )
         self.watch = StoreWatch(
             self.kept,
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -104,6 +104,27 @@
   3: list<i64> sound
 }
 
+// Where a stream began; only upstreams of that build may continue it.
+struct BegunStream {
+  // Hash of the call that brought its first event.
+  1: i64 stream
+  2: string service_name
+  3: string build
+  // Time until its caller no longer waits for it.
+  4: i32 left_ms
+}
+
+// Sent to the gateways that remember a stream when it begins, to one that asks, and by
+// one that asks.
+struct StreamNews {
+  1: string sender
+  2: list<BegunStream> begun
+  // Streams whose origin the sender asks for.
+  3: list<i64> asked
+  // Streams that the sender was asked for and does not know.
+  4: list<i64> unknown
+}
+
 // One datagram.
 union PeerMessage {
   1: PeerNews work
@@ -112,4 +133,5 @@
   4: LoadingNews loading
   5: LimitNews limits
   6: CrashNews crashes
+  7: StreamNews streams
 }
