Keep the time for which an upstream wants no calls when its entry is away

Shown by test_lapsed_entries: three of three calls reached it before, none now.

Cause: what an upstream has stated was kept as long as its entry, not as long as its process. The cooldown now belongs to the incarnation that stated it, as limits do, and ends with its time or a restart; an answer that arrives while the entry is away counts as well.

test_the_cooldown_of_an_engine_ends_with_its_restart took an equal incarnation for a restart. It now demands that an equal one changes nothing and that a greater one ends the cooldown.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -617,7 +617,8 @@
         if head.is_leaving:
             context.cluster.record_leaving(record.name, now)
         if head.refuses_for_s is not None:
-            context.dispatcher.set_cooldown(record.name, now + head.refuses_for_s)
+            until_s = now + head.refuses_for_s
+            context.dispatcher.set_cooldown(record.name, record.incarnation, until_s)
 
     async def _relay_whole(
         self, exchange: UpstreamExchange, head: ResponseHead
