Keep an upstream's announced leaving when its entry is away

An upstream that had answered with Server-Leaving got calls again when its entry lapsed and was written again by the same process (DRAIN). It now belongs to the incarnation, for the last 1,024 upstreams.

--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -27,6 +27,7 @@
 
 # The lowest version of weights.
 FIRST_VERSION = 1
+MAX_LEAVING_UPSTREAMS = 1024
 
 _log = logging.getLogger(__name__)
 
@@ -49,7 +50,8 @@
         self._initial_versions: dict[str, int] = {}
         self._wanted_since: dict[str, dict[int, float]] = {}
         self._malformed: set[str] = set()
-        # Incarnations of the upstreams that announced their leaving with a response.
+        # Incarnations of the upstreams that announced their leaving with a response last.
+        # They count also after their entries were away.
         self._leaving: dict[str, int] = {}
         self._sequence = 0
 
@@ -170,6 +172,8 @@
         if record is None or self._leaving.get(upstream) == record.incarnation:
             return
         self._leaving[upstream] = record.incarnation
+        if len(self._leaving) > MAX_LEAVING_UPSTREAMS:
+            del self._leaving[next(iter(self._leaving))]
         _log.info("upstream leaving", extra={"upstream": upstream, "by": "its answer"})
         self._report(record, now)
 
@@ -341,7 +345,6 @@
     def _forget(self, name: str) -> None:
         self._loads.pop(name, None)
         self._versions.pop(name, None)
-        self._leaving.pop(name, None)
         self._dispatcher.remove(name)
 
     def _configure(self, now: float) -> None:
