--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -50,7 +50,7 @@
         self._initial_versions: dict[str, int] = {}
         self._wanted_since: dict[str, dict[int, float]] = {}
         self._malformed: set[str] = set()
-        # Incarnations of the upstreams that announced their leaving with a response last.
+        # Incarnations of the upstreams that announced their leaving last, by an answer.
         # They count also after their entries were away.
         self._leaving: dict[str, int] = {}
         self._sequence = 0
