--- a/packages/core/src/persimmonferry_core/stream_origins.py
+++ b/packages/core/src/persimmonferry_core/stream_origins.py
@@ -137,6 +137,11 @@
         """Record a stream that began at another entry."""
         self._expire(now)
         self._streams.setdefault(origin.stream, origin)
+        if origin.build not in self._builds.get(origin.service, frozenset()):
+            # Its upstreams have left, or this entry has not heard of them yet.
+            key = (origin.service, origin.build)
+            until_s = max(origin.expires_s, self._left_until_s.get(key, 0.0))
+            self._left_until_s[key] = until_s
         if len(self._streams) > MAX_STREAMS:
             self._forget(next(iter(self._streams)))
 
--- a/packages/core/tests/test_stream_origins.py
+++ b/packages/core/tests/test_stream_origins.py
@@ -88,3 +88,12 @@
         origins.record_own(begin(stream, expires_s=500.0), 1.0)
     assert origins.find(9, 1.5) is None
     assert origins.find(10, 1.5) is not None
+
+
+# An entry behind the registry sees one build, and would take any stream for its own.
+def test_a_stream_of_a_build_that_is_not_listed_makes_its_service_mixed():
+    origins = make_origins(builds=("v1",))
+    assert not origins.is_mixed("s", 1.0)
+    origins.record(begin(1, build="v2", expires_s=9.0), 1.0)
+    assert origins.is_mixed("s", 8.0)
+    assert not origins.is_mixed("s", 9.0)
--- a/packages/gateway/src/persimmonferry_gateway/stream_directory.py
+++ b/packages/gateway/src/persimmonferry_gateway/stream_directory.py
@@ -58,25 +58,25 @@
         now = self._read_clock()
         self._announce(self._origins.set_builds(builds, lifetime_s, now))
 
-    def is_mixed(self, service: str) -> bool:
-        """Whether streams of several builds of a service may be under way."""
-        return self._origins.is_mixed(service, self._read_clock())
+    def is_mixed(self, services: Iterable[str]) -> bool:
+        """Whether streams of several builds of any of the services are under way."""
+        now = self._read_clock()
+        return any(self._origins.is_mixed(service, now) for service in services)
 
     def record(self, origin: StreamOrigin) -> None:
         """Record a stream before its caller receives the first event."""
         if self._origins.record_own(origin, self._read_clock()):
             self._announce((origin,))
 
-    async def find(self, stream: int) -> StreamOrigin | None:
-        """
-        Return where a stream began, None if no gateway that was asked knows it.
+    def find_known(self, stream: int) -> StreamOrigin | None:
+        """Return where a stream began, None if this gateway does not know it."""
+        return self._origins.find(stream, self._read_clock())
 
-        :param stream: as of ``hash_stream``.
-        """
-        found = self._origins.find(stream, self._read_clock())
+    async def ask(self, stream: int) -> StreamOrigin | None:
+        """Return where a stream began, None if no gateway that was asked knows it."""
         holders = self._origins.list_holders(stream)
-        if found is not None or not holders:
-            return found
+        if not holders:
+            return None
         question = self._questions.setdefault(stream, _Question(set(holders)))
         try:
             for timeout_s in ANSWER_TIMEOUTS_S:
