Test what each part of the streams' builds is needed for

Each part was taken out alone: the filter of candidates, the hand-over at a stop and the count of waiting streams as demand and backlog were needed by no test.

--- a/packages/core/tests/test_build_requests.py
+++ b/packages/core/tests/test_build_requests.py
@@ -47,6 +47,21 @@
     assert {item.upstream for item in made} == {"v1-0"}
 
 
+# Holders of cached parts were candidates whatever their build was.
+def test_holders_of_another_build_are_left_out_of_a_large_service():
+    dispatcher = make_dispatcher(["v1"] * 20 + ["v2"] * 20)
+    for number in range(20, 40):
+        dispatcher.record_held(f"v2-{number}", ("part",), (90,))
+    for number in range(40):
+        request = PromptRequest(
+            f"r{number}", "a", "t", "llm", 100, 10, 0.0, ("part",), build="v1"
+        )
+        dispatcher.offer(request, 0.0)
+    made = dispatcher.assign(0.0)
+    assert len(made) >= 8
+    assert {item.upstream[:2] for item in made} == {"v1"}
+
+
 def test_upstreams_outside_the_subset_serve_a_build_that_it_lacks():
     dispatcher = make_dispatcher(["v1", "v2", "v2"])
     dispatcher.set_subset(frozenset({"v2-1"}))
@@ -75,6 +90,19 @@
     assert [item.request.request_id for item in made] == ["new"]
 
 
+# They were counted as demand and backlog of the whole service, which refused others.
+def test_requests_that_wait_for_their_build_do_not_refuse_others():
+    dispatcher = make_dispatcher(["v1", "v2"])
+    for number in range(400):
+        offer(dispatcher, f"old{number}", 0.0, "v1")
+    for step in range(400):
+        dispatcher.assign(0.02 * step)
+        dispatcher.expire(0.02 * step)
+        if step % 40 == 0:
+            offer(dispatcher, f"old-{step}", 0.02 * step, "v1")
+    assert isinstance(offer(dispatcher, "new", 8.0), Queued)
+
+
 def test_an_answer_goes_on_at_the_build_that_began_it():
     dispatcher = make_dispatcher(["v1", "v1", "v2", "v2", "v2"])
     offer(dispatcher, "r1", 0.0)
