--- a/packages/core/tests/test_build_requests.py
+++ b/packages/core/tests/test_build_requests.py
@@ -34,8 +34,8 @@
     return dispatcher
 
 
-def offer(dispatcher, name, now, build=""):
-    request = PromptRequest(name, "a", "t", "llm", 100, 10, now, build=build)
+def offer(dispatcher, name, now, build="", tokens=100):
+    request = PromptRequest(name, "a", "t", "llm", tokens, 10, now, build=build)
     return dispatcher.offer(request, now)
 
 
@@ -90,17 +90,21 @@
     assert [item.request.request_id for item in made] == ["new"]
 
 
-# They were counted as demand and backlog of the whole service, which refused others.
+# They were counted as demand and as backlog of the whole service.
 def test_requests_that_wait_for_their_build_do_not_refuse_others():
     dispatcher = make_dispatcher(["v1", "v2"])
-    for number in range(400):
-        offer(dispatcher, f"old{number}", 0.0, "v1")
+    for number in range(SLOTS):
+        offer(dispatcher, f"running{number}", 0.0, "v1")
+        dispatcher.assign(0.0)
     for step in range(400):
-        dispatcher.assign(0.02 * step)
-        dispatcher.expire(0.02 * step)
-        if step % 40 == 0:
-            offer(dispatcher, f"old-{step}", 0.02 * step, "v1")
-    assert isinstance(offer(dispatcher, "new", 8.0), Queued)
+        now = 0.02 * step
+        offer(dispatcher, f"old{step}", now, "v1", tokens=6000)
+        dispatcher.assign(now)
+        dispatcher.expire(now)
+    answers = [
+        offer(dispatcher, f"new{number}", 8.0, tokens=6000) for number in range(8)
+    ]
+    assert {type(answer) for answer in answers} == {Queued}
 
 
 def test_an_answer_goes_on_at_the_build_that_began_it():
