Don't let callers fill the log with streams that no gateway knows

A line of its own for each such stream, which any caller with a key can name, was not limited in rate. It is of the debug level now; the limited line 'call ended' has the outcome stream_unknown. Found by reading the diff; no decision changes.

--- a/packages/gateway/src/persimmonferry_gateway/stream_directory.py
+++ b/packages/gateway/src/persimmonferry_gateway/stream_directory.py
@@ -93,7 +93,8 @@
         found = self._origins.find(stream, self._read_clock())
         if found is None:
             fields = {"holders": holders, "silent": sorted(question.open)}
-            _log.warning("origin of stream unknown", extra=fields)
+            # Callers choose what is asked for; the end of each call is logged.
+            _log.debug("origin of stream unknown", extra=fields)
         return found
 
     def receive(self, news: StreamNews) -> None:
