Move the modules that know upstreams into a subpackage of the core

Change: upstreams, ejection, cooldowns, upstream_limits, upstream_subsets and unread_answers move to persimmonferry_core.upstreams as views, ejection, cooldowns, limits, subsets and unread_answers, with their tests. Only imports change. Result: tests of core and gateway pass (pytest packages/core packages/gateway), ruff passes.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -3,8 +3,8 @@
 import random
 from functools import partial
 
-from persimmonferry_core.upstream_limits import LimitNotice, UpstreamLimits
-from persimmonferry_core.upstream_subsets import UpstreamSubsets
+from persimmonferry_core.upstreams.limits import LimitNotice, UpstreamLimits
+from persimmonferry_core.upstreams.subsets import UpstreamSubsets
 
 from bench.capacity import measure_time
 from bench.tables import print_table
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -7,7 +7,6 @@
 
 import defopt
 from persimmonferry_core.dispatch import PromptRequest, UpstreamReport
-from persimmonferry_core.ejection import EjectionPolicy
 from persimmonferry_core.limits import AccountLimiter
 from persimmonferry_core.schema import (
     ClientAccount,
@@ -18,6 +17,7 @@
     TeamDocument,
     Tier,
 )
+from persimmonferry_core.upstreams.ejection import EjectionPolicy
 
 from bench.fleet import (
     Baseline,
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -13,8 +13,6 @@
     WaitingRequest,
 )
 from persimmonferry_core.codes import ResultCode
-from persimmonferry_core.cooldowns import UpstreamCooldowns
-from persimmonferry_core.ejection import EjectionPolicy
 from persimmonferry_core.limits import AccountLimiter
 from persimmonferry_core.retries import RetryBudget, RetryGrant, RetryPolicy
 from persimmonferry_core.routing import (
@@ -29,8 +27,10 @@
 from persimmonferry_core.runs import RunEnd
 from persimmonferry_core.schema import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.services import ModelService, PlainService
-from persimmonferry_core.unread_answers import UnreadAnswers
-from persimmonferry_core.upstream_limits import UpstreamLimits
+from persimmonferry_core.upstreams.cooldowns import UpstreamCooldowns
+from persimmonferry_core.upstreams.ejection import EjectionPolicy
+from persimmonferry_core.upstreams.limits import UpstreamLimits
+from persimmonferry_core.upstreams.unread_answers import UnreadAnswers
 from persimmonferry_core.usage import UsageMeter
 
 __all__ = [
--- a/packages/core/src/persimmonferry_core/quarantine.py
+++ b/packages/core/src/persimmonferry_core/quarantine.py
@@ -10,7 +10,7 @@
 from typing import TypeVar
 
 from persimmonferry_core.fingerprints import HASH_BYTES
-from persimmonferry_core.upstream_subsets import rank_entries
+from persimmonferry_core.upstreams.subsets import rank_entries
 
 __all__ = [
     "RETENTION_S",
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -9,7 +9,6 @@
 from persimmonferry_core.admission import PromptRequest, WaitingRequest
 from persimmonferry_core.attempt_budgets import AnswerTimeEstimator
 from persimmonferry_core.blockindex import BlockIndex
-from persimmonferry_core.ejection import Closed, Ejector
 from persimmonferry_core.fetch_sources import choose_fetch_sources
 from persimmonferry_core.links import LinkTable
 from persimmonferry_core.schema import Service
@@ -21,6 +20,7 @@
     UpstreamReport,
     limit_slots,
 )
+from persimmonferry_core.upstreams.ejection import Closed, Ejector
 
 __all__ = [
     "BlockIndex",
--- a/packages/core/src/persimmonferry_core/services.py
+++ b/packages/core/src/persimmonferry_core/services.py
@@ -5,9 +5,9 @@
 from statistics import median
 
 from persimmonferry_core.admission import AdmissionQueue, PromptRequest
-from persimmonferry_core.ejection import Ejector
 from persimmonferry_core.routing import Router
 from persimmonferry_core.upstreams import Upstream, UpstreamReport, limit_slots
+from persimmonferry_core.upstreams.ejection import Ejector
 
 __all__ = ["ModelService", "PlainService"]
 
--- /dev/null
+++ b/packages/core/src/persimmonferry_core/upstreams/__init__.py
@@ -0,0 +1,48 @@
+"""What an entry knows of upstreams, and how much work each of them may get."""
+
+from persimmonferry_core.upstreams.cooldowns import UpstreamCooldowns
+from persimmonferry_core.upstreams.ejection import (
+    Closed,
+    EjectionPolicy,
+    Ejector,
+    HalfOpen,
+    Open,
+    SlowStart,
+)
+from persimmonferry_core.upstreams.limits import (
+    LimitNotice,
+    UpstreamLimits,
+    make_notice,
+)
+from persimmonferry_core.upstreams.subsets import UpstreamSubsets, rank_entries
+from persimmonferry_core.upstreams.unread_answers import UnreadAnswers
+from persimmonferry_core.upstreams.views import (
+    ImportPlan,
+    PeerWork,
+    Route,
+    Upstream,
+    UpstreamReport,
+    limit_slots,
+)
+
+__all__ = [
+    "Closed",
+    "EjectionPolicy",
+    "Ejector",
+    "HalfOpen",
+    "ImportPlan",
+    "LimitNotice",
+    "Open",
+    "PeerWork",
+    "Route",
+    "SlowStart",
+    "UnreadAnswers",
+    "Upstream",
+    "UpstreamCooldowns",
+    "UpstreamLimits",
+    "UpstreamReport",
+    "UpstreamSubsets",
+    "limit_slots",
+    "make_notice",
+    "rank_entries",
+]
--- a/packages/core/src/persimmonferry_core/upstream_limits.py
+++ b/packages/core/src/persimmonferry_core/upstreams/limits.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from persimmonferry_core.upstream_subsets import rank_entries
+from persimmonferry_core.upstreams.subsets import rank_entries
 
 __all__ = ["LimitNotice", "UpstreamLimits", "make_notice"]
 
--- a/packages/core/src/persimmonferry_core/upstreams.py
+++ b/packages/core/src/persimmonferry_core/upstreams/views.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from persimmonferry_core.ejection import Ejector
 from persimmonferry_core.prefill_rate import PrefillRateEstimator
+from persimmonferry_core.upstreams.ejection import Ejector
 
 __all__ = [
     "ImportPlan",
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -20,7 +20,7 @@
     TeamDocument,
     Tier,
 )
-from persimmonferry_core.upstreams import HEAVY_PREFILL_S
+from persimmonferry_core.upstreams.views import HEAVY_PREFILL_S
 
 TIERS = (Tier("door", 1.0, 2.0, 0.2), Tier("dawn", 60.0, 0.5, 0.05))
 CONCURRENCY = 4
--- a/packages/core/tests/test_shared_upstreams.py
+++ b/packages/core/tests/test_shared_upstreams.py
@@ -12,7 +12,7 @@
     TeamDocument,
     Tier,
 )
-from persimmonferry_core.upstreams import (
+from persimmonferry_core.upstreams.views import (
     MAX_RUN_MEMORY_RATIO,
     PeerWork,
     Route,
--- a/packages/core/tests/test_cooldowns.py
+++ b/packages/core/tests/upstreams/test_cooldowns.py
@@ -1,10 +1,10 @@
 """Upstreams that refuse calls and say when to retry."""
 
 from persimmonferry_core.admission import PromptRequest, Refused
-from persimmonferry_core.cooldowns import UpstreamCooldowns
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.schema import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.upstreams import UpstreamReport
+from persimmonferry_core.upstreams.cooldowns import UpstreamCooldowns
 
 
 def make_report(name, service, slots=8, model="", incarnation=1):
--- a/packages/core/tests/test_ejection.py
+++ b/packages/core/tests/upstreams/test_ejection.py
@@ -1,7 +1,12 @@
 import hypothesis.strategies as st
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
-from persimmonferry_core.ejection import Closed, EjectionPolicy, Ejector, SlowStart
+from persimmonferry_core.upstreams.ejection import (
+    Closed,
+    EjectionPolicy,
+    Ejector,
+    SlowStart,
+)
 
 NAMES = tuple(f"u{index}" for index in range(7))
 
--- a/packages/core/tests/test_upstream_limits.py
+++ b/packages/core/tests/upstreams/test_limits.py
@@ -6,14 +6,14 @@
 from persimmonferry_core.admission import PromptRequest, Refused
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.schema import Service, ServiceKind, TeamDocument, Tier
-from persimmonferry_core.upstream_limits import (
+from persimmonferry_core.upstreams import UpstreamReport
+from persimmonferry_core.upstreams.limits import (
     CONFIRMATION_TIMEOUT_S,
     RETENTION_S,
     SHARE_DELAY_S,
     LimitNotice,
     UpstreamLimits,
 )
-from persimmonferry_core.upstreams import UpstreamReport
 
 WINDOW_S = 4.0
 STEP_S = 0.01
--- a/packages/core/tests/test_upstream_subsets.py
+++ b/packages/core/tests/upstreams/test_subsets.py
@@ -1,6 +1,6 @@
 """Subsets of upstreams, and the entries that share them, in small and large fleets."""
 
-from persimmonferry_core.upstream_subsets import (
+from persimmonferry_core.upstreams.subsets import (
     MAX_PARTITION_UPSTREAMS,
     SUBSET_SIZE,
     UpstreamSubsets,
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -5,7 +5,7 @@
 
 from persimmonferry_core.deployment import Deployment, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher
-from persimmonferry_core.upstream_limits import LimitNotice
+from persimmonferry_core.upstreams.limits import LimitNotice
 from persimmonferry_core.weight_orders import (
     find_replacement_time,
     find_start_limits,
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -18,7 +18,7 @@
 from persimmonferry_core.schema import TeamDocument
 from persimmonferry_core.stream_origins import StreamOrigins
 from persimmonferry_core.topology import Address
-from persimmonferry_core.upstream_limits import LimitNotice, make_notice
+from persimmonferry_core.upstreams.limits import LimitNotice, make_notice
 from persimmonferry_core.weight_orders import estimate_change_time
 from persimmonferry_wire.generated.peers.ttypes import StreamNews
 from tornado.httpserver import HTTPServer
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -10,9 +10,9 @@
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.quarantine import Crash
 from persimmonferry_core.topology import Address
-from persimmonferry_core.upstream_limits import LimitNotice
-from persimmonferry_core.upstream_subsets import UpstreamSubsets
 from persimmonferry_core.upstreams import PeerWork
+from persimmonferry_core.upstreams.limits import LimitNotice
+from persimmonferry_core.upstreams.subsets import UpstreamSubsets
 from persimmonferry_wire import decode, encode
 from persimmonferry_wire.generated.peers.ttypes import (
     CrashedPrompt,
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -7,9 +7,9 @@
 from persimmonferry_core.quarantine import Crash
 from persimmonferry_core.schema import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.topology import Address
-from persimmonferry_core.upstream_limits import LimitNotice
-from persimmonferry_core.upstream_subsets import UpstreamSubsets
 from persimmonferry_core.upstreams import PeerWork, UpstreamReport
+from persimmonferry_core.upstreams.limits import LimitNotice
+from persimmonferry_core.upstreams.subsets import UpstreamSubsets
 from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.peers import (
     LIMIT_INTERVAL_S,
