One module answers whether an upstream may get a run now, and why not

Change: UpstreamAvailability owns cooldowns, limits, unread answers and pauses. Result: tests of core and gateway pass (pytest packages/core packages/gateway).

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -27,10 +27,8 @@
 from persimmonferry_core.runs import RunEnd
 from persimmonferry_core.schema import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.services import ModelService, PlainService
-from persimmonferry_core.upstreams.cooldowns import UpstreamCooldowns
+from persimmonferry_core.upstreams.availability import UpstreamAvailability
 from persimmonferry_core.upstreams.ejection import EjectionPolicy
-from persimmonferry_core.upstreams.limits import UpstreamLimits
-from persimmonferry_core.upstreams.unread_answers import UnreadAnswers
 from persimmonferry_core.usage import UsageMeter
 
 __all__ = [
@@ -48,8 +46,6 @@
 MAX_SCAN_MISSES = 3
 POLL_INTERVAL_S = 0.02
 NO_UPSTREAM_RETRY_S = 1.0
-COOLDOWN_PAUSE = "refusals"
-LIMIT_PAUSE = "limits of upstreams"
 ANSWER_SHARE_EWMA_ALPHA = 0.05
 MAX_URGENT_WAIT_S = 2.0
 RESUMPTION_WAIT_S = 5.0
@@ -101,7 +97,7 @@
 
     ``limits`` and ``usage`` exchange messages with other processes; the entry process
     sends and receives them.
-    ``upstream_limits`` receives the limits that upstreams state.
+    ``availability`` receives what upstreams state of the calls that they take.
 
     :param document: the team's document in force.
     :param store_domains: failure domains that have store VMs.
@@ -136,9 +132,7 @@
         self._entry = entry
         self._entries: tuple[str, ...] = (entry,)
         self._subset: frozenset[str] | None = None
-        self._cooldowns = UpstreamCooldowns()
-        self._unread = UnreadAnswers()
-        self.upstream_limits = UpstreamLimits(entry)
+        self.availability = UpstreamAvailability(entry)
         self._models: dict[str, ModelService] = {}
         self._plain: dict[str, PlainService] = {}
         self._attempts: dict[str, _Attempt] = {}
@@ -171,7 +165,7 @@
     def set_entries(self, entries: tuple[str, ...]) -> None:
         """Set the names of all entries that share the upstreams."""
         self._entries = tuple(sorted({*entries, self._entry}))
-        self.upstream_limits.set_entries(self._entries)
+        self.availability.set_entries(self._entries)
         self.limits.set_entries(self._entries)
         for model in self._models.values():
             model.router.set_primaries(self._entry, self._entries)
@@ -196,14 +190,13 @@
         if pool is None:
             return
         self._services_of[report.name] = report.service
-        self.upstream_limits.clear_outdated(report.name, report.incarnation)
-        self._cooldowns.clear_outdated(report.name, report.incarnation)
+        self.availability.record_incarnation(report.name, report.incarnation)
         known = pool.upstreams.get(report.name)
         if known is None:
             pool.add(report, now)
             return
         if report.incarnation > known.report.incarnation:
-            self._unread.clear(report.name)
+            self.availability.record_restart(report.name)
             self._index.remove_upstream(report.name)
         pool.apply(report, now)
 
@@ -253,6 +246,7 @@
         model = self._models.get(self._services_of.get(upstream, ""))
         if model is None:
             return (None,) * len(block_names)
+        self._apply_closures(now)
         return model.router.find_fetch_sources(upstream, block_names, now)
 
     def record_removed(self, upstream: str, block_names: tuple[str, ...]) -> None:
@@ -278,7 +272,7 @@
         refusal = self._refuse_unknown(request)
         if refusal is not None:
             return refusal
-        self._apply_refusals(now)
+        self._apply_closures(now)
         model = self._models[request.service]
         capacity = model.estimate_capacity(len(self._entries))
         if capacity <= 0:
@@ -306,7 +300,7 @@
         """Return the attempts that are to start now."""
         assignments: list[Assignment] = []
         self._release_delayed(now)
-        self._apply_refusals(now)
+        self._apply_closures(now)
         for model in self._models.values():
             model.router.refresh(now)
             cost_s = 0.0
@@ -522,11 +516,8 @@
         plain = self._plain.get(service)
         if plain is None:
             return None
-        closed = (
-            self._cooldowns.list_cooling(now)
-            | self.upstream_limits.list_unshared(now)
-            | self._list_spent(now)
-        )
+        availability = self.availability
+        closed = availability.list_closed(now) | availability.list_spent(now)
         return plain.choose(excluded, now, closed)
 
     def set_cooldown(self, upstream: str, incarnation: int, until_s: float) -> None:
@@ -535,15 +526,15 @@
 
         This holds until it restarts, also while its entry is away.
         """
-        self._cooldowns.note(upstream, incarnation, until_s)
+        self.availability.cooldowns.note(upstream, incarnation, until_s)
 
     def record_unread_answer(self, upstream: str) -> None:
         """Record that bytes of no request took the place of an upstream's answer."""
-        self._unread.record(upstream)
+        self.availability.unread.record(upstream)
 
     def record_read_answer(self, upstream: str) -> None:
         """Record that the head of an upstream's answer was read."""
-        self._unread.clear(upstream)
+        self.availability.unread.clear(upstream)
 
     def find_upstream_wait(self, service: str, now: float) -> float | None:
         """
@@ -554,41 +545,33 @@
         pool = self._find_pool(service)
         soonest_s: float | None = None
         for name in pool.upstreams if pool else ():
-            limit_s = self.upstream_limits.find_wait(name, now)
-            if limit_s is None:
+            wait_s = self.availability.find_wait(name, now)
+            if wait_s is None:
                 continue
-            wait_s = max(
-                limit_s,
-                self._cooldowns.find_wait(name, now),
-                self._unread.find_wait(name, now),
-            )
             if not wait_s:
                 return None
             soonest_s = wait_s if soonest_s is None else min(soonest_s, wait_s)
         return soonest_s
 
-    def _apply_refusals(self, now: float) -> None:
+    def _apply_closures(self, now: float) -> None:
         """Leave out the upstreams that take no calls of this entry now."""
-        cooling = self._cooldowns.list_cooling(now)
-        unshared = self.upstream_limits.list_unshared(now)
-        limited = frozenset(self.upstream_limits.list_limits())
-        spent = self._list_spent(now)
+        closed = self.availability.list_closed(now)
         for model in self._models.values():
-            model.router.set_paused(COOLDOWN_PAUSE, cooling)
-            model.router.set_paused(LIMIT_PAUSE, unshared)
-            model.router.set_limited(limited, spent)
+            model.router.set_closed(closed)
+        self._limit_rates(now)
 
-    def _list_spent(self, now: float) -> frozenset[str]:
-        """Return the upstreams that take no call yet, but will soon."""
-        return self.upstream_limits.list_spent(now) | self._unread.list_spaced(now)
+    def _limit_rates(self, now: float) -> None:
+        limited = self.availability.list_limited()
+        spent = self.availability.list_spent(now)
+        for model in self._models.values():
+            model.router.set_limited(limited, spent)
 
     def plain_started(self, call_id: str, upstream: str, now: float) -> None:
         """Record a call that is sent to an upstream of a plain service."""
         plain = self._plain.get(self._services_of.get(upstream, ""))
         if plain is not None:
             self._plain_runs[call_id] = upstream
-            self.upstream_limits.take(upstream, now)
-            self._unread.record_sent(upstream, now)
+            self.availability.take(upstream, now)
             plain.start(call_id, upstream, now)
 
     def plain_finished(self, call_id: str, now: float, whole: bool = True) -> None:
@@ -648,8 +631,7 @@
 
         :param source: who pauses them; replaces the source's previous set.
         """
-        for model in self._models.values():
-            model.router.set_paused(source, upstreams)
+        self.availability.set_paused(source, upstreams)
 
     def set_start_limits(self, limits: Mapping[str, float]) -> None:
         """Set until when runs may start at these upstreams; others have no limit."""
@@ -799,10 +781,8 @@
             self._find_budget(request.service).record_sent(attempt.grant, now)
             attempt.grant = None
         model.router.add_run(waiting, route, now)
-        self.upstream_limits.take(route.upstream, now)
-        self._unread.record_sent(route.upstream, now)
-        limited = frozenset(self.upstream_limits.list_limits())
-        model.router.set_limited(limited, self._list_spent(now))
+        self.availability.take(route.upstream, now)
+        self._limit_rates(now)
         model.record_computed_share(route.missing_tokens, request.prompt_tokens)
         version = model.router.upstreams[route.upstream].report.version
         attempt.version = version
@@ -870,7 +850,7 @@
         return model.router if model else self._plain.get(service)
 
     def _drop_upstream(self, name: str) -> None:
-        self._unread.clear(name)
+        self.availability.record_restart(name)
         pool = self._find_pool(self._services_of.pop(name, ""))
         if pool is not None:
             pool.remove(name)
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -234,8 +234,7 @@
         self._limited: frozenset[str] = frozenset()
         self._spent: frozenset[str] = frozenset()
         self._mean_prompt_tokens = 0.0
-        self._pauses: dict[str, frozenset[str]] = {}
-        self._paused: frozenset[str] = frozenset()
+        self._closed: frozenset[str] = frozenset()
         self._start_limits: Mapping[str, float] = {}
 
     def configure(self, service: Service, urgent_ranks: int) -> None:
@@ -257,16 +256,14 @@
         """
         report = upstream.report
         holds_weights = report.model == self.service.model and report.version != ""
-        is_open = not report.leaving and upstream.name not in self._paused
+        is_open = not report.leaving and upstream.name not in self._closed
         return holds_weights and is_open
 
-    def set_paused(self, source: str, upstreams: frozenset[str]) -> None:
-        """Set the upstreams that one source pauses; these get no new runs."""
-        if self._pauses.get(source, frozenset()) == upstreams:
-            return
-        self._pauses[source] = upstreams
-        self._paused = frozenset().union(*self._pauses.values())
-        self._summary = None
+    def set_closed(self, upstreams: frozenset[str]) -> None:
+        """Set the upstreams that get no new runs for now."""
+        if upstreams != self._closed:
+            self._closed = upstreams
+            self._summary = None
 
     def set_start_limits(self, limits: Mapping[str, float]) -> None:
         """Set until when runs may start at these upstreams; others have no limit."""
--- a/packages/core/src/persimmonferry_core/upstreams/__init__.py
+++ b/packages/core/src/persimmonferry_core/upstreams/__init__.py
@@ -1,5 +1,10 @@
 """What an entry knows of upstreams, and how much work each of them may get."""
 
+from persimmonferry_core.upstreams.availability import (
+    Closure,
+    UpstreamAvailability,
+    name_closure,
+)
 from persimmonferry_core.upstreams.cooldowns import UpstreamCooldowns
 from persimmonferry_core.upstreams.ejection import (
     Closed,
@@ -27,6 +32,7 @@
 
 __all__ = [
     "Closed",
+    "Closure",
     "EjectionPolicy",
     "Ejector",
     "HalfOpen",
@@ -38,11 +44,13 @@
     "SlowStart",
     "UnreadAnswers",
     "Upstream",
+    "UpstreamAvailability",
     "UpstreamCooldowns",
     "UpstreamLimits",
     "UpstreamReport",
     "UpstreamSubsets",
     "limit_slots",
     "make_notice",
+    "name_closure",
     "rank_entries",
 ]
--- a/packages/core/tests/upstreams/test_limits.py
+++ b/packages/core/tests/upstreams/test_limits.py
@@ -279,7 +279,9 @@
 
 def state_limits(dispatcher, calls_per_s, *names, now=0.0):
     for name in names:
-        dispatcher.upstream_limits.record(LimitNotice(name, 1, calls_per_s, now), now)
+        dispatcher.availability.limits.record(
+            LimitNotice(name, 1, calls_per_s, now), now
+        )
 
 
 def offer(dispatcher, name, now, tokens=100):
@@ -353,7 +355,7 @@
 
 def test_prompts_are_refused_while_other_entries_share_the_limits_of_all_engines():
     dispatcher = make_dispatcher(tuple(f"e{number}" for number in range(9)))
-    dispatcher.upstream_limits.set_users(
+    dispatcher.availability.limits.set_users(
         {"m1": frozenset(("e1",)), "m2": frozenset(("e2",))}
     )
     state_limits(dispatcher, 2.0, "m1", "m2")
@@ -367,4 +369,4 @@
     state_limits(dispatcher, 2.0, "m1")
     dispatcher.remove("m1")
     dispatcher.report(make_report("m1", "llm", model="m"), 1.0)
-    assert dispatcher.upstream_limits.list_limits() == {"m1": 2.0}
+    assert dispatcher.availability.limits.list_limits() == {"m1": 2.0}
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -449,7 +449,7 @@
         # All open connections may be lost, as the one of the attempt before.
         needs_new = record.address in self._tried_addresses
         self._tried_addresses.add(record.address)
-        if context.dispatcher.upstream_limits.find(record.name) is not None:
+        if context.dispatcher.availability.limits.find(record.name) is not None:
             self.notes.limited_attempts += 1
         self.notes.started_s = self.notes.started_s or now
         budget = self._choose_budget(version, now)
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -188,7 +188,7 @@
         record = self.find_record(name)
         if record is None or record.incarnation != notice.incarnation:
             return False
-        limits = self._dispatcher.upstream_limits
+        limits = self._dispatcher.availability.limits
         former = limits.find(name)
         if not limits.record(notice, now):
             return False
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -168,8 +168,8 @@
         self._prober = Prober(codec, client)
         self._metrics = CallMetrics(
             lambda: registry.calls,
-            self._dispatcher.upstream_limits.list_limits,
-            self._dispatcher.upstream_limits.list_shares,
+            self._dispatcher.availability.limits.list_limits,
+            self._dispatcher.availability.limits.list_shares,
             self._crash_reports.count_crashes,
             self._dispatcher.list_retries,
             client.answer_memory,
@@ -425,7 +425,7 @@
             sent_s,
             self._loop.time(),
         )
-        former = self._dispatcher.upstream_limits.find(record.name)
+        former = self._dispatcher.availability.limits.find(record.name)
         if self._cluster.record_limit(notice, "its answer", self._loop.time()):
             is_changed = head.calls_per_s != former
             self._peers.announce_limit(notice, is_changed=is_changed)
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -217,7 +217,7 @@
     def _apply_groups(self) -> None:
         self._dispatcher.set_subset(self._groups.subset)
         self._users = self._groups.map_users()
-        self._dispatcher.upstream_limits.set_users(self._users)
+        self._dispatcher.availability.limits.set_users(self._users)
         neighbours = self._groups.neighbours
         for name in tuple(self._peer_states):
             if name not in neighbours:
@@ -568,7 +568,7 @@
             if own.notice.calls_per_s is None:
                 is_needed = own.stated_s > ended_s
             else:
-                is_needed = self._dispatcher.upstream_limits.find(name) is not None
+                is_needed = self._dispatcher.availability.limits.find(name) is not None
             if not is_needed:
                 del self._own_notices[name]
         self._send_limits(self._own_notices.values())
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -54,7 +54,7 @@
 
     def record_limit(self, notice, sender):
         now = asyncio.get_running_loop().time()
-        return self.dispatcher.upstream_limits.record(notice, now)
+        return self.dispatcher.availability.limits.record(notice, now)
 
     def state_limit(self, calls_per_s, *, is_changed):
         """Receive an answer of the engine that states a limit, or none."""
@@ -63,7 +63,7 @@
         self.exchange.announce_limit(notice, is_changed=is_changed)
 
     def has_limit(self, calls_per_s):
-        return self.dispatcher.upstream_limits.find("u0") == calls_per_s
+        return self.dispatcher.availability.limits.find("u0") == calls_per_s
 
     def offer(self, name, tokens):
         request = PromptRequest(
