Don't eject upstreams for runs that they state not to have run

Change: a refusal counts as a failure only once an upstream has refused all runs for 3 s, or answers a probe. Instead, an engine that refused gets no other run from that gateway for 0.25 s, so that a queue doesn't use up the retries. Tests fail without the change.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -53,6 +53,8 @@
 # Assumed share of an engine's memory that its cache fills; runs need the rest.
 CACHED_SHARE = 0.7
 EXCESS_CHECK_INTERVAL_S = 0.25
+# An engine that refused a run gets no other one for this time: it may load weights.
+REFUSAL_PAUSE_S = 0.25
 
 
 @dataclass(frozen=True)
@@ -375,10 +377,12 @@
         if attempt is None:
             return Refused(request_id, ResultCode.RETRIES_EXHAUSTED, None)
         failed_at = attempt.upstream
+        is_refused = connected and not ran
         if failed_at is not None:
             router = self._models[attempt.waiting.request.service].router
-            if connected and not ran:
-                router.record_refusal(failed_at, now)
+            if is_refused and (upstream := router.upstreams.get(failed_at)):
+                until_s = now + REFUSAL_PAUSE_S
+                self.set_cooldown(failed_at, upstream.report.incarnation, until_s)
             if withdrawn:
                 router.end_run(attempt.waiting, failed_at, False, now)
             else:
@@ -387,6 +391,7 @@
                     failed_at,
                     now,
                     connected=connected,
+                    refused=is_refused,
                     endless=endless,
                 )
             attempt.upstream = None
@@ -574,12 +579,18 @@
             self.availability.take(upstream, now)
             plain.start(call_id, upstream, now)
 
-    def plain_finished(self, call_id: str, now: float, whole: bool = True) -> None:
-        """Record the end of a call; an incomplete answer counts as a failure."""
+    def plain_finished(
+        self, call_id: str, now: float, whole: bool = True, refused: bool = False
+    ) -> None:
+        """
+        Record the end of a call; an incomplete answer counts as a failure.
+
+        :param refused: whether the upstream stated that it did not run the call.
+        """
         upstream = self._plain_runs.pop(call_id, "")
         plain = self._plain.get(self._services_of.get(upstream, ""))
         if plain is not None:
-            plain.finish(call_id, upstream, whole, now)
+            plain.finish(call_id, upstream, whole, now, refused=refused)
 
     def plain_unreachable(self, call_id: str, now: float) -> None:
         """Record that the upstream of a call could not be connected to."""
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -596,12 +596,6 @@
             max_tokens = waiting.request.max_tokens
             self.answer_times.record(tokens, max_tokens, now - run.started_s)
 
-    def record_refusal(self, name: str, now: float) -> None:
-        """Record that an upstream stated that it did not run a request."""
-        upstream = self.upstreams.get(name)
-        if upstream is not None:
-            upstream.record_sign(now)
-
     def end_run(
         self, waiting: WaitingRequest, name: str, whole: bool, now: float
     ) -> None:
@@ -619,17 +613,23 @@
         now: float,
         *,
         connected: bool = True,
+        refused: bool = False,
         endless: bool = False,
     ) -> None:
         """
         Remove a run that its upstream refused or lost.
 
         :param connected: False if no connection to it could be made.
+        :param refused: whether it stated that it did not run the request.
         :param endless: whether it was cut off, as it held more than was asked for.
         """
         self.end_run(waiting, name, False, now)
+        if refused and name in self.upstreams:
+            self.upstreams[name].record_sign(now)
         if endless:
             self.ejector.record_endless(name, now)
+        elif refused:
+            self.ejector.record_refusal(name, now)
         elif connected:
             self.ejector.record_failure(name, now)
         else:
--- a/packages/core/src/persimmonferry_core/services.py
+++ b/packages/core/src/persimmonferry_core/services.py
@@ -152,7 +152,14 @@
             upstream.add_run(call_id, 0, None, now)
             self.ejector.record_dispatch(name, now)
 
-    def finish(self, call_id: str, name: str, whole: bool, now: float) -> None:
+    def finish(
+        self,
+        call_id: str,
+        name: str,
+        whole: bool,
+        now: float,
+        refused: bool = False,
+    ) -> None:
         """Record the end of a call; an incomplete answer counts as a failure."""
         upstream = self.upstreams.get(name)
         if upstream is None or call_id not in upstream.runs:
@@ -163,5 +170,7 @@
             typical_s = median(up.run_s for up in self.upstreams.values())
             slowness = duration_s / max(MIN_CALL_S, typical_s)
             self.ejector.record_success(name, slowness, now)
+        elif refused:
+            self.ejector.record_refusal(name, now)
         else:
             self.ejector.record_failure(name, now)
--- a/packages/core/src/persimmonferry_core/upstreams/ejection.py
+++ b/packages/core/src/persimmonferry_core/upstreams/ejection.py
@@ -20,6 +20,8 @@
     :param max_s: longest ejection.
     :param slow_start_s: time in which a readmitted upstream gets back all its slots.
     :param probe_timeout_s: after which a lost probe is replaced by another one.
+    :param refusal_s: for how long an upstream may refuse all runs before the refusals
+        count as failures.
     """
 
     slow_factor: float = 3.0
@@ -30,6 +32,7 @@
     max_s: float = 120.0
     slow_start_s: float = 10.0
     probe_timeout_s: float = 30.0
+    refusal_s: float = 3.0
 
 
 @dataclass(frozen=True)
@@ -75,6 +78,7 @@
         self.samples = 0
         self.failures = 0
         self.ejections = 0
+        self.refusing_since_s: float | None = None
 
 
 class Ejector:
@@ -185,6 +189,7 @@
         if health is None:
             return
         health.failures = 0
+        health.refusing_since_s = None
         health.samples += 1
         health.slowness += SLOWNESS_EWMA_ALPHA * (slowness - health.slowness)
         match self.find_state(upstream, now):
@@ -209,6 +214,24 @@
             case Closed() | SlowStart() if health.failures >= self.policy.failures:
                 self._try_eject(upstream, now)
 
+    def record_refusal(self, upstream: str, now: float) -> None:
+        """
+        Record a run that the upstream stated that it did not run.
+
+        Load pattern: engines load new weights one after the other, and refuse what
+        was on the way. They are sound: with some of them ejected after each load, the
+        others get more than they can start in time. An upstream that refuses all runs
+        for longer is ejected like a failing one.
+        """
+        health = self._healths.get(upstream)
+        if health is None:
+            return
+        if health.refusing_since_s is None:
+            health.refusing_since_s = now
+        is_probe = isinstance(self.find_state(upstream, now), HalfOpen)
+        if is_probe or now >= health.refusing_since_s + self.policy.refusal_s:
+            self.record_failure(upstream, now)
+
     def record_unreachable(self, upstream: str, now: float) -> None:
         """
         Record a failed connection to an upstream.
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -4,6 +4,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.dispatch import (
+    REFUSAL_PAUSE_S,
     Dispatcher,
     PromptRequest,
     Queued,
@@ -533,6 +534,24 @@
     assert dispatcher.choose_plain("orders", 1.3) == "o0"
 
 
+# Prompts were sent on to an engine that loaded weights, and used up the retries.
+def test_an_engine_that_refuses_gets_further_runs_at_once():
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    for name in ("u0", "u1"):
+        dispatcher.report(make_report(name, slots=8), 0.0)
+    for number in range(8):
+        dispatcher.offer(make_request(number, 0.0, tokens=10), 0.0)
+    first = {item.upstream: item for item in dispatcher.assign(0.0)}
+    assert set(first) == {"u0", "u1"}
+    dispatcher.failed(first["u0"].request.request_id, False, 0.1)
+    for now in (0.2, 0.5):
+        for number in range(8):
+            number += int(100 * now)
+            dispatcher.offer(make_request(number, now, "dawn", tokens=10), now)
+        sent = {item.upstream for item in dispatcher.assign(now)}
+        assert ("u0" in sent) is (now > 0.1 + REFUSAL_PAUSE_S)
+
+
 def test_runs_without_a_first_token_are_listed_by_upstream():
     dispatcher = Dispatcher(DOCUMENT, seed=1)
     dispatcher.report(make_report("u0", slots=8), 0.0)
--- a/packages/core/tests/upstreams/test_ejection.py
+++ b/packages/core/tests/upstreams/test_ejection.py
@@ -134,6 +134,20 @@
     assert ejector.limit_slots("u0", 8, 0.0) == 0
 
 
+# Engines that loaded weights were ejected, and the others were overloaded.
+def test_refusals_eject_an_upstream_only_if_they_last():
+    ejector = make_ejector(refusal_s=3.0)
+    for step in range(30):
+        ejector.record_refusal("u0", step * 0.1)
+        ejector.record_refusal("u1", step * 0.1)
+    ejector.record_success("u0", 1.0, 2.95)
+    for now in (3.0, 3.1, 3.2):
+        ejector.record_refusal("u0", now)
+        ejector.record_refusal("u1", now)
+    assert ejector.limit_slots("u0", 8, 3.2) == 8
+    assert ejector.limit_slots("u1", 8, 3.2) == 0
+
+
 def test_two_consecutive_failed_connections_eject_an_upstream():
     ejector = Ejector()
     for name in NAMES:
--- a/packages/gateway/src/persimmonferry_gateway/plain_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/plain_handler.py
@@ -56,7 +56,9 @@
             self._attempts -= 1
             context.dispatcher.plain_unreachable(self._id, now)
             return
-        context.dispatcher.plain_finished(self._id, now, whole=False)
+        context.dispatcher.plain_finished(
+            self._id, now, whole=False, refused=not failure.ran
+        )
         if failure.ran and not self._can_repeat():
             raise failure.error
         self._check_quarantine()
