--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -9,7 +9,6 @@
 from persimmonferry_core.admission import PromptRequest, WaitingRequest
 from persimmonferry_core.attempt_budgets import AnswerTimeEstimator
 from persimmonferry_core.blockindex import BlockIndex
-from persimmonferry_core.ejection import Closed, Ejector
 from persimmonferry_core.fetch_sources import choose_fetch_sources
 from persimmonferry_core.links import LinkTable
 from persimmonferry_core.schema import Service
@@ -21,6 +20,7 @@
     UpstreamReport,
     limit_slots,
 )
+from persimmonferry_core.upstreams.ejection import Closed, Ejector
 
 __all__ = [
     "BlockIndex",
@@ -234,8 +234,7 @@
         self._limited: frozenset[str] = frozenset()
         self._spent: frozenset[str] = frozenset()
         self._mean_prompt_tokens = 0.0
-        self._pauses: dict[str, frozenset[str]] = {}
-        self._paused: frozenset[str] = frozenset()
+        self._closed: frozenset[str] = frozenset()
         self._start_limits: Mapping[str, float] = {}
 
     def configure(self, service: Service, urgent_ranks: int) -> None:
@@ -257,16 +256,14 @@
         """
         report = upstream.report
         holds_weights = report.model == self.service.model and report.version != ""
-        is_open = not report.leaving and upstream.name not in self._paused
+        is_open = not report.leaving and upstream.name not in self._closed
         return holds_weights and is_open
 
-    def set_paused(self, source: str, upstreams: frozenset[str]) -> None:
-        """Set the upstreams that one source pauses; these get no new runs."""
-        if self._pauses.get(source, frozenset()) == upstreams:
-            return
-        self._pauses[source] = upstreams
-        self._paused = frozenset().union(*self._pauses.values())
-        self._summary = None
+    def set_closed(self, upstreams: frozenset[str]) -> None:
+        """Set the upstreams that get no new runs for now."""
+        if upstreams != self._closed:
+            self._closed = upstreams
+            self._summary = None
 
     def set_start_limits(self, limits: Mapping[str, float]) -> None:
         """Set until when runs may start at these upstreams; others have no limit."""
@@ -599,12 +596,6 @@
             max_tokens = waiting.request.max_tokens
             self.answer_times.record(tokens, max_tokens, now - run.started_s)
 
-    def record_refusal(self, name: str, now: float) -> None:
-        """Record that an upstream stated that it did not run a request."""
-        upstream = self.upstreams.get(name)
-        if upstream is not None:
-            upstream.record_sign(now)
-
     def end_run(
         self, waiting: WaitingRequest, name: str, whole: bool, now: float
     ) -> None:
@@ -622,17 +613,23 @@
         now: float,
         *,
         connected: bool = True,
+        refused: bool = False,
         endless: bool = False,
     ) -> None:
         """
         Remove a run that its upstream refused or lost.
 
         :param connected: False if no connection to it could be made.
+        :param refused: whether it stated that it did not run the request.
         :param endless: whether it was cut off, as it held more than was asked for.
         """
         self.end_run(waiting, name, False, now)
+        if refused and name in self.upstreams:
+            self.upstreams[name].record_sign(now)
         if endless:
             self.ejector.record_endless(name, now)
+        elif refused:
+            self.ejector.record_refusal(name, now)
         elif connected:
             self.ejector.record_failure(name, now)
         else:
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -5,7 +5,7 @@
 
 from persimmonferry_core.deployment import Deployment, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher
-from persimmonferry_core.upstream_limits import LimitNotice
+from persimmonferry_core.upstreams.limits import LimitNotice
 from persimmonferry_core.weight_orders import (
     find_replacement_time,
     find_start_limits,
@@ -188,7 +188,7 @@
         record = self.find_record(name)
         if record is None or record.incarnation != notice.incarnation:
             return False
-        limits = self._dispatcher.upstream_limits
+        limits = self._dispatcher.availability.limits
         former = limits.find(name)
         if not limits.record(notice, now):
             return False
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -18,7 +18,7 @@
 from persimmonferry_core.schema import TeamDocument
 from persimmonferry_core.stream_origins import StreamOrigins
 from persimmonferry_core.topology import Address
-from persimmonferry_core.upstream_limits import LimitNotice, make_notice
+from persimmonferry_core.upstreams.limits import LimitNotice, make_notice
 from persimmonferry_core.weight_orders import estimate_change_time
 from persimmonferry_wire.generated.peers.ttypes import StreamNews
 from tornado.httpserver import HTTPServer
@@ -168,8 +168,8 @@
         self._prober = Prober(codec, client)
         self._metrics = CallMetrics(
             lambda: registry.calls,
-            self._dispatcher.upstream_limits.list_limits,
-            self._dispatcher.upstream_limits.list_shares,
+            self._dispatcher.availability.limits.list_limits,
+            self._dispatcher.availability.limits.list_shares,
             self._crash_reports.count_crashes,
             self._dispatcher.list_retries,
             client.answer_memory,
@@ -425,7 +425,7 @@
             sent_s,
             self._loop.time(),
         )
-        former = self._dispatcher.upstream_limits.find(record.name)
+        former = self._dispatcher.availability.limits.find(record.name)
         if self._cluster.record_limit(notice, "its answer", self._loop.time()):
             is_changed = head.calls_per_s != former
             self._peers.announce_limit(notice, is_changed=is_changed)
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -10,9 +10,9 @@
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.quarantine import Crash
 from persimmonferry_core.topology import Address
-from persimmonferry_core.upstream_limits import LimitNotice
-from persimmonferry_core.upstream_subsets import UpstreamSubsets
 from persimmonferry_core.upstreams import PeerWork
+from persimmonferry_core.upstreams.limits import LimitNotice
+from persimmonferry_core.upstreams.subsets import UpstreamSubsets
 from persimmonferry_wire import decode, encode
 from persimmonferry_wire.generated.peers.ttypes import (
     CrashedPrompt,
@@ -217,7 +217,7 @@
     def _apply_groups(self) -> None:
         self._dispatcher.set_subset(self._groups.subset)
         self._users = self._groups.map_users()
-        self._dispatcher.upstream_limits.set_users(self._users)
+        self._dispatcher.availability.limits.set_users(self._users)
         neighbours = self._groups.neighbours
         for name in tuple(self._peer_states):
             if name not in neighbours:
@@ -568,7 +568,7 @@
             if own.notice.calls_per_s is None:
                 is_needed = own.stated_s > ended_s
             else:
-                is_needed = self._dispatcher.upstream_limits.find(name) is not None
+                is_needed = self._dispatcher.availability.limits.find(name) is not None
             if not is_needed:
                 del self._own_notices[name]
         self._send_limits(self._own_notices.values())
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -7,9 +7,9 @@
 from persimmonferry_core.quarantine import Crash
 from persimmonferry_core.schema import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.topology import Address
-from persimmonferry_core.upstream_limits import LimitNotice
-from persimmonferry_core.upstream_subsets import UpstreamSubsets
 from persimmonferry_core.upstreams import PeerWork, UpstreamReport
+from persimmonferry_core.upstreams.limits import LimitNotice
+from persimmonferry_core.upstreams.subsets import UpstreamSubsets
 from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.peers import (
     LIMIT_INTERVAL_S,
@@ -54,7 +54,7 @@
 
     def record_limit(self, notice, sender):
         now = asyncio.get_running_loop().time()
-        return self.dispatcher.upstream_limits.record(notice, now)
+        return self.dispatcher.availability.limits.record(notice, now)
 
     def state_limit(self, calls_per_s, *, is_changed):
         """Receive an answer of the engine that states a limit, or none."""
@@ -63,7 +63,7 @@
         self.exchange.announce_limit(notice, is_changed=is_changed)
 
     def has_limit(self, calls_per_s):
-        return self.dispatcher.upstream_limits.find("u0") == calls_per_s
+        return self.dispatcher.availability.limits.find("u0") == calls_per_s
 
     def offer(self, name, tokens):
         request = PromptRequest(
