Hand over the streams that a gateway remembers before its entry is gone

Cause: a gateway that stops removed its entry first and handed over at the end of its drain, when other gateways drop its messages. Change: a gateway that stops counts itself no more among the holders and hands over before it removes its entry. For 60 s others still take from it what began during its drain.

--- a/packages/core/src/persimmonferry_core/stream_origins.py
+++ b/packages/core/src/persimmonferry_core/stream_origins.py
@@ -73,6 +73,7 @@
 
     def __init__(self, entry: str) -> None:
         self._entry = entry
+        self._is_leaving = False
         self._ring: list[tuple[int, str]] = []
         self._builds: Mapping[str, frozenset[str]] = {}
         # Until when streams of builds that have left may be taken up.
@@ -84,9 +85,15 @@
 
     def set_entries(self, entries: Iterable[str]) -> None:
         """Set the names of all entries."""
-        names = {*entries, self._entry}
+        own = set() if self._is_leaving else {self._entry}
+        names = (set(entries) - {self._entry}) | own
         self._ring = sorted((hash_stream(name, ""), name) for name in names)
 
+    def leave(self) -> None:
+        """Count this entry no more among those that remember streams."""
+        self._is_leaving = True
+        self.set_entries(name for _, name in self._ring)
+
     def list_holders(self, stream: int) -> tuple[str, ...]:
         """Return the other entries that remember a stream; all entries agree."""
         count = min(HOLDERS, len(self._ring))
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -270,6 +270,8 @@
         self._notice_end_s = began_s + self._settings.balancer_notice_s
         await self._rollout.stop()
         await self._election.stop()
+        # Others ask the next holders as soon as this gateway's entry is gone.
+        self._streams.hand_over()
         await self._registration.stop()
         await self._drain(began_s)
         await self._server.close()
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -79,6 +79,8 @@
 MAX_SOUND = 100
 MAX_CRASH_HASHES = 102
 CRASH_OVERHEAD_HASHES = 6
+# A gateway whose entry is gone still has calls for this time, and streams begin there.
+MAX_DRAIN_S = 60.0
 MS_PER_S = 1000
 
 _Work = TypeVar("_Work")
@@ -158,6 +160,8 @@
         self._users: dict[str, frozenset[str]] = {}
         self._loop = asyncio.get_running_loop()
         self._addresses: dict[str, Address] = {}
+        # When the entries of gateways that may still drain were removed.
+        self._removed_s: dict[str, float] = {}
         self._peer_states: dict[str, _PeerState] = {}
         self._held: dict[str, dict[str, int]] = {}
         self._paused: frozenset[str] = frozenset()
@@ -197,10 +201,17 @@
 
     def set_peers(self, addresses: dict[str, Address]) -> None:
         """Replace the addresses of all gateways."""
+        now = self._loop.time()
+        for name in self._addresses.keys() - addresses.keys():
+            self._removed_s[name] = now
         self._addresses = {
             name: address for name, address in addresses.items() if name != self._name
         }
-        now = self._loop.time()
+        self._removed_s = {
+            name: removed_s
+            for name, removed_s in self._removed_s.items()
+            if name not in addresses and now < removed_s + MAX_DRAIN_S
+        }
         # A gateway that has just registered is assumed to be alive.
         self._last_message_s = {
             name: self._last_message_s.get(name, now) for name in self._addresses
@@ -365,7 +376,11 @@
             or message.crashes
             or message.streams
         )
-        if payload is None or payload.sender not in self._addresses:
+        if payload is None:
+            return
+        if payload.sender not in self._addresses:
+            if message.streams is not None and payload.sender in self._removed_s:
+                self._receive_streams(message.streams)
             return
         self._last_message_s[payload.sender] = self._loop.time()
         if message.kept is not None:
--- a/packages/gateway/src/persimmonferry_gateway/stream_directory.py
+++ b/packages/gateway/src/persimmonferry_gateway/stream_directory.py
@@ -116,7 +116,8 @@
             self._answer(news.asked, news.sender, now)
 
     def hand_over(self) -> None:
-        """Announce all that this gateway remembers, as its process ends."""
+        """Announce all that this gateway remembers to those that will remember it."""
+        self._origins.leave()
         self._announce(self._origins.list_mixed(self._read_clock()))
 
     def _announce(self, origins: Iterable[StreamOrigin]) -> None:
