Pass on no part of an early answer, and no status that is none of HTTP

Cause: an answer without length and chunks was complete when its connection ended in order, also while the request was still being written. The kernel ends the connection of a worker that crashes like that if the worker has read all that had arrived, and resets it only afterwards. And libcurl takes the first three digits of a longer number for the status, while the gateway took the whole number: 2000 and 200200 reached callers as they were, and so did 600 to 999.

Change: a success without length and chunks whose connection ends before the request was wholly written is truncated. The status line needs three digits, 100 to 599.

--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -55,6 +55,8 @@
 )
 # Errors of libcurl about bytes that are no response.
 _UNREADABLE_CODES = (pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY)
+# libcurl takes the first three digits of a longer number for the status.
+_STATUS = re.compile(r"[1-5][0-9]{2}")
 _FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # The line belongs to another response that broke off where this one begins.
 _STATUS_LINE_INSIDE = re.compile(r".HTTP/1\.[01] \d{3}")
@@ -114,6 +116,7 @@
         curl.info["is_connection_open"] = curl.getinfo(pycurl.LASTSOCKET) != -1
         curl.info["errno"] = curl.getinfo(pycurl.OS_ERRNO)
         curl.info["is_readable"] = curl_error not in _UNREADABLE_CODES
+        curl.info["uploaded_bytes"] = int(curl.getinfo(pycurl.SIZE_UPLOAD_T))
         super()._finish(curl, curl_error, curl_message)
 
     def resume(self, transfer: Transfer) -> None:
@@ -184,6 +187,8 @@
             version, _, rest = text.partition(" ")
             self._is_persistent = version != "HTTP/1.0"
             code, _, self.reason = rest.partition(" ")
+            if not _STATUS.fullmatch(code):
+                raise ValueError(f"no status of HTTP: {code[:60]!r}")
             self.status = int(code)
             self.fields = []
             self.is_whole = False
@@ -279,6 +284,7 @@
         self._is_connection_stale = False
         self._is_connection_open = False
         self._errno = 0
+        self._unsent_bytes = len(body)
         self._addresses: ConnectionAddresses | None = None
         self._descriptor: int | None = None
         self._has_length = False
@@ -357,6 +363,17 @@
         """Return what marks the end of the response."""
         return self._lines.framing
 
+    @property
+    def _ends_before_upload(self) -> bool:
+        """
+        Whether the connection ended a success while the request was being written.
+
+        The kernel ends the connection of a process that crashes like this when it has
+        read all that had arrived, and resets it only afterwards.
+        """
+        is_unframed = self.framing is Framing.CONNECTION
+        return is_unframed and self.head.status < 300 and self._unsent_bytes > 0
+
     @property
     def _is_refusal(self) -> bool:
         is_own = self.head is not None and self.mismatch is None
@@ -418,7 +435,7 @@
             result = await self._fetch()
         if isinstance(result, RequestFailure):
             self.loss = result
-        elif self.head is None:
+        elif self.head is None or self._ends_before_upload:
             self.loss = RequestFailure.TRUNCATED
         self._is_ended = True
         self.held.end_receiving()
@@ -430,6 +447,7 @@
         if self._transfer is not None:
             self._is_connection_open = self._transfer.info["is_connection_open"]
             self._errno = self._transfer.info["errno"]
+            self._unsent_bytes -= self._transfer.info["uploaded_bytes"]
             self._is_rejected |= not self._transfer.info["is_readable"]
         self._transfer = None
         if self.is_answer_hidden:
