Send a call that may run once only once, also where its route is resumable

Cause: `may_repeat` took `resumable`, which speaks of streams, for every kind of route.

Change: only streams may be repeated because they can be resumed.

--- a/packages/core/src/persimmonferry_core/deployment.py
+++ b/packages/core/src/persimmonferry_core/deployment.py
@@ -85,7 +85,13 @@
     @property
     def may_repeat(self) -> bool:
         """Whether a call that may have run may be sent again."""
-        return self.kind is CallKind.IDEMPOTENT or self.is_resumable
+        match self.kind:
+            case CallKind.IDEMPOTENT:
+                return True
+            case CallKind.STREAM:
+                return self.is_resumable
+            case CallKind.ONCE:
+                return False
 
 
 @dataclass(frozen=True)
--- a/packages/core/tests/test_deployment.py
+++ b/packages/core/tests/test_deployment.py
@@ -50,6 +50,10 @@
     assert make_route("r", "/", is_resumable=True).may_repeat
 
 
+def test_what_resumes_streams_does_not_allow_a_call_to_run_twice():
+    assert not make_route("r", "/", CallKind.ONCE, is_resumable=True).may_repeat
+
+
 def test_the_silence_limit_of_a_stream_is_the_longest_of_three_bounds():
     assert make_route("r", "/", objective_s=0.1).silence_limit_s == 2.0
     assert make_route("r", "/", objective_s=1.0).silence_limit_s == 4.0
