--- a/packages/cli/src/persimmonferry_cli/client.py
+++ b/packages/cli/src/persimmonferry_cli/client.py
@@ -12,6 +12,7 @@
 __all__ = [
     "EXIT_REFUSED",
     "EXIT_UNKNOWN",
+    "EXIT_USAGE",
     "CommandFailed",
     "Request",
     "Response",
@@ -25,6 +26,7 @@
 NO_RESPONSE_STATUS = 599
 
 EXIT_REFUSED = 1
+EXIT_USAGE = 2
 EXIT_UNKNOWN = 3
 
 
@@ -32,7 +34,8 @@
     """
     A command did not succeed.
 
-    :param exit_status: 1 when nothing was done, 3 when the outcome is unknown.
+    :param exit_status: 1 when nothing was done, 2 for wrong usage, 3 when the outcome
+        is unknown.
     :param lines: error message for the user.
     """
 
--- a/packages/cli/src/persimmonferry_cli/documents.py
+++ b/packages/cli/src/persimmonferry_cli/documents.py
@@ -6,9 +6,6 @@
 import uuid
 from pathlib import Path
 
-from persimmonferry_core.document import parse_document
-from persimmonferry_core.exceptions import ConfigurationFaulty
-
 from persimmonferry_cli.client import (
     EXIT_REFUSED,
     EXIT_UNKNOWN,
@@ -19,7 +16,7 @@
 from persimmonferry_cli.endpoints import find_endpoint
 from persimmonferry_cli.tables import format_table
 
-__all__ = ["apply", "check", "history", "rollback", "show"]
+__all__ = ["apply", "history", "read_document", "rollback", "show"]
 
 MAX_ATTEMPTS = 3
 RETRY_DELAY_S = 1.0
@@ -28,21 +25,6 @@
 _REVISION_LINE = re.compile(r"# persimmonferry revision (\d+)\n")
 
 
-def check(file: Path) -> None:
-    """
-    Check a document without a connection and list every fault.
-
-    :param file: the INI document.
-    """
-    _, text = _read_file(file)
-    try:
-        document = parse_document(text)
-    except ConfigurationFaulty as error:
-        lines = (f"error {error.code.number} {error.code.text}", *error.faults)
-        raise CommandFailed(EXIT_REFUSED, lines) from None
-    print(f"{file}: no faults, team {document.team}")
-
-
 def show(*, revision: int = 0, admin: str = "", key: str = "") -> None:
     """
     Print the accepted document; its first line holds the revision for apply.
@@ -75,7 +57,7 @@
     :param admin: base URL of a process's control port, or PERSIMMONFERRY_ADMIN.
     :param key: the operator's key, or PERSIMMONFERRY_KEY.
     """
-    stamped, text = _read_file(file)
+    stamped, text = read_document(file)
     expected = stamped if revision is None else revision
     if expected is None:
         raise CommandFailed(
@@ -145,7 +127,8 @@
     raise AssertionError("the last attempt returns or raises")
 
 
-def _read_file(file: Path) -> tuple[int | None, str]:
+def read_document(file: Path) -> tuple[int | None, str]:
+    """Return the revision in the first line, None without one, and the text."""
     try:
         text = file.read_text()
     except (OSError, UnicodeDecodeError) as error:
--- a/packages/cli/src/persimmonferry_cli/main.py
+++ b/packages/cli/src/persimmonferry_cli/main.py
@@ -4,8 +4,9 @@
 
 import defopt
 
+from persimmonferry_cli.checks import check
 from persimmonferry_cli.client import CommandFailed
-from persimmonferry_cli.documents import apply, check, history, rollback, show
+from persimmonferry_cli.documents import apply, history, rollback, show
 from persimmonferry_cli.processes import drain, histograms, status, undrain, usage
 from persimmonferry_cli.requests import ask, order
 
@@ -36,5 +37,6 @@
     try:
         defopt.run(list(COMMANDS), argv=arguments)
     except CommandFailed as error:
-        print(error, file=sys.stderr)
+        if error.lines:
+            print(error, file=sys.stderr)
         sys.exit(error.exit_status)
