Bound the bytes and connections that a gateway holds for callers

Cause: bodies of requests were received without a bound, held twice (parts and whole) for as long as a call lasted, and then until the garbage collector found the cycles of the call; connections were never refused, and closed ones stayed listed, because Tornado calls on_close of its own server only.

Change: one account (held_bytes.py, until now answer_memory.py) counts requests and answers. request_room.py decides without I/O which bodies are received, which requests are refused (408 2017 without progress, 503 2030 after a second's wait, both not run), open_connections.py which connections are closed for new ones; the limits come from memoryMb, maxFds and linkMbps. A refused body is read on for a second and dropped, so that its caller reads the refusal. A call gives its body back when it ends. The metrics have request_bytes, requests_not_received, caller_connections and caller_connections_closed. test_metrics.py gets the new argument and checks the new lines; nothing is relaxed.

--- a/packages/core/src/persimmonferry_core/codes.py
+++ b/packages/core/src/persimmonferry_core/codes.py
@@ -84,6 +84,7 @@
     STREAM_UNKNOWN = _Meaning(
         2027, 503, Ran.NO, "which software version began the stream is not known"
     )
+    GATEWAY_FULL = _Meaning(2030, 503, Ran.NO, "the gateway has no room for the body")
     FENCING_REFUSED = _Meaning(2021, 409, Ran.NO, "the fencing token is outdated")
 
     UPSTREAM_LOST = _Meaning(3001, 502, Ran.UNKNOWN, "the upstream was lost")
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -36,7 +36,6 @@
 )
 
 from persimmonferry_gateway.answer_identity import AnswerFinder
-from persimmonferry_gateway.answer_memory import Place
 from persimmonferry_gateway.call_log import RateLimitedLog
 from persimmonferry_gateway.call_notes import (
     AnswerEnd,
@@ -50,6 +49,7 @@
 from persimmonferry_gateway.cluster_state import ClusterState
 from persimmonferry_gateway.crash_reports import CrashReports
 from persimmonferry_gateway.events import EndlessStream, EventSplitter
+from persimmonferry_gateway.held_bytes import Place
 from persimmonferry_gateway.interfaces import Codec, ForwardOptions, ResponseHead
 from persimmonferry_gateway.metrics import CallMetrics
 from persimmonferry_gateway.stream_directory import StreamDirectory
@@ -235,6 +235,8 @@
                 self._exchange.cancel()
             self._release()
             self._log_end()
+            # What refers to the handler may be collected much later.
+            self._call = replace(self._call, body=b"")
 
     def _record_loss(self, failure: AttemptFailed) -> None:
         """Note how far an attempt got that did not end with a whole answer."""
--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -3,17 +3,19 @@
 import asyncio
 import json
 import logging
+import math
 import socket
 import struct
+from collections import Counter
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from contextlib import suppress
 
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.deployment import CallerLimits
 from persimmonferry_core.exceptions import FerryError, NotRun
 from persimmonferry_daemon.servers import describe_error
 from tornado.concurrent import future_add_done_callback
-from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPHeaders,
@@ -22,22 +24,28 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
-from persimmonferry_gateway.answer_memory import AnswerMemory, Place
+from persimmonferry_gateway.held_bytes import HeldBytes, Place
+from persimmonferry_gateway.open_connections import OpenConnections
+from persimmonferry_gateway.request_room import HeldRequest, Refusal, RequestRoom
 
 __all__ = ["AnswerBegun", "CallerConnection", "CallerServer", "ReceivedRequest"]
 
 BACKLOG = 1024
 # Tornado closes the connection without a response above these limits, so they are
 # greater than the configured ones, which are answered with a status.
-HARD_HEADER_BYTES = 256 * 1024
+HARD_HEADER_BYTES = 64 * 1024
+HARD_HEADER_FACTOR = 2
 HARD_BODY_BYTES = 64 * 1024 * 1024
 HARD_IDLE_TIMEOUT_S = 60.0
+# Read at a time; each connection that waits for room holds about as much.
+READ_BYTES = 16 * 1024
+# For which the rest of a refused body is read, so that its caller reads the refusal.
+LINGER_S = 1.0
+NO_CONFIGURATION_RETRY_S = 0.5
 MIN_RETRY_AFTER_S = 0.05
-# Longer than an answer takes to reach its caller.
-IDLE_BEFORE_CLOSE_S = 0.1
 # The only version for which Tornado marks the end of an answer without a length.
 CHUNKED_VERSION = "HTTP/1.1"
 # SO_LINGER: closing the socket resets the connection.
@@ -48,15 +56,25 @@
 
 
 class ReceivedRequest:
-    """A request that was received completely."""
+    """
+    A request that was received completely.
+
+    :param release: to be called when its body is held no more.
+    """
 
     def __init__(
-        self, method: str, target: str, headers: list[tuple[str, str]], body: bytes
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        release: Callable[[], None],
     ) -> None:
         self.method = method
         self.target = target
         self.headers = headers
         self.body = body
+        self.release = release
 
 
 class AnswerBegun(Exception):
@@ -84,7 +102,7 @@
         announce_close: bool,
         version: str = CHUNKED_VERSION,
         has_body: bool = True,
-        memory: AnswerMemory | None = None,
+        memory: HeldBytes | None = None,
     ) -> None:
         self._connection = connection
         self._has_body = has_body
@@ -168,15 +186,28 @@
         self.send_chunk(body)
         self.finish()
 
-    def send_error(self, error: FerryError, reason: str = "") -> None:
-        """Answer with an error and, if it has one, the time after which to retry."""
+    def send_error(
+        self, error: FerryError, reason: str = "", *, is_read_on: bool = False
+    ) -> None:
+        """
+        Answer with an error and, if it has one, the time after which to retry.
+
+        :param is_read_on: whether the rest of the request is still to be read, so that
+            the connection may not be closed yet.
+        """
         headers = [("Content-Type", "application/json")]
         if error.retry_after_s is not None:
             after_s = max(MIN_RETRY_AFTER_S, error.retry_after_s)
             headers.append(("Retry-After", f"{after_s:.3f}"))
         body = json.dumps(describe_error(error)).encode()
         status = error.code.http_status
-        self.send_complete(status, reason or error.code.name.title(), headers, body)
+        reason = reason or error.code.name.title()
+        if not is_read_on:
+            self.send_complete(status, reason, headers, body)
+            return
+        headers.append(("Content-Length", str(len(body))))
+        self._write_head(status, reason, headers)
+        self.send_chunk(body)
 
     async def wait_until_sent(self) -> None:
         """Wait until all bytes are handed to the kernel or the connection is closed."""
@@ -249,16 +280,16 @@
     def __init__(
         self,
         server: "CallerServer",
-        server_connection: object,
         connection: HTTP1Connection,
     ) -> None:
         self._server = server
-        self._server_connection = server_connection
         self._connection = connection
         self._line: RequestStartLine | None = None
         self._headers: list[tuple[str, str]] = []
-        self._chunks: list[bytes] = []
-        self._size = 0
+        # One buffer that grows: many parts would leave gaps in memory.
+        self._body = bytearray()
+        self._held: HeldRequest | None = None
+        self._room_found: asyncio.Future | None = None
         self._is_refused = False
 
     def headers_received(
@@ -269,36 +300,51 @@
             # forwarded.
             self._is_refused = True
             return None
-        self._server.record_busy(self._server_connection)
+        server = self._server
+        server.connections.record_busy(self._connection.stream)
         self._line = start_line
         self._headers = list(headers.get_all())
-        limits = self._server.limits
+        self._held = server.room.begin(
+            self._resume, self._refuse_for_room, server.read_clock()
+        )
+        length = headers.get("Content-Length", "")
+        size = int(length) if length.isdecimal() else 0
+        limits = server.limits
         if limits is None:
-            return None
+            return self._refuse_unlimited(size)
         head_bytes = sum(len(name) + len(value) + 4 for name, value in self._headers)
         if head_bytes + len(start_line.path) > limits.header_bytes:
-            return self._refuse(ResultCode.HEAD_TOO_LARGE)
-        length = headers.get("Content-Length", "")
-        if length.isdecimal() and int(length) > limits.body_bytes:
-            return self._refuse(ResultCode.BODY_TOO_LARGE)
+            return self._refuse(NotRun(ResultCode.HEAD_TOO_LARGE))
+        if size > limits.body_bytes:
+            return self._refuse(NotRun(ResultCode.BODY_TOO_LARGE))
         return None
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        limits = self._server.limits
-        self._size += len(chunk)
         if self._is_refused:
             return None
-        if limits is not None and self._size > limits.body_bytes:
-            self._chunks.clear()
-            return self._refuse(ResultCode.BODY_TOO_LARGE)
-        self._chunks.append(chunk)
-        return None
+        self._body += chunk
+        size, limits = len(self._body), self._server.limits
+        if limits is None and (refused := self._refuse_unlimited(size)) is not None:
+            return refused
+        if limits is not None and size > limits.body_bytes:
+            return self._refuse(NotRun(ResultCode.BODY_TOO_LARGE))
+        if self._held.receive(len(chunk), self._server.read_clock()):
+            return None
+        self._room_found = asyncio.get_running_loop().create_future()
+        return self._room_found
 
     def finish(self) -> None:
-        if self._is_refused or self._connection.stream.closed():
+        if self._is_refused:
+            # The rest of the body of a request that was refused for want of room.
+            self._connection.close()
             return
+        if self._connection.stream.closed():
+            self._drop()
+            return
+        self._held.complete()
+        body, self._body = bytes(self._body), bytearray()
         request = ReceivedRequest(
-            self._line.method, self._line.path, self._headers, b"".join(self._chunks)
+            self._line.method, self._line.path, self._headers, body, self._held.release
         )
         caller = CallerConnection(
             self._connection,
@@ -310,9 +356,26 @@
         self._server.accept(request, caller)
 
     def on_connection_close(self) -> None:
-        self._chunks.clear()
+        self._is_refused = True
+        self._drop()
 
-    def _refuse(self, code: ResultCode) -> Awaitable[None]:
+    def _drop(self) -> None:
+        self._body = bytearray()
+        if self._held is not None:
+            self._held.release()
+        self._resume()
+
+    def _resume(self) -> None:
+        """Read on; called when there is room again."""
+        found, self._room_found = self._room_found, None
+        if found is not None and not found.done():
+            found.set_result(None)
+
+    def _make_caller(self) -> CallerConnection:
+        has_body = self._line.method != "HEAD"
+        return CallerConnection(self._connection, True, has_body=has_body)
+
+    def _refuse(self, error: NotRun) -> Awaitable[None]:
         """
         Refuse the request before it is read completely.
 
@@ -320,18 +383,53 @@
         as it answers a malformed body by itself.
         """
         self._is_refused = True
-        has_body = self._line.method != "HEAD"
-        caller = CallerConnection(self._connection, True, has_body=has_body)
-        caller.send_error(NotRun(code))
+        self._drop()
+        self._server.refusals[error.code] += 1
+        caller = self._make_caller()
+        caller.send_error(error)
         return caller.wait_until_sent()
 
+    def _refuse_unlimited(self, size: int) -> Awaitable[None] | None:
+        """Refuse a body for which there is no room while no limit is known."""
+        if size <= self._server.room.limit_bytes:
+            return None
+        code = ResultCode.NO_CONFIGURATION
+        return self._refuse(NotRun(code, "", NO_CONFIGURATION_RETRY_S))
+
+    def _refuse_for_room(self, refusal: Refusal) -> None:
+        """
+        Refuse the request while it is received.
+
+        Closing a connection with unread bytes would reset it, and its caller might not
+        read the refusal. So the rest of the body is read, for a time, and dropped.
+        """
+        self._is_refused = True
+        self._server.refusals[refusal.code] += 1
+        caller = self._make_caller()
+        caller.send_error(NotRun(refusal.code, "", refusal.retry_s), is_read_on=True)
+        stream = self._connection.stream
+        if stream.closed() or stream.writing():
+            self._connection.close()
+        else:
+            # Nothing follows the refusal, whatever is read. Reading notices a
+            # connection that the caller has reset meanwhile.
+            with suppress(OSError):
+                stream.socket.shutdown(socket.SHUT_WR)
+            loop = asyncio.get_running_loop()
+            loop.call_later(LINGER_S, self._connection.close)
+        self._drop()
+
 
-@dataclass(frozen=True)
-class _IdleConnection:
-    """A connection that waits for its next request, since when."""
+class _Server(HTTPServer):
+    """Tornado's server, which leaves it to ``CallerServer`` what connections it has."""
 
-    connection: HTTP1Connection
-    since_s: float
+    def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        if self.request_callback.make_way(stream, address):
+            super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: object) -> None:
+        super().on_close(server_conn)
+        self.request_callback.on_close(server_conn)
 
 
 class CallerServer(HTTPServerConnectionDelegate):
@@ -339,7 +437,12 @@
     Accepts callers' connections and reads their requests.
 
     :param accept: called with each complete request and the connection for its answer.
-    :param memory: counts the bytes of answers that are held.
+    :param memory: counts the bytes of requests and answers that are held.
+    :ivar connections: decides which connections are served.
+    :ivar room: decides which bodies are received.
+    :ivar refusals: number of requests that were refused before they were whole, by
+        code.
+    :ivar closed: number of connections that were closed without an answer, by cause.
     """
 
     def __init__(
@@ -348,19 +451,22 @@
         port: int,
         accept: Callable[[ReceivedRequest, CallerConnection], None],
         read_clock: Callable[[], float],
-        memory: AnswerMemory | None = None,
+        memory: HeldBytes | None = None,
     ) -> None:
-        self.memory = memory or AnswerMemory()
-        self._read_clock = read_clock
+        self.memory = memory or HeldBytes()
+        self.room = RequestRoom(self.memory)
+        self.connections: OpenConnections = OpenConnections()
+        self.refusals: Counter[ResultCode] = Counter()
+        self.closed: Counter[str] = Counter()
+        self.read_clock = read_clock
         self.accept = accept
         self.limits: CallerLimits | None = None
         self.is_stopping = False
         self._sockets = bind_sockets(port, host, backlog=BACKLOG)
         self.port = self._sockets[0].getsockname()[1]
-        self._idle: dict[object, _IdleConnection] = {}
-        self._busy: set[object] = set()
-        self._server = HTTPServer(
+        self._server = _Server(
             self,
+            chunk_size=READ_BYTES,
             max_header_size=HARD_HEADER_BYTES,
             max_body_size=HARD_BODY_BYTES,
             idle_connection_timeout=HARD_IDLE_TIMEOUT_S,
@@ -370,23 +476,68 @@
         """Start accepting connections."""
         self._server.add_sockets(self._sockets)
 
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Set the limits on what callers send."""
+        self.limits = limits
+        self.room.body_bytes = limits.body_bytes
+        self.room.idle_s = limits.idle_timeout_s
+        hard_bytes = max(HARD_HEADER_BYTES, HARD_HEADER_FACTOR * limits.header_bytes)
+        self._server.conn_params.max_header_size = hard_bytes
+
+    def make_way(self, stream: IOStream, address: tuple) -> bool:
+        """
+        Return whether a new connection is served now.
+
+        If not, it waits in the line, or in its place the first one there is closed.
+        """
+        connections = self.connections
+        if connections.is_full and (found := connections.find_replaced()) is not None:
+            self._close(found, "replaced")
+        now = self.read_clock()
+        if not connections.is_full:
+            connections.open(stream, now)
+            return True
+        late = connections.queue((stream, address), now)
+        if late is not None:
+            self._close_unserved(late)
+        return False
+
+    def check(self, now: float) -> None:
+        """Close and refuse what callers leave open without need."""
+        connections = self.connections
+        for item in connections.take_late(now):
+            self._close_unserved(item)
+        limits = self.limits
+        if limits is not None:
+            silent_s = limits.idle_timeout_s + limits.header_timeout_s
+            for stream in connections.list_silent(now, silent_s):
+                self._close(stream, "silent")
+        self.room.are_callers_waiting = connections.line_length > 0
+        self.room.check(now)
+        self._serve_line()
+
     def start_request(
-        self, server_conn: object, request_conn: HTTP1Connection
+        self, server_conn: HTTP1ServerConnection, request_conn: HTTP1Connection
     ) -> HTTPMessageDelegate:
         """Return the reader of a connection's next request."""
-        self._busy.discard(server_conn)
-        self._idle[server_conn] = _IdleConnection(request_conn, self._read_clock())
-        return _RequestReader(self, server_conn, request_conn)
+        self.connections.record_idle(server_conn.stream, self.read_clock())
+        return _RequestReader(self, request_conn)
 
-    def on_close(self, server_conn: object) -> None:
+    def on_close(self, server_conn: HTTP1ServerConnection) -> None:
         """Drop a connection that was closed."""
-        self._idle.pop(server_conn, None)
-        self._busy.discard(server_conn)
-
-    def record_busy(self, server_connection: object) -> None:
-        """Record that a request is being received on a connection."""
-        self._idle.pop(server_connection, None)
-        self._busy.add(server_connection)
+        self.connections.drop(server_conn.stream)
+        self._serve_line()
+
+    def count_callers(self) -> dict[str, int]:
+        """Return the counters of connections and refused requests, by name."""
+        counts = {"caller_connections": len(self.connections)}
+        for code in sorted(self.refusals, key=lambda code: code.number):
+            name = f'requests_not_received{{code="{code.number}"}}'
+            counts[name] = self.refusals[code]
+        for cause in sorted(self.closed):
+            name = f'caller_connections_closed{{cause="{cause}"}}'
+            counts[name] = self.closed[cause]
+        return counts
 
     def stop_accepting(self) -> None:
         """Accept no more connections; open ones are still served."""
@@ -401,12 +552,27 @@
 
         :returns: the number of connections that are still open.
         """
-        for key, waiting in tuple(self._idle.items()):
-            if now >= waiting.since_s + IDLE_BEFORE_CLOSE_S:
-                del self._idle[key]
-                waiting.connection.close()
-        return len(self._idle) + len(self._busy)
+        for stream in self.connections.list_idle(now):
+            self._close(stream, "stopping")
+        return len(self.connections)
 
     async def close(self) -> None:
         """Close all connections."""
+        for item in self.connections.take_late(math.inf):
+            self._close_unserved(item)
         await self._server.close_all_connections()
+
+    def _serve_line(self) -> None:
+        while (item := self.connections.take_next()) is not None:
+            stream, address = item
+            if not stream.closed():
+                self._server.handle_stream(stream, address)
+
+    def _close(self, stream: IOStream, cause: str) -> None:
+        self.closed[cause] += 1
+        self.connections.drop(stream)
+        stream.close()
+
+    def _close_unserved(self, item: tuple[IOStream, tuple]) -> None:
+        self.closed["not served"] += 1
+        item[0].close()
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -46,6 +46,7 @@
 )
 from persimmonferry_gateway.leadership import LeaderElection
 from persimmonferry_gateway.metrics import CallMetrics, MetricsServer
+from persimmonferry_gateway.open_connections import limit_connections
 from persimmonferry_gateway.peers import PeerExchange
 from persimmonferry_gateway.plain_handler import PlainHandler
 from persimmonferry_gateway.probes import Prober
@@ -99,6 +100,10 @@
 MAX_ATTEMPTS = 3
 # Share of the process's memory for answers; joining their parts takes as much again.
 ANSWER_MEMORY_SHARE = 0.25
+# For bodies of requests, without the one that may be received when all is held.
+REQUEST_MEMORY_SHARE = 0.25
+# For both together.
+SHARED_MEMORY_SHARE = 0.35
 
 _log = logging.getLogger(__name__)
 
@@ -172,11 +177,11 @@
             self._dispatcher.availability.limits.list_shares,
             self._crash_reports.count_crashes,
             self._dispatcher.list_retries,
-            client.answer_memory,
+            client.held_bytes,
+            lambda: self._server.count_callers(),
         )
         self._metrics_server = MetricsServer(settings.internal, self._metrics)
-        self._answer_memory = client.answer_memory
-        self._limit_answer_memory()
+        self._held_bytes = client.held_bytes
         self._store_index = CacheStoreIndex()
         self._stores = StoreWatch(
             self._store_index,
@@ -233,8 +238,9 @@
             settings.callers.port,
             self._accept,
             self._loop.time,
-            client.answer_memory,
+            client.held_bytes,
         )
+        self._limit_held_bytes()
         self._readiness = HTTPServer(
             Application([(r"/.*", _ReadinessHandler, {"check": self._is_ready})])
         )
@@ -283,15 +289,23 @@
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings; calls in progress are not affected."""
         self._settings = settings
-        self._limit_answer_memory()
+        self._limit_held_bytes()
         self._rollout.apply_settings(settings)
         self._update_retry_policy(read_boot_clock())
 
-    def _limit_answer_memory(self) -> None:
-        memory_bytes = self._settings.memory_bytes
-        if memory_bytes is not None:
-            limit_bytes = int(ANSWER_MEMORY_SHARE * memory_bytes)
-            self._answer_memory.limit_bytes = limit_bytes
+    def _limit_held_bytes(self) -> None:
+        """Divide the memory, the descriptors and the link of the VM."""
+        settings, room = self._settings, self._server.room
+        if settings.memory_bytes is not None:
+            memory_bytes = settings.memory_bytes
+            self._held_bytes.limit_bytes = int(ANSWER_MEMORY_SHARE * memory_bytes)
+            room.limit_bytes = int(REQUEST_MEMORY_SHARE * memory_bytes)
+            room.shared_bytes = int(SHARED_MEMORY_SHARE * memory_bytes)
+        if settings.link_bytes_per_s:
+            room.link_bytes_per_s = settings.link_bytes_per_s
+        self._server.connections.limit, _ = limit_connections(
+            settings.memory_bytes, settings.descriptors
+        )
 
     async def _drain(self, began_s: float) -> None:
         """
@@ -345,8 +359,11 @@
             work = self._make_handler(request, caller)
         except FerryError as error:
             caller.send_error(error)
+            request.release()
             return
         task = asyncio.create_task(work.run())
+        release = request.release
+        task.add_done_callback(lambda _: release())
         self._tasks.add(task)
         caller.set_disconnect_callback(task.cancel)
         task.add_done_callback(self._tasks.discard)
@@ -546,7 +563,7 @@
         self._retry_shares.confirm(read_boot_clock())
         deployment = self._cluster.deployment
         if deployment is not None:
-            self._server.limits = deployment.limits
+            self._server.set_limits(deployment.limits)
             self._stores.configure(deployment.stores)
             lifetimes = (route.timeout_s for route in deployment.routes)
             self._streams.set_builds(
@@ -594,6 +611,7 @@
     def _maintain(self) -> None:
         now = self._loop.time()
         self._cluster.expire(now)
+        self._server.check(now)
         self._limit_starts(now, read_boot_clock())
         self._update_retry_policy(read_boot_clock())
         self._loop.call_later(MAINTENANCE_INTERVAL_S, self._maintain)
--- a/packages/gateway/src/persimmonferry_gateway/answer_memory.py
+++ b/packages/gateway/src/persimmonferry_gateway/held_bytes.py
@@ -1,10 +1,10 @@
-"""Bounds the bytes of answers that a gateway holds in memory."""
+"""Counts the bytes that a gateway holds for others, and bounds those of answers."""
 
 import enum
 from collections import Counter
 from collections.abc import Callable, Mapping
 
-__all__ = ["AnswerMemory", "HeldAnswer", "Place"]
+__all__ = ["HeldAnswer", "HeldBytes", "Place"]
 
 # Each answer may hold this many bytes, however many others hold. A stream that waits
 # for its caller holds fewer, so it is never the one that all others wait for.
@@ -13,8 +13,9 @@
 
 
 class Place(enum.StrEnum):
-    """Where a gateway holds bytes of answers."""
+    """Where a gateway holds bytes; all but those of requests belong to answers."""
 
+    REQUEST = "request"
     UNREAD = "unread"
     EVENT = "event"
     BODY = "body"
@@ -30,7 +31,7 @@
         returned False.
     """
 
-    def __init__(self, memory: "AnswerMemory", resume: Callable[[], None]) -> None:
+    def __init__(self, memory: "HeldBytes", resume: Callable[[], None]) -> None:
         self.resume = resume
         self.size = 0
         self.is_receiving = True
@@ -66,16 +67,17 @@
             self.set_size(place, 0)
 
 
-class AnswerMemory:
+class HeldBytes:
     """
-    The bytes of all answers that were received and are not passed on yet.
+    The bytes of all requests and answers that were received and are not passed on yet.
 
-    Small answers are always received. While all together hold the limit or more, only
-    the oldest of the large ones is received further, until it is complete, cut off or
-    out of time: so one answer makes progress, and the others wait in their connections.
+    ``RequestRoom`` bounds those of requests. Small answers are always received. While
+    all answers together hold the limit or more, only the oldest of the large ones is
+    received further, until it is complete, cut off or out of time: so one answer makes
+    progress, and the others wait in their connections.
     While callers have not read the limit or more, none of the large ones is.
 
-    >>> memory = AnswerMemory(400_000)
+    >>> memory = HeldBytes(400_000)
     >>> first = HeldAnswer(memory, lambda: print("resume the first"))
     >>> second = HeldAnswer(memory, lambda: print("resume the second"))
     >>> first.set_size(Place.BODY, 200_000)
@@ -106,6 +108,15 @@
         """Return the most bytes that were held at one time, by place."""
         return dict(self._most)
 
+    @property
+    def size(self) -> int:
+        """Return the bytes that are held now."""
+        return self._present.total()
+
+    def find_size(self, place: Place) -> int:
+        """Return the number of bytes that are held in one place."""
+        return self._present[place]
+
     def may_grow(self, answer: HeldAnswer) -> bool:
         """Return whether more of an answer may be received; if not, it waits."""
         if self._has_room(answer):
@@ -124,6 +135,8 @@
 
     def add(self, place: Place, change: int) -> None:
         """Count bytes that are held from now on; fewer if negative."""
+        if not change:
+            return
         present = self._present[place] = self._present[place] + change
         if present > self._most[place]:
             self._most[place] = present
@@ -145,7 +158,8 @@
     def _has_room(self, answer: HeldAnswer) -> bool:
         if answer.size < MIN_ANSWER_BYTES:
             return True
-        if self._present.total() < self.limit_bytes:
+        answers = self.size - self._present[Place.REQUEST]
+        if answers < self.limit_bytes:
             return True
         if self._present[Place.UNSENT] >= self.limit_bytes:
             return False
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -9,7 +9,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from persimmonferry_gateway.answer_memory import AnswerMemory
+from persimmonferry_gateway.held_bytes import HeldBytes, Place
 
 __all__ = ["CallMetrics", "MetricsServer"]
 
@@ -23,7 +23,8 @@
     :param read_shares: returns the part of these limits that this gateway may use.
     :param read_quarantine: returns the number of crashes, by quarantined parts.
     :param read_retries: returns the retries allowed and refused so far, by service.
-    :param answer_memory: counts the bytes of answers that are held.
+    :param held_bytes: counts the bytes that are held.
+    :param count_callers: returns the counters of the server for callers, by name.
     """
 
     def __init__(
@@ -33,7 +34,8 @@
         read_shares: Callable[[], Mapping[str, float]],
         read_quarantine: Callable[[], Mapping[str, int]],
         read_retries: Callable[[], Mapping[str, tuple[int, int]]],
-        answer_memory: AnswerMemory,
+        held_bytes: HeldBytes,
+        count_callers: Callable[[], Mapping[str, int]],
     ) -> None:
         self.histograms = Histograms()
         self._outcomes: Counter[tuple[str, str]] = Counter()
@@ -45,7 +47,8 @@
         self._read_shares = read_shares
         self._read_quarantine = read_quarantine
         self._read_retries = read_retries
-        self._answer_memory = answer_memory
+        self._held_bytes = held_bytes
+        self._count_callers = count_callers
 
     def record(
         self,
@@ -100,11 +103,14 @@
         for service, (granted, refused) in sorted(self._read_retries().items()):
             lines.append(f'retries{{service="{service}"}} {granted}')
             lines.append(f'retries_refused{{service="{service}"}} {refused}')
-        most = self._answer_memory.most
-        for place, size in self._answer_memory.present.items():
-            label = f'place="{place.value}"'
-            lines.append(f"answer_bytes{{{label}}} {size}")
-            lines.append(f"answer_bytes_most{{{label}}} {most[place]}")
+        most = self._held_bytes.most
+        for place, size in self._held_bytes.present.items():
+            kind, label = "answer_bytes", f'{{place="{place.value}"}}'
+            if place is Place.REQUEST:
+                kind, label = "request_bytes", ""
+            lines.append(f"{kind}{label} {size}")
+            lines.append(f"{kind}_most{label} {most[place]}")
+        lines += [f"{name} {value}" for name, value in self._count_callers().items()]
         lines += [
             f'registry_calls{{kind="{kind}"}} {count}'
             for kind, count in sorted(self._read_registry_calls().items())
--- a/packages/gateway/src/persimmonferry_gateway/process.py
+++ b/packages/gateway/src/persimmonferry_gateway/process.py
@@ -10,13 +10,13 @@
 from persimmonferry_daemon.logs import set_up_logs
 
 from persimmonferry_gateway.gateway import Gateway
+from persimmonferry_gateway.open_connections import limit_connections
 from persimmonferry_gateway.reload import SettingsWatch
 from persimmonferry_gateway.settings import GatewaySettings
 from persimmonferry_gateway.upstream_client import CancellableClient
 
 __all__ = ["run_gateway"]
 
-MAX_CONNECTIONS = 512
 GC_THRESHOLD_OBJECTS = 20_000
 
 _log = logging.getLogger(__name__)
@@ -52,7 +52,8 @@
         loop.add_signal_handler(number, stop_asked.set)
     # SIGHUP is ignored until the gateway runs; the settings are checked then.
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
-    client = CancellableClient(force_instance=True, max_clients=MAX_CONNECTIONS)
+    _, connections = limit_connections(settings.memory_bytes, settings.descriptors)
+    client = CancellableClient(force_instance=True, max_clients=connections)
     gateway = build(client)
     await gateway.start()
     watch = SettingsWatch(settings, read, parse, gateway.apply_settings)
--- a/packages/gateway/src/persimmonferry_gateway/settings.py
+++ b/packages/gateway/src/persimmonferry_gateway/settings.py
@@ -43,6 +43,8 @@
     :param retry_window_s: window in which retries are counted.
     :param retry_floor: retries that all gateways may make in addition in a window.
     :param memory_bytes: above which the process is killed, None if not stated.
+    :param descriptors: that the process may have open, None if not stated.
+    :param link_bytes_per_s: that the link of its VM carries, None if not stated.
     """
 
     name: str
@@ -62,6 +64,8 @@
     retry_window_s: float
     retry_floor: int
     memory_bytes: int | None = None
+    descriptors: int | None = None
+    link_bytes_per_s: float | None = None
 
 
 def merge_settings(
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -29,7 +29,7 @@
     find_mismatch,
     is_identified,
 )
-from persimmonferry_gateway.answer_memory import AnswerMemory, HeldAnswer, Place
+from persimmonferry_gateway.held_bytes import HeldAnswer, HeldBytes, Place
 from persimmonferry_gateway.interfaces import ResponseHead
 from persimmonferry_gateway.kept_connections import (
     ConnectionAddresses,
@@ -43,6 +43,8 @@
 # long. Longer than two retransmissions on a lossy link, shorter than callers wait.
 UNACKNOWLEDGED_TIMEOUT_MS = 1000
 MAX_HEAD_BYTES = 64 * 1024
+# Of Tornado's client.
+DEFAULT_CONNECTIONS = 10
 # Several round trips between failure domains. A connection that takes longer waits for
 # the retransmission of its first packet; another upstream is faster.
 CONNECT_TIMEOUT_S = 0.3
@@ -88,14 +90,17 @@
     Tornado's curl client, with transfers that can be cancelled by the caller.
 
     :ivar kept_connections: connections of exchanges, which may be reused.
-    :ivar answer_memory: counts the bytes of answers that are held.
+    :ivar held_bytes: counts the bytes of answers that are held.
     """
 
     def initialize(self, *args: Any, **options: Any) -> None:
         """Set up the client, as Tornado's constructor does."""
         super().initialize(*args, **options)
+        # Idle connections are closed in favour of new ones.
+        connections = options.get("max_clients", DEFAULT_CONNECTIONS)
+        self._multi.setopt(pycurl.M_MAX_TOTAL_CONNECTIONS, connections)
         self.kept_connections = KeptConnections()
-        self.answer_memory = AnswerMemory()
+        self.held_bytes = HeldBytes()
 
     def cancel(self, transfer: Transfer) -> None:
         """Cancel a transfer that has not ended; libcurl closes its connection."""
@@ -269,7 +274,7 @@
         self._transfer: Transfer | None = None
         self._chunks: deque[bytes] = deque()
         self.received_bytes = 0
-        self.held = HeldAnswer(client.answer_memory, self._resume)
+        self.held = HeldAnswer(client.held_bytes, self._resume)
         self._is_paused = False
         self._is_ended = False
         self._is_cancelled = False
@@ -287,15 +292,15 @@
         self._is_followed = False
         self._progress = asyncio.Event()
         has_body = bool(body) or method in ("POST", "PUT", "PATCH")
+        self._body: bytes | None = body if has_body else None
         self._make_request = partial(
             Request,
             f"http://{address}/",
             method=method,
-            body=body if has_body else None,
             timeout_s=timeout_s,
             connect_timeout_s=CONNECT_TIMEOUT_S,
         )
-        self._request = self._make_request(reuse=reuse)
+        self._request = self._make_request(body=self._body, reuse=reuse)
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -408,13 +413,19 @@
     def close(self) -> None:
         """Cancel the request unless it has ended, and drop what it holds."""
         self.cancel()
+        if self._request.http.body:
+            # Cycles keep the request until the garbage is collected.
+            self._request.http.body = b""
+            self._body = b""
         self._chunks.clear()
         self.held.release()
 
     async def _run(self) -> None:
         result = await self._fetch()
         if self._is_connection_stale and not self._is_cancelled:
-            self._request = self._make_request(reuse=ConnectionReuse.NEW)
+            self._request = self._make_request(
+                body=self._body, reuse=ConnectionReuse.NEW
+            )
             result = await self._fetch()
         if isinstance(result, RequestFailure):
             self.loss = result
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -1,11 +1,12 @@
-from persimmonferry_gateway.answer_memory import AnswerMemory, Place
+from persimmonferry_gateway.held_bytes import HeldBytes, Place
 from persimmonferry_gateway.metrics import CallMetrics
 
 
 def test_outcomes_attempts_limits_and_latencies_are_printed():
-    memory = AnswerMemory()
+    memory = HeldBytes()
     memory.add(Place.UNREAD, 70)
     memory.add(Place.UNREAD, -50)
+    memory.add(Place.REQUEST, 30)
     metrics = CallMetrics(
         lambda: {"kv-watch": 3},
         lambda: {"e1": 2.5},
@@ -13,6 +14,7 @@
         lambda: {"00ff": 2},
         lambda: {"plain": (4, 1)},
         memory,
+        lambda: {'requests_not_received{code="2030"}': 6},
     )
     metrics.record("t1", "ask", "answered", 1, 0, (), 0.1, 0.3)
     metrics.record("t1", "ask", "answered", 2, 1, ("sent",), 0.2, 0.4)
@@ -30,6 +32,9 @@
     assert 'retries_refused{service="plain"} 1' in lines
     assert 'answer_bytes{place="unread"} 20' in lines
     assert 'answer_bytes_most{place="unread"} 70' in lines
+    assert "request_bytes 30" in lines
+    assert "request_bytes_most 30" in lines
+    assert 'requests_not_received{code="2030"} 6' in lines
     assert 'registry_calls{kind="kv-watch"} 3' in lines
     assert 'first_token_ms_count{account="t1",route="ask"} 2' in lines
     assert 'whole_answer_ms_count{account="t1",route="ask"} 3' in lines
--- a/packages/gateway/tests/test_upstream_client.py
+++ b/packages/gateway/tests/test_upstream_client.py
@@ -4,7 +4,7 @@
 
 import pytest
 from persimmonferry_adapters.http_client import ConnectionReuse, RequestFailure
-from persimmonferry_gateway.answer_memory import MIN_ANSWER_BYTES, Place
+from persimmonferry_gateway.held_bytes import MIN_ANSWER_BYTES, Place
 from persimmonferry_gateway.interfaces import ResponseHead
 from persimmonferry_gateway.upstream_client import (
     MAX_UNREAD_BYTES,
@@ -42,7 +42,7 @@
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         client = CancellableClient(force_instance=True, **options)
 
-        client.answer_memory.limit_bytes = limit_bytes
+        client.held_bytes.limit_bytes = limit_bytes
 
         def send(target):
             reuse = ConnectionReuse.NO_RESEND
@@ -98,7 +98,7 @@
 def test_responses_are_received_before_they_are_read():
     async def scenario(send):
         exchanges = [send("/large") for _ in range(4)]
-        memory = exchanges[0]._client.answer_memory
+        memory = exchanges[0]._client.held_bytes
         await asyncio.gather(*(exchange.wait_for_head() for exchange in exchanges))
         await asyncio.sleep(0.3)
         unread_bytes = memory.most[Place.UNREAD]
@@ -119,7 +119,7 @@
 def test_large_bodies_exceed_the_limit_of_all_answers(cancelled):
     async def scenario(send):
         exchanges = [send("/large") for _ in range(3)]
-        memory = exchanges[0]._client.answer_memory
+        memory = exchanges[0]._client.held_bytes
 
         async def read(exchange):
             body = await exchange.read_body()
