Count the calls to upstreams that may be cold, and close evacuated failure domains

Cause: no code read that an upstream is cold or how many calls it takes then, and evacuations in the store were ignored. Change: CallRates keeps all gateways' calls to such an upstream below a ceiling in any second; Evacuated closes the upstreams of a failure domain.

--- a/packages/core/src/persimmonferry_core/deployment.py
+++ b/packages/core/src/persimmonferry_core/deployment.py
@@ -140,10 +140,13 @@
     A service with its upstreams.
 
     :param engine: None for a plain service.
+    :param cold_calls_per_s: that a cold upstream takes from all gateways together, 0 if
+        it takes as many as others.
     """
 
     name: str
     engine: EngineCapacity | None
+    cold_calls_per_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -172,6 +175,7 @@
     :param incarnation: start time of the process, in milliseconds since 1970.
     :param weights: loaded weight version of each model.
     :param build: version of its software; versions have no order.
+    :param cold_left_s: how long it remained cold when it wrote this.
     """
 
     name: str
@@ -183,6 +187,7 @@
     incarnation: int
     weights: tuple[tuple[str, int], ...] = ()
     build: str = ""
+    cold_left_s: float = field(default=0.0, compare=False)
 
     def find_version(self, model: str) -> int | None:
         """Return the loaded weight version of a model, or None."""
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -132,7 +132,7 @@
         self._entry = entry
         self._entries: tuple[str, ...] = (entry,)
         self._subset: frozenset[str] | None = None
-        self.availability = UpstreamAvailability(entry)
+        self.availability = UpstreamAvailability(entry, seed)
         self._models: dict[str, ModelService] = {}
         self._plain: dict[str, PlainService] = {}
         self._attempts: dict[str, _Attempt] = {}
@@ -613,14 +613,18 @@
         """
         Return the work of attempts that have just started, for the other entries.
 
-        :param heavy_only: omit work that hardly changes an upstream's backlog.
+        :param heavy_only: omit work that hardly changes an upstream's backlog, unless
+            the entries count their calls there.
         """
         started: dict[str, PeerWork] = {}
         for assignment in assignments:
             router = self._models[assignment.request.service].router
             upstream = router.upstreams[assignment.upstream]
             work = upstream.get_run_work(assignment.request.request_id)
-            if work is not None and (upstream.is_heavy(work) or not heavy_only):
+            if work is None:
+                continue
+            is_counted = self.availability.rates.has_ceiling(upstream.name)
+            if is_counted or not heavy_only or upstream.is_heavy(work):
                 known = started.get(upstream.name)
                 started[upstream.name] = known.add(work) if known else work
         return started
@@ -851,6 +855,7 @@
 
     def _drop_upstream(self, name: str) -> None:
         self.availability.record_restart(name)
+        self.availability.rates.set_ceiling(name, None)
         pool = self._find_pool(self._services_of.pop(name, ""))
         if pool is not None:
             pool.remove(name)
--- a/packages/core/src/persimmonferry_core/upstreams/__init__.py
+++ b/packages/core/src/persimmonferry_core/upstreams/__init__.py
@@ -5,6 +5,12 @@
     UpstreamAvailability,
     name_closure,
 )
+from persimmonferry_core.upstreams.call_rates import (
+    CallRates,
+    ColdBound,
+    RateCeiling,
+    SentNews,
+)
 from persimmonferry_core.upstreams.cooldowns import UpstreamCooldowns
 from persimmonferry_core.upstreams.ejection import (
     Closed,
@@ -31,8 +37,10 @@
 )
 
 __all__ = [
+    "CallRates",
     "Closed",
     "Closure",
+    "ColdBound",
     "EjectionPolicy",
     "Ejector",
     "HalfOpen",
@@ -40,7 +48,9 @@
     "LimitNotice",
     "Open",
     "PeerWork",
+    "RateCeiling",
     "Route",
+    "SentNews",
     "SlowStart",
     "UnreadAnswers",
     "Upstream",
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -94,6 +94,7 @@
     :param check_version: asks an engine for the version of its weights.
     :param kept: index of the parts of prompts that are stored at store VMs.
     :param log: of calls that have ended.
+    :param announce_call: tells the other gateways of a call to a plain service.
     :param record_limit: records the limit that an upstream stated with a response to a
         call, which was sent at the given time.
     :param find_fetch_deadline: returns the deadline of a fetch that may take the given
@@ -124,6 +125,7 @@
     quarantine: Quarantine
     crash_reports: CrashReports
     streams: StreamDirectory
+    announce_call: Callable[[str], None]
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
     waiting_parts: dict[str, frozenset[int]] = field(default_factory=dict)
     withdrawals: dict[str, Callable[[], None]] = field(default_factory=dict)
@@ -614,6 +616,10 @@
         if head.idle_s is not None:
             context.idle_s[record.name] = head.idle_s - IDLE_MARGIN_S
         context.cluster.record_load(record.name, head.load, head.version, now)
+        if head.cold_left_s is not None:
+            context.cluster.record_cold(
+                record.name, head.cold_left_s, "its answer", now
+            )
         if head.is_leaving:
             context.cluster.record_leaving(record.name, now)
         if head.refuses_for_s is not None:
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -5,7 +5,7 @@
 
 from persimmonferry_core.deployment import Deployment, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher
-from persimmonferry_core.upstreams.limits import LimitNotice
+from persimmonferry_core.upstreams import ColdBound, LimitNotice, RateCeiling
 from persimmonferry_core.weight_orders import (
     find_replacement_time,
     find_start_limits,
@@ -43,6 +43,10 @@
         self.deployment: Deployment | None = None
         self.weights: dict[str, int] = {}
         self.fleet = Fleet()
+        # Failure domains to which nothing more may be sent.
+        self.evacuated: frozenset[str] = frozenset()
+        self._cold_bound: ColdBound | None = None
+        self._ceilings: dict[str, RateCeiling] = {}
         self._codec = codec
         self._dispatcher = dispatcher
         self._loads: dict[str, UpstreamLoad] = {}
@@ -55,6 +59,12 @@
         self._leaving: dict[str, int] = {}
         self._sequence = 0
 
+    def set_cold_bound(self, bound: ColdBound | None, now: float) -> None:
+        """Set how far above their rate cold upstreams may be called, None for any."""
+        if bound != self._cold_bound:
+            self._cold_bound = bound
+            self._update_ceilings(now)
+
     def find_record(self, upstream: str) -> UpstreamRecord | None:
         """Return an upstream's entry, or None."""
         return self.fleet.records.get(upstream)
@@ -142,6 +152,12 @@
         names = frozenset(item.key.removeprefix(prefix) for item in items)
         for name in self.fleet.keep_only(names, now):
             self._forget(name)
+        prefix = self._codec.evacuation_prefix
+        listed = (item.key for item in snapshot.items if item.key.startswith(prefix))
+        domains = frozenset(key.removeprefix(prefix) for key in listed)
+        # An older copy may lack an evacuation that is still in force.
+        kept = self.evacuated if snapshot.is_restored else frozenset()
+        self._set_evacuated(domains | kept)
         self._apply(snapshot.items, now, since_s, is_restored=snapshot.is_restored)
 
     def apply_changes(self, changes: Changes, now: float, since_s: float) -> None:
@@ -162,6 +178,24 @@
         if load is not None or version is not None:
             self._report(record, now)
 
+    def record_cold(
+        self, upstream: str, left_s: float, source: str, now: float
+    ) -> None:
+        """
+        Record for how long an upstream says that it remains cold.
+
+        :param source: where it says so, for the log.
+        """
+        rates = self._dispatcher.availability.rates
+        if rates.record_cold(upstream, now + left_s, now):
+            fields = {
+                "upstream": upstream,
+                "by": source,
+                "left_s": left_s,
+                "calls": rates.list_ceilings(now)[upstream],
+            }
+            _log.info("upstream cold", extra=fields)
+
     def record_leaving(self, upstream: str, now: float) -> None:
         """
         Record that an upstream announced with a response that it is leaving.
@@ -236,6 +270,8 @@
                 self._apply_weights(item, now, since_s)
             elif item.key.startswith(codec.upstream_prefix):
                 self._apply_upstream(item, now, is_restored=is_restored)
+            elif item.key.startswith(codec.evacuation_prefix):
+                self._apply_evacuation(item)
 
     def _apply_configuration(self, item: Item, now: float) -> None:
         if item.value is None:
@@ -267,6 +303,7 @@
         )
         for record in self.fleet.records.values():
             self._report(record, now)
+        self._update_ceilings(now)
 
     def _apply_weights(self, item: Item, now: float, since_s: float) -> None:
         if item.value is None:
@@ -310,6 +347,7 @@
         former = self.find_record(name)
         self.fleet.put(record)
         if former == record:
+            self.record_cold(name, record.cold_left_s, "its entry", now)
             return
         is_restarted = former is None or former.incarnation != record.incarnation
         if is_restarted:
@@ -324,6 +362,60 @@
         if former is None:
             self._configure(now)
         self._report(record, now)
+        self._set_ceiling(record)
+        self.record_cold(name, record.cold_left_s, "its entry", now)
+        if former is None or former.failure_domain != record.failure_domain:
+            self._close_evacuated()
+
+    def _apply_evacuation(self, item: Item) -> None:
+        domain = item.key.removeprefix(self._codec.evacuation_prefix)
+        if item.value is None:
+            self._set_evacuated(self.evacuated - {domain})
+        else:
+            self._set_evacuated(self.evacuated | {domain})
+
+    def _set_evacuated(self, domains: frozenset[str]) -> None:
+        """Set the failure domains to which nothing more may be sent."""
+        for domain in sorted(domains - self.evacuated):
+            _log.info("failure domain evacuated", extra={"domain": domain})
+        for domain in sorted(self.evacuated - domains):
+            _log.info("evacuation taken back", extra={"domain": domain})
+        self.evacuated = domains
+        self._close_evacuated()
+
+    def _close_evacuated(self) -> None:
+        closed = {
+            record.name: record.failure_domain
+            for record in self.fleet.records.values()
+            if record.failure_domain in self.evacuated
+        }
+        self._dispatcher.availability.set_evacuated(closed)
+
+    def _update_ceilings(self, now: float) -> None:
+        """Set the ceilings of all upstreams, as their services state them."""
+        found = {}
+        for record in self.fleet.records.values():
+            ceiling = self._set_ceiling(record)
+            self.record_cold(record.name, record.cold_left_s, "its entry", now)
+            if ceiling is not None:
+                found[record.service] = ceiling
+        for service, ceiling in found.items():
+            if self._ceilings.get(service) != ceiling:
+                fields = {
+                    "service": service,
+                    "calls": ceiling.calls,
+                    "cold_calls": ceiling.cold_calls,
+                }
+                _log.info("ceiling on calls in a second in force", extra=fields)
+        self._ceilings = found
+
+    def _set_ceiling(self, record: UpstreamRecord) -> RateCeiling | None:
+        service = self.deployment and self.deployment.find_service(record.service)
+        ceiling = None
+        if service is not None and self._cold_bound is not None:
+            ceiling = self._cold_bound.make_ceiling(service.cold_calls_per_s)
+        self._dispatcher.availability.rates.set_ceiling(record.name, ceiling)
+        return ceiling
 
     def _record_initial_versions(self, record: UpstreamRecord) -> None:
         for model, version in record.weights:
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -131,6 +131,7 @@
             failure_domain=settings.failure_domain,
         )
         self._cluster = ClusterState(codec, self._dispatcher)
+        self._cluster.set_cold_bound(settings.cold_bound, self._loop.time())
         self._peers = PeerExchange(
             settings.name,
             time.time_ns() // NS_PER_MS,
@@ -205,6 +206,7 @@
             self._quarantine,
             self._crash_reports,
             self._streams,
+            self._peers.announce_call,
         )
         self._registry_watch = RegistryWatch(
             registry,
@@ -285,6 +287,7 @@
         self._settings = settings
         self._limit_answer_memory()
         self._rollout.apply_settings(settings)
+        self._cluster.set_cold_bound(settings.cold_bound, self._loop.time())
         self._update_retry_policy(read_boot_clock())
 
     def _limit_answer_memory(self) -> None:
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -191,6 +191,7 @@
         None if not stated.
     :param calls_per_s: that the upstream takes from all gateways together, None for no
         limit.
+    :param cold_left_s: how long the upstream remains cold, None if not stated.
     """
 
     status: int
@@ -207,6 +208,7 @@
     is_leaving: bool = False
     refuses_for_s: float | None = None
     calls_per_s: float | None = None
+    cold_left_s: float | None = None
 
     @property
     def is_refusal(self) -> bool:
@@ -269,6 +271,7 @@
     configuration_key: str
     upstream_prefix: str
     weights_prefix: str
+    evacuation_prefix: str
     report_path: str
     store_list_path: str
 
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -11,10 +11,12 @@
 from persimmonferry_core.quarantine import Crash
 from persimmonferry_core.topology import Address
 from persimmonferry_core.upstreams import PeerWork
+from persimmonferry_core.upstreams.call_rates import CallRates, SentNews
 from persimmonferry_core.upstreams.limits import LimitNotice
 from persimmonferry_core.upstreams.subsets import UpstreamSubsets
 from persimmonferry_wire import decode, encode
 from persimmonferry_wire.generated.peers.ttypes import (
+    CallNews,
     CrashedPrompt,
     CrashNews,
     KeptChange,
@@ -26,6 +28,7 @@
     OwnWork,
     PeerMessage,
     PeerNews,
+    SentCalls,
     StartedWork,
     StreamNews,
     UpstreamLimit,
@@ -42,6 +45,8 @@
 INTERVAL_PER_PEER_S = 0.012
 # A peer without a message for this many intervals is assumed to have no work.
 PEER_EXPIRY_INTERVALS = 8
+# A peer without a message for this many intervals is not in contact.
+CONTACT_INTERVALS = 3
 MAX_DATAGRAM_BYTES = 1400
 MAX_HELD_UPSTREAMS = 16
 # A gateway without work sends an empty message this often, as a heartbeat.
@@ -208,6 +213,7 @@
         self._dispatcher.set_entries((self._name, *self._addresses))
         self._groups.set_entries(addresses)
         self._apply_groups()
+        self._rates.set_contact_timeout(CONTACT_INTERVALS * self.interval_s)
 
     def set_engines(self, names: tuple[str, ...]) -> None:
         """Replace the names of all engines."""
@@ -217,7 +223,7 @@
     def _apply_groups(self) -> None:
         self._dispatcher.set_subset(self._groups.subset)
         self._users = self._groups.map_users()
-        self._dispatcher.availability.limits.set_users(self._users)
+        self._dispatcher.availability.set_users(self._users)
         neighbours = self._groups.neighbours
         for name in tuple(self._peer_states):
             if name not in neighbours:
@@ -269,10 +275,39 @@
         with all work, each of them would send its next prompt there.
         """
         for users, part in self._split_by_users(work).items():
-            started = StartedWork(
-                self._name, self._incarnation, self._sequence, _encode_work(part)
-            )
-            self._send(encode(PeerMessage(started=started)), users)
+            self._send_started(part, users)
+
+    def announce_call(self, upstream: str) -> None:
+        """Announce at once a call to an upstream of a plain service, if it counts."""
+        if self._rates.has_ceiling(upstream):
+            for users in self._split_by_users({upstream: None}):
+                self._send_started({}, users, (upstream,))
+
+    def _send_started(
+        self,
+        part: dict[str, PeerWork],
+        users: frozenset[str],
+        called: tuple[str, ...] = (),
+    ) -> None:
+        started = StartedWork(
+            self._name,
+            self._incarnation,
+            self._sequence,
+            _encode_work(part),
+            self._describe_sent((*part, *called)),
+        )
+        self._send(encode(PeerMessage(started=started)), users)
+
+    def _describe_sent(self, upstreams: Iterable[str]) -> CallNews | None:
+        """Return the calls to these upstreams, None if no calls are counted."""
+        rates = self._rates
+        if not rates.list_peers():
+            return None
+        return _encode_sent(rates.describe_sent(upstreams, self._loop.time()))
+
+    @property
+    def _rates(self) -> CallRates:
+        return self._dispatcher.availability.rates
 
     def announce_loading(
         self, paused: frozenset[str], versions: dict[str, int], *, is_leader: bool
@@ -427,6 +462,7 @@
 
     def _handle_started(self, payload: StartedWork) -> None:
         """Add work to a peer's last message unless that message already includes it."""
+        self._record_sent(payload.sender, payload.sent)
         known = self._peer_states.get(payload.sender)
         order = (payload.incarnation, payload.sequence)
         if known is None:
@@ -439,6 +475,7 @@
 
     def _handle_work(self, payload: PeerNews) -> None:
         """Replace a peer's work unless a later message was received before."""
+        self._record_sent(payload.sender, payload.sent)
         known = self._peer_states.get(payload.sender)
         order = (payload.incarnation, payload.sequence)
         if known is not None and order <= (known.incarnation, known.sequence):
@@ -451,6 +488,10 @@
                 item.upstream, tuple(item.names), tuple(item.sizes)
             )
 
+    def _record_sent(self, sender: str, news: CallNews | None) -> None:
+        if news is not None:
+            self._rates.record_peer(sender, _decode_sent(news), self._loop.time())
+
     def error_received(self, error: Exception) -> None:
         """Log a datagram that was not delivered; the next one replaces it."""
         _log.debug("peer message lost", extra={"cause": str(error)})
@@ -473,7 +514,8 @@
         """Send each neighbour the work at the engines that both use."""
         work = self._dispatcher.summarise_own_work(now)
         self._sequence += 1
-        parts = self._split_by_users(dict.fromkeys(self._held) | work)
+        called = self._rates.list_called(now)
+        parts = self._split_by_users(dict.fromkeys((*self._held, *called)) | work)
         recipients = frozenset().union(*parts)
         # A peer that was sent work must be notified once it has ended.
         silent_s = now - IDLE_INTERVAL_S
@@ -483,6 +525,8 @@
             if name in self._work_recipients
             or self._last_sent_s.get(name, float("-inf")) <= silent_s
         )
+        # Those that count their calls together stay in contact.
+        idle |= self._rates.list_peers() - recipients
         for users, part in (*parts.items(), (idle, {})):
             if users:
                 self._send(self._encode_work_message(part), users)
@@ -498,7 +542,12 @@
         ]
         work = {name: item for name, item in part.items() if item is not None}
         payload = PeerNews(
-            self._name, self._incarnation, self._sequence, _encode_work(work), held
+            self._name,
+            self._incarnation,
+            self._sequence,
+            _encode_work(work),
+            held,
+            self._describe_sent(part),
         )
         data = encode(PeerMessage(work=payload))
         if len(data) > MAX_DATAGRAM_BYTES:
@@ -512,7 +561,7 @@
         """Return the work to send, by the neighbours that use these engines."""
         names: dict[str, list[str]] = {}
         for upstream in work:
-            for user in self._groups.list_users(upstream):
+            for user in self._find_users(upstream):
                 names.setdefault(user, []).append(upstream)
         users: dict[tuple[str, ...], set[str]] = {}
         for user, upstreams in names.items():
@@ -522,6 +571,13 @@
             for upstreams, found in users.items()
         }
 
+    def _find_users(self, upstream: str) -> frozenset[str]:
+        """Return the other gateways that use an upstream, all if that is unknown."""
+        users = self._groups.list_users(upstream)
+        if not users and self._rates.has_ceiling(upstream):
+            return frozenset(self._addresses)
+        return users
+
     def _flush_updates(self) -> None:
         """Send the queued store updates, at most ``MAX_CHANGES`` in a datagram."""
         updates, self._updates = self._updates, []
@@ -655,6 +711,23 @@
     )
 
 
+def _encode_sent(news: SentNews) -> CallNews:
+    calls = [
+        SentCalls(name, [round(age_s * MS_PER_S) for age_s in ages])
+        for name, ages in news.ages.items()
+        if ages
+    ]
+    return CallNews(news.stated_ms, calls, sorted(news.unheard))
+
+
+def _decode_sent(news: CallNews) -> SentNews:
+    ages = {
+        item.upstream: tuple(age_ms / MS_PER_S for age_ms in item.ages_ms)
+        for item in news.calls
+    }
+    return SentNews(news.stated_ms, ages, frozenset(news.unheard))
+
+
 def _encode_work(work: dict[str, PeerWork]) -> list[OwnWork]:
     return [
         OwnWork(name, item.runs, item.memory_tokens, dict(item.waiting_tokens))
--- a/packages/gateway/src/persimmonferry_gateway/plain_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/plain_handler.py
@@ -31,6 +31,7 @@
                 wait_s = wait_s or NO_UPSTREAM_RETRY_S
                 raise NotRun(ResultCode.NO_UPSTREAM, "", wait_s)
             context.dispatcher.plain_started(self._id, record.name, now)
+            context.announce_call(record.name)
             context.quarantine.record_sent(self._find_parts(), now)
             try:
                 await self._attempt(record, None)
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -38,6 +38,18 @@
             self._check_quarantine()
             record = context.cluster.find_record(assignment.upstream)
             now = context.read_clock()
+            if context.dispatcher.availability.is_evacuated(assignment.upstream):
+                # It was assigned before the evacuation was known, and was not sent.
+                answer = context.dispatcher.failed(
+                    self._id,
+                    False,
+                    now,
+                    connected=False,
+                    withdrawn=True,
+                    build=self._build,
+                )
+                self._queue(answer)
+                continue
             if record is None or self._build not in ("", record.build):
                 answer = context.dispatcher.failed(
                     self._id, False, now, build=self._build
--- a/packages/gateway/src/persimmonferry_gateway/settings.py
+++ b/packages/gateway/src/persimmonferry_gateway/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, replace
 
 from persimmonferry_core.topology import Address
+from persimmonferry_core.upstreams import ColdBound
 
 __all__ = ["GatewaySettings", "merge_settings"]
 
@@ -43,6 +44,7 @@
     :param retry_window_s: window in which retries are counted.
     :param retry_floor: retries that all gateways may make in addition in a window.
     :param memory_bytes: above which the process is killed, None if not stated.
+    :param cold_bound: on the calls to cold upstreams, None if there is none.
     """
 
     name: str
@@ -62,6 +64,7 @@
     retry_window_s: float
     retry_floor: int
     memory_bytes: int | None = None
+    cold_bound: ColdBound | None = None
 
 
 def merge_settings(
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -16,6 +16,23 @@
   3: list<i64> sizes
 }
 
+// What the sender has sent lately to an upstream whose calls are counted by all gateways.
+struct SentCalls {
+  1: string upstream
+  // Time since each of these calls was sent.
+  2: list<i32> ages_ms
+}
+
+// The sender's calls to upstreams whose calls are counted. A later message replaces the
+// calls to each upstream that it names.
+struct CallNews {
+  // Increases with each message of the sender's process.
+  1: i64 clock_ms
+  2: list<SentCalls> calls
+  // Gateways from which the sender has received nothing lately.
+  3: list<string> unheard
+}
+
 // Sent by each gateway to every gateway that uses the same engines: its requests in
 // progress there. A later message replaces it.
 struct PeerNews {
@@ -24,6 +41,7 @@
   3: i64 sequence
   4: list<OwnWork> work
   5: list<NewlyHeld> held
+  6: optional CallNews sent
 }
 
 // Sent by the leader, which orders weights, to all gateways. A later message replaces it.
@@ -66,6 +84,7 @@
   // The sequence of that PeerNews.
   3: i64 sequence
   4: list<OwnWork> work
+  5: optional CallNews sent
 }
 
 // What an upstream's answer stated about the calls that it takes from all gateways.
