--- a/packages/core/tests/upstreams/test_call_rates.py
+++ b/packages/core/tests/upstreams/test_call_rates.py
@@ -87,8 +87,8 @@
         )
 
 
-# A threefold burst reached upstreams that had crashed and come back cold: 20 requests in
-# one second, 19.1 allowed.
+# A threefold burst reached upstreams that had crashed and come back cold: 20 requests
+# in one second, 19.1 allowed.
 @pytest.mark.parametrize("count", [2, 5, 13, 23])
 @pytest.mark.parametrize("calls_per_s", [18, 60])
 def test_an_unannounced_cold_upstream_gets_more_than_its_bound(count, calls_per_s):
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -45,7 +45,11 @@
     Snapshot,
 )
 from persimmonferry_gateway.leadership import LeaderElection
-from persimmonferry_gateway.metrics import CallMetrics, MetricsServer
+from persimmonferry_gateway.metrics import (
+    AvailabilityFigures,
+    CallMetrics,
+    MetricsServer,
+)
 from persimmonferry_gateway.peers import PeerExchange
 from persimmonferry_gateway.plain_handler import PlainHandler
 from persimmonferry_gateway.probes import Prober
@@ -173,6 +177,7 @@
             self._dispatcher.availability.limits.list_shares,
             self._crash_reports.count_crashes,
             self._dispatcher.list_retries,
+            self._read_availability,
             client.answer_memory,
         )
         self._metrics_server = MetricsServer(settings.internal, self._metrics)
@@ -290,6 +295,15 @@
         self._cluster.set_cold_bound(settings.cold_bound, self._loop.time())
         self._update_retry_policy(read_boot_clock())
 
+    def _read_availability(self) -> AvailabilityFigures:
+        availability, now = self._dispatcher.availability, self._loop.time()
+        return AvailabilityFigures(
+            availability.count_closures(self._cluster.fleet.records, now),
+            availability.rates.list_ceilings(now),
+            availability.rates.list_cold(now),
+            self._cluster.evacuated,
+        )
+
     def _limit_answer_memory(self) -> None:
         memory_bytes = self._settings.memory_bytes
         if memory_bytes is not None:
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 
 from persimmonferry_core.topology import Address
 from persimmonferry_daemon.histograms import Histograms, Measure
@@ -11,7 +12,24 @@
 
 from persimmonferry_gateway.answer_memory import AnswerMemory
 
-__all__ = ["CallMetrics", "MetricsServer"]
+__all__ = ["AvailabilityFigures", "CallMetrics", "MetricsServer"]
+
+
+@dataclass(frozen=True)
+class AvailabilityFigures:
+    """
+    How many calls upstreams take now, and why not more.
+
+    :param closures: number of upstreams that get no run of this gateway, by reason.
+    :param ceilings: calls in a second that all gateways may send, by upstream.
+    :param cold: upstreams known to be cold, and for how many seconds yet.
+    :param evacuated: failure domains to which nothing more may be sent.
+    """
+
+    closures: Mapping[str, int]
+    ceilings: Mapping[str, int]
+    cold: Mapping[str, float]
+    evacuated: frozenset[str]
 
 
 class CallMetrics:
@@ -23,6 +41,7 @@
     :param read_shares: returns the part of these limits that this gateway may use.
     :param read_quarantine: returns the number of crashes, by quarantined parts.
     :param read_retries: returns the retries allowed and refused so far, by service.
+    :param read_availability: returns what is known of the upstreams' availability.
     :param answer_memory: counts the bytes of answers that are held.
     """
 
@@ -33,6 +52,7 @@
         read_shares: Callable[[], Mapping[str, float]],
         read_quarantine: Callable[[], Mapping[str, int]],
         read_retries: Callable[[], Mapping[str, tuple[int, int]]],
+        read_availability: Callable[[], AvailabilityFigures],
         answer_memory: AnswerMemory,
     ) -> None:
         self.histograms = Histograms()
@@ -45,6 +65,7 @@
         self._read_shares = read_shares
         self._read_quarantine = read_quarantine
         self._read_retries = read_retries
+        self._read_availability = read_availability
         self._answer_memory = answer_memory
 
     def record(
@@ -100,6 +121,7 @@
         for service, (granted, refused) in sorted(self._read_retries().items()):
             lines.append(f'retries{{service="{service}"}} {granted}')
             lines.append(f'retries_refused{{service="{service}"}} {refused}')
+        lines += self._list_availability()
         most = self._answer_memory.most
         for place, size in self._answer_memory.present.items():
             label = f'place="{place.value}"'
@@ -118,6 +140,28 @@
                 lines.append(f'{name}{{{labels},quantile="{quantile}"}} {value}')
         return "\n".join(lines) + "\n"
 
+    def _list_availability(self) -> list[str]:
+        """Return the lines on closed, cold and evacuated upstreams."""
+        figures = self._read_availability()
+        return [
+            *(
+                f'upstreams_closed{{reason="{reason}"}} {count}'
+                for reason, count in sorted(figures.closures.items())
+            ),
+            *(
+                f'upstream_ceiling_calls{{upstream="{name}"}} {calls}'
+                for name, calls in sorted(figures.ceilings.items())
+            ),
+            *(
+                f'upstream_cold_s{{upstream="{name}"}} {left_s:.1f}'
+                for name, left_s in sorted(figures.cold.items())
+            ),
+            *(
+                f'evacuated{{failure_domain="{domain}"}} 1'
+                for domain in sorted(figures.evacuated)
+            ),
+        ]
+
 
 class MetricsServer:
     """Serves ``/metrics`` at an address."""
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -1,5 +1,5 @@
 from persimmonferry_gateway.answer_memory import AnswerMemory, Place
-from persimmonferry_gateway.metrics import CallMetrics
+from persimmonferry_gateway.metrics import AvailabilityFigures, CallMetrics
 
 
 def test_outcomes_attempts_limits_and_latencies_are_printed():
@@ -12,6 +12,9 @@
         lambda: {"e1": 0.5},
         lambda: {"00ff": 2},
         lambda: {"plain": (4, 1)},
+        lambda: AvailabilityFigures(
+            {"rate_spent": 2}, {"e1": 9}, {"e1": 1.26}, frozenset(("z2",))
+        ),
         memory,
     )
     metrics.record("t1", "ask", "answered", 1, 0, (), 0.1, 0.3)
@@ -28,6 +31,10 @@
     assert 'quarantined_parts{parts="00ff"} 2' in lines
     assert 'retries{service="plain"} 4' in lines
     assert 'retries_refused{service="plain"} 1' in lines
+    assert 'upstreams_closed{reason="rate_spent"} 2' in lines
+    assert 'upstream_ceiling_calls{upstream="e1"} 9' in lines
+    assert 'upstream_cold_s{upstream="e1"} 1.3' in lines
+    assert 'evacuated{failure_domain="z2"} 1' in lines
     assert 'answer_bytes{place="unread"} 20' in lines
     assert 'answer_bytes_most{place="unread"} 70' in lines
     assert 'registry_calls{kind="kv-watch"} 3' in lines
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -27,7 +27,7 @@
 // calls to each upstream that it names.
 struct CallNews {
   // Increases with each message of the sender's process.
-  1: i64 clock_ms
+  1: i64 stated_ms
   2: list<SentCalls> calls
   // Gateways from which the sender has received nothing lately.
   3: list<string> unheard
