--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -276,9 +276,7 @@
         model = self._models[request.service]
         capacity = model.estimate_capacity(len(self._entries))
         if capacity <= 0:
-            wait_s = (
-                self.find_upstream_wait(request.service, now) or NO_UPSTREAM_RETRY_S
-            )
+            wait_s = self.find_return_wait(request.service, now) or NO_UPSTREAM_RETRY_S
             return Refused(request.request_id, ResultCode.NO_UPSTREAM, wait_s)
         tokens = request.prompt_tokens + request.max_tokens
         wait_s = self.limits.admit(request.account, tokens, now)
@@ -488,8 +486,9 @@
         wait_s = self.find_upstream_wait(service, now)
         if wait_s is None:
             return []
+        return_s = self.find_return_wait(service, now)
         return [
-            self._refuse_queued(waiting, ResultCode.NO_UPSTREAM, wait_s)
+            self._refuse_queued(waiting, ResultCode.NO_UPSTREAM, return_s)
             for waiting in model.queue.drop_due_before(now + wait_s)
         ]
 
@@ -553,6 +552,20 @@
             soonest_s = wait_s if soonest_s is None else min(soonest_s, wait_s)
         return soonest_s
 
+    def find_return_wait(self, service: str, now: float) -> float | None:
+        """
+        Return after how long a refused caller should come back, None if unknown.
+
+        Where entries count their calls to an upstream together, others may be first at
+        the moment at which it takes one more.
+        """
+        wait_s = self.find_upstream_wait(service, now)
+        pool = self._find_pool(service)
+        rates = self.availability.rates
+        if wait_s is None or not any(map(rates.has_ceiling, pool.upstreams)):
+            return wait_s
+        return max(wait_s, NO_UPSTREAM_RETRY_S)
+
     def _apply_closures(self, now: float) -> None:
         """Leave out the upstreams that take no calls of this entry now."""
         closed = self.availability.list_closed(now)
--- a/packages/gateway/src/persimmonferry_gateway/plain_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/plain_handler.py
@@ -27,7 +27,7 @@
             name = context.dispatcher.choose_plain(self._service, now, avoid)
             record = context.cluster.find_record(name) if name else None
             if record is None:
-                wait_s = context.dispatcher.find_upstream_wait(self._service, now)
+                wait_s = context.dispatcher.find_return_wait(self._service, now)
                 wait_s = wait_s or NO_UPSTREAM_RETRY_S
                 raise NotRun(ResultCode.NO_UPSTREAM, "", wait_s)
             context.dispatcher.plain_started(self._id, record.name, now)
