--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -134,7 +134,7 @@
         self._entry = entry
         self._entries: tuple[str, ...] = (entry,)
         self._subset: frozenset[str] | None = None
-        self.availability = UpstreamAvailability(entry)
+        self.availability = UpstreamAvailability(entry, seed)
         self._models: dict[str, ModelService] = {}
         self._plain: dict[str, PlainService] = {}
         self._attempts: dict[str, _Attempt] = {}
@@ -278,9 +278,7 @@
         model = self._models[request.service]
         capacity = model.estimate_capacity(len(self._entries))
         if capacity <= 0:
-            wait_s = (
-                self.find_upstream_wait(request.service, now) or NO_UPSTREAM_RETRY_S
-            )
+            wait_s = self.find_return_wait(request.service, now) or NO_UPSTREAM_RETRY_S
             return Refused(request.request_id, ResultCode.NO_UPSTREAM, wait_s)
         tokens = request.prompt_tokens + request.max_tokens
         wait_s = self.limits.admit(request.account, tokens, now)
@@ -493,8 +491,9 @@
         wait_s = self.find_upstream_wait(service, now)
         if wait_s is None:
             return []
+        return_s = self.find_return_wait(service, now)
         return [
-            self._refuse_queued(waiting, ResultCode.NO_UPSTREAM, wait_s)
+            self._refuse_queued(waiting, ResultCode.NO_UPSTREAM, return_s)
             for waiting in model.queue.drop_due_before(now + wait_s)
         ]
 
@@ -558,6 +557,20 @@
             soonest_s = wait_s if soonest_s is None else min(soonest_s, wait_s)
         return soonest_s
 
+    def find_return_wait(self, service: str, now: float) -> float | None:
+        """
+        Return after how long a refused caller should come back, None if unknown.
+
+        Where entries count their calls to an upstream together, others may be first at
+        the moment at which it takes one more.
+        """
+        wait_s = self.find_upstream_wait(service, now)
+        pool = self._find_pool(service)
+        rates = self.availability.rates
+        if wait_s is None or not any(map(rates.has_ceiling, pool.upstreams)):
+            return wait_s
+        return max(wait_s, NO_UPSTREAM_RETRY_S)
+
     def _apply_closures(self, now: float) -> None:
         """Leave out the upstreams that take no calls of this entry now."""
         closed = self.availability.list_closed(now)
@@ -624,14 +637,18 @@
         """
         Return the work of attempts that have just started, for the other entries.
 
-        :param heavy_only: omit work that hardly changes an upstream's backlog.
+        :param heavy_only: omit work that hardly changes an upstream's backlog, unless
+            the entries count their calls there.
         """
         started: dict[str, PeerWork] = {}
         for assignment in assignments:
             router = self._models[assignment.request.service].router
             upstream = router.upstreams[assignment.upstream]
             work = upstream.get_run_work(assignment.request.request_id)
-            if work is not None and (upstream.is_heavy(work) or not heavy_only):
+            if work is None:
+                continue
+            is_counted = self.availability.rates.has_ceiling(upstream.name)
+            if is_counted or not heavy_only or upstream.is_heavy(work):
                 known = started.get(upstream.name)
                 started[upstream.name] = known.add(work) if known else work
         return started
@@ -862,6 +879,7 @@
 
     def _drop_upstream(self, name: str) -> None:
         self.availability.record_restart(name)
+        self.availability.rates.set_ceiling(name, None)
         pool = self._find_pool(self._services_of.pop(name, ""))
         if pool is not None:
             pool.remove(name)
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -45,7 +45,11 @@
     Snapshot,
 )
 from persimmonferry_gateway.leadership import LeaderElection
-from persimmonferry_gateway.metrics import CallMetrics, MetricsServer
+from persimmonferry_gateway.metrics import (
+    AvailabilityFigures,
+    CallMetrics,
+    MetricsServer,
+)
 from persimmonferry_gateway.open_connections import limit_connections
 from persimmonferry_gateway.peers import PeerExchange
 from persimmonferry_gateway.plain_handler import PlainHandler
@@ -136,6 +140,7 @@
             failure_domain=settings.failure_domain,
         )
         self._cluster = ClusterState(codec, self._dispatcher)
+        self._cluster.set_cold_bound(settings.cold_bound, self._loop.time())
         self._peers = PeerExchange(
             settings.name,
             time.time_ns() // NS_PER_MS,
@@ -177,6 +182,7 @@
             self._dispatcher.availability.limits.list_shares,
             self._crash_reports.count_crashes,
             self._dispatcher.list_retries,
+            self._read_availability,
             client.held_bytes,
             lambda: self._server.count_callers(),
         )
@@ -210,6 +216,7 @@
             self._quarantine,
             self._crash_reports,
             self._streams,
+            self._peers.announce_call,
         )
         self._registry_watch = RegistryWatch(
             registry,
@@ -293,8 +300,18 @@
         self._settings = settings
         self._limit_held_bytes()
         self._rollout.apply_settings(settings)
+        self._cluster.set_cold_bound(settings.cold_bound, self._loop.time())
         self._update_retry_policy(read_boot_clock())
 
+    def _read_availability(self) -> AvailabilityFigures:
+        availability, now = self._dispatcher.availability, self._loop.time()
+        return AvailabilityFigures(
+            availability.count_closures(self._cluster.fleet.records, now),
+            availability.rates.list_ceilings(now),
+            availability.rates.list_cold(now),
+            self._cluster.evacuated,
+        )
+
     def _limit_held_bytes(self) -> None:
         """Divide the memory, the descriptors and the link of the VM."""
         settings, room = self._settings, self._server.room
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 
 from persimmonferry_core.topology import Address
 from persimmonferry_daemon.histograms import Histograms, Measure
@@ -11,7 +12,24 @@
 
 from persimmonferry_gateway.held_bytes import HeldBytes, Place
 
-__all__ = ["CallMetrics", "MetricsServer"]
+__all__ = ["AvailabilityFigures", "CallMetrics", "MetricsServer"]
+
+
+@dataclass(frozen=True)
+class AvailabilityFigures:
+    """
+    How many calls upstreams take now, and why not more.
+
+    :param closures: number of upstreams that get no run of this gateway, by reason.
+    :param ceilings: calls in a second that all gateways may send, by upstream.
+    :param cold: upstreams known to be cold, and for how many seconds yet.
+    :param evacuated: failure domains to which nothing more may be sent.
+    """
+
+    closures: Mapping[str, int]
+    ceilings: Mapping[str, int]
+    cold: Mapping[str, float]
+    evacuated: frozenset[str]
 
 
 class CallMetrics:
@@ -23,6 +41,7 @@
     :param read_shares: returns the part of these limits that this gateway may use.
     :param read_quarantine: returns the number of crashes, by quarantined parts.
     :param read_retries: returns the retries allowed and refused so far, by service.
+    :param read_availability: returns what is known of the upstreams' availability.
     :param held_bytes: counts the bytes that are held.
     :param count_callers: returns the counters of the server for callers, by name.
     """
@@ -34,6 +53,7 @@
         read_shares: Callable[[], Mapping[str, float]],
         read_quarantine: Callable[[], Mapping[str, int]],
         read_retries: Callable[[], Mapping[str, tuple[int, int]]],
+        read_availability: Callable[[], AvailabilityFigures],
         held_bytes: HeldBytes,
         count_callers: Callable[[], Mapping[str, int]],
     ) -> None:
@@ -47,6 +67,7 @@
         self._read_shares = read_shares
         self._read_quarantine = read_quarantine
         self._read_retries = read_retries
+        self._read_availability = read_availability
         self._held_bytes = held_bytes
         self._count_callers = count_callers
 
@@ -103,6 +124,7 @@
         for service, (granted, refused) in sorted(self._read_retries().items()):
             lines.append(f'retries{{service="{service}"}} {granted}')
             lines.append(f'retries_refused{{service="{service}"}} {refused}')
+        lines += self._list_availability()
         most = self._held_bytes.most
         for place, size in self._held_bytes.present.items():
             kind, label = "answer_bytes", f'{{place="{place.value}"}}'
@@ -124,6 +146,28 @@
                 lines.append(f'{name}{{{labels},quantile="{quantile}"}} {value}')
         return "\n".join(lines) + "\n"
 
+    def _list_availability(self) -> list[str]:
+        """Return the lines on closed, cold and evacuated upstreams."""
+        figures = self._read_availability()
+        return [
+            *(
+                f'upstreams_closed{{reason="{reason}"}} {count}'
+                for reason, count in sorted(figures.closures.items())
+            ),
+            *(
+                f'upstream_ceiling_calls{{upstream="{name}"}} {calls}'
+                for name, calls in sorted(figures.ceilings.items())
+            ),
+            *(
+                f'upstream_cold_s{{upstream="{name}"}} {left_s:.1f}'
+                for name, left_s in sorted(figures.cold.items())
+            ),
+            *(
+                f'evacuated{{failure_domain="{domain}"}} 1'
+                for domain in sorted(figures.evacuated)
+            ),
+        ]
+
 
 class MetricsServer:
     """Serves ``/metrics`` at an address."""
--- a/packages/gateway/src/persimmonferry_gateway/settings.py
+++ b/packages/gateway/src/persimmonferry_gateway/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, replace
 
 from persimmonferry_core.topology import Address
+from persimmonferry_core.upstreams import ColdBound
 
 __all__ = ["GatewaySettings", "merge_settings"]
 
@@ -45,6 +46,7 @@
     :param memory_bytes: above which the process is killed, None if not stated.
     :param descriptors: that the process may have open, None if not stated.
     :param link_bytes_per_s: that the link of its VM carries, None if not stated.
+    :param cold_bound: on the calls to cold upstreams, None if there is none.
     """
 
     name: str
@@ -66,6 +68,7 @@
     memory_bytes: int | None = None
     descriptors: int | None = None
     link_bytes_per_s: float | None = None
+    cold_bound: ColdBound | None = None
 
 
 def merge_settings(
