Choose upstreams by the time that work takes there

Cause: a load report with a fourth figure was dropped whole, so running and waiting requests and the speed of such upstreams were unknown; plain upstreams were chosen by calls in flight alone.

Change: UpstreamSpeed keeps the stated slowness and, for plain services, that of the answers. The router divides the prefill rate by the slowness expected when the prompt begins; its estimator takes samples without it. Plain services take the least loaded of the upstreams whose expected times are near the best. The metric upstream_slowness and two log lines show it.

Without stated figures, prompts go as before.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -528,6 +528,29 @@
         """
         self.availability.cooldowns.note(upstream, incarnation, until_s)
 
+    def record_slowness(self, upstream: str, slowness: float, now: float) -> float:
+        """
+        Record how long work takes at an upstream, as it states it.
+
+        :returns: the mean of what it has lately stated.
+        """
+        pool = self._find_pool(self._services_of.get(upstream, ""))
+        if pool is None:
+            return slowness
+        speed = pool.upstreams[upstream].speed
+        speed.record_stated(slowness, now)
+        return speed.mean_stated
+
+    def list_slowness(self, now: float) -> dict[str, float]:
+        """Return how long work is expected to take at each upstream, 1.0 as usual."""
+        pools = (self._find_pool(name) for name in (*self._models, *self._plain))
+        return {
+            name: upstream.speed.estimate(now)
+            for pool in pools
+            if pool is not None
+            for name, upstream in pool.upstreams.items()
+        }
+
     def record_unread_answer(self, upstream: str) -> None:
         """Record that bytes of no request took the place of an upstream's answer."""
         self.availability.unread.record(upstream)
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -144,6 +144,7 @@
     :param rate: prefill rate in tokens per second.
     :param backlog_s: prefill that is queued before the request.
     :param slot_wait_s: until a slot is expected to be free.
+    :param overhead_s: fixed time of a prompt.
     :param uncertainty_s: added where work of other entries may be unknown.
     :param has_room: whether a slot may be used now.
     """
@@ -153,6 +154,7 @@
     rate: float
     backlog_s: float
     slot_wait_s: float
+    overhead_s: float
     uncertainty_s: float
     has_room: bool
 
@@ -663,16 +665,20 @@
             context.waiting.memory_tokens
         )
         slot_wait_s = 0.0 if has_room else upstream.estimate_slot_wait()
+        backlog_s = upstream.estimate_backlog(
+            self._find_last_ahead(priority), context.others_share, context.now
+        )
+        # The prompt is computed after those before it.
+        slowness = upstream.estimate_slowness(context.now + backlog_s + slot_wait_s)
         if has_room and priority >= self.urgent_ranks:
             has_room = self._fits_non_urgent(upstream, context.reserved)
         return _UpstreamEstimate(
             upstream,
             depth,
-            max(1.0, upstream.prefill_tokens_per_s),
-            upstream.estimate_backlog(
-                self._find_last_ahead(priority), context.others_share, context.now
-            ),
+            max(1.0, upstream.prefill_tokens_per_s / slowness),
+            backlog_s,
             slot_wait_s,
+            upstream.overhead_s * slowness,
             0.0 if upstream.is_primary else NON_PRIMARY_UNCERTAINTY_S,
             has_room,
         )
@@ -693,7 +699,7 @@
         first_token_s = (
             max(import_s, estimate.backlog_s) + prefill_s + estimate.slot_wait_s
         )
-        first_token_s += estimate.upstream.overhead_s
+        first_token_s += estimate.overhead_s
         recomputed_tokens = request.count_tokens(context.cached_depth) - cached_tokens
         weights = self.service.weights
         penalty_s = self._get_domain_penalty(estimate.upstream)
@@ -714,7 +720,7 @@
             score,
             estimate.has_room and estimate.backlog_s <= ahead_s,
             max(1, missing_tokens),
-            estimate.backlog_s * estimate.rate,
+            estimate.backlog_s * estimate.upstream.prefill_tokens_per_s,
         )
 
     def _get_domain_penalty(self, upstream: Upstream) -> float:
--- a/packages/core/src/persimmonferry_core/services.py
+++ b/packages/core/src/persimmonferry_core/services.py
@@ -17,6 +17,10 @@
 # Load that counts against upstreams in another failure domain, in calls in flight.
 REMOTE_DOMAIN_PENALTY_CALLS = 2
 COMPUTED_SHARE_EWMA_ALPHA = 0.05
+CALL_TIME_EWMA_ALPHA = 0.05
+MAX_TIME_RATIO = 4.0
+# Expected times that differ by less are not told apart.
+NEAR_EQUAL_RATIO = 1.2
 
 
 class _ThroughputEstimator:
@@ -98,6 +102,8 @@
         self.upstreams: dict[str, Upstream] = {}
         self.ejector = Ejector()
         self.entry_domain = ""
+        self._usual_s = 0.0
+        self._timed_calls = 0
 
     def add(self, report: UpstreamReport, now: float) -> None:
         """Add an upstream."""
@@ -120,7 +126,10 @@
         closed: frozenset[str] = frozenset(),
     ) -> str | None:
         """
-        Return the upstream with the least estimated wait, None if none is available.
+        Return an upstream with about the least expected time, None if none is there.
+
+        Load pattern: upstreams differ in speed, and entries know it only roughly. Among
+        those that are about as fast, the one with the fewest calls is taken.
 
         :param excluded: upstreams that failed or refused this call before.
         :param closed: upstreams that take no calls for now.
@@ -135,21 +144,34 @@
         allowed = [up for up in found if up.slot_limit > len(up.runs)] or found
         # Breaks ties at random, so that entries don't all choose the same upstream.
         self._random.shuffle(allowed)
-        best = min(allowed, key=self._load_order, default=None)
+        times = {up.name: self._estimate_time(up, now) for up in allowed}
+        limit = NEAR_EQUAL_RATIO * min(times.values(), default=0.0)
+        near = (up for up in allowed if times[up.name] <= limit)
+        best = min(near, key=self._count_load, default=None)
         return best.name if best else None
 
-    def _load_order(self, upstream: Upstream) -> tuple[float, int]:
-        """Order by wait, then by load with the penalty for another failure domain."""
+    def _count_load(self, upstream: Upstream) -> int:
+        """Return the calls in flight, with the penalty for another failure domain."""
         domain = upstream.report.failure_domain
         is_remote = self.entry_domain and domain != self.entry_domain
-        extra = REMOTE_DOMAIN_PENALTY_CALLS if is_remote else 0
-        return upstream.estimate_slot_wait(), upstream.in_flight + extra
+        return upstream.in_flight + (REMOTE_DOMAIN_PENALTY_CALLS if is_remote else 0)
+
+    def _estimate_time(self, upstream: Upstream, now: float) -> float:
+        """
+        Return the expected time of a call there, in usual times of a call.
+
+        Each call in flight counts as a part of a slot, also while slots are free: other
+        entries send calls there that this one doesn't know of.
+        """
+        load = self._count_load(upstream) / max(1, upstream.report.slots)
+        return upstream.speed.estimate(now) * (1.0 + load)
 
     def start(self, call_id: str, name: str, now: float) -> None:
         """Count a call that was sent to an upstream."""
         upstream = self.upstreams.get(name)
         if upstream is not None:
-            upstream.add_run(call_id, 0, None, now)
+            runs = 1.0 + upstream.count_runs_ahead()
+            upstream.add_run(call_id, 0, None, now, expected_s=runs * self._usual_s)
             self.ejector.record_dispatch(name, now)
 
     def finish(self, call_id: str, name: str, whole: bool, now: float) -> None:
@@ -157,11 +179,27 @@
         upstream = self.upstreams.get(name)
         if upstream is None or call_id not in upstream.runs:
             return
-        duration_s = now - upstream.runs[call_id].dispatched_s
+        run = upstream.runs[call_id]
+        duration_s = now - run.dispatched_s
         upstream.end_run(call_id, now, whole)
         if whole:
+            self._record_time(upstream, duration_s, run.expected_s, now)
             typical_s = median(up.run_s for up in self.upstreams.values())
             slowness = duration_s / max(MIN_CALL_S, typical_s)
             self.ejector.record_success(name, slowness, now)
         else:
             self.ejector.record_failure(name, now)
+
+    def _record_time(
+        self, upstream: Upstream, duration_s: float, expected_s: float, now: float
+    ) -> None:
+        """Update the usual time of a call and the speed of its upstream."""
+        duration_s = max(MIN_CALL_S, duration_s)
+        if not expected_s:
+            self._usual_s = self._usual_s or duration_s
+            return
+        ratio = duration_s / expected_s
+        upstream.speed.record_answer(ratio, now)
+        self._timed_calls += 1
+        alpha = max(CALL_TIME_EWMA_ALPHA, 1.0 / (1.0 + self._timed_calls))
+        self._usual_s *= 1.0 + alpha * (min(ratio, MAX_TIME_RATIO) - 1.0)
--- a/packages/core/src/persimmonferry_core/upstreams/__init__.py
+++ b/packages/core/src/persimmonferry_core/upstreams/__init__.py
@@ -19,6 +19,7 @@
     UpstreamLimits,
     make_notice,
 )
+from persimmonferry_core.upstreams.speeds import UpstreamSpeed
 from persimmonferry_core.upstreams.subsets import UpstreamSubsets, rank_entries
 from persimmonferry_core.upstreams.unread_answers import UnreadAnswers
 from persimmonferry_core.upstreams.views import (
@@ -48,6 +49,7 @@
     "UpstreamCooldowns",
     "UpstreamLimits",
     "UpstreamReport",
+    "UpstreamSpeed",
     "UpstreamSubsets",
     "limit_slots",
     "make_notice",
--- a/packages/core/src/persimmonferry_core/upstreams/views.py
+++ b/packages/core/src/persimmonferry_core/upstreams/views.py
@@ -4,6 +4,7 @@
 
 from persimmonferry_core.prefill_rate import PrefillRateEstimator
 from persimmonferry_core.upstreams.ejection import Ejector
+from persimmonferry_core.upstreams.speeds import UpstreamSpeed
 
 __all__ = [
     "ImportPlan",
@@ -140,7 +141,8 @@
     """
     A run of this entry at an upstream.
 
-    :param expected_s: estimated time to first token at its dispatch.
+    :param expected_s: estimated time to first token at its dispatch; of a call to a
+        plain service, its usual duration.
     :param ready_s: expected end of its import.
     :param missing_tokens: of its prompt that have to be computed.
     :param ahead_tokens: of other prompts that are computed first.
@@ -184,6 +186,7 @@
         self.run_s = DEFAULT_RUN_S
         self._prefill_event_s = 0.0
         self._prefill_rate = PrefillRateEstimator(ASSUMED_PREFILL_TOKENS_PER_S)
+        self.speed = UpstreamSpeed()
         self._peers: dict[str, PeerWork] = {}
         self._has_peer_reports = False
         self._peer_runs = 0
@@ -211,14 +214,18 @@
     @property
     def prefill_tokens_per_s(self) -> float:
         """The reported rate, or the estimated one if the engine reports none."""
-        return self.report.prefill_tokens_per_s or self._prefill_rate.tokens_per_s
+        usual = self._prefill_rate.tokens_per_s / self.speed.mean_stated
+        return self.report.prefill_tokens_per_s or usual
 
     @property
     def overhead_s(self) -> float:
         """Estimated fixed time of a prompt, 0 if the engine reports its rate."""
-        return (
-            0.0 if self.report.prefill_tokens_per_s else self._prefill_rate.overhead_s
-        )
+        usual_s = self._prefill_rate.overhead_s * self.speed.mean_stated
+        return 0.0 if self.report.prefill_tokens_per_s else usual_s
+
+    def estimate_slowness(self, now: float) -> float:
+        """Return how long work takes at a time, as a multiple of this one's mean."""
+        return self.speed.estimate(now) / self.speed.mean_stated
 
     def fits_memory(self, tokens: int) -> bool:
         """
@@ -315,6 +322,7 @@
             return False
         if report.incarnation != self.report.incarnation:
             self._peak_runs = 0
+            self.speed = UpstreamSpeed()
         self.other_runs = max(0, report.running + report.waiting - self._peak_runs)
         own_prefill_s = sum(run.prefill_s for run in self._waiting.values())
         reported_s = _prefill_s(report, report.waiting_prefill_tokens)
@@ -342,18 +350,21 @@
         route: Route | None,
         now: float,
         memory_tokens: int = 0,
+        *,
+        expected_s: float = 0.0,
     ) -> None:
         """
         Add a run that was dispatched to the upstream.
 
         :param route: None for a call to a plain service.
         :param memory_tokens: expected use of the engine's memory.
+        :param expected_s: duration of a call to a plain service, 0 if unknown.
         """
         if not self._is_prefilling():
             self._prefill_event_s = now
         import_s = route.plan.estimated_s if route and route.plan else 0.0
         prefill_s = route.prefill_s if route else 0.0
-        expected_s = route.first_token_s if route else 0.0
+        expected_s = route.first_token_s if route else expected_s
         run = _OwnRun(
             priority,
             prefill_s,
@@ -388,7 +399,8 @@
         self._prefill_event_s = now
         if not self.report.prefill_tokens_per_s and run.missing_tokens:
             tokens = run.missing_tokens + run.ahead_tokens
-            self._prefill_rate.record(tokens, now - run.ready_s, now)
+            usual_s = (now - run.ready_s) / self.speed.estimate_stated(now)
+            self._prefill_rate.record(tokens, usual_s, now)
         expected_s = run.expected_s + FIRST_DECODE_STEP_S
         return (now - run.dispatched_s) / expected_s
 
@@ -472,11 +484,14 @@
         rate = self.prefill_tokens_per_s * tokens / (tokens + own)
         return max(0.0, tokens - rate * max(0.0, now - self._mean_peer_updated_s))
 
+    def count_runs_ahead(self) -> float:
+        """Return how many runs, one after the other, end before one has a slot."""
+        limit = max(1, self.report.slots)
+        return max(0.0, (self.in_flight + 1 - limit) / limit)
+
     def estimate_slot_wait(self) -> float:
         """Return the expected seconds until a slot is free."""
-        limit = max(1, self.report.slots)
-        excess = self.in_flight + 1 - limit
-        return max(0.0, excess * self.run_s / limit)
+        return self.count_runs_ahead() * self.run_s
 
     def _is_prefilling(self) -> bool:
         return bool(self._waiting)
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -28,6 +28,9 @@
 # The lowest version of weights.
 FIRST_VERSION = 1
 MAX_LEAVING_UPSTREAMS = 1024
+# Mean of the stated slowness that is logged, and its end.
+LOGGED_SLOWNESS = 2.0
+ENDED_SLOWNESS = 1.5
 
 _log = logging.getLogger(__name__)
 
@@ -50,6 +53,7 @@
         self._initial_versions: dict[str, int] = {}
         self._wanted_since: dict[str, dict[int, float]] = {}
         self._malformed: set[str] = set()
+        self._slow: set[str] = set()
         # Incarnations of the upstreams that announced their leaving last, by an answer.
         # They count also after their entries were away.
         self._leaving: dict[str, int] = {}
@@ -161,6 +165,18 @@
             self._versions[upstream] = version
         if load is not None or version is not None:
             self._report(record, now)
+        if load is not None and load.slowness is not None:
+            self._record_slowness(upstream, load.slowness, now)
+
+    def _record_slowness(self, upstream: str, slowness: float, now: float) -> None:
+        mean = self._dispatcher.record_slowness(upstream, slowness, now)
+        is_slow = upstream in self._slow
+        if not is_slow and mean >= LOGGED_SLOWNESS:
+            self._slow.add(upstream)
+            _log.info("upstream slow", extra={"upstream": upstream, "slowness": mean})
+        elif is_slow and mean < ENDED_SLOWNESS:
+            self._slow.discard(upstream)
+            _log.info("upstream no longer slow", extra={"upstream": upstream})
 
     def record_leaving(self, upstream: str, now: float) -> None:
         """
@@ -345,6 +361,7 @@
     def _forget(self, name: str) -> None:
         self._loads.pop(name, None)
         self._versions.pop(name, None)
+        self._slow.discard(name)
         self._dispatcher.remove(name)
 
     def _configure(self, now: float) -> None:
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -164,11 +164,16 @@
 
 @dataclass(frozen=True)
 class UpstreamLoad:
-    """Load that an upstream reports with a response."""
+    """
+    Load that an upstream reports with a response.
+
+    :param slowness: how long work takes there now, 1.0 as usual; None if not stated.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -23,6 +23,7 @@
     :param read_shares: returns the part of these limits that this gateway may use.
     :param read_quarantine: returns the number of crashes, by quarantined parts.
     :param read_retries: returns the retries allowed and refused so far, by service.
+    :param read_slowness: returns how long work takes at each upstream, 1.0 as usual.
     :param answer_memory: counts the bytes of answers that are held.
     """
 
@@ -33,6 +34,7 @@
         read_shares: Callable[[], Mapping[str, float]],
         read_quarantine: Callable[[], Mapping[str, int]],
         read_retries: Callable[[], Mapping[str, tuple[int, int]]],
+        read_slowness: Callable[[], Mapping[str, float]],
         answer_memory: AnswerMemory,
     ) -> None:
         self.histograms = Histograms()
@@ -45,6 +47,7 @@
         self._read_shares = read_shares
         self._read_quarantine = read_quarantine
         self._read_retries = read_retries
+        self._read_slowness = read_slowness
         self._answer_memory = answer_memory
 
     def record(
@@ -100,6 +103,10 @@
         for service, (granted, refused) in sorted(self._read_retries().items()):
             lines.append(f'retries{{service="{service}"}} {granted}')
             lines.append(f'retries_refused{{service="{service}"}} {refused}')
+        lines += [
+            f'upstream_slowness{{upstream="{name}"}} {slowness:.3g}'
+            for name, slowness in sorted(self._read_slowness().items())
+        ]
         most = self._answer_memory.most
         for place, size in self._answer_memory.present.items():
             label = f'place="{place.value}"'
