Find the pace of a new or readmitted upstream from its answers

Cause: a readmitted upstream got back its slots over ten seconds, whatever it answered, and one that had just started got its full share at once.

Change: UpstreamPaces limits the runs that an entry has there: one at first, one more with each timely answer, half after late ones and refusals, without limit once it may be twice as busy as the busiest other one. SlowStart is gone. The wait for a slot counts the limit. Metric upstream_pace.

Tests: the ejector's test of slow start asserted growth with time alone, which is what the change removes; test_pace asserts that time alone adds nothing, that slots double with each round of timely answers, and that the limit ends.

--- a/packages/core/src/persimmonferry_core/upstreams/__init__.py
+++ b/packages/core/src/persimmonferry_core/upstreams/__init__.py
@@ -12,13 +12,13 @@
     Ejector,
     HalfOpen,
     Open,
-    SlowStart,
 )
 from persimmonferry_core.upstreams.limits import (
     LimitNotice,
     UpstreamLimits,
     make_notice,
 )
+from persimmonferry_core.upstreams.pace import UpstreamPaces
 from persimmonferry_core.upstreams.speeds import UpstreamSpeed
 from persimmonferry_core.upstreams.subsets import UpstreamSubsets, rank_entries
 from persimmonferry_core.upstreams.unread_answers import UnreadAnswers
@@ -29,6 +29,7 @@
     Upstream,
     UpstreamReport,
     limit_slots,
+    record_paced_time,
 )
 
 __all__ = [
@@ -42,12 +43,12 @@
     "Open",
     "PeerWork",
     "Route",
-    "SlowStart",
     "UnreadAnswers",
     "Upstream",
     "UpstreamAvailability",
     "UpstreamCooldowns",
     "UpstreamLimits",
+    "UpstreamPaces",
     "UpstreamReport",
     "UpstreamSpeed",
     "UpstreamSubsets",
@@ -55,4 +56,5 @@
     "make_notice",
     "name_closure",
     "rank_entries",
+    "record_paced_time",
 ]
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -173,6 +173,7 @@
             self._crash_reports.count_crashes,
             self._dispatcher.list_retries,
             lambda: self._dispatcher.list_slowness(self._context.read_clock()),
+            self._dispatcher.list_paces,
             client.answer_memory,
         )
         self._metrics_server = MetricsServer(settings.internal, self._metrics)
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -24,6 +24,7 @@
     :param read_quarantine: returns the number of crashes, by quarantined parts.
     :param read_retries: returns the retries allowed and refused so far, by service.
     :param read_slowness: returns how long work takes at each upstream, 1.0 as usual.
+    :param read_paces: returns the runs that new and readmitted upstreams may have.
     :param answer_memory: counts the bytes of answers that are held.
     """
 
@@ -35,6 +36,7 @@
         read_quarantine: Callable[[], Mapping[str, int]],
         read_retries: Callable[[], Mapping[str, tuple[int, int]]],
         read_slowness: Callable[[], Mapping[str, float]],
+        read_paces: Callable[[], Mapping[str, int]],
         answer_memory: AnswerMemory,
     ) -> None:
         self.histograms = Histograms()
@@ -48,6 +50,7 @@
         self._read_quarantine = read_quarantine
         self._read_retries = read_retries
         self._read_slowness = read_slowness
+        self._read_paces = read_paces
         self._answer_memory = answer_memory
 
     def record(
@@ -107,6 +110,10 @@
             f'upstream_slowness{{upstream="{name}"}} {slowness:.3g}'
             for name, slowness in sorted(self._read_slowness().items())
         ]
+        lines += [
+            f'upstream_pace{{upstream="{name}"}} {runs}'
+            for name, runs in sorted(self._read_paces().items())
+        ]
         most = self._answer_memory.most
         for place, size in self._answer_memory.present.items():
             label = f'place="{place.value}"'
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -13,6 +13,7 @@
         lambda: {"00ff": 2},
         lambda: {"plain": (4, 1)},
         lambda: {"e1": 1.5},
+        lambda: {"e1": 4},
         memory,
     )
     metrics.record("t1", "ask", "answered", 1, 0, (), 0.1, 0.3)
@@ -26,6 +27,7 @@
     assert 'upstream_limit_calls_per_s{upstream="e1"} 2.5' in lines
     assert 'upstream_limit_own_calls_per_s{upstream="e1"} 0.5' in lines
     assert 'upstream_slowness{upstream="e1"} 1.5' in lines
+    assert 'upstream_pace{upstream="e1"} 4' in lines
     assert 'lost_attempts{progress="sent"} 1' in lines
     assert 'quarantined_parts{parts="00ff"} 2' in lines
     assert 'retries{service="plain"} 4' in lines
