--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -17,8 +17,10 @@
     PeerWork,
     Route,
     Upstream,
+    UpstreamPaces,
     UpstreamReport,
     limit_slots,
+    record_paced_time,
 )
 from persimmonferry_core.upstreams.ejection import Closed, Ejector
 
@@ -144,6 +146,7 @@
     :param rate: prefill rate in tokens per second.
     :param backlog_s: prefill that is queued before the request.
     :param slot_wait_s: until a slot is expected to be free.
+    :param overhead_s: fixed time of a prompt.
     :param uncertainty_s: added where work of other entries may be unknown.
     :param has_room: whether a slot may be used now.
     """
@@ -153,6 +156,7 @@
     rate: float
     backlog_s: float
     slot_wait_s: float
+    overhead_s: float
     uncertainty_s: float
     has_room: bool
 
@@ -223,6 +227,7 @@
         self.answer_times = AnswerTimeEstimator()
         self.urgent_ranks = 0
         self.ejector = Ejector()
+        self.paces = UpstreamPaces()
         self._urgent = _Occupancy()
         self._entry = ""
         self._entries: tuple[str, ...] = ("",)
@@ -339,19 +344,24 @@
         """Add an upstream."""
         self.upstreams[report.name] = Upstream(report)
         self.ejector.add(report.name, now)
+        self.paces.add(report.name, report.incarnation)
         self._summary = None
 
     def apply(self, report: UpstreamReport, now: float) -> None:
         """Apply a newer report of an upstream."""
         upstream = self.upstreams[report.name]
         former = upstream.report
-        if upstream.apply(report, now) and _capacity_of(former) != _capacity_of(report):
+        if not upstream.apply(report, now):
+            return
+        self.paces.add(report.name, report.incarnation)
+        if _capacity_of(former) != _capacity_of(report):
             self._summary = None
 
     def remove(self, name: str) -> None:
         """Remove an upstream and its health."""
         self.upstreams.pop(name, None)
         self.ejector.remove(name)
+        self.paces.remove(name)
         self._summary = None
 
     def summarize(self) -> FleetSummary:
@@ -376,7 +386,7 @@
         if now >= self._summarised_s + SUMMARY_INTERVAL_S:
             self._summarised_s = now
             self._summary = None
-        limit_slots(self.upstreams, self.ejector, now)
+        limit_slots(self.upstreams, self.ejector, self.paces, now)
 
     def has_room(self, priority: int, now: float) -> bool:
         """Whether any upstream could start a run of that priority about now."""
@@ -508,6 +518,7 @@
             if (found := self.upstreams.get(name)) is not None
             and self.is_usable(found)
             and isinstance(self.ejector.find_state(name, now), Closed)
+            and not self.paces.is_paced(name)
         ]
         same_domain = [
             name
@@ -585,6 +596,9 @@
         slowness = upstream.start_run(waiting.request.request_id, now)
         if slowness is not None:
             self.ejector.record_success(name, slowness, now)
+            record_paced_time(
+                self.upstreams, self.ejector, self.paces, name, slowness, now
+            )
 
     def record_answer(
         self, waiting: WaitingRequest, name: str, tokens: int, now: float
@@ -624,8 +638,10 @@
         :param endless: whether it was cut off, as it held more than was asked for.
         """
         self.end_run(waiting, name, False, now)
-        if refused and name in self.upstreams:
-            self.upstreams[name].record_sign(now)
+        if upstream := self.upstreams.get(name):
+            if refused:
+                upstream.record_sign(now)
+            self.paces.record_refusal(name, upstream.count_unstarted())
         if endless:
             self.ejector.record_endless(name, now)
         elif refused:
@@ -663,16 +679,20 @@
             context.waiting.memory_tokens
         )
         slot_wait_s = 0.0 if has_room else upstream.estimate_slot_wait()
+        backlog_s = upstream.estimate_backlog(
+            self._find_last_ahead(priority), context.others_share, context.now
+        )
+        # The prompt is computed after those before it.
+        slowness = upstream.estimate_slowness(context.now + backlog_s + slot_wait_s)
         if has_room and priority >= self.urgent_ranks:
             has_room = self._fits_non_urgent(upstream, context.reserved)
         return _UpstreamEstimate(
             upstream,
             depth,
-            max(1.0, upstream.prefill_tokens_per_s),
-            upstream.estimate_backlog(
-                self._find_last_ahead(priority), context.others_share, context.now
-            ),
+            max(1.0, upstream.prefill_tokens_per_s / slowness),
+            backlog_s,
             slot_wait_s,
+            upstream.overhead_s * slowness,
             0.0 if upstream.is_primary else NON_PRIMARY_UNCERTAINTY_S,
             has_room,
         )
@@ -693,7 +713,7 @@
         first_token_s = (
             max(import_s, estimate.backlog_s) + prefill_s + estimate.slot_wait_s
         )
-        first_token_s += estimate.upstream.overhead_s
+        first_token_s += estimate.overhead_s
         recomputed_tokens = request.count_tokens(context.cached_depth) - cached_tokens
         weights = self.service.weights
         penalty_s = self._get_domain_penalty(estimate.upstream)
@@ -714,7 +734,7 @@
             score,
             estimate.has_room and estimate.backlog_s <= ahead_s,
             max(1, missing_tokens),
-            estimate.backlog_s * estimate.rate,
+            estimate.backlog_s * estimate.upstream.prefill_tokens_per_s,
         )
 
     def _get_domain_penalty(self, upstream: Upstream) -> float:
--- a/packages/core/src/persimmonferry_core/upstreams/__init__.py
+++ b/packages/core/src/persimmonferry_core/upstreams/__init__.py
@@ -18,13 +18,14 @@
     Ejector,
     HalfOpen,
     Open,
-    SlowStart,
 )
 from persimmonferry_core.upstreams.limits import (
     LimitNotice,
     UpstreamLimits,
     make_notice,
 )
+from persimmonferry_core.upstreams.pace import UpstreamPaces
+from persimmonferry_core.upstreams.speeds import UpstreamSpeed
 from persimmonferry_core.upstreams.subsets import UpstreamSubsets, rank_entries
 from persimmonferry_core.upstreams.unread_answers import UnreadAnswers
 from persimmonferry_core.upstreams.views import (
@@ -34,6 +35,7 @@
     Upstream,
     UpstreamReport,
     limit_slots,
+    record_paced_time,
 )
 
 __all__ = [
@@ -51,16 +53,18 @@
     "RateCeiling",
     "Route",
     "SentNews",
-    "SlowStart",
     "UnreadAnswers",
     "Upstream",
     "UpstreamAvailability",
     "UpstreamCooldowns",
     "UpstreamLimits",
+    "UpstreamPaces",
     "UpstreamReport",
+    "UpstreamSpeed",
     "UpstreamSubsets",
     "limit_slots",
     "make_notice",
     "name_closure",
     "rank_entries",
+    "record_paced_time",
 ]
--- a/packages/core/src/persimmonferry_core/upstreams/views.py
+++ b/packages/core/src/persimmonferry_core/upstreams/views.py
@@ -1,9 +1,12 @@
 """An entry's view of upstreams: lagging reports and its own runs since then."""
 
 from dataclasses import dataclass
+from statistics import median
 
 from persimmonferry_core.prefill_rate import PrefillRateEstimator
 from persimmonferry_core.upstreams.ejection import Ejector
+from persimmonferry_core.upstreams.pace import UpstreamPaces
+from persimmonferry_core.upstreams.speeds import UpstreamSpeed
 
 __all__ = [
     "ImportPlan",
@@ -12,9 +15,13 @@
     "Upstream",
     "UpstreamReport",
     "limit_slots",
+    "record_paced_time",
 ]
 
 NO_SLOT_LIMIT = 1_000_000
+# At this pace an upstream that is as busy as any other is no longer limited.
+MIN_FULL_RUNS = 4
+FULL_LOAD_RATIO = 2
 DEFAULT_RUN_S = 2.0
 RUN_TIME_EWMA_ALPHA = 0.1
 FIRST_DECODE_STEP_S = 0.1
@@ -140,7 +147,8 @@
     """
     A run of this entry at an upstream.
 
-    :param expected_s: estimated time to first token at its dispatch.
+    :param expected_s: estimated time to first token at its dispatch; of a call to a
+        plain service, its usual duration.
     :param ready_s: expected end of its import.
     :param missing_tokens: of its prompt that have to be computed.
     :param ahead_tokens: of other prompts that are computed first.
@@ -184,6 +192,7 @@
         self.run_s = DEFAULT_RUN_S
         self._prefill_event_s = 0.0
         self._prefill_rate = PrefillRateEstimator(ASSUMED_PREFILL_TOKENS_PER_S)
+        self.speed = UpstreamSpeed()
         self._peers: dict[str, PeerWork] = {}
         self._has_peer_reports = False
         self._peer_runs = 0
@@ -211,14 +220,18 @@
     @property
     def prefill_tokens_per_s(self) -> float:
         """The reported rate, or the estimated one if the engine reports none."""
-        return self.report.prefill_tokens_per_s or self._prefill_rate.tokens_per_s
+        usual = self._prefill_rate.tokens_per_s / self.speed.mean_stated
+        return self.report.prefill_tokens_per_s or usual
 
     @property
     def overhead_s(self) -> float:
         """Estimated fixed time of a prompt, 0 if the engine reports its rate."""
-        return (
-            0.0 if self.report.prefill_tokens_per_s else self._prefill_rate.overhead_s
-        )
+        usual_s = self._prefill_rate.overhead_s * self.speed.mean_stated
+        return 0.0 if self.report.prefill_tokens_per_s else usual_s
+
+    def estimate_slowness(self, now: float) -> float:
+        """Return how long work takes at a time, as a multiple of this one's mean."""
+        return self.speed.estimate(now) / self.speed.mean_stated
 
     def fits_memory(self, tokens: int) -> bool:
         """
@@ -315,6 +328,7 @@
             return False
         if report.incarnation != self.report.incarnation:
             self._peak_runs = 0
+            self.speed = UpstreamSpeed()
         self.other_runs = max(0, report.running + report.waiting - self._peak_runs)
         own_prefill_s = sum(run.prefill_s for run in self._waiting.values())
         reported_s = _prefill_s(report, report.waiting_prefill_tokens)
@@ -342,18 +356,21 @@
         route: Route | None,
         now: float,
         memory_tokens: int = 0,
+        *,
+        expected_s: float = 0.0,
     ) -> None:
         """
         Add a run that was dispatched to the upstream.
 
         :param route: None for a call to a plain service.
         :param memory_tokens: expected use of the engine's memory.
+        :param expected_s: duration of a call to a plain service, 0 if unknown.
         """
         if not self._is_prefilling():
             self._prefill_event_s = now
         import_s = route.plan.estimated_s if route and route.plan else 0.0
         prefill_s = route.prefill_s if route else 0.0
-        expected_s = route.first_token_s if route else 0.0
+        expected_s = route.first_token_s if route else expected_s
         run = _OwnRun(
             priority,
             prefill_s,
@@ -388,7 +405,8 @@
         self._prefill_event_s = now
         if not self.report.prefill_tokens_per_s and run.missing_tokens:
             tokens = run.missing_tokens + run.ahead_tokens
-            self._prefill_rate.record(tokens, now - run.ready_s, now)
+            usual_s = (now - run.ready_s) / self.speed.estimate_stated(now)
+            self._prefill_rate.record(tokens, usual_s, now)
         expected_s = run.expected_s + FIRST_DECODE_STEP_S
         return (now - run.dispatched_s) / expected_s
 
@@ -396,6 +414,10 @@
         """Return the ids of this entry's runs whose first token has not arrived."""
         return tuple(self._waiting)
 
+    def count_unstarted(self) -> int:
+        """Return the number of this entry's runs without a first token."""
+        return len(self._waiting)
+
     def find_recent_wait(self, now: float) -> float:
         """
         Return for how long runs here have lately waited for their first token.
@@ -472,11 +494,16 @@
         rate = self.prefill_tokens_per_s * tokens / (tokens + own)
         return max(0.0, tokens - rate * max(0.0, now - self._mean_peer_updated_s))
 
+    def count_runs_ahead(self) -> float:
+        """Return how many runs, one after the other, end before one has a slot."""
+        limit = max(1, self.report.slots)
+        own_limit = max(1, self.slot_limit)
+        own = (len(self.runs) + 1 - own_limit) / own_limit
+        return max(0.0, (self.in_flight + 1 - limit) / limit, own)
+
     def estimate_slot_wait(self) -> float:
         """Return the expected seconds until a slot is free."""
-        limit = max(1, self.report.slots)
-        excess = self.in_flight + 1 - limit
-        return max(0.0, excess * self.run_s / limit)
+        return self.count_runs_ahead() * self.run_s
 
     def _is_prefilling(self) -> bool:
         return bool(self._waiting)
@@ -488,11 +515,51 @@
     return tokens / report.prefill_tokens_per_s
 
 
-def limit_slots(upstreams: dict[str, Upstream], ejector: Ejector, now: float) -> None:
-    """Update the slots that ejected and readmitted upstreams may use."""
-    for name in ejector.find_limited(now):
-        upstream = upstreams[name]
-        upstream.slot_limit = ejector.limit_slots(name, upstream.report.slots, now)
-    for name in ejector.pop_readmitted():
+def limit_slots(
+    upstreams: dict[str, Upstream], ejector: Ejector, paces: UpstreamPaces, now: float
+) -> None:
+    """Update the slots that ejected, readmitted and new upstreams may use."""
+    ejected = ejector.find_limited(now)
+    readmitted = ejector.pop_readmitted()
+    for name in readmitted:
+        paces.begin(name)
+    for name in ejected:
+        paces.end(name)
+    for name in readmitted | paces.pop_ended():
         if name in upstreams:
             upstreams[name].slot_limit = NO_SLOT_LIMIT
+    for name, runs in paces.runs.items():
+        upstreams[name].slot_limit = runs
+    for name in ejected:
+        upstream = upstreams[name]
+        upstream.slot_limit = ejector.limit_slots(name, upstream.report.slots, now)
+
+
+def record_paced_time(
+    upstreams: dict[str, Upstream],
+    ejector: Ejector,
+    paces: UpstreamPaces,
+    name: str,
+    slowness: float,
+    now: float,
+) -> None:
+    """
+    Record how long a first event or a complete answer took, for the upstream's pace.
+
+    :param slowness: ratio of the observed to the expected time.
+    """
+    paces.record_answered(name)
+    if not paces.is_paced(name):
+        return
+    upstream = upstreams[name]
+    stated = upstream.speed.estimate_stated(now)
+    others = [item for item in upstreams.values() if item is not upstream]
+    if not others:
+        paces.end(name)
+        return
+    usual_stated = max(1.0, median(item.speed.mean_stated for item in others))
+    slowness = max(slowness / ejector.find_usual_slowness(), stated / usual_stated)
+    usual_runs = max(len(item.runs) for item in others)
+    full_runs = max(MIN_FULL_RUNS, FULL_LOAD_RATIO * usual_runs)
+    full_runs = min(upstream.report.slots, full_runs)
+    paces.record_time(name, slowness, upstream.count_unstarted(), full_runs)
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -183,6 +183,8 @@
             self._crash_reports.count_crashes,
             self._dispatcher.list_retries,
             self._read_availability,
+            lambda: self._dispatcher.list_slowness(self._context.read_clock()),
+            self._dispatcher.list_paces,
             client.held_bytes,
             lambda: self._server.count_callers(),
         )
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -42,6 +42,8 @@
     :param read_quarantine: returns the number of crashes, by quarantined parts.
     :param read_retries: returns the retries allowed and refused so far, by service.
     :param read_availability: returns what is known of the upstreams' availability.
+    :param read_slowness: returns how long work takes at each upstream, 1.0 as usual.
+    :param read_paces: returns the runs that new and readmitted upstreams may have.
     :param held_bytes: counts the bytes that are held.
     :param count_callers: returns the counters of the server for callers, by name.
     """
@@ -54,6 +56,8 @@
         read_quarantine: Callable[[], Mapping[str, int]],
         read_retries: Callable[[], Mapping[str, tuple[int, int]]],
         read_availability: Callable[[], AvailabilityFigures],
+        read_slowness: Callable[[], Mapping[str, float]],
+        read_paces: Callable[[], Mapping[str, int]],
         held_bytes: HeldBytes,
         count_callers: Callable[[], Mapping[str, int]],
     ) -> None:
@@ -68,6 +72,8 @@
         self._read_quarantine = read_quarantine
         self._read_retries = read_retries
         self._read_availability = read_availability
+        self._read_slowness = read_slowness
+        self._read_paces = read_paces
         self._held_bytes = held_bytes
         self._count_callers = count_callers
 
@@ -125,6 +131,14 @@
             lines.append(f'retries{{service="{service}"}} {granted}')
             lines.append(f'retries_refused{{service="{service}"}} {refused}')
         lines += self._list_availability()
+        lines += [
+            f'upstream_slowness{{upstream="{name}"}} {slowness:.3g}'
+            for name, slowness in sorted(self._read_slowness().items())
+        ]
+        lines += [
+            f'upstream_pace{{upstream="{name}"}} {runs}'
+            for name, runs in sorted(self._read_paces().items())
+        ]
         most = self._held_bytes.most
         for place, size in self._held_bytes.present.items():
             kind, label = "answer_bytes", f'{{place="{place.value}"}}'
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -16,6 +16,8 @@
         lambda: AvailabilityFigures(
             {"rate_spent": 2}, {"e1": 9}, {"e1": 1.26}, frozenset(("z2",))
         ),
+        lambda: {"e1": 1.5},
+        lambda: {"e1": 4},
         memory,
         lambda: {'requests_not_received{code="2030"}': 6},
     )
@@ -29,6 +31,8 @@
     assert "limited_attempts 1" in lines
     assert 'upstream_limit_calls_per_s{upstream="e1"} 2.5' in lines
     assert 'upstream_limit_own_calls_per_s{upstream="e1"} 0.5' in lines
+    assert 'upstream_slowness{upstream="e1"} 1.5' in lines
+    assert 'upstream_pace{upstream="e1"} 4' in lines
     assert 'lost_attempts{progress="sent"} 1' in lines
     assert 'quarantined_parts{parts="00ff"} 2' in lines
     assert 'retries{service="plain"} 4' in lines
