--- a/packages/core/src/persimmonferry_core/upstreams/call_rates.py
+++ b/packages/core/src/persimmonferry_core/upstreams/call_rates.py
@@ -164,6 +164,7 @@
         self._users: Mapping[str, frozenset[str]] = {}
         self._upstreams: dict[str, _Upstream] = {}
         self._peers: dict[str, _Peer] = {}
+        self._sharers: frozenset[str] | None = None
         self._contact_s = DEFAULT_CONTACT_S
         self._seen_s = -math.inf
         self._trusted_s = -math.inf
@@ -194,8 +195,10 @@
         known = self._upstreams.get(upstream)
         if ceiling is None:
             self._upstreams.pop(upstream, None)
+            self._sharers = None
         elif known is None:
             self._upstreams[upstream] = _Upstream(ceiling)
+            self._sharers = None
         else:
             known.ceiling = ceiling
             known.free_until_s = -math.inf
@@ -263,8 +266,10 @@
 
     def list_peers(self) -> frozenset[str]:
         """Return the other entries that use an upstream with a ceiling."""
-        users = (self._find_users(name) for name in self._upstreams)
-        return frozenset().union(*users) - {self._entry}
+        if self._sharers is None:
+            users = (self._find_users(name) for name in self._upstreams)
+            self._sharers = frozenset().union(*users) - {self._entry}
+        return self._sharers
 
     def list_ceilings(self, now: float) -> dict[str, int]:
         """Return the ceiling in force of each upstream, in calls in a second."""
@@ -281,7 +286,9 @@
     def list_spent(self, now: float) -> frozenset[str]:
         """Return the upstreams to which this entry must not send a call yet."""
         return frozenset(
-            name for name in self._upstreams if self.find_wait(name, now) > 0.0
+            name
+            for name, state in self._upstreams.items()
+            if now >= state.free_until_s and self.find_wait(name, now) > 0.0
         )
 
     def find_wait(self, upstream: str, now: float) -> float:
@@ -362,6 +369,7 @@
         return (self._users.get(upstream) or self._entries) | {self._entry}
 
     def _discard_shares(self) -> None:
+        self._sharers = None
         for state in self._upstreams.values():
             state.shares = {}
             state.free_until_s = -math.inf
