Expect the slowness of the middle of a prompt's computation

Cause: the momentary slowness counted for the whole of a long prompt. Change: the estimate is for the middle of the time in which it is computed.

--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -146,7 +146,6 @@
     :param rate: prefill rate in tokens per second.
     :param backlog_s: prefill that is queued before the request.
     :param slot_wait_s: until a slot is expected to be free.
-    :param overhead_s: fixed time of a prompt.
     :param uncertainty_s: added where work of other entries may be unknown.
     :param has_room: whether a slot may be used now.
     """
@@ -156,7 +155,6 @@
     rate: float
     backlog_s: float
     slot_wait_s: float
-    overhead_s: float
     uncertainty_s: float
     has_room: bool
 
@@ -683,17 +681,14 @@
         backlog_s = upstream.estimate_backlog(
             self._find_last_ahead(priority), context.others_share, context.now
         )
-        # The prompt is computed after those before it.
-        slowness = upstream.estimate_slowness(context.now + backlog_s + slot_wait_s)
         if has_room and priority >= self.urgent_ranks:
             has_room = self._fits_non_urgent(upstream, context.reserved)
         return _UpstreamEstimate(
             upstream,
             depth,
-            max(1.0, upstream.prefill_tokens_per_s / slowness),
+            max(1.0, upstream.prefill_tokens_per_s),
             backlog_s,
             slot_wait_s,
-            upstream.overhead_s * slowness,
             0.0 if upstream.is_primary else NON_PRIMARY_UNCERTAINTY_S,
             has_room,
         )
@@ -710,11 +705,13 @@
             price = self.links.price(source, target, size)
         cached_tokens = request.count_tokens(cached)
         missing_tokens = request.prompt_tokens - cached_tokens
-        prefill_s = max(1, missing_tokens) / estimate.rate
-        first_token_s = (
-            max(import_s, estimate.backlog_s) + prefill_s + estimate.slot_wait_s
-        )
-        first_token_s += estimate.overhead_s
+        wait_s = max(import_s, estimate.backlog_s) + estimate.slot_wait_s
+        mean_s = max(1, missing_tokens) / estimate.rate
+        # The prompt is computed after those before it.
+        middle_s = context.now + wait_s + mean_s / 2
+        slowness = estimate.upstream.estimate_slowness(middle_s)
+        prefill_s = slowness * mean_s
+        first_token_s = wait_s + prefill_s + slowness * estimate.upstream.overhead_s
         recomputed_tokens = request.count_tokens(context.cached_depth) - cached_tokens
         weights = self.service.weights
         penalty_s = self._get_domain_penalty(estimate.upstream)
@@ -735,7 +732,7 @@
             score,
             estimate.has_room and estimate.backlog_s <= ahead_s,
             max(1, missing_tokens),
-            estimate.backlog_s * estimate.upstream.prefill_tokens_per_s,
+            estimate.backlog_s * estimate.rate,
         )
 
     def _get_domain_penalty(self, upstream: Upstream) -> float:
