Keep engine memory for urgent prompts; avoid engines that are late with long ones

Memory had no reserve, and costs left it out. Change: lateness counts in the choice; urgent tiers keep memory; the cost of a prompt is its largest share of prefill, memory and slots. Memory and cost: not measured yet.

--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -11,6 +11,7 @@
 from persimmonferry_core.blockindex import BlockIndex
 from persimmonferry_core.fetch_sources import choose_fetch_sources
 from persimmonferry_core.links import LinkTable
+from persimmonferry_core.room import TierUse, TimeAverage
 from persimmonferry_core.schema import Service
 from persimmonferry_core.upstreams import (
     ImportPlan,
@@ -56,42 +57,13 @@
 MAX_OUTDATED_SILENCE_S = 0.5
 PROMPT_SIZE_EWMA_ALPHA = 0.05
 PRIORITY_MIX_DECAY = 0.99
-OCCUPANCY_WINDOW_S = 10.0
 NEGLIGIBLE_OCCUPANCY = 0.01
+# Urgent runs that an entry assumes until it has seen some, so that others do not
+# fill every slot before the first of them.
 FIRST_OCCUPANCY = 0.5
 MAX_RESERVED_SHARE = 0.25
 
 
-class _Occupancy:
-    """
-    Time average of a count.
-
-    It starts above zero: an entry that has just started has not seen any urgent
-    requests yet, and non-urgent ones would fill every slot before the first of them.
-    """
-
-    def __init__(self) -> None:
-        self._mean = FIRST_OCCUPANCY
-        self._count = 0
-        self._updated_s: float | None = None
-
-    def read(self, now: float) -> float:
-        """Return the average at time ``now``."""
-        self._advance(now)
-        return self._mean
-
-    def change(self, difference: int, now: float) -> None:
-        """Apply a change of the count."""
-        self._advance(now)
-        self._count = max(0, self._count + difference)
-
-    def _advance(self, now: float) -> None:
-        since_s = now if self._updated_s is None else self._updated_s
-        share = 1.0 - math.exp(-max(0.0, now - since_s) / OCCUPANCY_WINDOW_S)
-        self._mean += share * (self._count - self._mean)
-        self._updated_s = max(now, since_s)
-
-
 class PriorityMix:
     """
     The recent prefill work of this entry by priority.
@@ -126,6 +98,7 @@
     :param names: of all these upstreams.
     :param in_subset: names of those that this entry uses.
     :param prefill_tokens_per_s: average over the upstreams, as are the next figures.
+    :param memory_tokens: that runs of one upstream may occupy, 0 if unknown.
     """
 
     names: tuple[str, ...]
@@ -133,6 +106,7 @@
     prefill_tokens_per_s: float
     decode_tokens_per_s: float
     slots: float
+    memory_tokens: float
 
 
 @dataclass(slots=True)
@@ -144,7 +118,8 @@
     :param rate: prefill rate in tokens per second.
     :param backlog_s: prefill that is queued before the request.
     :param slot_wait_s: until a slot is expected to be free.
-    :param uncertainty_s: added where work of other entries may be unknown.
+    :param uncertainty_s: added where work of other entries may be unknown, and where
+        prompts take longer than expected.
     :param has_room: whether a slot may be used now.
     """
 
@@ -188,6 +163,7 @@
     :param cached_depth: leading blocks that are cached or stored anywhere.
     :param others_share: share of other entries' work that is computed first.
     :param reserved: slots of each upstream that are reserved for urgent runs.
+    :param kept_tokens: memory of each upstream that more urgent runs keep.
     """
 
     waiting: WaitingRequest
@@ -196,6 +172,7 @@
     cached_depth: int
     others_share: float
     reserved: int
+    kept_tokens: float
 
 
 class Router:
@@ -223,7 +200,8 @@
         self.answer_times = AnswerTimeEstimator()
         self.urgent_ranks = 0
         self.ejector = Ejector()
-        self._urgent = _Occupancy()
+        self._urgent = TimeAverage(FIRST_OCCUPANCY)
+        self.use = TierUse()
         self._entry = ""
         self._entries: tuple[str, ...] = ("",)
         self.upstreams: dict[str, Upstream] = {}
@@ -368,6 +346,7 @@
                 sum(upstream.prefill_tokens_per_s for upstream in usable) / count,
                 sum(report.decode_tokens_per_s for report in reports) / count,
                 sum(report.slots for report in reports) / count,
+                sum(upstream.run_memory for upstream in usable) / count,
             )
         return self._summary
 
@@ -441,6 +420,7 @@
             max((*held.values(), *stored.values()), default=0),
             self.mix.share_ahead(self._find_last_ahead(waiting.priority)),
             self._count_reserved(now),
+            self.use.estimate_kept(waiting.priority, self._scale, now),
         )
         options = [
             self._estimate(upstream, held.get(upstream.name, 0), context)
@@ -576,6 +556,7 @@
         self.mix.add(waiting.priority, route.prefill_s)
         if waiting.priority < self.urgent_ranks:
             self._urgent.change(1, now)
+        self.use.change(waiting.priority, 1, waiting.memory_tokens, now)
 
     def start_run(self, waiting: WaitingRequest, name: str, now: float) -> None:
         """Record the first token of a run."""
@@ -608,6 +589,7 @@
         """Remove a run that ended or was cancelled."""
         if waiting.priority < self.urgent_ranks:
             self._urgent.change(-1, now)
+        self.use.change(waiting.priority, -1, -waiting.memory_tokens, now)
         upstream = self.upstreams.get(name)
         if upstream is not None:
             upstream.end_run(waiting.request.request_id, now, whole)
@@ -635,9 +617,14 @@
         else:
             self.ejector.record_unreachable(name, now)
 
+    @property
+    def _scale(self) -> float:
+        """The use of one upstream by all entries, as a multiple of this entry's."""
+        return len(self._entries) / max(1, len(self.upstreams))
+
     def _count_reserved(self, now: float) -> int:
         """Return the slots of each upstream that are reserved for urgent runs."""
-        mean = self._urgent.read(now) * len(self._entries) / max(1, len(self.upstreams))
+        mean = self._urgent.read(now) * self._scale
         # Mean plus one standard deviation of a Poisson count.
         return math.ceil(mean + math.sqrt(mean)) if mean > NEGLIGIBLE_OCCUPANCY else 0
 
@@ -660,7 +647,7 @@
     ) -> _UpstreamEstimate:
         priority = context.waiting.priority
         has_room = upstream.free_slots > 0 and upstream.fits_memory(
-            context.waiting.memory_tokens
+            context.waiting.memory_tokens, context.kept_tokens
         )
         slot_wait_s = 0.0 if has_room else upstream.estimate_slot_wait()
         if has_room and priority >= self.urgent_ranks:
@@ -673,7 +660,8 @@
                 self._find_last_ahead(priority), context.others_share, context.now
             ),
             slot_wait_s,
-            0.0 if upstream.is_primary else NON_PRIMARY_UNCERTAINTY_S,
+            (0.0 if upstream.is_primary else NON_PRIMARY_UNCERTAINTY_S)
+            + upstream.estimate_lateness(context.now),
             has_room,
         )
 
--- a/packages/core/src/persimmonferry_core/services.py
+++ b/packages/core/src/persimmonferry_core/services.py
@@ -5,6 +5,7 @@
 from statistics import median
 
 from persimmonferry_core.admission import AdmissionQueue, PromptRequest
+from persimmonferry_core.room import RoomCost, estimate_cost
 from persimmonferry_core.routing import Router
 from persimmonferry_core.upstreams import Upstream, UpstreamReport, limit_slots
 from persimmonferry_core.upstreams.ejection import Ejector
@@ -77,13 +78,18 @@
                 share - self.computed_share
             )
 
-    def estimate_cost(self, request: PromptRequest) -> float:
-        """Return the expected cost of a request, in seconds of one whole upstream."""
+    def estimate_cost(self, request: PromptRequest) -> RoomCost:
+        """Return the expected cost of a request."""
         fleet = self.router.summarize()
         prefill_s = self.computed_share * self.router.estimate_prefill(request)
         answer_tokens = request.max_tokens * self.answer_share
-        decode_s = answer_tokens / max(1.0, fleet.decode_tokens_per_s)
-        return max(prefill_s, (prefill_s + decode_s) / max(1.0, fleet.slots))
+        return estimate_cost(
+            prefill_s,
+            self.router.answer_times.estimate_mean(request.max_tokens),
+            request.prompt_tokens + answer_tokens,
+            fleet.memory_tokens,
+            fleet.slots,
+        )
 
 
 class PlainService:
--- a/packages/core/src/persimmonferry_core/upstreams/views.py
+++ b/packages/core/src/persimmonferry_core/upstreams/views.py
@@ -22,11 +22,14 @@
 ASSUMED_PREFILL_TOKENS_PER_S = 60_000.0
 # Share of an engine's memory that runs may fill; the rest caches shared parts.
 MAX_RUN_MEMORY_RATIO = 0.92
+MAX_KEPT_MEMORY_RATIO = 0.25
 MAX_OVERFLOW_SLOT_RATIO = 0.5
 # Time for which a wait for a first token is expected again.
 RECENT_WAIT_S = 5.0
 # A run that was ended before its first token would have waited longer.
 UNENDED_WAIT_FACTOR = 2.0
+# A prompt that is late by some time is expected to be late by as much again.
+LATENESS_GROWTH = 1.0
 # Prefill that delays the next prompt by more than a round trip between entries.
 HEAVY_PREFILL_S = 0.015
 
@@ -220,17 +223,29 @@
             0.0 if self.report.prefill_tokens_per_s else self._prefill_rate.overhead_s
         )
 
-    def fits_memory(self, tokens: int) -> bool:
+    @property
+    def run_memory(self) -> float:
+        """Tokens of its memory that runs may occupy, 0 if unknown."""
+        return MAX_RUN_MEMORY_RATIO * self.report.memory_tokens
+
+    @property
+    def used_memory(self) -> int:
+        """Tokens that the known runs occupy, of this entry and of others."""
+        return self._own_memory + self._peer_memory
+
+    def fits_memory(self, tokens: int, kept_tokens: float = 0.0) -> bool:
         """
         Whether a run fits into the memory that the current runs leave free.
 
         An idle engine gets any run; the engine itself refuses one that is too large.
+
+        :param kept_tokens: to leave free for more urgent runs.
         """
-        if not self.report.memory_tokens:
+        used = self.used_memory
+        if not self.report.memory_tokens or not used:
             return True
-        used = self._own_memory + self._peer_memory
-        limit = MAX_RUN_MEMORY_RATIO * self.report.memory_tokens
-        return not used or used + tokens <= limit
+        kept_tokens = min(kept_tokens, MAX_KEPT_MEMORY_RATIO * self.run_memory)
+        return used + tokens + kept_tokens <= self.run_memory
 
     def set_peer_work(self, peer: str, work: PeerWork | None, now: float) -> None:
         """Set the work of another entry at this upstream, None if it is unknown."""
@@ -461,6 +476,24 @@
             return ahead + tokens / self.prefill_tokens_per_s
         return ahead + others_share * self._other_prefill_s
 
+    def estimate_lateness(self, now: float) -> float:
+        """
+        Return for how much longer than expected prompts are likely to be computed here.
+
+        Load pattern: long prompts whose parts have to be computed after all, or wait
+        for memory. By the expected times, their engine would look idle and get the next
+        urgent prompts, while others are idle.
+        """
+        ready_s = [run.ready_s for run in self._waiting.values() if run.ready_s <= now]
+        if not ready_s:
+            return 0.0
+        since_s = max(min(ready_s), self._prefill_event_s)
+        expected_s = sum(
+            run.prefill_s for run in self._waiting.values() if run.ready_s <= now
+        )
+        late_s = now - since_s - expected_s
+        return max(0.0, LATENESS_GROWTH * late_s)
+
     def _count_peer_tokens(self, priority: int, now: float) -> float:
         """Return how many waiting tokens of other entries are probably left."""
         waiting = self._peer_waiting.items()
