Admit refused callers that return when told, before newcomers

Change: gateways remember a refused prompt by its fingerprint and tell each other when it may return. A call that comes back then isn't refused again and precedes its account's newcomers; one that comes earlier is a newcomer and changes nothing. Newcomers leave the room that was promised. Not measured yet.

--- a/packages/core/src/persimmonferry_core/admission.py
+++ b/packages/core/src/persimmonferry_core/admission.py
@@ -40,6 +40,7 @@
     :param caller_deadline_s: when the caller stops waiting; None if an answer later
         than promised is useless.
     :param build: of the upstreams at which its stream may go on; empty for any.
+    :param fingerprint: equal for a call and its repetition, 0 if unknown.
     """
 
     request_id: str
@@ -55,6 +56,7 @@
     block_sizes: tuple[int, ...] = ()
     caller_deadline_s: float | None = None
     build: str = ""
+    fingerprint: int = 0
 
     def count_tokens(self, depth: int) -> int:
         """
@@ -118,6 +120,7 @@
         ``promised_start_s``.
     :param memory_tokens: expected use of the engine's memory by the run.
     :param build: of the upstreams at which its stream may go on; empty for any.
+    :param is_returning: whether it was refused before, and comes back when promised.
     """
 
     request: PromptRequest
@@ -129,6 +132,7 @@
     expires_s: float = 0.0
     memory_tokens: int = 0
     build: str = ""
+    is_returning: bool = False
 
     @property
     def accepts_late_start(self) -> bool:
@@ -241,25 +245,35 @@
         return ahead / free if free > 0 else float("inf")
 
     def offer(
-        self, waiting: WaitingRequest, weight: float, capacity: float, now: float
+        self,
+        waiting: WaitingRequest,
+        weight: float,
+        capacity: float,
+        now: float,
+        promised_work: float = 0.0,
     ) -> Queued | Refused:
         """
         Admit the request if its promised wait can be kept, refuse it otherwise.
 
+        Requests that return as promised were refused once, and are not refused again.
+
         :param weight: fair-share weight of its client account.
         :param capacity: upstream seconds of work that the fleet completes each second.
+        :param promised_work: cost of the requests that are expected to return before
+            its promised start.
         """
         request = waiting.request
         queue = self._queues[request.tier]
         queue.record_demand(request.account, waiting.cost_s, weight, now)
         model = self._waits[request.tier]
         plain_wait = self.estimate_wait(waiting, weight, capacity, now)
-        wait = plain_wait * model.factor
+        wait = plain_wait * model.factor + promised_work / capacity
         slack = waiting.promised_start_s - now
         allowed = MAX_WAIT_SLACK_RATIO * slack
         if (
             wait > allowed
             and wait > 0
+            and not waiting.is_returning
             and not self._fits_overdue(waiting, capacity, now)
         ):
             retry_after = max(MIN_RETRY_AFTER_S, min(wait - allowed, 60.0))
@@ -426,7 +440,12 @@
 ) -> QueueEntry[WaitingRequest]:
     request = waiting.request
     return QueueEntry(
-        request.request_id, request.account, waiting.cost_s, deadline_s, waiting
+        request.request_id,
+        request.account,
+        waiting.cost_s,
+        deadline_s,
+        waiting,
+        waiting.is_returning,
     )
 
 
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -15,6 +15,7 @@
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.limits import AccountLimiter
 from persimmonferry_core.retries import RetryBudget, RetryGrant, RetryPolicy
+from persimmonferry_core.returns import ReturnPromise, ReturnPromises
 from persimmonferry_core.routing import (
     BlockIndex,
     ImportPlan,
@@ -133,6 +134,7 @@
         self._entries: tuple[str, ...] = (entry,)
         self._subset: frozenset[str] | None = None
         self.availability = UpstreamAvailability(entry)
+        self.promises = ReturnPromises()
         self._models: dict[str, ModelService] = {}
         self._plain: dict[str, PlainService] = {}
         self._attempts: dict[str, _Attempt] = {}
@@ -286,7 +288,14 @@
             return Refused(request.request_id, ResultCode.LIMIT_EXCEEDED, wait_s)
         waiting = self._make_waiting(request, model)
         weight = self._weights.get(request.account, 1.0)
-        answer = model.queue.offer(waiting, weight, capacity, now)
+        if request.fingerprint and self.promises.take(request.fingerprint, now):
+            waiting = replace(waiting, is_returning=True)
+            promised_work = 0.0
+        else:
+            until_s = waiting.promised_start_s
+            promised_work = self.promises.estimate_work(request.service, until_s, now)
+            promised_work /= len(self._entries)
+        answer = model.queue.offer(waiting, weight, capacity, now, promised_work)
         if isinstance(answer, Refused):
             self.limits.refund_request(request.account, tokens)
             return answer
@@ -296,6 +305,26 @@
         self._find_budget(request.service).record_request(now)
         return answer
 
+    def promise_return(
+        self, request: PromptRequest, after_s: float, now: float
+    ) -> ReturnPromise | None:
+        """
+        Record when a refused request was told to return.
+
+        :returns: the promise, for the other entries; None if it has one already.
+        """
+        model = self._models.get(request.service)
+        if model is None or not request.fingerprint:
+            return None
+        promise = ReturnPromise(
+            request.fingerprint,
+            request.service,
+            model.estimate_cost(request).total_s,
+            now + after_s,
+            max(now + after_s, request.caller_deadline_s or 0.0),
+        )
+        return promise if self.promises.add(promise, now) else None
+
     def assign(self, now: float) -> tuple[Assignment, ...]:
         """Return the attempts that are to start now."""
         assignments: list[Assignment] = []
--- a/packages/core/src/persimmonferry_core/fair_queue.py
+++ b/packages/core/src/persimmonferry_core/fair_queue.py
@@ -22,6 +22,7 @@
     A queued item.
 
     :param cost: charged to its account's share; any unit, the same for all entries.
+    :param is_first: whether it precedes other entries of its account.
     """
 
     entry_id: str
@@ -29,6 +30,7 @@
     cost: float
     deadline_s: float
     item: Item
+    is_first: bool = False
 
 
 @dataclass(frozen=True)
@@ -135,10 +137,7 @@
         """Return the entries whose deadline has passed."""
         late: list[QueueEntry[Item]] = []
         for flow in self._flows.values():
-            for entry in flow.entries:
-                if entry.deadline_s >= now:
-                    break
-                late.append(entry)
+            late += [entry for entry in flow.entries if entry.deadline_s < now]
         return tuple(late)
 
     def pop_excess(
@@ -234,5 +233,5 @@
             self._idle_starts[account] = start
 
 
-def _entry_order(entry: QueueEntry[Item]) -> float:
-    return entry.deadline_s
+def _entry_order(entry: QueueEntry[Item]) -> tuple[bool, float]:
+    return not entry.is_first, entry.deadline_s
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -29,6 +29,7 @@
 from persimmonferry_core.fingerprints import format_hash, hash_call
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.quarantine import Quarantine
+from persimmonferry_core.returns import ReturnPromise
 from persimmonferry_core.stream_origins import (
     MAX_LIFETIME_S,
     StreamOrigin,
@@ -89,6 +90,8 @@
     What all calls of a gateway share.
 
     :param schedule_assignment: has the dispatcher start the requests that can start.
+    :param announce_return: announces to the other gateways when a refused prompt was
+        told to return.
     :param queue_held: queues the parts that an engine has cached for the next message
         to the other gateways.
     :param check_version: asks an engine for the version of its weights.
@@ -114,6 +117,7 @@
     read_clock: Callable[[], float]
     schedule_assignment: Callable[[], None]
     queue_held: Callable[[str, tuple[str, ...], tuple[int, ...]], None]
+    announce_return: Callable[[ReturnPromise], None]
     check_version: Callable[[str], None]
     kept: CacheStoreIndex
     log: RateLimitedLog
@@ -391,8 +395,12 @@
             error.retry_after_s = min(
                 error.retry_after_s, left_s * MAX_RETRY_AFTER_SHARE
             )
+            self._record_return(error.retry_after_s)
         self._caller.send_error(error)
 
+    def _record_return(self, after_s: float) -> None:
+        """Record when the caller is told to return."""
+
     async def _attempt(self, record: UpstreamRecord, version: int | None) -> None:
         """
         Send the call to an upstream and relay its answer.
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -195,6 +195,7 @@
             self._loop.time,
             self._schedule_assignment,
             self._peers.queue_held,
+            self._peers.announce_return,
             self._check_version,
             self._store_index,
             RateLimitedLog(_log),
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -9,6 +9,7 @@
 from persimmonferry_core.cache_stores import PartEvent, StoreUpdate
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.quarantine import Crash
+from persimmonferry_core.returns import ReturnPromise
 from persimmonferry_core.topology import Address
 from persimmonferry_core.upstreams import PeerWork
 from persimmonferry_core.upstreams.limits import LimitNotice
@@ -26,6 +27,8 @@
     OwnWork,
     PeerMessage,
     PeerNews,
+    PromisedReturn,
+    ReturnNews,
     StartedWork,
     StreamNews,
     UpstreamLimit,
@@ -79,6 +82,10 @@
 MAX_SOUND = 100
 MAX_CRASH_HASHES = 102
 CRASH_OVERHEAD_HASHES = 6
+# Refusals within this time are announced together; callers are told longer ones.
+RETURN_NEWS_DELAY_S = 0.03
+# Promises in one datagram.
+MAX_RETURNS = 20
 MS_PER_S = 1000
 
 _Work = TypeVar("_Work")
@@ -158,6 +165,7 @@
         self._users: dict[str, frozenset[str]] = {}
         self._loop = asyncio.get_running_loop()
         self._addresses: dict[str, Address] = {}
+        self._new_returns: list[ReturnPromise] = []
         self._peer_states: dict[str, _PeerState] = {}
         self._held: dict[str, dict[str, int]] = {}
         self._paused: frozenset[str] = frozenset()
@@ -327,6 +335,30 @@
         self._new_sound |= parts
         self._plan_crash_news()
 
+    def announce_return(self, promise: ReturnPromise) -> None:
+        """Announce to all gateways when a refused prompt was told to return."""
+        self._new_returns.append(promise)
+        if "returns" not in self._timers:
+            self._call_later("returns", RETURN_NEWS_DELAY_S, self._send_returns)
+
+    def _send_returns(self) -> None:
+        del self._timers["returns"]
+        promises, self._new_returns = self._new_returns, []
+        now = self._loop.time()
+        for first in range(0, len(promises), MAX_RETURNS):
+            batch = [
+                PromisedReturn(
+                    item.fingerprint,
+                    item.service,
+                    item.cost_s,
+                    round((item.due_s - now) * MS_PER_S),
+                    round((item.expires_s - now) * MS_PER_S),
+                )
+                for item in promises[first : first + MAX_RETURNS]
+            ]
+            news = ReturnNews(self._name, batch)
+            self._send(encode(PeerMessage(returns=news)), self._addresses)
+
     def send_streams(self, news: StreamNews, names: Iterable[str]) -> None:
         """Send news of streams to the named gateways."""
         self._send(encode(PeerMessage(streams=news)), names)
@@ -364,6 +396,7 @@
             or message.limits
             or message.crashes
             or message.streams
+            or message.returns
         )
         if payload is None or payload.sender not in self._addresses:
             return
@@ -376,6 +409,8 @@
             self._handle_limits(message.limits)
         elif message.crashes is not None:
             self._handle_crashes(message.crashes)
+        elif message.returns is not None:
+            self._handle_returns(message.returns)
         elif message.streams is not None:
             self._receive_streams(message.streams)
         elif message.started is not None:
@@ -425,6 +460,16 @@
         )
         self._record_crashes(crashes, frozenset(payload.sound), payload.sender)
 
+    def _handle_returns(self, payload: ReturnNews) -> None:
+        now = self._loop.time()
+        for item in payload.returns:
+            due_s = now + item.due_ms / MS_PER_S
+            expires_s = now + item.left_ms / MS_PER_S
+            promise = ReturnPromise(
+                item.fingerprint, item.service_name, item.cost_s, due_s, expires_s
+            )
+            self._dispatcher.promises.add(promise, now)
+
     def _handle_started(self, payload: StartedWork) -> None:
         """Add work to a peer's last message unless that message already includes it."""
         known = self._peer_states.get(payload.sender)
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -147,6 +147,14 @@
             dispatcher.record_held(upstream, names, sizes)
             self._context.queue_held(upstream, names, sizes)
 
+    def _record_return(self, after_s: float) -> None:
+        context = self._context
+        now = context.read_clock()
+        request = self._make_request()
+        promise = context.dispatcher.promise_return(request, after_s, now)
+        if promise is not None:
+            context.announce_return(promise)
+
     def _release(self) -> None:
         now = self._context.read_clock()
         if self._has_upstream_timed_out(now):
@@ -171,6 +179,7 @@
             block_sizes=tuple(part.tokens for part in prompt.parts),
             caller_deadline_s=self._arrival_s + self._find_max_wait(),
             build=self._build,
+            fingerprint=self._fingerprint,
         )
 
     def _choose_budget(self, version: int | None, now: float) -> AttemptBudget:
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -5,6 +5,7 @@
 from persimmonferry_core.cache_stores import PartEvent, StoreUpdate
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.quarantine import Crash
+from persimmonferry_core.returns import ReturnPromise
 from persimmonferry_core.schema import Service, ServiceKind, TeamDocument, Tier
 from persimmonferry_core.topology import Address
 from persimmonferry_core.upstreams import PeerWork, UpstreamReport
@@ -113,6 +114,19 @@
     run_scenario(scenario)
 
 
+def test_a_caller_that_one_gateway_refused_is_known_at_another_when_it_returns():
+    async def scenario(one, other):
+        now = asyncio.get_running_loop().time()
+        one.exchange.announce_return(ReturnPromise(-7, "s", 0.2, now + 0.3, now + 9.0))
+        await wait_until(
+            lambda: other.dispatcher.promises.estimate_work("s", now + 1, now)
+        )
+        assert not promises.take(-7, now + 0.1)
+        assert promises.take(-7, now + 0.5)
+
+    run_scenario(scenario)
+
+
 def test_a_changed_limit_and_its_end_are_sent_at_once():
     async def scenario(one, other):
         one.state_limit(1.5, is_changed=True)
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -125,6 +125,24 @@
   4: list<i64> unknown
 }
 
+// A refused prompt that was told when to return.
+struct PromisedReturn {
+  // Hash of the call.
+  1: i64 fingerprint
+  2: string service_name
+  // In seconds of one whole upstream.
+  3: double cost_s
+  // Time until it is expected, and until its caller gives up.
+  4: i32 due_ms
+  5: i32 left_ms
+}
+
+// Sent to all gateways by the one that refused the prompts.
+struct ReturnNews {
+  1: string sender
+  2: list<PromisedReturn> returns
+}
+
 // One datagram.
 union PeerMessage {
   1: PeerNews work
@@ -134,4 +152,5 @@
   5: LimitNews limits
   6: CrashNews crashes
   7: StreamNews streams
+  8: ReturnNews returns
 }
