--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -9,6 +9,7 @@
 from persimmonferry_core.cache_stores import PartEvent, StoreUpdate
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.quarantine import Crash
+from persimmonferry_core.returns import ReturnPromise
 from persimmonferry_core.topology import Address
 from persimmonferry_core.upstreams import PeerWork
 from persimmonferry_core.upstreams.call_rates import CallRates, SentNews
@@ -28,6 +29,8 @@
     OwnWork,
     PeerMessage,
     PeerNews,
+    PromisedReturn,
+    ReturnNews,
     SentCalls,
     StartedWork,
     StreamNews,
@@ -86,6 +89,10 @@
 CRASH_OVERHEAD_HASHES = 6
 # A gateway whose entry is gone still has calls for this time, and streams begin there.
 MAX_DRAIN_S = 60.0
+# Refusals within this time are announced together; callers are told longer ones.
+RETURN_NEWS_DELAY_S = 0.03
+# Promises in one datagram.
+MAX_RETURNS = 20
 MS_PER_S = 1000
 
 _Work = TypeVar("_Work")
@@ -167,6 +174,7 @@
         self._addresses: dict[str, Address] = {}
         # When the entries of gateways that may still drain were removed.
         self._removed_s: dict[str, float] = {}
+        self._new_returns: list[ReturnPromise] = []
         self._peer_states: dict[str, _PeerState] = {}
         self._held: dict[str, dict[str, int]] = {}
         self._paused: frozenset[str] = frozenset()
@@ -373,6 +381,30 @@
         self._new_sound |= parts
         self._plan_crash_news()
 
+    def announce_return(self, promise: ReturnPromise) -> None:
+        """Announce to all gateways when a refused prompt was told to return."""
+        self._new_returns.append(promise)
+        if "returns" not in self._timers:
+            self._call_later("returns", RETURN_NEWS_DELAY_S, self._send_returns)
+
+    def _send_returns(self) -> None:
+        del self._timers["returns"]
+        promises, self._new_returns = self._new_returns, []
+        now = self._loop.time()
+        for first in range(0, len(promises), MAX_RETURNS):
+            batch = [
+                PromisedReturn(
+                    item.fingerprint,
+                    item.service,
+                    item.cost_s,
+                    round((item.due_s - now) * MS_PER_S),
+                    round((item.expires_s - now) * MS_PER_S),
+                )
+                for item in promises[first : first + MAX_RETURNS]
+            ]
+            news = ReturnNews(self._name, batch)
+            self._send(encode(PeerMessage(returns=news)), self._addresses)
+
     def send_streams(self, news: StreamNews, names: Iterable[str]) -> None:
         """Send news of streams to the named gateways."""
         self._send(encode(PeerMessage(streams=news)), names)
@@ -410,6 +442,7 @@
             or message.limits
             or message.crashes
             or message.streams
+            or message.returns
         )
         if payload is None:
             return
@@ -426,6 +459,8 @@
             self._handle_limits(message.limits)
         elif message.crashes is not None:
             self._handle_crashes(message.crashes)
+        elif message.returns is not None:
+            self._handle_returns(message.returns)
         elif message.streams is not None:
             self._receive_streams(message.streams)
         elif message.started is not None:
@@ -475,6 +510,16 @@
         )
         self._record_crashes(crashes, frozenset(payload.sound), payload.sender)
 
+    def _handle_returns(self, payload: ReturnNews) -> None:
+        now = self._loop.time()
+        for item in payload.returns:
+            due_s = now + item.due_ms / MS_PER_S
+            expires_s = now + item.left_ms / MS_PER_S
+            promise = ReturnPromise(
+                item.fingerprint, item.service_name, item.cost_s, due_s, expires_s
+            )
+            self._dispatcher.promises.add(promise, now)
+
     def _handle_started(self, payload: StartedWork) -> None:
         """Add work to a peer's last message unless that message already includes it."""
         self._record_sent(payload.sender, payload.sent)
