--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -15,6 +15,7 @@
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.limits import AccountLimiter
 from persimmonferry_core.retries import RetryBudget, RetryGrant, RetryPolicy
+from persimmonferry_core.returns import ReturnPromise, ReturnPromises
 from persimmonferry_core.routing import (
     BlockIndex,
     ImportPlan,
@@ -134,7 +135,8 @@
         self._entry = entry
         self._entries: tuple[str, ...] = (entry,)
         self._subset: frozenset[str] | None = None
-        self.availability = UpstreamAvailability(entry)
+        self.availability = UpstreamAvailability(entry, seed)
+        self.promises = ReturnPromises()
         self._models: dict[str, ModelService] = {}
         self._plain: dict[str, PlainService] = {}
         self._attempts: dict[str, _Attempt] = {}
@@ -278,9 +280,7 @@
         model = self._models[request.service]
         capacity = model.estimate_capacity(len(self._entries))
         if capacity <= 0:
-            wait_s = (
-                self.find_upstream_wait(request.service, now) or NO_UPSTREAM_RETRY_S
-            )
+            wait_s = self.find_return_wait(request.service, now) or NO_UPSTREAM_RETRY_S
             return Refused(request.request_id, ResultCode.NO_UPSTREAM, wait_s)
         tokens = request.prompt_tokens + request.max_tokens
         wait_s = self.limits.admit(request.account, tokens, now)
@@ -288,7 +288,14 @@
             return Refused(request.request_id, ResultCode.LIMIT_EXCEEDED, wait_s)
         waiting = self._make_waiting(request, model)
         weight = self._weights.get(request.account, 1.0)
-        answer = model.queue.offer(waiting, weight, capacity, now)
+        if request.fingerprint and self.promises.take(request.fingerprint, now):
+            waiting = replace(waiting, is_returning=True)
+            promised_work = 0.0
+        else:
+            until_s = waiting.promised_start_s
+            promised_work = self.promises.estimate_work(request.service, until_s, now)
+            promised_work /= len(self._entries)
+        answer = model.queue.offer(waiting, weight, capacity, now, promised_work)
         if isinstance(answer, Refused):
             self.limits.refund_request(request.account, tokens)
             return answer
@@ -298,6 +305,26 @@
         self._find_budget(request.service).record_request(now)
         return answer
 
+    def promise_return(
+        self, request: PromptRequest, after_s: float, now: float
+    ) -> ReturnPromise | None:
+        """
+        Record when a refused request was told to return.
+
+        :returns: the promise, for the other entries; None if it has one already.
+        """
+        model = self._models.get(request.service)
+        if model is None or not request.fingerprint:
+            return None
+        promise = ReturnPromise(
+            request.fingerprint,
+            request.service,
+            model.estimate_cost(request).total_s,
+            now + after_s,
+            max(now + after_s, request.caller_deadline_s or 0.0),
+        )
+        return promise if self.promises.add(promise, now) else None
+
     def assign(self, now: float) -> tuple[Assignment, ...]:
         """Return the attempts that are to start now."""
         assignments: list[Assignment] = []
@@ -493,8 +520,9 @@
         wait_s = self.find_upstream_wait(service, now)
         if wait_s is None:
             return []
+        return_s = self.find_return_wait(service, now)
         return [
-            self._refuse_queued(waiting, ResultCode.NO_UPSTREAM, wait_s)
+            self._refuse_queued(waiting, ResultCode.NO_UPSTREAM, return_s)
             for waiting in model.queue.drop_due_before(now + wait_s)
         ]
 
@@ -533,6 +561,34 @@
         """
         self.availability.cooldowns.note(upstream, incarnation, until_s)
 
+    def record_slowness(self, upstream: str, slowness: float, now: float) -> float:
+        """
+        Record how long work takes at an upstream, as it states it.
+
+        :returns: the mean of what it has lately stated.
+        """
+        pool = self._find_pool(self._services_of.get(upstream, ""))
+        if pool is None:
+            return slowness
+        speed = pool.upstreams[upstream].speed
+        speed.record_stated(slowness, now)
+        return speed.mean_stated
+
+    def list_paces(self) -> dict[str, int]:
+        """Return the runs that new and readmitted upstreams may have of this entry."""
+        routers = (model.router for model in self._models.values())
+        paces = (pool.paces.runs for pool in (*routers, *self._plain.values()))
+        return {name: runs for found in paces for name, runs in found.items()}
+
+    def list_slowness(self, now: float) -> dict[str, float]:
+        """Return how long work is expected to take at each upstream, 1.0 as usual."""
+        routers = (model.router for model in self._models.values())
+        return {
+            name: upstream.speed.estimate(now)
+            for pool in (*routers, *self._plain.values())
+            for name, upstream in pool.upstreams.items()
+        }
+
     def record_unread_answer(self, upstream: str) -> None:
         """Record that bytes of no request took the place of an upstream's answer."""
         self.availability.unread.record(upstream)
@@ -558,6 +614,20 @@
             soonest_s = wait_s if soonest_s is None else min(soonest_s, wait_s)
         return soonest_s
 
+    def find_return_wait(self, service: str, now: float) -> float | None:
+        """
+        Return after how long a refused caller should come back, None if unknown.
+
+        Where entries count their calls to an upstream together, others may be first at
+        the moment at which it takes one more.
+        """
+        wait_s = self.find_upstream_wait(service, now)
+        pool = self._find_pool(service)
+        rates = self.availability.rates
+        if wait_s is None or not any(map(rates.has_ceiling, pool.upstreams)):
+            return wait_s
+        return max(wait_s, NO_UPSTREAM_RETRY_S)
+
     def _apply_closures(self, now: float) -> None:
         """Leave out the upstreams that take no calls of this entry now."""
         closed = self.availability.list_closed(now)
@@ -624,14 +694,18 @@
         """
         Return the work of attempts that have just started, for the other entries.
 
-        :param heavy_only: omit work that hardly changes an upstream's backlog.
+        :param heavy_only: omit work that hardly changes an upstream's backlog, unless
+            the entries count their calls there.
         """
         started: dict[str, PeerWork] = {}
         for assignment in assignments:
             router = self._models[assignment.request.service].router
             upstream = router.upstreams[assignment.upstream]
             work = upstream.get_run_work(assignment.request.request_id)
-            if work is not None and (upstream.is_heavy(work) or not heavy_only):
+            if work is None:
+                continue
+            is_counted = self.availability.rates.has_ceiling(upstream.name)
+            if is_counted or not heavy_only or upstream.is_heavy(work):
                 known = started.get(upstream.name)
                 started[upstream.name] = known.add(work) if known else work
         return started
@@ -743,7 +817,7 @@
         prefill_s = model.router.estimate_prefill(request)
         latest = request.arrival_s + max(0.0, tier.promised_wait_s - prefill_s)
         # A stream that is taken up was admitted before, and is no new demand.
-        cost_s = 0.0 if request.build else model.estimate_cost(request)
+        cost_s = 0.0 if request.build else model.estimate_cost(request).total_s
         priority = model.queue.rank(request.tier)
         last = latest
         if request.caller_deadline_s is not None:
@@ -862,6 +936,7 @@
 
     def _drop_upstream(self, name: str) -> None:
         self.availability.record_restart(name)
+        self.availability.rates.set_ceiling(name, None)
         pool = self._find_pool(self._services_of.pop(name, ""))
         if pool is not None:
             pool.remove(name)
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -11,14 +11,17 @@
 from persimmonferry_core.blockindex import BlockIndex
 from persimmonferry_core.fetch_sources import choose_fetch_sources
 from persimmonferry_core.links import LinkTable
+from persimmonferry_core.room import TierUse, TimeAverage
 from persimmonferry_core.schema import Service
 from persimmonferry_core.upstreams import (
     ImportPlan,
     PeerWork,
     Route,
     Upstream,
+    UpstreamPaces,
     UpstreamReport,
     limit_slots,
+    record_paced_time,
 )
 from persimmonferry_core.upstreams.ejection import Closed, Ejector
 
@@ -56,42 +59,13 @@
 MAX_OUTDATED_SILENCE_S = 0.5
 PROMPT_SIZE_EWMA_ALPHA = 0.05
 PRIORITY_MIX_DECAY = 0.99
-OCCUPANCY_WINDOW_S = 10.0
 NEGLIGIBLE_OCCUPANCY = 0.01
+# Urgent runs that an entry assumes until it has seen some, so that others do not
+# fill every slot before the first of them.
 FIRST_OCCUPANCY = 0.5
 MAX_RESERVED_SHARE = 0.25
 
 
-class _Occupancy:
-    """
-    Time average of a count.
-
-    It starts above zero: an entry that has just started has not seen any urgent
-    requests yet, and non-urgent ones would fill every slot before the first of them.
-    """
-
-    def __init__(self) -> None:
-        self._mean = FIRST_OCCUPANCY
-        self._count = 0
-        self._updated_s: float | None = None
-
-    def read(self, now: float) -> float:
-        """Return the average at time ``now``."""
-        self._advance(now)
-        return self._mean
-
-    def change(self, difference: int, now: float) -> None:
-        """Apply a change of the count."""
-        self._advance(now)
-        self._count = max(0, self._count + difference)
-
-    def _advance(self, now: float) -> None:
-        since_s = now if self._updated_s is None else self._updated_s
-        share = 1.0 - math.exp(-max(0.0, now - since_s) / OCCUPANCY_WINDOW_S)
-        self._mean += share * (self._count - self._mean)
-        self._updated_s = max(now, since_s)
-
-
 class PriorityMix:
     """
     The recent prefill work of this entry by priority.
@@ -126,6 +100,7 @@
     :param names: of all these upstreams.
     :param in_subset: names of those that this entry uses.
     :param prefill_tokens_per_s: average over the upstreams, as are the next figures.
+    :param memory_tokens: that runs of one upstream may occupy, 0 if unknown.
     """
 
     names: tuple[str, ...]
@@ -133,6 +108,7 @@
     prefill_tokens_per_s: float
     decode_tokens_per_s: float
     slots: float
+    memory_tokens: float
 
 
 @dataclass(slots=True)
@@ -144,7 +120,8 @@
     :param rate: prefill rate in tokens per second.
     :param backlog_s: prefill that is queued before the request.
     :param slot_wait_s: until a slot is expected to be free.
-    :param uncertainty_s: added where work of other entries may be unknown.
+    :param uncertainty_s: added where work of other entries may be unknown, and where
+        prompts take longer than expected.
     :param has_room: whether a slot may be used now.
     """
 
@@ -188,6 +165,7 @@
     :param cached_depth: leading blocks that are cached or stored anywhere.
     :param others_share: share of other entries' work that is computed first.
     :param reserved: slots of each upstream that are reserved for urgent runs.
+    :param kept_tokens: memory of each upstream that more urgent runs keep.
     """
 
     waiting: WaitingRequest
@@ -196,6 +174,7 @@
     cached_depth: int
     others_share: float
     reserved: int
+    kept_tokens: float
 
 
 class Router:
@@ -223,7 +202,9 @@
         self.answer_times = AnswerTimeEstimator()
         self.urgent_ranks = 0
         self.ejector = Ejector()
-        self._urgent = _Occupancy()
+        self.paces = UpstreamPaces()
+        self._urgent = TimeAverage(FIRST_OCCUPANCY)
+        self.use = TierUse()
         self._entry = ""
         self._entries: tuple[str, ...] = ("",)
         self.upstreams: dict[str, Upstream] = {}
@@ -339,19 +320,24 @@
         """Add an upstream."""
         self.upstreams[report.name] = Upstream(report)
         self.ejector.add(report.name, now)
+        self.paces.add(report.name, report.incarnation)
         self._summary = None
 
     def apply(self, report: UpstreamReport, now: float) -> None:
         """Apply a newer report of an upstream."""
         upstream = self.upstreams[report.name]
         former = upstream.report
-        if upstream.apply(report, now) and _capacity_of(former) != _capacity_of(report):
+        if not upstream.apply(report, now):
+            return
+        self.paces.add(report.name, report.incarnation)
+        if _capacity_of(former) != _capacity_of(report):
             self._summary = None
 
     def remove(self, name: str) -> None:
         """Remove an upstream and its health."""
         self.upstreams.pop(name, None)
         self.ejector.remove(name)
+        self.paces.remove(name)
         self._summary = None
 
     def summarize(self) -> FleetSummary:
@@ -368,6 +354,7 @@
                 sum(upstream.prefill_tokens_per_s for upstream in usable) / count,
                 sum(report.decode_tokens_per_s for report in reports) / count,
                 sum(report.slots for report in reports) / count,
+                sum(upstream.run_memory for upstream in usable) / count,
             )
         return self._summary
 
@@ -376,7 +363,7 @@
         if now >= self._summarised_s + SUMMARY_INTERVAL_S:
             self._summarised_s = now
             self._summary = None
-        limit_slots(self.upstreams, self.ejector, now)
+        limit_slots(self.upstreams, self.ejector, self.paces, now)
 
     def has_room(self, priority: int, now: float) -> bool:
         """Whether any upstream could start a run of that priority about now."""
@@ -441,6 +428,7 @@
             max((*held.values(), *stored.values()), default=0),
             self.mix.share_ahead(self._find_last_ahead(waiting.priority)),
             self._count_reserved(now),
+            self.use.estimate_kept(waiting.priority, self._scale, now),
         )
         options = [
             self._estimate(upstream, held.get(upstream.name, 0), context)
@@ -508,6 +496,7 @@
             if (found := self.upstreams.get(name)) is not None
             and self.is_usable(found)
             and isinstance(self.ejector.find_state(name, now), Closed)
+            and not self.paces.is_paced(name)
         ]
         same_domain = [
             name
@@ -576,6 +565,7 @@
         self.mix.add(waiting.priority, route.prefill_s)
         if waiting.priority < self.urgent_ranks:
             self._urgent.change(1, now)
+        self.use.change(waiting.priority, 1, waiting.memory_tokens, now)
 
     def start_run(self, waiting: WaitingRequest, name: str, now: float) -> None:
         """Record the first token of a run."""
@@ -585,6 +575,9 @@
         slowness = upstream.start_run(waiting.request.request_id, now)
         if slowness is not None:
             self.ejector.record_success(name, slowness, now)
+            record_paced_time(
+                self.upstreams, self.ejector, self.paces, name, slowness, now
+            )
 
     def record_answer(
         self, waiting: WaitingRequest, name: str, tokens: int, now: float
@@ -602,6 +595,7 @@
         """Remove a run that ended or was cancelled."""
         if waiting.priority < self.urgent_ranks:
             self._urgent.change(-1, now)
+        self.use.change(waiting.priority, -1, -waiting.memory_tokens, now)
         upstream = self.upstreams.get(name)
         if upstream is not None:
             upstream.end_run(waiting.request.request_id, now, whole)
@@ -624,8 +618,10 @@
         :param endless: whether it was cut off, as it held more than was asked for.
         """
         self.end_run(waiting, name, False, now)
-        if refused and name in self.upstreams:
-            self.upstreams[name].record_sign(now)
+        if upstream := self.upstreams.get(name):
+            if refused:
+                upstream.record_sign(now)
+            self.paces.record_refusal(name, upstream.count_unstarted())
         if endless:
             self.ejector.record_endless(name, now)
         elif refused:
@@ -635,9 +631,14 @@
         else:
             self.ejector.record_unreachable(name, now)
 
+    @property
+    def _scale(self) -> float:
+        """The use of one upstream by all entries, as a multiple of this entry's."""
+        return len(self._entries) / max(1, len(self.upstreams))
+
     def _count_reserved(self, now: float) -> int:
         """Return the slots of each upstream that are reserved for urgent runs."""
-        mean = self._urgent.read(now) * len(self._entries) / max(1, len(self.upstreams))
+        mean = self._urgent.read(now) * self._scale
         # Mean plus one standard deviation of a Poisson count.
         return math.ceil(mean + math.sqrt(mean)) if mean > NEGLIGIBLE_OCCUPANCY else 0
 
@@ -660,20 +661,22 @@
     ) -> _UpstreamEstimate:
         priority = context.waiting.priority
         has_room = upstream.free_slots > 0 and upstream.fits_memory(
-            context.waiting.memory_tokens
+            context.waiting.memory_tokens, context.kept_tokens
         )
         slot_wait_s = 0.0 if has_room else upstream.estimate_slot_wait()
+        backlog_s = upstream.estimate_backlog(
+            self._find_last_ahead(priority), context.others_share, context.now
+        )
         if has_room and priority >= self.urgent_ranks:
             has_room = self._fits_non_urgent(upstream, context.reserved)
         return _UpstreamEstimate(
             upstream,
             depth,
             max(1.0, upstream.prefill_tokens_per_s),
-            upstream.estimate_backlog(
-                self._find_last_ahead(priority), context.others_share, context.now
-            ),
+            backlog_s,
             slot_wait_s,
-            0.0 if upstream.is_primary else NON_PRIMARY_UNCERTAINTY_S,
+            (0.0 if upstream.is_primary else NON_PRIMARY_UNCERTAINTY_S)
+            + upstream.estimate_lateness(context.now),
             has_room,
         )
 
@@ -689,11 +692,13 @@
             price = self.links.price(source, target, size)
         cached_tokens = request.count_tokens(cached)
         missing_tokens = request.prompt_tokens - cached_tokens
-        prefill_s = max(1, missing_tokens) / estimate.rate
-        first_token_s = (
-            max(import_s, estimate.backlog_s) + prefill_s + estimate.slot_wait_s
-        )
-        first_token_s += estimate.upstream.overhead_s
+        wait_s = max(import_s, estimate.backlog_s) + estimate.slot_wait_s
+        mean_s = max(1, missing_tokens) / estimate.rate
+        # The prompt is computed after those before it.
+        middle_s = context.now + wait_s + mean_s / 2
+        slowness = estimate.upstream.estimate_slowness(middle_s)
+        prefill_s = slowness * mean_s
+        first_token_s = wait_s + prefill_s + slowness * estimate.upstream.overhead_s
         recomputed_tokens = request.count_tokens(context.cached_depth) - cached_tokens
         weights = self.service.weights
         penalty_s = self._get_domain_penalty(estimate.upstream)
--- a/packages/core/src/persimmonferry_core/upstreams/__init__.py
+++ b/packages/core/src/persimmonferry_core/upstreams/__init__.py
@@ -5,6 +5,12 @@
     UpstreamAvailability,
     name_closure,
 )
+from persimmonferry_core.upstreams.call_rates import (
+    CallRates,
+    ColdBound,
+    RateCeiling,
+    SentNews,
+)
 from persimmonferry_core.upstreams.cooldowns import UpstreamCooldowns
 from persimmonferry_core.upstreams.ejection import (
     Closed,
@@ -12,13 +18,14 @@
     Ejector,
     HalfOpen,
     Open,
-    SlowStart,
 )
 from persimmonferry_core.upstreams.limits import (
     LimitNotice,
     UpstreamLimits,
     make_notice,
 )
+from persimmonferry_core.upstreams.pace import UpstreamPaces
+from persimmonferry_core.upstreams.speeds import UpstreamSpeed
 from persimmonferry_core.upstreams.subsets import UpstreamSubsets, rank_entries
 from persimmonferry_core.upstreams.unread_answers import UnreadAnswers
 from persimmonferry_core.upstreams.views import (
@@ -28,11 +35,14 @@
     Upstream,
     UpstreamReport,
     limit_slots,
+    record_paced_time,
 )
 
 __all__ = [
+    "CallRates",
     "Closed",
     "Closure",
+    "ColdBound",
     "EjectionPolicy",
     "Ejector",
     "HalfOpen",
@@ -40,17 +50,21 @@
     "LimitNotice",
     "Open",
     "PeerWork",
+    "RateCeiling",
     "Route",
-    "SlowStart",
+    "SentNews",
     "UnreadAnswers",
     "Upstream",
     "UpstreamAvailability",
     "UpstreamCooldowns",
     "UpstreamLimits",
+    "UpstreamPaces",
     "UpstreamReport",
+    "UpstreamSpeed",
     "UpstreamSubsets",
     "limit_slots",
     "make_notice",
     "name_closure",
     "rank_entries",
+    "record_paced_time",
 ]
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -29,6 +29,7 @@
 from persimmonferry_core.fingerprints import format_hash, hash_call
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.quarantine import Quarantine
+from persimmonferry_core.returns import ReturnPromise
 from persimmonferry_core.stream_origins import (
     MAX_LIFETIME_S,
     StreamOrigin,
@@ -36,7 +37,6 @@
 )
 
 from persimmonferry_gateway.answer_identity import AnswerFinder
-from persimmonferry_gateway.answer_memory import Place
 from persimmonferry_gateway.call_log import RateLimitedLog
 from persimmonferry_gateway.call_notes import (
     AnswerEnd,
@@ -50,6 +50,7 @@
 from persimmonferry_gateway.cluster_state import ClusterState
 from persimmonferry_gateway.crash_reports import CrashReports
 from persimmonferry_gateway.events import EndlessStream, EventSplitter
+from persimmonferry_gateway.held_bytes import Place
 from persimmonferry_gateway.interfaces import Codec, ForwardOptions, ResponseHead
 from persimmonferry_gateway.metrics import CallMetrics
 from persimmonferry_gateway.stream_directory import StreamDirectory
@@ -89,11 +90,14 @@
     What all calls of a gateway share.
 
     :param schedule_assignment: has the dispatcher start the requests that can start.
+    :param announce_return: announces to the other gateways when a refused prompt was
+        told to return.
     :param queue_held: queues the parts that an engine has cached for the next message
         to the other gateways.
     :param check_version: asks an engine for the version of its weights.
     :param kept: index of the parts of prompts that are stored at store VMs.
     :param log: of calls that have ended.
+    :param announce_call: tells the other gateways of a call to a plain service.
     :param record_limit: records the limit that an upstream stated with a response to a
         call, which was sent at the given time.
     :param find_fetch_deadline: returns the deadline of a fetch that may take the given
@@ -114,6 +118,7 @@
     read_clock: Callable[[], float]
     schedule_assignment: Callable[[], None]
     queue_held: Callable[[str, tuple[str, ...], tuple[int, ...]], None]
+    announce_return: Callable[[ReturnPromise], None]
     check_version: Callable[[str], None]
     kept: CacheStoreIndex
     log: RateLimitedLog
@@ -124,6 +129,7 @@
     quarantine: Quarantine
     crash_reports: CrashReports
     streams: StreamDirectory
+    announce_call: Callable[[str], None]
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
     waiting_parts: dict[str, frozenset[int]] = field(default_factory=dict)
     withdrawals: dict[str, Callable[[], None]] = field(default_factory=dict)
@@ -235,6 +241,8 @@
                 self._exchange.cancel()
             self._release()
             self._log_end()
+            # What refers to the handler may be collected much later.
+            self._call = replace(self._call, body=b"")
 
     def _record_loss(self, failure: AttemptFailed) -> None:
         """Note how far an attempt got that did not end with a whole answer."""
@@ -391,8 +399,12 @@
             error.retry_after_s = min(
                 error.retry_after_s, left_s * MAX_RETRY_AFTER_SHARE
             )
+            self._record_return(error.retry_after_s)
         self._caller.send_error(error)
 
+    def _record_return(self, after_s: float) -> None:
+        """Record when the caller is told to return."""
+
     async def _attempt(self, record: UpstreamRecord, version: int | None) -> None:
         """
         Send the call to an upstream and relay its answer.
@@ -614,6 +626,10 @@
         if head.idle_s is not None:
             context.idle_s[record.name] = head.idle_s - IDLE_MARGIN_S
         context.cluster.record_load(record.name, head.load, head.version, now)
+        if head.cold_left_s is not None:
+            context.cluster.record_cold(
+                record.name, head.cold_left_s, "its answer", now
+            )
         if head.is_leaving:
             context.cluster.record_leaving(record.name, now)
         if head.refuses_for_s is not None:
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -164,11 +164,16 @@
 
 @dataclass(frozen=True)
 class UpstreamLoad:
-    """Load that an upstream reports with a response."""
+    """
+    Load that an upstream reports with a response.
+
+    :param slowness: how long work takes there now, 1.0 as usual; None if not stated.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 @dataclass(frozen=True)
@@ -191,6 +196,7 @@
         None if not stated.
     :param calls_per_s: that the upstream takes from all gateways together, None for no
         limit.
+    :param cold_left_s: how long the upstream remains cold, None if not stated.
     """
 
     status: int
@@ -207,6 +213,7 @@
     is_leaving: bool = False
     refuses_for_s: float | None = None
     calls_per_s: float | None = None
+    cold_left_s: float | None = None
 
     @property
     def is_refusal(self) -> bool:
@@ -269,6 +276,7 @@
     configuration_key: str
     upstream_prefix: str
     weights_prefix: str
+    evacuation_prefix: str
     report_path: str
     store_list_path: str
 
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 
 from persimmonferry_core.topology import Address
 from persimmonferry_daemon.histograms import Histograms, Measure
@@ -9,9 +10,26 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from persimmonferry_gateway.answer_memory import AnswerMemory
+from persimmonferry_gateway.held_bytes import HeldBytes, Place
 
-__all__ = ["CallMetrics", "MetricsServer"]
+__all__ = ["AvailabilityFigures", "CallMetrics", "MetricsServer"]
+
+
+@dataclass(frozen=True)
+class AvailabilityFigures:
+    """
+    How many calls upstreams take now, and why not more.
+
+    :param closures: number of upstreams that get no run of this gateway, by reason.
+    :param ceilings: calls in a second that all gateways may send, by upstream.
+    :param cold: upstreams known to be cold, and for how many seconds yet.
+    :param evacuated: failure domains to which nothing more may be sent.
+    """
+
+    closures: Mapping[str, int]
+    ceilings: Mapping[str, int]
+    cold: Mapping[str, float]
+    evacuated: frozenset[str]
 
 
 class CallMetrics:
@@ -23,7 +41,11 @@
     :param read_shares: returns the part of these limits that this gateway may use.
     :param read_quarantine: returns the number of crashes, by quarantined parts.
     :param read_retries: returns the retries allowed and refused so far, by service.
-    :param answer_memory: counts the bytes of answers that are held.
+    :param read_availability: returns what is known of the upstreams' availability.
+    :param read_slowness: returns how long work takes at each upstream, 1.0 as usual.
+    :param read_paces: returns the runs that new and readmitted upstreams may have.
+    :param held_bytes: counts the bytes that are held.
+    :param count_callers: returns the counters of the server for callers, by name.
     """
 
     def __init__(
@@ -33,7 +55,11 @@
         read_shares: Callable[[], Mapping[str, float]],
         read_quarantine: Callable[[], Mapping[str, int]],
         read_retries: Callable[[], Mapping[str, tuple[int, int]]],
-        answer_memory: AnswerMemory,
+        read_availability: Callable[[], AvailabilityFigures],
+        read_slowness: Callable[[], Mapping[str, float]],
+        read_paces: Callable[[], Mapping[str, int]],
+        held_bytes: HeldBytes,
+        count_callers: Callable[[], Mapping[str, int]],
     ) -> None:
         self.histograms = Histograms()
         self._outcomes: Counter[tuple[str, str]] = Counter()
@@ -45,7 +71,11 @@
         self._read_shares = read_shares
         self._read_quarantine = read_quarantine
         self._read_retries = read_retries
-        self._answer_memory = answer_memory
+        self._read_availability = read_availability
+        self._read_slowness = read_slowness
+        self._read_paces = read_paces
+        self._held_bytes = held_bytes
+        self._count_callers = count_callers
 
     def record(
         self,
@@ -100,11 +130,23 @@
         for service, (granted, refused) in sorted(self._read_retries().items()):
             lines.append(f'retries{{service="{service}"}} {granted}')
             lines.append(f'retries_refused{{service="{service}"}} {refused}')
-        most = self._answer_memory.most
-        for place, size in self._answer_memory.present.items():
-            label = f'place="{place.value}"'
-            lines.append(f"answer_bytes{{{label}}} {size}")
-            lines.append(f"answer_bytes_most{{{label}}} {most[place]}")
+        lines += self._list_availability()
+        lines += [
+            f'upstream_slowness{{upstream="{name}"}} {slowness:.3g}'
+            for name, slowness in sorted(self._read_slowness().items())
+        ]
+        lines += [
+            f'upstream_pace{{upstream="{name}"}} {runs}'
+            for name, runs in sorted(self._read_paces().items())
+        ]
+        most = self._held_bytes.most
+        for place, size in self._held_bytes.present.items():
+            kind, label = "answer_bytes", f'{{place="{place.value}"}}'
+            if place is Place.REQUEST:
+                kind, label = "request_bytes", ""
+            lines.append(f"{kind}{label} {size}")
+            lines.append(f"{kind}_most{label} {most[place]}")
+        lines += [f"{name} {value}" for name, value in self._count_callers().items()]
         lines += [
             f'registry_calls{{kind="{kind}"}} {count}'
             for kind, count in sorted(self._read_registry_calls().items())
@@ -118,6 +160,28 @@
                 lines.append(f'{name}{{{labels},quantile="{quantile}"}} {value}')
         return "\n".join(lines) + "\n"
 
+    def _list_availability(self) -> list[str]:
+        """Return the lines on closed, cold and evacuated upstreams."""
+        figures = self._read_availability()
+        return [
+            *(
+                f'upstreams_closed{{reason="{reason}"}} {count}'
+                for reason, count in sorted(figures.closures.items())
+            ),
+            *(
+                f'upstream_ceiling_calls{{upstream="{name}"}} {calls}'
+                for name, calls in sorted(figures.ceilings.items())
+            ),
+            *(
+                f'upstream_cold_s{{upstream="{name}"}} {left_s:.1f}'
+                for name, left_s in sorted(figures.cold.items())
+            ),
+            *(
+                f'evacuated{{failure_domain="{domain}"}} 1'
+                for domain in sorted(figures.evacuated)
+            ),
+        ]
+
 
 class MetricsServer:
     """Serves ``/metrics`` at an address."""
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -29,7 +29,7 @@
     find_mismatch,
     is_identified,
 )
-from persimmonferry_gateway.answer_memory import AnswerMemory, HeldAnswer, Place
+from persimmonferry_gateway.held_bytes import HeldAnswer, HeldBytes, Place
 from persimmonferry_gateway.interfaces import ResponseHead
 from persimmonferry_gateway.kept_connections import (
     ConnectionAddresses,
@@ -43,6 +43,8 @@
 # long. Longer than two retransmissions on a lossy link, shorter than callers wait.
 UNACKNOWLEDGED_TIMEOUT_MS = 1000
 MAX_HEAD_BYTES = 64 * 1024
+# Of Tornado's client.
+DEFAULT_CONNECTIONS = 10
 # Several round trips between failure domains. A connection that takes longer waits for
 # the retransmission of its first packet; another upstream is faster.
 CONNECT_TIMEOUT_S = 0.3
@@ -55,6 +57,8 @@
 )
 # Errors of libcurl about bytes that are no response.
 _UNREADABLE_CODES = (pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY)
+# libcurl takes the first three digits of a longer number for the status.
+_STATUS = re.compile(r"[1-5][0-9]{2}")
 _FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 # The line belongs to another response that broke off where this one begins.
 _STATUS_LINE_INSIDE = re.compile(r".HTTP/1\.[01] \d{3}")
@@ -88,14 +92,17 @@
     Tornado's curl client, with transfers that can be cancelled by the caller.
 
     :ivar kept_connections: connections of exchanges, which may be reused.
-    :ivar answer_memory: counts the bytes of answers that are held.
+    :ivar held_bytes: counts the bytes of answers that are held.
     """
 
     def initialize(self, *args: Any, **options: Any) -> None:
         """Set up the client, as Tornado's constructor does."""
         super().initialize(*args, **options)
+        # Idle connections are closed in favour of new ones.
+        connections = options.get("max_clients", DEFAULT_CONNECTIONS)
+        self._multi.setopt(pycurl.M_MAX_TOTAL_CONNECTIONS, connections)
         self.kept_connections = KeptConnections()
-        self.answer_memory = AnswerMemory()
+        self.held_bytes = HeldBytes()
 
     def cancel(self, transfer: Transfer) -> None:
         """Cancel a transfer that has not ended; libcurl closes its connection."""
@@ -114,6 +121,7 @@
         curl.info["is_connection_open"] = curl.getinfo(pycurl.LASTSOCKET) != -1
         curl.info["errno"] = curl.getinfo(pycurl.OS_ERRNO)
         curl.info["is_readable"] = curl_error not in _UNREADABLE_CODES
+        curl.info["uploaded_bytes"] = int(curl.getinfo(pycurl.SIZE_UPLOAD_T))
         super()._finish(curl, curl_error, curl_message)
 
     def resume(self, transfer: Transfer) -> None:
@@ -184,6 +192,8 @@
             version, _, rest = text.partition(" ")
             self._is_persistent = version != "HTTP/1.0"
             code, _, self.reason = rest.partition(" ")
+            if not _STATUS.fullmatch(code):
+                raise ValueError(f"no status of HTTP: {code[:60]!r}")
             self.status = int(code)
             self.fields = []
             self.is_whole = False
@@ -269,7 +279,7 @@
         self._transfer: Transfer | None = None
         self._chunks: deque[bytes] = deque()
         self.received_bytes = 0
-        self.held = HeldAnswer(client.answer_memory, self._resume)
+        self.held = HeldAnswer(client.held_bytes, self._resume)
         self._is_paused = False
         self._is_ended = False
         self._is_cancelled = False
@@ -279,6 +289,7 @@
         self._is_connection_stale = False
         self._is_connection_open = False
         self._errno = 0
+        self._unsent_bytes = len(body)
         self._addresses: ConnectionAddresses | None = None
         self._descriptor: int | None = None
         self._has_length = False
@@ -287,15 +298,15 @@
         self._is_followed = False
         self._progress = asyncio.Event()
         has_body = bool(body) or method in ("POST", "PUT", "PATCH")
+        self._body: bytes | None = body if has_body else None
         self._make_request = partial(
             Request,
             f"http://{address}/",
             method=method,
-            body=body if has_body else None,
             timeout_s=timeout_s,
             connect_timeout_s=CONNECT_TIMEOUT_S,
         )
-        self._request = self._make_request(reuse=reuse)
+        self._request = self._make_request(body=self._body, reuse=reuse)
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -357,6 +368,17 @@
         """Return what marks the end of the response."""
         return self._lines.framing
 
+    @property
+    def _ends_before_upload(self) -> bool:
+        """
+        Whether the connection ended a success while the request was being written.
+
+        The kernel ends the connection of a process that crashes like this when it has
+        read all that had arrived, and resets it only afterwards.
+        """
+        is_unframed = self.framing is Framing.CONNECTION
+        return is_unframed and self.head.status < 300 and self._unsent_bytes > 0
+
     @property
     def _is_refusal(self) -> bool:
         is_own = self.head is not None and self.mismatch is None
@@ -408,17 +430,23 @@
     def close(self) -> None:
         """Cancel the request unless it has ended, and drop what it holds."""
         self.cancel()
+        if self._request.http.body:
+            # Cycles keep the request until the garbage is collected.
+            self._request.http.body = b""
+            self._body = b""
         self._chunks.clear()
         self.held.release()
 
     async def _run(self) -> None:
         result = await self._fetch()
         if self._is_connection_stale and not self._is_cancelled:
-            self._request = self._make_request(reuse=ConnectionReuse.NEW)
+            self._request = self._make_request(
+                body=self._body, reuse=ConnectionReuse.NEW
+            )
             result = await self._fetch()
         if isinstance(result, RequestFailure):
             self.loss = result
-        elif self.head is None:
+        elif self.head is None or self._ends_before_upload:
             self.loss = RequestFailure.TRUNCATED
         self._is_ended = True
         self.held.end_receiving()
@@ -430,6 +458,7 @@
         if self._transfer is not None:
             self._is_connection_open = self._transfer.info["is_connection_open"]
             self._errno = self._transfer.info["errno"]
+            self._unsent_bytes -= self._transfer.info["uploaded_bytes"]
             self._is_rejected |= not self._transfer.info["is_readable"]
         self._transfer = None
         if self.is_answer_hidden:
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -1,18 +1,25 @@
-from persimmonferry_gateway.answer_memory import AnswerMemory, Place
-from persimmonferry_gateway.metrics import CallMetrics
+from persimmonferry_gateway.held_bytes import HeldBytes, Place
+from persimmonferry_gateway.metrics import AvailabilityFigures, CallMetrics
 
 
 def test_outcomes_attempts_limits_and_latencies_are_printed():
-    memory = AnswerMemory()
+    memory = HeldBytes()
     memory.add(Place.UNREAD, 70)
     memory.add(Place.UNREAD, -50)
+    memory.add(Place.REQUEST, 30)
     metrics = CallMetrics(
         lambda: {"kv-watch": 3},
         lambda: {"e1": 2.5},
         lambda: {"e1": 0.5},
         lambda: {"00ff": 2},
         lambda: {"plain": (4, 1)},
+        lambda: AvailabilityFigures(
+            {"rate_spent": 2}, {"e1": 9}, {"e1": 1.26}, frozenset(("z2",))
+        ),
+        lambda: {"e1": 1.5},
+        lambda: {"e1": 4},
         memory,
+        lambda: {'requests_not_received{code="2030"}': 6},
     )
     metrics.record("t1", "ask", "answered", 1, 0, (), 0.1, 0.3)
     metrics.record("t1", "ask", "answered", 2, 1, ("sent",), 0.2, 0.4)
@@ -24,12 +31,21 @@
     assert "limited_attempts 1" in lines
     assert 'upstream_limit_calls_per_s{upstream="e1"} 2.5' in lines
     assert 'upstream_limit_own_calls_per_s{upstream="e1"} 0.5' in lines
+    assert 'upstream_slowness{upstream="e1"} 1.5' in lines
+    assert 'upstream_pace{upstream="e1"} 4' in lines
     assert 'lost_attempts{progress="sent"} 1' in lines
     assert 'quarantined_parts{parts="00ff"} 2' in lines
     assert 'retries{service="plain"} 4' in lines
     assert 'retries_refused{service="plain"} 1' in lines
+    assert 'upstreams_closed{reason="rate_spent"} 2' in lines
+    assert 'upstream_ceiling_calls{upstream="e1"} 9' in lines
+    assert 'upstream_cold_s{upstream="e1"} 1.3' in lines
+    assert 'evacuated{failure_domain="z2"} 1' in lines
     assert 'answer_bytes{place="unread"} 20' in lines
     assert 'answer_bytes_most{place="unread"} 70' in lines
+    assert "request_bytes 30" in lines
+    assert "request_bytes_most 30" in lines
+    assert 'requests_not_received{code="2030"} 6' in lines
     assert 'registry_calls{kind="kv-watch"} 3' in lines
     assert 'first_token_ms_count{account="t1",route="ask"} 2' in lines
     assert 'whole_answer_ms_count{account="t1",route="ask"} 3' in lines
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -16,6 +16,23 @@
   3: list<i64> sizes
 }
 
+// What the sender has sent lately to an upstream whose calls are counted by all gateways.
+struct SentCalls {
+  1: string upstream
+  // Time since each of these calls was sent.
+  2: list<i32> ages_ms
+}
+
+// The sender's calls to upstreams whose calls are counted. A later message replaces the
+// calls to each upstream that it names.
+struct CallNews {
+  // Increases with each message of the sender's process.
+  1: i64 stated_ms
+  2: list<SentCalls> calls
+  // Gateways from which the sender has received nothing lately.
+  3: list<string> unheard
+}
+
 // Sent by each gateway to every gateway that uses the same engines: its requests in
 // progress there. A later message replaces it.
 struct PeerNews {
@@ -24,6 +41,7 @@
   3: i64 sequence
   4: list<OwnWork> work
   5: list<NewlyHeld> held
+  6: optional CallNews sent
 }
 
 // Sent by the leader, which orders weights, to all gateways. A later message replaces it.
@@ -66,6 +84,7 @@
   // The sequence of that PeerNews.
   3: i64 sequence
   4: list<OwnWork> work
+  5: optional CallNews sent
 }
 
 // What an upstream's answer stated about the calls that it takes from all gateways.
@@ -125,6 +144,24 @@
   4: list<i64> unknown
 }
 
+// A refused prompt that was told when to return.
+struct PromisedReturn {
+  // Hash of the call.
+  1: i64 fingerprint
+  2: string service_name
+  // In seconds of one whole upstream.
+  3: double cost_s
+  // Time until it is expected, and until its caller gives up.
+  4: i32 due_ms
+  5: i32 left_ms
+}
+
+// Sent to all gateways by the one that refused the prompts.
+struct ReturnNews {
+  1: string sender
+  2: list<PromisedReturn> returns
+}
+
 // One datagram.
 union PeerMessage {
   1: PeerNews work
@@ -134,4 +171,5 @@
   5: LimitNews limits
   6: CrashNews crashes
   7: StreamNews streams
+  8: ReturnNews returns
 }
