Gateways that start again use their share of a ceiling at once if they were listed

Change: one that is listed at its start holds its share at once, and trusts what it receives at its start, as its socket is new. A decision test of 13 gateways that start again together.

--- a/packages/core/src/persimmonferry_core/upstreams/call_rates.py
+++ b/packages/core/src/persimmonferry_core/upstreams/call_rates.py
@@ -165,6 +165,8 @@
         self._upstreams: dict[str, _Upstream] = {}
         self._peers: dict[str, _Peer] = {}
         self._sharers: frozenset[str] | None = None
+        self._is_known = False
+        self._began_s: float | None = None
         self._contact_s = DEFAULT_CONTACT_S
         self._seen_s = -math.inf
         self._trusted_s = -math.inf
@@ -177,6 +179,15 @@
         }
         self._discard_shares()
 
+    def record_listed(self) -> None:
+        """
+        Record that this entry was listed before its process started.
+
+        Load pattern: all entries lose power and start again at once. The others then
+        leave it its share from the start.
+        """
+        self._is_known = True
+
     def set_users(self, users: Mapping[str, frozenset[str]]) -> None:
         """
         Set the entries that use upstreams which not all of them use.
@@ -358,7 +369,8 @@
             }
             state.shared_calls = limit
         own_share = state.shares.get(self._entry, 0)
-        if own_share <= state.held_share:
+        is_start = self._is_known and now < self._began_s + SHARE_DELAY_S
+        if own_share <= state.held_share or is_start:
             state.held_share, state.share_s = own_share, None
         elif state.share_s is None:
             state.share_s = now + SHARE_DELAY_S
@@ -389,6 +401,8 @@
 
     def _note_time(self, now: float) -> None:
         """Forget who was in contact if this process has been suspended."""
+        if self._began_s is None:
+            self._began_s = self._seen_s = now
         if now > self._seen_s + max(SUSPENSION_S, self._contact_s):
             self._peers.clear()
             self._trusted_s = now + DISTRUST_S
--- a/packages/core/tests/upstreams/test_call_rates.py
+++ b/packages/core/tests/upstreams/test_call_rates.py
@@ -151,6 +151,20 @@
     assert fleet.count_busiest_second() <= MAX_CALLS
 
 
+# After a loss of power, 153 prompts were late: no entry had heard the others yet.
+def test_entries_that_all_start_again_call_nothing_until_they_hear_each_other():
+    fleet = Fleet(13)
+    fleet.run(0.0, 5.0, 18.0)
+    fleet.rates = {name: fleet.make(name, seed=1) for name in fleet.names}
+    for rates in fleet.rates.values():
+        rates.record_listed()
+    fleet.messages.clear()
+    fleet.run(6.1, 12.0, 50.0)
+    assert fleet.count_busiest_second() <= MAX_CALLS
+    early = [at for at in fleet.sent if 6.1 <= at < 6.6]
+    assert len(early) >= 0.5 * COLD_CALLS_PER_S
+
+
 def test_entries_that_wake_up_send_what_has_waited_all_at_once():
     fleet = Fleet(13)
     fleet.run(0.0, 5.0, 50.0)
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -163,6 +163,8 @@
         self._users: dict[str, frozenset[str]] = {}
         self._loop = asyncio.get_running_loop()
         self._addresses: dict[str, Address] = {}
+        # Whether a list of gateways has been received.
+        self._has_list = False
         self._peer_states: dict[str, _PeerState] = {}
         self._held: dict[str, dict[str, int]] = {}
         self._paused: frozenset[str] = frozenset()
@@ -202,6 +204,9 @@
 
     def set_peers(self, addresses: dict[str, Address]) -> None:
         """Replace the addresses of all gateways."""
+        if not self._has_list and self._name in addresses:
+            self._rates.record_listed()
+        self._has_list = True
         self._addresses = {
             name: address for name, address in addresses.items() if name != self._name
         }
