--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -16,6 +16,7 @@
 from persimmonferry_core.limits import AccountLimiter
 from persimmonferry_core.retries import RetryBudget, RetryGrant, RetryPolicy
 from persimmonferry_core.returns import ReturnPromise, ReturnPromises
+from persimmonferry_core.room import Resource
 from persimmonferry_core.routing import (
     BlockIndex,
     ImportPlan,
@@ -305,6 +306,12 @@
         self._find_budget(request.service).record_request(now)
         return answer
 
+    def measure_room(self, now: float) -> dict[str, dict[Resource, float]]:
+        """Return the free share of each resource of each model service's upstreams."""
+        return {
+            name: model.router.measure_room(now) for name, model in self._models.items()
+        }
+
     def promise_return(
         self, request: PromptRequest, after_s: float, now: float
     ) -> ReturnPromise | None:
--- a/packages/core/src/persimmonferry_core/returns.py
+++ b/packages/core/src/persimmonferry_core/returns.py
@@ -31,6 +31,9 @@
     """
     The promises of all entries, as far as this entry knows them.
 
+    ``added`` and ``taken`` count the promises so far, and the calls that came back to
+    this entry as promised.
+
     Load pattern: callers that repeat at once, among others that wait as they were told.
     A call that comes early is a new one, and changes nothing about its promise.
 
@@ -46,6 +49,8 @@
     def __init__(self) -> None:
         self._promises: dict[int, ReturnPromise] = {}
         self._kept: set[int] = set()
+        self.added = 0
+        self.taken = 0
 
     def add(self, promise: ReturnPromise, now: float) -> bool:
         """
@@ -59,6 +64,7 @@
         if len(self._promises) >= MAX_PROMISES:
             return False
         self._promises[promise.fingerprint] = promise
+        self.added += 1
         return True
 
     def take(self, fingerprint: int, now: float) -> bool:
@@ -69,6 +75,7 @@
         if not promise.due_s - TOLERANCE_S <= now < promise.expires_s:
             return False
         self._kept.add(fingerprint)
+        self.taken += 1
         return True
 
     def estimate_work(self, service: str, until_s: float, now: float) -> float:
--- a/packages/core/src/persimmonferry_core/routing.py
+++ b/packages/core/src/persimmonferry_core/routing.py
@@ -11,7 +11,7 @@
 from persimmonferry_core.blockindex import BlockIndex
 from persimmonferry_core.fetch_sources import choose_fetch_sources
 from persimmonferry_core.links import LinkTable
-from persimmonferry_core.room import TierUse, TimeAverage
+from persimmonferry_core.room import Resource, TierUse, TimeAverage
 from persimmonferry_core.schema import Service
 from persimmonferry_core.upstreams import (
     ImportPlan,
@@ -370,6 +370,27 @@
             for upstream in in_subset
         )
 
+    def measure_room(self, now: float) -> dict[Resource, float]:
+        """Return the free share of each resource, over the upstreams of this entry."""
+        upstreams = [self.upstreams[name] for name in self.summarize().in_subset]
+        count = max(1, len(upstreams))
+        slots = sum(max(1, up.report.slots) for up in upstreams)
+        free_slots = sum(max(0, up.free_slots) for up in upstreams)
+        idle = [
+            up
+            for up in upstreams
+            if up.estimate_backlog(LAST_PRIORITY, 1.0, now) <= MAX_START_BACKLOG_S
+        ]
+        room = {
+            Resource.PREFILL: len(idle) / count,
+            Resource.SLOTS: free_slots / max(1, slots),
+        }
+        memory = sum(up.run_memory for up in upstreams)
+        if memory:
+            used = sum(min(up.used_memory, up.run_memory) for up in upstreams)
+            room[Resource.MEMORY] = 1.0 - used / memory
+        return room
+
     def find_open_builds(self, now: float) -> frozenset[str]:
         """Return the builds of the upstreams that could start a run about now."""
         ahead_s = MAX_START_BACKLOG_S + MAX_IMPORT_BACKLOG_S
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -172,6 +172,8 @@
             self._dispatcher.availability.limits.list_shares,
             self._crash_reports.count_crashes,
             self._dispatcher.list_retries,
+            lambda: self._dispatcher.measure_room(self._loop.time()),
+            self._dispatcher.promises,
             client.answer_memory,
         )
         self._metrics_server = MetricsServer(settings.internal, self._metrics)
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
+from persimmonferry_core.returns import ReturnPromises
+from persimmonferry_core.room import Resource
 from persimmonferry_core.topology import Address
 from persimmonferry_daemon.histograms import Histograms, Measure
 from tornado.httpserver import HTTPServer
@@ -23,6 +25,8 @@
     :param read_shares: returns the part of these limits that this gateway may use.
     :param read_quarantine: returns the number of crashes, by quarantined parts.
     :param read_retries: returns the retries allowed and refused so far, by service.
+    :param read_room: returns the free share of each resource, by model service.
+    :param promises: made to refused callers.
     :param answer_memory: counts the bytes of answers that are held.
     """
 
@@ -33,8 +37,12 @@
         read_shares: Callable[[], Mapping[str, float]],
         read_quarantine: Callable[[], Mapping[str, int]],
         read_retries: Callable[[], Mapping[str, tuple[int, int]]],
+        read_room: Callable[[], Mapping[str, Mapping[Resource, float]]],
+        promises: ReturnPromises,
         answer_memory: AnswerMemory,
     ) -> None:
+        self._read_room = read_room
+        self._promises = promises
         self.histograms = Histograms()
         self._outcomes: Counter[tuple[str, str]] = Counter()
         self._attempts = 0
@@ -100,6 +108,7 @@
         for service, (granted, refused) in sorted(self._read_retries().items()):
             lines.append(f'retries{{service="{service}"}} {granted}')
             lines.append(f'retries_refused{{service="{service}"}} {refused}')
+        lines += self._render_room()
         most = self._answer_memory.most
         for place, size in self._answer_memory.present.items():
             label = f'place="{place.value}"'
@@ -118,6 +127,18 @@
                 lines.append(f'{name}{{{labels},quantile="{quantile}"}} {value}')
         return "\n".join(lines) + "\n"
 
+    def _render_room(self) -> list[str]:
+        lines = []
+        for service, room in sorted(self._read_room().items()):
+            binding = min(room, key=room.get)
+            for resource, share in room.items():
+                labels = f'service="{service}",resource="{resource.value}"'
+                lines.append(f"room_free_share{{{labels}}} {share:.3f}")
+                lines.append(f"room_binds{{{labels}}} {int(resource is binding)}")
+        lines.append(f"returns_promised {self._promises.added}")
+        lines.append(f"returns_kept {self._promises.taken}")
+        return lines
+
 
 class MetricsServer:
     """Serves ``/metrics`` at an address."""
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -1,3 +1,5 @@
+from persimmonferry_core.returns import ReturnPromise, ReturnPromises
+from persimmonferry_core.room import Resource
 from persimmonferry_gateway.answer_memory import AnswerMemory, Place
 from persimmonferry_gateway.metrics import CallMetrics
 
@@ -6,12 +8,16 @@
     memory = AnswerMemory()
     memory.add(Place.UNREAD, 70)
     memory.add(Place.UNREAD, -50)
+    promises = ReturnPromises()
+    promises.add(ReturnPromise(7, "llm", 0.2, 3.0, 9.0), 1.0)
     metrics = CallMetrics(
         lambda: {"kv-watch": 3},
         lambda: {"e1": 2.5},
         lambda: {"e1": 0.5},
         lambda: {"00ff": 2},
         lambda: {"plain": (4, 1)},
+        lambda: {"llm": {Resource.PREFILL: 0.5, Resource.MEMORY: 0.125}},
+        promises,
         memory,
     )
     metrics.record("t1", "ask", "answered", 1, 0, (), 0.1, 0.3)
@@ -19,6 +25,10 @@
     metrics.record("t1", "ask", "wait_not_kept", 0, 0, (), None, 0.01)
     lines = metrics.render_text().splitlines()
     assert 'calls{route="ask",outcome="answered"} 2' in lines
+    assert 'room_free_share{service="llm",resource="memory"} 0.125' in lines
+    assert 'room_binds{service="llm",resource="memory"} 1' in lines
+    assert 'room_binds{service="llm",resource="prefill"} 0' in lines
+    assert {"returns_promised 1", "returns_kept 0"} <= set(lines)
     assert 'calls{route="ask",outcome="wait_not_kept"} 1' in lines
     assert "attempts 3" in lines
     assert "limited_attempts 1" in lines
