Set aside no room for promised returns

Cause: the cost of promised returns counted in the wait of newcomers of all tiers, so refusals made promises and promises made refusals, also with engines idle. Change: a promise is only the fingerprint and its times.

--- a/packages/core/src/persimmonferry_core/admission.py
+++ b/packages/core/src/persimmonferry_core/admission.py
@@ -245,12 +245,7 @@
         return ahead / free if free > 0 else float("inf")
 
     def offer(
-        self,
-        waiting: WaitingRequest,
-        weight: float,
-        capacity: float,
-        now: float,
-        promised_work: float = 0.0,
+        self, waiting: WaitingRequest, weight: float, capacity: float, now: float
     ) -> Queued | Refused:
         """
         Admit the request if its promised wait can be kept, refuse it otherwise.
@@ -259,15 +254,13 @@
 
         :param weight: fair-share weight of its client account.
         :param capacity: upstream seconds of work that the fleet completes each second.
-        :param promised_work: cost of the requests that are expected to return before
-            its promised start.
         """
         request = waiting.request
         queue = self._queues[request.tier]
         queue.record_demand(request.account, waiting.cost_s, weight, now)
         model = self._waits[request.tier]
         plain_wait = self.estimate_wait(waiting, weight, capacity, now)
-        wait = plain_wait * model.factor + promised_work / capacity
+        wait = plain_wait * model.factor
         slack = waiting.promised_start_s - now
         allowed = MAX_WAIT_SLACK_RATIO * slack
         if (
--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -291,12 +291,7 @@
         weight = self._weights.get(request.account, 1.0)
         if request.fingerprint and self.promises.take(request.fingerprint, now):
             waiting = replace(waiting, is_returning=True)
-            promised_work = 0.0
-        else:
-            until_s = waiting.promised_start_s
-            promised_work = self.promises.estimate_work(request.service, until_s, now)
-            promised_work /= len(self._entries)
-        answer = model.queue.offer(waiting, weight, capacity, now, promised_work)
+        answer = model.queue.offer(waiting, weight, capacity, now)
         if isinstance(answer, Refused):
             self.limits.refund_request(request.account, tokens)
             return answer
@@ -320,13 +315,10 @@
 
         :returns: the promise, for the other entries; None if it has one already.
         """
-        model = self._models.get(request.service)
-        if model is None or not request.fingerprint:
+        if not request.fingerprint:
             return None
         promise = ReturnPromise(
             request.fingerprint,
-            request.service,
-            model.estimate_cost(request).total_s,
             now + after_s,
             max(now + after_s, request.caller_deadline_s or 0.0),
         )
--- a/packages/core/src/persimmonferry_core/returns.py
+++ b/packages/core/src/persimmonferry_core/returns.py
@@ -15,14 +15,11 @@
     A refused prompt, and when it may come back.
 
     :param fingerprint: of the call, equal when it comes back.
-    :param cost_s: of its run, in seconds of one whole upstream.
     :param due_s: from when on it is expected.
     :param expires_s: when its caller gives up.
     """
 
     fingerprint: int
-    service: str
-    cost_s: float
     due_s: float
     expires_s: float
 
@@ -38,9 +35,9 @@
     A call that comes early is a new one, and changes nothing about its promise.
 
     >>> promises = ReturnPromises()
-    >>> promises.add(ReturnPromise(7, "s", 0.2, 3.0, 9.0), 1.0)
+    >>> promises.add(ReturnPromise(7, 3.0, 9.0), 1.0)
     True
-    >>> promises.add(ReturnPromise(7, "s", 0.2, 5.0, 9.0), 2.0)
+    >>> promises.add(ReturnPromise(7, 5.0, 9.0), 2.0)
     False
     >>> promises.take(7, 2.0), promises.take(7, 3.0), promises.take(7, 3.1)
     (False, True, False)
@@ -78,17 +75,6 @@
         self.taken += 1
         return True
 
-    def estimate_work(self, service: str, until_s: float, now: float) -> float:
-        """Return the cost of the calls that are expected back before a time."""
-        return sum(
-            promise.cost_s
-            for promise in self._promises.values()
-            if promise.service == service
-            and promise.fingerprint not in self._kept
-            and now <= promise.due_s + TOLERANCE_S
-            and promise.due_s < until_s
-        )
-
     def _drop_expired(self, now: float) -> None:
         gone = [
             fingerprint
--- a/packages/core/tests/test_returns.py
+++ b/packages/core/tests/test_returns.py
@@ -80,20 +80,6 @@
     assert dispatcher.promises.take(request.fingerprint, promise.due_s)
 
 
-def test_newcomers_leave_the_room_that_returning_callers_were_promised():
-    queue = AdmissionQueue((TIER,))
-    plain = [
-        isinstance(queue.offer(make_waiting(f"p{n}", 0.0), 1.0, 1.0, 0.0), Queued)
-        for n in range(20)
-    ]
-    queue = AdmissionQueue((TIER,))
-    beside = [
-        isinstance(queue.offer(make_waiting(f"p{n}", 0.0), 1.0, 1.0, 0.0, 0.8), Queued)
-        for n in range(20)
-    ]
-    assert sum(plain) - sum(beside) == 4
-
-
 def test_other_accounts_are_served_beside_the_returning_callers_of_a_large_one():
     queue = AdmissionQueue((TIER,))
     for number in range(20):
@@ -105,9 +91,14 @@
 
 def test_a_promise_of_another_entry_is_kept_until_its_caller_gives_up():
     dispatcher = make_dispatcher()
-    dispatcher.promises.add(ReturnPromise(5, "s", 0.2, 2.0, 9.0), 0.0)
-    assert dispatcher.promises.estimate_work("s", 3.0, 0.0) == 0.2
-    assert dispatcher.promises.estimate_work("s", 1.0, 0.0) == 0.0
+    dispatcher.promises.add(ReturnPromise(5, 2.0, 9.0), 0.0)
     assert not dispatcher.promises.take(5, 9.0)
     assert dispatcher.promises.take(5, 8.9)
-    assert dispatcher.promises.estimate_work("s", 3.0, 0.0) == 0.0
+    assert not dispatcher.promises.take(5, 8.9)
+
+
+def test_promises_do_not_take_the_room_of_newcomers():
+    dispatcher = make_dispatcher()
+    for number in range(500):
+        dispatcher.promises.add(ReturnPromise(number, 0.5, 9.0), 0.0)
+    assert isinstance(offer(dispatcher, "new", 900, 0.1)[1], Queued)
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -349,8 +349,6 @@
             batch = [
                 PromisedReturn(
                     item.fingerprint,
-                    item.service,
-                    item.cost_s,
                     round((item.due_s - now) * MS_PER_S),
                     round((item.expires_s - now) * MS_PER_S),
                 )
@@ -465,9 +463,7 @@
         for item in payload.returns:
             due_s = now + item.due_ms / MS_PER_S
             expires_s = now + item.left_ms / MS_PER_S
-            promise = ReturnPromise(
-                item.fingerprint, item.service_name, item.cost_s, due_s, expires_s
-            )
+            promise = ReturnPromise(item.fingerprint, due_s, expires_s)
             self._dispatcher.promises.add(promise, now)
 
     def _handle_started(self, payload: StartedWork) -> None:
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -9,7 +9,7 @@
     memory.add(Place.UNREAD, 70)
     memory.add(Place.UNREAD, -50)
     promises = ReturnPromises()
-    promises.add(ReturnPromise(7, "llm", 0.2, 3.0, 9.0), 1.0)
+    promises.add(ReturnPromise(7, 3.0, 9.0), 1.0)
     metrics = CallMetrics(
         lambda: {"kv-watch": 3},
         lambda: {"e1": 2.5},
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -117,9 +117,9 @@
 def test_a_caller_that_one_gateway_refused_is_known_at_another_when_it_returns():
     async def scenario(one, other):
         now = asyncio.get_running_loop().time()
-        one.exchange.announce_return(ReturnPromise(-7, "s", 0.2, now + 0.3, now + 9.0))
+        one.exchange.announce_return(ReturnPromise(-7, now + 0.3, now + 9.0))
         promises = other.dispatcher.promises
-        await wait_until(lambda: promises.estimate_work("s", now + 1.0, now))
+        await wait_until(lambda: promises.added)
         assert not promises.take(-7, now + 0.1)
         assert promises.take(-7, now + 0.5)
 
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -129,12 +129,9 @@
 struct PromisedReturn {
   // Hash of the call.
   1: i64 fingerprint
-  2: string service_name
-  // In seconds of one whole upstream.
-  3: double cost_s
   // Time until it is expected, and until its caller gives up.
-  4: i32 due_ms
-  5: i32 left_ms
+  2: i32 due_ms
+  3: i32 left_ms
 }
 
 // Sent to all gateways by the one that refused the prompts.
