--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -16,6 +16,7 @@
 from persimmonferry_core.limits import AccountLimiter
 from persimmonferry_core.retries import RetryBudget, RetryGrant, RetryPolicy
 from persimmonferry_core.returns import ReturnPromise, ReturnPromises
+from persimmonferry_core.room import Resource
 from persimmonferry_core.routing import (
     BlockIndex,
     ImportPlan,
@@ -290,12 +291,7 @@
         weight = self._weights.get(request.account, 1.0)
         if request.fingerprint and self.promises.take(request.fingerprint, now):
             waiting = replace(waiting, is_returning=True)
-            promised_work = 0.0
-        else:
-            until_s = waiting.promised_start_s
-            promised_work = self.promises.estimate_work(request.service, until_s, now)
-            promised_work /= len(self._entries)
-        answer = model.queue.offer(waiting, weight, capacity, now, promised_work)
+        answer = model.queue.offer(waiting, weight, capacity, now)
         if isinstance(answer, Refused):
             self.limits.refund_request(request.account, tokens)
             return answer
@@ -305,6 +301,12 @@
         self._find_budget(request.service).record_request(now)
         return answer
 
+    def measure_room(self, now: float) -> dict[str, dict[Resource, float]]:
+        """Return the free share of each resource of each model service's upstreams."""
+        return {
+            name: model.router.measure_room(now) for name, model in self._models.items()
+        }
+
     def promise_return(
         self, request: PromptRequest, after_s: float, now: float
     ) -> ReturnPromise | None:
@@ -313,13 +315,10 @@
 
         :returns: the promise, for the other entries; None if it has one already.
         """
-        model = self._models.get(request.service)
-        if model is None or not request.fingerprint:
+        if not request.fingerprint:
             return None
         promise = ReturnPromise(
             request.fingerprint,
-            request.service,
-            model.estimate_cost(request).total_s,
             now + after_s,
             max(now + after_s, request.caller_deadline_s or 0.0),
         )
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -185,6 +185,8 @@
             self._read_availability,
             lambda: self._dispatcher.list_slowness(self._context.read_clock()),
             self._dispatcher.list_paces,
+            lambda: self._dispatcher.measure_room(self._loop.time()),
+            self._dispatcher.promises,
             client.held_bytes,
             lambda: self._server.count_callers(),
         )
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
+from persimmonferry_core.returns import ReturnPromises
+from persimmonferry_core.room import Resource
 from persimmonferry_core.topology import Address
 from persimmonferry_daemon.histograms import Histograms, Measure
 from tornado.httpserver import HTTPServer
@@ -44,6 +46,8 @@
     :param read_availability: returns what is known of the upstreams' availability.
     :param read_slowness: returns how long work takes at each upstream, 1.0 as usual.
     :param read_paces: returns the runs that new and readmitted upstreams may have.
+    :param read_room: returns the free share of each resource, by model service.
+    :param promises: made to refused callers.
     :param held_bytes: counts the bytes that are held.
     :param count_callers: returns the counters of the server for callers, by name.
     """
@@ -58,9 +62,13 @@
         read_availability: Callable[[], AvailabilityFigures],
         read_slowness: Callable[[], Mapping[str, float]],
         read_paces: Callable[[], Mapping[str, int]],
+        read_room: Callable[[], Mapping[str, Mapping[Resource, float]]],
+        promises: ReturnPromises,
         held_bytes: HeldBytes,
         count_callers: Callable[[], Mapping[str, int]],
     ) -> None:
+        self._read_room = read_room
+        self._promises = promises
         self.histograms = Histograms()
         self._outcomes: Counter[tuple[str, str]] = Counter()
         self._attempts = 0
@@ -131,6 +139,7 @@
             lines.append(f'retries{{service="{service}"}} {granted}')
             lines.append(f'retries_refused{{service="{service}"}} {refused}')
         lines += self._list_availability()
+        lines += self._render_room()
         lines += [
             f'upstream_slowness{{upstream="{name}"}} {slowness:.3g}'
             for name, slowness in sorted(self._read_slowness().items())
@@ -182,6 +191,18 @@
             ),
         ]
 
+    def _render_room(self) -> list[str]:
+        lines = []
+        for service, room in sorted(self._read_room().items()):
+            binding = min(room, key=room.get)
+            for resource, share in room.items():
+                labels = f'service="{service}",resource="{resource.value}"'
+                lines.append(f"room_free_share{{{labels}}} {share:.3f}")
+                lines.append(f"room_binds{{{labels}}} {int(resource is binding)}")
+        lines.append(f"returns_promised {self._promises.added}")
+        lines.append(f"returns_kept {self._promises.taken}")
+        return lines
+
 
 class MetricsServer:
     """Serves ``/metrics`` at an address."""
