Requests and answers share one limit, also for answers that callers don't read

Change: large answers are not received further while what callers have not read and requests hold the limit of both, unless nothing waits to be read; the limit of both is 0.3 of memoryMb, not 0.35. A whole answer is received into one buffer that grows, as a body is.

--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -103,7 +103,7 @@
 # For bodies of requests, without the one that may be received when all is held.
 REQUEST_MEMORY_SHARE = 0.25
 # For both together.
-SHARED_MEMORY_SHARE = 0.35
+SHARED_MEMORY_SHARE = 0.3
 
 _log = logging.getLogger(__name__)
 
@@ -300,7 +300,7 @@
             memory_bytes = settings.memory_bytes
             self._held_bytes.limit_bytes = int(ANSWER_MEMORY_SHARE * memory_bytes)
             room.limit_bytes = int(REQUEST_MEMORY_SHARE * memory_bytes)
-            room.shared_bytes = int(SHARED_MEMORY_SHARE * memory_bytes)
+            self._held_bytes.shared_bytes = int(SHARED_MEMORY_SHARE * memory_bytes)
         if settings.link_bytes_per_s:
             room.link_bytes_per_s = settings.link_bytes_per_s
         self._server.connections.limit, _ = limit_connections(
--- a/packages/gateway/src/persimmonferry_gateway/held_bytes.py
+++ b/packages/gateway/src/persimmonferry_gateway/held_bytes.py
@@ -74,8 +74,10 @@
     ``RequestRoom`` bounds those of requests. Small answers are always received. While
     all answers together hold the limit or more, only the oldest of the large ones is
     received further, until it is complete, cut off or out of time: so one answer makes
-    progress, and the others wait in their connections.
-    While callers have not read the limit or more, none of the large ones is.
+    progress, and the others wait in their connections. So they do while requests and
+    answers hold the limit of both. While callers have not read the limit or more, none
+    of the large ones is; nor while what they have not read and requests hold that of
+    both.
 
     >>> memory = HeldBytes(400_000)
     >>> first = HeldAnswer(memory, lambda: print("resume the first"))
@@ -92,6 +94,7 @@
 
     def __init__(self, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
         self.limit_bytes = limit_bytes
+        self.shared_bytes = 2 * limit_bytes
         self._present: Counter[Place] = Counter()
         self._most: Counter[Place] = Counter()
         # In the order in which they became large.
@@ -159,8 +162,10 @@
         if answer.size < MIN_ANSWER_BYTES:
             return True
         answers = self.size - self._present[Place.REQUEST]
-        if answers < self.limit_bytes:
+        if answers < self.limit_bytes and self.size < self.shared_bytes:
             return True
-        if self._present[Place.UNSENT] >= self.limit_bytes:
+        unsent = self._present[Place.UNSENT]
+        is_crowded = unsent + self._present[Place.REQUEST] >= self.shared_bytes
+        if unsent >= self.limit_bytes or (unsent and is_crowded):
             return False
         return answer is next(iter(self._large), answer)
--- a/packages/gateway/src/persimmonferry_gateway/request_room.py
+++ b/packages/gateway/src/persimmonferry_gateway/request_room.py
@@ -95,7 +95,6 @@
     for longer than its client does. Both have not run.
 
     :param held: counts the bytes.
-    :ivar shared_bytes: limit of requests and answers together.
     :ivar body_bytes: size of the largest body.
     :ivar idle_s: longest time without progress while no others wait.
     :ivar are_callers_waiting: whether connections wait for others to be closed.
@@ -116,7 +115,6 @@
 
     def __init__(self, held: HeldBytes, limit_bytes: int = DEFAULT_LIMIT_BYTES) -> None:
         self.limit_bytes = limit_bytes
-        self.shared_bytes = 2 * limit_bytes
         self.body_bytes = DEFAULT_BODY_BYTES
         self.link_bytes_per_s = DEFAULT_LINK_BYTES_PER_S
         self.idle_s = float("inf")
@@ -210,7 +208,7 @@
         size = self._held.find_size(Place.REQUEST)
         share = SMALL_BODY_SHARE if request.size < SMALL_BODY_BYTES else 1.0
         is_below = size < share * self.limit_bytes
-        if is_below and self._held.size < share * self.shared_bytes:
+        if is_below and self._held.size < share * self._held.shared_bytes:
             return True
         if request is not next(iter(self._receiving)):
             return False
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -389,17 +389,16 @@
 
     async def read_body(self) -> bytes:
         """Return the rest of the body; it is complete if ``loss`` is None."""
-        chunks = []
-        size = 0
+        # One buffer that grows: many parts would leave gaps in memory.
+        body = bytearray()
         while (chunk := await self.read_chunk()) is not None:
-            chunks.append(chunk)
-            size += len(chunk)
-            self.held.set_size(Place.BODY, size)
-            if size > MAX_RESPONSE_BYTES:
+            body += chunk
+            self.held.set_size(Place.BODY, len(body))
+            if len(body) > MAX_RESPONSE_BYTES:
                 self.cancel()
                 self.loss = RequestFailure.TOO_LARGE
                 return b""
-        return b"".join(chunks)
+        return bytes(body)
 
     def cancel(self) -> None:
         """Cancel the request, so that the upstream stops working on it."""
--- a/packages/gateway/tests/test_request_room.py
+++ b/packages/gateway/tests/test_request_room.py
@@ -2,7 +2,7 @@
 
 import pytest
 from persimmonferry_core.codes import Ran, ResultCode
-from persimmonferry_gateway.held_bytes import HeldBytes, Place
+from persimmonferry_gateway.held_bytes import HeldAnswer, HeldBytes, Place
 from persimmonferry_gateway.request_room import (
     MAX_STALL_S,
     MAX_WAIT_S,
@@ -146,10 +146,10 @@
 
 def test_answers_take_room_from_requests():
     crowd = Crowd()
-    crowd.held.add(Place.UNSENT, crowd.room.shared_bytes)
+    crowd.held.add(Place.UNSENT, crowd.held.shared_bytes)
     crowd.begin("a", PART_BYTES)
     assert not crowd.begin("b").receive(PART_BYTES, 0.0)
-    crowd.held.add(Place.UNSENT, -crowd.room.shared_bytes)
+    crowd.held.add(Place.UNSENT, -crowd.held.shared_bytes)
     crowd.room.check(0.25)
     assert "b" in crowd.resumed
 
@@ -159,3 +159,17 @@
     crowd.room.link_bytes_per_s = 1_000_000
     crowd.begin("a", LIMIT_BYTES).complete()
     assert crowd.room.make_refusal(ResultCode.GATEWAY_FULL).retry_s == 1.0
+
+
+# Each had its own limit, and both together were more than the memory.
+@pytest.mark.parametrize(("unsent_bytes", "may_grow"), [(0, True), (1, False)])
+def test_requests_take_room_from_answers_that_callers_do_not_read(
+    unsent_bytes, may_grow
+):
+    crowd = Crowd()
+    answer = HeldAnswer(crowd.held, print)
+    answer.set_size(Place.BODY, 2 * PART_BYTES)
+    crowd.held.shared_bytes = LIMIT_BYTES
+    crowd.held.add(Place.UNSENT, unsent_bytes)
+    crowd.begin("a", LIMIT_BYTES).complete()
+    assert answer.may_grow() == may_grow
