Read all figures for the metrics at one moment, in one type

Cause: CallMetrics had come to twelve arguments, most of them functions. Change: GatewayFigures holds what the components know at one moment; the gateway fills it, and each group of lines has a function.

--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -46,8 +46,8 @@
 )
 from persimmonferry_gateway.leadership import LeaderElection
 from persimmonferry_gateway.metrics import (
-    AvailabilityFigures,
     CallMetrics,
+    GatewayFigures,
     MetricsServer,
 )
 from persimmonferry_gateway.open_connections import limit_connections
@@ -131,6 +131,7 @@
     ) -> None:
         self._started_s = estimate_process_start() if started_s is None else started_s
         self._settings = settings
+        self._registry = registry
         self._codec = codec
         self._loop = asyncio.get_running_loop()
         self._dispatcher = Dispatcher(
@@ -176,20 +177,7 @@
         self._retry_shares = RetryShares(settings.name, self._started_s)
         self._retry_policy: RetryPolicy | None = None
         self._prober = Prober(codec, client)
-        self._metrics = CallMetrics(
-            lambda: registry.calls,
-            self._dispatcher.availability.limits.list_limits,
-            self._dispatcher.availability.limits.list_shares,
-            self._crash_reports.count_crashes,
-            self._dispatcher.list_retries,
-            self._read_availability,
-            lambda: self._dispatcher.list_slowness(self._context.read_clock()),
-            self._dispatcher.list_paces,
-            lambda: self._dispatcher.measure_room(self._loop.time()),
-            self._dispatcher.promises,
-            client.held_bytes,
-            lambda: self._server.count_callers(),
-        )
+        self._metrics = CallMetrics(self._read_figures)
         self._metrics_server = MetricsServer(settings.internal, self._metrics)
         self._held_bytes = client.held_bytes
         self._store_index = CacheStoreIndex()
@@ -308,13 +296,25 @@
         self._cluster.set_cold_bound(settings.cold_bound, self._loop.time())
         self._update_retry_policy(read_boot_clock())
 
-    def _read_availability(self) -> AvailabilityFigures:
-        availability, now = self._dispatcher.availability, self._loop.time()
-        return AvailabilityFigures(
-            availability.count_closures(self._cluster.fleet.records, now),
-            availability.rates.list_ceilings(now),
-            availability.rates.list_cold(now),
-            self._cluster.evacuated,
+    def _read_figures(self) -> GatewayFigures:
+        dispatcher, now = self._dispatcher, self._loop.time()
+        availability = dispatcher.availability
+        return GatewayFigures(
+            registry_calls=self._registry.calls,
+            limits=availability.limits.list_limits(),
+            limit_shares=availability.limits.list_shares(),
+            quarantined=self._crash_reports.count_crashes(),
+            retries=dispatcher.list_retries(),
+            closures=availability.count_closures(self._cluster.fleet.records, now),
+            ceilings=availability.rates.list_ceilings(now),
+            cold=availability.rates.list_cold(now),
+            evacuated=self._cluster.evacuated,
+            slowness=dispatcher.list_slowness(now),
+            paces=dispatcher.list_paces(),
+            room=dispatcher.measure_room(now),
+            promises=dispatcher.promises,
+            held_bytes=self._held_bytes,
+            callers=self._server.count_callers(),
         )
 
     def _limit_held_bytes(self) -> None:
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -14,76 +14,62 @@
 
 from persimmonferry_gateway.held_bytes import HeldBytes, Place
 
-__all__ = ["AvailabilityFigures", "CallMetrics", "MetricsServer"]
+__all__ = ["CallMetrics", "GatewayFigures", "MetricsServer"]
 
 
 @dataclass(frozen=True)
-class AvailabilityFigures:
+class GatewayFigures:
     """
-    How many calls upstreams take now, and why not more.
+    What a gateway's components know at one moment.
 
+    :param registry_calls: calls to the registry, by kind.
+    :param limits: calls per second that upstreams with a limit take.
+    :param limit_shares: part of these limits that this gateway may use.
+    :param quarantined: number of crashes, by quarantined parts.
+    :param retries: retries allowed and refused so far, by service.
     :param closures: number of upstreams that get no run of this gateway, by reason.
     :param ceilings: calls in a second that all gateways may send, by upstream.
     :param cold: upstreams known to be cold, and for how many seconds yet.
     :param evacuated: failure domains to which nothing more may be sent.
+    :param slowness: how long work takes at each upstream, 1.0 as usual.
+    :param paces: runs that new and readmitted upstreams may have.
+    :param room: free share of each resource, by model service.
+    :param promises: made to refused callers.
+    :param held_bytes: that are held, by place.
+    :param callers: counters of the server for callers, by name.
     """
 
+    registry_calls: Mapping[str, int]
+    limits: Mapping[str, float]
+    limit_shares: Mapping[str, float]
+    quarantined: Mapping[str, int]
+    retries: Mapping[str, tuple[int, int]]
     closures: Mapping[str, int]
     ceilings: Mapping[str, int]
     cold: Mapping[str, float]
     evacuated: frozenset[str]
+    slowness: Mapping[str, float]
+    paces: Mapping[str, int]
+    room: Mapping[str, Mapping[Resource, float]]
+    promises: ReturnPromises
+    held_bytes: HeldBytes
+    callers: Mapping[str, int]
 
 
 class CallMetrics:
     """
     Counts calls by route and outcome, and records how long they took.
 
-    :param read_registry_calls: returns the calls to the registry, by kind.
-    :param read_limits: returns the calls per second that upstreams with a limit take.
-    :param read_shares: returns the part of these limits that this gateway may use.
-    :param read_quarantine: returns the number of crashes, by quarantined parts.
-    :param read_retries: returns the retries allowed and refused so far, by service.
-    :param read_availability: returns what is known of the upstreams' availability.
-    :param read_slowness: returns how long work takes at each upstream, 1.0 as usual.
-    :param read_paces: returns the runs that new and readmitted upstreams may have.
-    :param read_room: returns the free share of each resource, by model service.
-    :param promises: made to refused callers.
-    :param held_bytes: counts the bytes that are held.
-    :param count_callers: returns the counters of the server for callers, by name.
+    :param read_figures: returns what the gateway's components know now.
     """
 
-    def __init__(
-        self,
-        read_registry_calls: Callable[[], Mapping[str, int]],
-        read_limits: Callable[[], Mapping[str, float]],
-        read_shares: Callable[[], Mapping[str, float]],
-        read_quarantine: Callable[[], Mapping[str, int]],
-        read_retries: Callable[[], Mapping[str, tuple[int, int]]],
-        read_availability: Callable[[], AvailabilityFigures],
-        read_slowness: Callable[[], Mapping[str, float]],
-        read_paces: Callable[[], Mapping[str, int]],
-        read_room: Callable[[], Mapping[str, Mapping[Resource, float]]],
-        promises: ReturnPromises,
-        held_bytes: HeldBytes,
-        count_callers: Callable[[], Mapping[str, int]],
-    ) -> None:
-        self._read_room = read_room
-        self._promises = promises
+    def __init__(self, read_figures: Callable[[], GatewayFigures]) -> None:
+        self._read_figures = read_figures
         self.histograms = Histograms()
         self._outcomes: Counter[tuple[str, str]] = Counter()
         self._attempts = 0
         self._limited_attempts = 0
         self._losses: Counter[str] = Counter()
-        self._read_registry_calls = read_registry_calls
-        self._read_limits = read_limits
-        self._read_shares = read_shares
-        self._read_quarantine = read_quarantine
-        self._read_retries = read_retries
-        self._read_availability = read_availability
-        self._read_slowness = read_slowness
-        self._read_paces = read_paces
-        self._held_bytes = held_bytes
-        self._count_callers = count_callers
 
     def record(
         self,
@@ -113,53 +99,23 @@
 
     def render_text(self) -> str:
         """Return one line for each counter and each value of a histogram."""
+        figures = self._read_figures()
         lines = [
             f'calls{{route="{route}",outcome="{outcome}"}} {count}'
             for (route, outcome), count in sorted(self._outcomes.items())
         ]
         lines.append(f"attempts {self._attempts}")
         lines.append(f"limited_attempts {self._limited_attempts}")
-        lines += [
-            f'lost_attempts{{progress="{progress}"}} {count}'
-            for progress, count in sorted(self._losses.items())
-        ]
-        lines += [
-            f'upstream_limit_calls_per_s{{upstream="{name}"}} {calls_per_s:g}'
-            for name, calls_per_s in sorted(self._read_limits().items())
-        ]
-        lines += [
-            f'upstream_limit_own_calls_per_s{{upstream="{name}"}} {calls_per_s:g}'
-            for name, calls_per_s in sorted(self._read_shares().items())
-        ]
-        lines += [
-            f'quarantined_parts{{parts="{parts}"}} {crashes}'
-            for parts, crashes in sorted(self._read_quarantine().items())
-        ]
-        for service, (granted, refused) in sorted(self._read_retries().items()):
+        lines += _render("lost_attempts", "progress", self._losses)
+        lines += _render("quarantined_parts", "parts", figures.quarantined)
+        for service, (granted, refused) in sorted(figures.retries.items()):
             lines.append(f'retries{{service="{service}"}} {granted}')
             lines.append(f'retries_refused{{service="{service}"}} {refused}')
-        lines += self._list_availability()
-        lines += self._render_room()
-        lines += [
-            f'upstream_slowness{{upstream="{name}"}} {slowness:.3g}'
-            for name, slowness in sorted(self._read_slowness().items())
-        ]
-        lines += [
-            f'upstream_pace{{upstream="{name}"}} {runs}'
-            for name, runs in sorted(self._read_paces().items())
-        ]
-        most = self._held_bytes.most
-        for place, size in self._held_bytes.present.items():
-            kind, label = "answer_bytes", f'{{place="{place.value}"}}'
-            if place is Place.REQUEST:
-                kind, label = "request_bytes", ""
-            lines.append(f"{kind}{label} {size}")
-            lines.append(f"{kind}_most{label} {most[place]}")
-        lines += [f"{name} {value}" for name, value in self._count_callers().items()]
-        lines += [
-            f'registry_calls{{kind="{kind}"}} {count}'
-            for kind, count in sorted(self._read_registry_calls().items())
-        ]
+        lines += _render_upstreams(figures)
+        lines += _render_room(figures)
+        lines += _render_held(figures.held_bytes)
+        lines += [f"{name} {value}" for name, value in figures.callers.items()]
+        lines += _render("registry_calls", "kind", figures.registry_calls)
         for row in self.histograms.list_rows():
             labels = f'account="{row.account}",route="{row.tier}"'
             name = f"{row.measure}_ms"
@@ -169,39 +125,53 @@
                 lines.append(f'{name}{{{labels},quantile="{quantile}"}} {value}')
         return "\n".join(lines) + "\n"
 
-    def _list_availability(self) -> list[str]:
-        """Return the lines on closed, cold and evacuated upstreams."""
-        figures = self._read_availability()
-        return [
-            *(
-                f'upstreams_closed{{reason="{reason}"}} {count}'
-                for reason, count in sorted(figures.closures.items())
-            ),
-            *(
-                f'upstream_ceiling_calls{{upstream="{name}"}} {calls}'
-                for name, calls in sorted(figures.ceilings.items())
-            ),
-            *(
-                f'upstream_cold_s{{upstream="{name}"}} {left_s:.1f}'
-                for name, left_s in sorted(figures.cold.items())
-            ),
-            *(
-                f'evacuated{{failure_domain="{domain}"}} 1'
-                for domain in sorted(figures.evacuated)
-            ),
-        ]
 
-    def _render_room(self) -> list[str]:
-        lines = []
-        for service, room in sorted(self._read_room().items()):
-            binding = min(room, key=room.get)
-            for resource, share in room.items():
-                labels = f'service="{service}",resource="{resource.value}"'
-                lines.append(f"room_free_share{{{labels}}} {share:.3f}")
-                lines.append(f"room_binds{{{labels}}} {int(resource is binding)}")
-        lines.append(f"returns_promised {self._promises.added}")
-        lines.append(f"returns_kept {self._promises.taken}")
-        return lines
+def _render(
+    name: str, label: str, values: Mapping[str, float], form: str = ""
+) -> list[str]:
+    return [
+        f'{name}{{{label}="{key}"}} {value:{form}}'
+        for key, value in sorted(values.items())
+    ]
+
+
+def _render_upstreams(figures: GatewayFigures) -> list[str]:
+    """Return the lines on how much upstreams take, and why not more."""
+    own_limit = "upstream_limit_own_calls_per_s"
+    return [
+        *_render("upstream_limit_calls_per_s", "upstream", figures.limits, "g"),
+        *_render(own_limit, "upstream", figures.limit_shares, "g"),
+        *_render("upstreams_closed", "reason", figures.closures),
+        *_render("upstream_ceiling_calls", "upstream", figures.ceilings),
+        *_render("upstream_cold_s", "upstream", figures.cold, ".1f"),
+        *_render("evacuated", "failure_domain", dict.fromkeys(figures.evacuated, 1)),
+        *_render("upstream_slowness", "upstream", figures.slowness, ".3g"),
+        *_render("upstream_pace", "upstream", figures.paces),
+    ]
+
+
+def _render_room(figures: GatewayFigures) -> list[str]:
+    lines = []
+    for service, room in sorted(figures.room.items()):
+        binding = min(room, key=room.get)
+        for resource, share in room.items():
+            labels = f'service="{service}",resource="{resource.value}"'
+            lines.append(f"room_free_share{{{labels}}} {share:.3f}")
+            lines.append(f"room_binds{{{labels}}} {int(resource is binding)}")
+    lines.append(f"returns_promised {figures.promises.added}")
+    lines.append(f"returns_kept {figures.promises.taken}")
+    return lines
+
+
+def _render_held(held_bytes: HeldBytes) -> list[str]:
+    lines, most = [], held_bytes.most
+    for place, size in held_bytes.present.items():
+        kind, label = "answer_bytes", f'{{place="{place.value}"}}'
+        if place is Place.REQUEST:
+            kind, label = "request_bytes", ""
+        lines.append(f"{kind}{label} {size}")
+        lines.append(f"{kind}_most{label} {most[place]}")
+    return lines
 
 
 class MetricsServer:
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -1,7 +1,7 @@
 from persimmonferry_core.returns import ReturnPromise, ReturnPromises
 from persimmonferry_core.room import Resource
 from persimmonferry_gateway.held_bytes import HeldBytes, Place
-from persimmonferry_gateway.metrics import AvailabilityFigures, CallMetrics
+from persimmonferry_gateway.metrics import CallMetrics, GatewayFigures
 
 
 def test_outcomes_attempts_limits_and_latencies_are_printed():
@@ -11,22 +11,24 @@
     memory.add(Place.REQUEST, 30)
     promises = ReturnPromises()
     promises.add(ReturnPromise(7, 3.0, 9.0), 1.0)
-    metrics = CallMetrics(
-        lambda: {"kv-watch": 3},
-        lambda: {"e1": 2.5},
-        lambda: {"e1": 0.5},
-        lambda: {"00ff": 2},
-        lambda: {"plain": (4, 1)},
-        lambda: AvailabilityFigures(
-            {"rate_spent": 2}, {"e1": 9}, {"e1": 1.26}, frozenset(("z2",))
-        ),
-        lambda: {"e1": 1.5},
-        lambda: {"e1": 4},
-        lambda: {"llm": {Resource.PREFILL: 0.5, Resource.MEMORY: 0.125}},
-        promises,
-        memory,
-        lambda: {'requests_not_received{code="2030"}': 6},
+    figures = GatewayFigures(
+        registry_calls={"kv-watch": 3},
+        limits={"e1": 2.5},
+        limit_shares={"e1": 0.5},
+        quarantined={"00ff": 2},
+        retries={"plain": (4, 1)},
+        closures={"rate_spent": 2},
+        ceilings={"e1": 9},
+        cold={"e1": 1.26},
+        evacuated=frozenset(("z2",)),
+        slowness={"e1": 1.5},
+        paces={"e1": 4},
+        room={"llm": {Resource.PREFILL: 0.5, Resource.MEMORY: 0.125}},
+        promises=promises,
+        held_bytes=memory,
+        callers={'requests_not_received{code="2030"}': 6},
     )
+    metrics = CallMetrics(lambda: figures)
     metrics.record("t1", "ask", "answered", 1, 0, (), 0.1, 0.3)
     metrics.record("t1", "ask", "answered", 2, 1, ("sent",), 0.2, 0.4)
     metrics.record("t1", "ask", "wait_not_kept", 0, 0, (), None, 0.01)
