--- a/packages/core/tests/test_returns.py
+++ b/packages/core/tests/test_returns.py
@@ -61,6 +61,9 @@
     promise = dispatcher.promise_return(request, answer.retry_after_s, 0.0)
     back_s = promise.due_s
     assert isinstance(offer(dispatcher, "new", 900, 0.01)[1], Refused)
+    for number in range(1, 6):
+        dispatcher.cancel(f"n{number}", 0.02)
+    assert isinstance(offer(dispatcher, "newer", 901, back_s)[1], Queued)
     again = offer(dispatcher, "again", request.fingerprint, back_s)[1]
     assert isinstance(again, Queued)
     waiting = dispatcher._models["s"].queue.iterate(frozenset({0}), 100)
