--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -279,7 +279,7 @@
             return refusal
         self._apply_closures(now)
         model = self._models[request.service]
-        capacity = model.estimate_capacity()
+        capacity = model.estimate_capacity(len(self._entries))
         if capacity <= 0:
             wait_s = self.find_return_wait(request.service, now) or NO_UPSTREAM_RETRY_S
             return Refused(request.request_id, ResultCode.NO_UPSTREAM, wait_s)
@@ -501,7 +501,7 @@
         for name, model in self._models.items():
             late = model.queue.expire(now)
             if is_excess_due:
-                capacity = model.estimate_capacity()
+                capacity = model.estimate_capacity(len(self._entries))
                 late += model.queue.drop_excess(capacity, now) if capacity else ()
             refused += [
                 self._refuse_queued(
--- a/packages/core/src/persimmonferry_core/services.py
+++ b/packages/core/src/persimmonferry_core/services.py
@@ -75,9 +75,9 @@
         self.computed_share = 1.0
         self.throughput = _ThroughputEstimator()
 
-    def estimate_capacity(self) -> float:
+    def estimate_capacity(self, entries: int) -> float:
         """Return the upstream seconds of work that this entry can start each second."""
-        nominal = self.router.estimate_own_upstreams()
+        nominal = len(self.router.summarize().names) / max(1, entries)
         return self.throughput.estimate(nominal) if nominal else 0.0
 
     def record_computed_share(self, missing_tokens: int, prompt_tokens: int) -> None:
