--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -816,7 +816,7 @@
         prefill_s = model.router.estimate_prefill(request)
         latest = request.arrival_s + max(0.0, tier.promised_wait_s - prefill_s)
         # A stream that is taken up was admitted before, and is no new demand.
-        cost_s = 0.0 if request.build else model.estimate_cost(request).total_s
+        cost_s = 0.0 if request.build else model.estimate_cost(request)
         priority = model.queue.rank(request.tier)
         last = latest
         if request.caller_deadline_s is not None:
