--- a/packages/core/src/persimmonferry_core/returns.py
+++ b/packages/core/src/persimmonferry_core/returns.py
@@ -15,14 +15,11 @@
     A refused prompt, and when it may come back.
 
     :param fingerprint: of the call, equal when it comes back.
-    :param cost_s: of its run, in seconds of one whole upstream.
     :param due_s: from when on it is expected.
     :param expires_s: when its caller gives up.
     """
 
     fingerprint: int
-    service: str
-    cost_s: float
     due_s: float
     expires_s: float
 
@@ -31,13 +28,16 @@
     """
     The promises of all entries, as far as this entry knows them.
 
+    ``added`` and ``taken`` count the promises so far, and the calls that came back to
+    this entry as promised.
+
     Load pattern: callers that repeat at once, among others that wait as they were told.
     A call that comes early is a new one, and changes nothing about its promise.
 
     >>> promises = ReturnPromises()
-    >>> promises.add(ReturnPromise(7, "s", 0.2, 3.0, 9.0), 1.0)
+    >>> promises.add(ReturnPromise(7, 3.0, 9.0), 1.0)
     True
-    >>> promises.add(ReturnPromise(7, "s", 0.2, 5.0, 9.0), 2.0)
+    >>> promises.add(ReturnPromise(7, 5.0, 9.0), 2.0)
     False
     >>> promises.take(7, 2.0), promises.take(7, 3.0), promises.take(7, 3.1)
     (False, True, False)
@@ -46,6 +46,8 @@
     def __init__(self) -> None:
         self._promises: dict[int, ReturnPromise] = {}
         self._kept: set[int] = set()
+        self.added = 0
+        self.taken = 0
 
     def add(self, promise: ReturnPromise, now: float) -> bool:
         """
@@ -59,6 +61,7 @@
         if len(self._promises) >= MAX_PROMISES:
             return False
         self._promises[promise.fingerprint] = promise
+        self.added += 1
         return True
 
     def take(self, fingerprint: int, now: float) -> bool:
@@ -69,19 +72,9 @@
         if not promise.due_s - TOLERANCE_S <= now < promise.expires_s:
             return False
         self._kept.add(fingerprint)
+        self.taken += 1
         return True
 
-    def estimate_work(self, service: str, until_s: float, now: float) -> float:
-        """Return the cost of the calls that are expected back before a time."""
-        return sum(
-            promise.cost_s
-            for promise in self._promises.values()
-            if promise.service == service
-            and promise.fingerprint not in self._kept
-            and now <= promise.due_s + TOLERANCE_S
-            and promise.due_s < until_s
-        )
-
     def _drop_expired(self, now: float) -> None:
         gone = [
             fingerprint
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -175,6 +175,8 @@
         # When the entries of gateways that may still drain were removed.
         self._removed_s: dict[str, float] = {}
         self._new_returns: list[ReturnPromise] = []
+        # Whether a list of gateways has been received.
+        self._has_list = False
         self._peer_states: dict[str, _PeerState] = {}
         self._held: dict[str, dict[str, int]] = {}
         self._paused: frozenset[str] = frozenset()
@@ -217,6 +219,9 @@
         now = self._loop.time()
         for name in self._addresses.keys() - addresses.keys():
             self._removed_s[name] = now
+        if not self._has_list and self._name in addresses:
+            self._rates.record_listed()
+        self._has_list = True
         self._addresses = {
             name: address for name, address in addresses.items() if name != self._name
         }
@@ -395,8 +400,6 @@
             batch = [
                 PromisedReturn(
                     item.fingerprint,
-                    item.service,
-                    item.cost_s,
                     round((item.due_s - now) * MS_PER_S),
                     round((item.expires_s - now) * MS_PER_S),
                 )
@@ -515,9 +518,7 @@
         for item in payload.returns:
             due_s = now + item.due_ms / MS_PER_S
             expires_s = now + item.left_ms / MS_PER_S
-            promise = ReturnPromise(
-                item.fingerprint, item.service_name, item.cost_s, due_s, expires_s
-            )
+            promise = ReturnPromise(item.fingerprint, due_s, expires_s)
             self._dispatcher.promises.add(promise, now)
 
     def _handle_started(self, payload: StartedWork) -> None:
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -1,5 +1,7 @@
+from persimmonferry_core.returns import ReturnPromise, ReturnPromises
+from persimmonferry_core.room import Resource
 from persimmonferry_gateway.held_bytes import HeldBytes, Place
-from persimmonferry_gateway.metrics import AvailabilityFigures, CallMetrics
+from persimmonferry_gateway.metrics import CallMetrics, GatewayFigures
 
 
 def test_outcomes_attempts_limits_and_latencies_are_printed():
@@ -7,25 +9,35 @@
     memory.add(Place.UNREAD, 70)
     memory.add(Place.UNREAD, -50)
     memory.add(Place.REQUEST, 30)
-    metrics = CallMetrics(
-        lambda: {"kv-watch": 3},
-        lambda: {"e1": 2.5},
-        lambda: {"e1": 0.5},
-        lambda: {"00ff": 2},
-        lambda: {"plain": (4, 1)},
-        lambda: AvailabilityFigures(
-            {"rate_spent": 2}, {"e1": 9}, {"e1": 1.26}, frozenset(("z2",))
-        ),
-        lambda: {"e1": 1.5},
-        lambda: {"e1": 4},
-        memory,
-        lambda: {'requests_not_received{code="2030"}': 6},
+    promises = ReturnPromises()
+    promises.add(ReturnPromise(7, 3.0, 9.0), 1.0)
+    figures = GatewayFigures(
+        registry_calls={"kv-watch": 3},
+        limits={"e1": 2.5},
+        limit_shares={"e1": 0.5},
+        quarantined={"00ff": 2},
+        retries={"plain": (4, 1)},
+        closures={"rate_spent": 2},
+        ceilings={"e1": 9},
+        cold={"e1": 1.26},
+        evacuated=frozenset(("z2",)),
+        slowness={"e1": 1.5},
+        paces={"e1": 4},
+        room={"llm": {Resource.PREFILL: 0.5, Resource.MEMORY: 0.125}},
+        promises=promises,
+        held_bytes=memory,
+        callers={'requests_not_received{code="2030"}': 6},
     )
+    metrics = CallMetrics(lambda: figures)
     metrics.record("t1", "ask", "answered", 1, 0, (), 0.1, 0.3)
     metrics.record("t1", "ask", "answered", 2, 1, ("sent",), 0.2, 0.4)
     metrics.record("t1", "ask", "wait_not_kept", 0, 0, (), None, 0.01)
     lines = metrics.render_text().splitlines()
     assert 'calls{route="ask",outcome="answered"} 2' in lines
+    assert 'room_free_share{service="llm",resource="memory"} 0.125' in lines
+    assert 'room_binds{service="llm",resource="memory"} 1' in lines
+    assert 'room_binds{service="llm",resource="prefill"} 0' in lines
+    assert {"returns_promised 1", "returns_kept 0"} <= set(lines)
     assert 'calls{route="ask",outcome="wait_not_kept"} 1' in lines
     assert "attempts 3" in lines
     assert "limited_attempts 1" in lines
