--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -406,9 +406,8 @@
         is_refused = connected and not ran
         if failed_at is not None:
             router = self._models[attempt.waiting.request.service].router
-            if is_refused and (upstream := router.upstreams.get(failed_at)):
-                until_s = now + REFUSAL_PAUSE_S
-                self.set_cooldown(failed_at, upstream.report.incarnation, until_s)
+            if is_refused:
+                self._pause_refusing(router, failed_at, now)
             if withdrawn:
                 router.end_run(attempt.waiting, failed_at, False, now)
             else:
@@ -449,6 +448,17 @@
         heappush(self._delayed, (now + delay_s, request_id))
         return Queued(request_id, latest_s, delay_s)
 
+    def _pause_refusing(self, router: Router, name: str, now: float) -> None:
+        """Send nothing to an engine that has refused a run, unless no other is open."""
+        upstream = router.upstreams.get(name)
+        others = (other for other in router.summarize().names if other != name)
+        if upstream is None or all(
+            self.availability.find_closure(other, now) for other in others
+        ):
+            return
+        until_s = now + REFUSAL_PAUSE_S
+        self.set_cooldown(name, upstream.report.incarnation, until_s)
+
     def requeue(self, request_id: str, now: float) -> Queued | Refused:
         """
         Put a request back into the queue, as its upstream turned out to be full.
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -552,6 +552,16 @@
         assert ("u0" in sent) is (now > 0.1 + REFUSAL_PAUSE_S)
 
 
+def test_the_only_engine_gets_runs_also_after_a_refusal():
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    dispatcher.report(make_report("u0", slots=8), 0.0)
+    dispatcher.offer(make_request(0, 0.0, tokens=10), 0.0)
+    (first,) = dispatcher.assign(0.0)
+    dispatcher.failed(first.request.request_id, False, 0.1)
+    dispatcher.offer(make_request(1, 0.1, "dawn", tokens=10), 0.1)
+    assert len(dispatcher.assign(0.1)) == 1
+
+
 def test_runs_without_a_first_token_are_listed_by_upstream():
     dispatcher = Dispatcher(DOCUMENT, seed=1)
     dispatcher.report(make_report("u0", slots=8), 0.0)
