--- a/review/common/run.py
+++ b/review/common/run.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from common.gateway import Balancer, Gateway, Ports
+from common.proxy import Proxy
 from common.store import Store
 from common.worker import Worker
 
@@ -93,6 +94,8 @@
         self._begin_s = time.monotonic()
         self.ports = Ports((PLATFORM_HOST, WORKER_HOST, *GATEWAY_HOSTS))
         self.store = Store(PLATFORM_HOST, self.ports.take())
+        # All channels of the gateways to the store go through it.
+        self.proxy = Proxy(PLATFORM_HOST, self.ports.take(), self.store.port)
         self.workers = []
         self.gateways = []
         self.balancer = None
@@ -141,7 +144,7 @@
                 f"edge-{number}",
                 host,
                 self._gateway_ports,
-                self.store.address,
+                self.proxy.address,
                 self.folder,
                 self.note,
                 BOUNDS,
@@ -158,6 +161,7 @@
             self.balancer.stop()
         await asyncio.gather(*(item.close() for item in self.gateways))
         await asyncio.gather(*(item.stop() for item in self.workers))
+        await self.proxy.stop()
         await self.store.stop()
 
 
@@ -172,6 +176,7 @@
 
     async def run(deployment):
         await deployment.store.start()
+        await deployment.proxy.start()
         try:
             async with asyncio.timeout(LIMIT_S):
                 return await scenario(deployment)
--- a/review/common/store.py
+++ b/review/common/store.py
@@ -20,7 +20,7 @@
 
     def __init__(self, host, port):
         self.address = f"{host}:{port}"
-        self._host, self._port = host, port
+        self._host, self.port = host, port
         self.rows = {}
         self.rev = 100
         self._history = []
@@ -31,7 +31,7 @@
         self._expiry = None
 
     async def start(self):
-        self._server = await asyncio.start_server(self._serve, self._host, self._port)
+        self._server = await asyncio.start_server(self._serve, self._host, self.port)
         self._expiry = asyncio.create_task(self._expire())
 
     async def stop(self):
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import time
 
 from common.http import encode_message, read_message
@@ -107,6 +108,9 @@
             self._beat = None
 
     async def _register_often(self):
+        self.write_entry()
+        # Workers don't beat at the same moments.
+        await asyncio.sleep(random.uniform(0.0, HEARTBEAT_S))
         while True:
             self.write_entry()
             await asyncio.sleep(HEARTBEAT_S)
@@ -122,7 +126,7 @@
                 if not work.done():
                     # A closed channel ends the work.
                     work.cancel()
-                    await asyncio.gather(work, return_exceptions=True)
+                    await asyncio.gather(work, closed, return_exceptions=True)
                     return
                 closed.cancel()
                 await asyncio.gather(closed, return_exceptions=True)
