--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -11,6 +11,8 @@
 
 HEARTBEAT_S = 1.2
 FIRST_EVENT_S = 0.05
+# A larger request is rejected as if the worker were full.
+MEMORY_TOKENS = 118_942
 MODEL = "m1"
 
 
@@ -160,7 +162,9 @@
         call_id = request.headers.get("request-id", "")
         if request.headers.get("expect-instance", self.name) != self.name:
             return await self._refuse(request, writer, 421)
-        if self._waiting >= 3 * self.slots:
+        counts = request.headers.get("token-counts", "0,0").split(",")
+        is_too_large = sum(map(int, counts)) > MEMORY_TOKENS
+        if is_too_large or self._waiting >= 3 * self.slots:
             return await self._refuse(request, writer, 503)
         self._waiting += 1
         try:
