--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -86,9 +86,7 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
-    def write_entry(self):
-        self._sequence += 1
-        models = [{"name": MODEL, "version": 1, "adapters": []}]
+    def make_entry(self):
         entry = {
             "service": self.service,
             "address": self.address,
@@ -101,8 +99,13 @@
             "born": self.born,
         }
         if self.event_s is not None:
+            models = [{"name": MODEL, "version": 1, "adapters": []}]
             entry |= {"stage": "both", "models": models}
-        self._store.put(f"servers/{self.name}", entry)
+        return entry
+
+    def write_entry(self):
+        self._sequence += 1
+        self._store.put(f"servers/{self.name}", self.make_entry())
 
     def _stop_heartbeat(self):
         if self._beat is not None:
