--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,12 +5,12 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "tests"))
 
-from common.client import Stream, stream_once
-from common.run import main, make_engine_service, make_route
+from common.client import Attempt, Stream, stream_once
+from common.run import Deployment, main, make_engine_service, make_route
 
-# Each of the two workers of a service can serve 8 / 1.25 s, both together 12.8 a second.
+# Each of the two workers of a service can serve 8 in 1.25 s, both 12.8 a second.
 SLOTS = 8
 TOKENS = 12
 EVENT_S = 0.1
@@ -29,10 +29,11 @@
 PATIENCE_S = 4.0
 
 
-async def scenario(deployment):
+async def scenario(deployment: Deployment) -> bool:
+    """Play the case, and return whether the rule held."""
     old, new = make_engine_service("llm-a", SLOTS), make_engine_service("llm-b", SLOTS)
 
-    def route(service):
+    def route(service: str) -> dict:
         return make_route(
             "grade",
             "streaming",
@@ -52,7 +53,7 @@
     await asyncio.sleep(4.0)
     calls = []
 
-    async def call(number):
+    async def call(number: int) -> Attempt:
         stream = Stream(f"client-{number}")
         gateway = deployment.balancer.choose(stream.client, 0)
         return await stream_once(
@@ -65,7 +66,7 @@
             note=deployment.note,
         )
 
-    async def disturb():
+    async def disturb() -> None:
         await asyncio.sleep(CRASH_S)
         crashed = [worker for worker in deployment.workers if worker.service == "llm-a"]
         for worker in crashed:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -4,10 +4,10 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "tests"))
 
 from common.client import Stream, stream_once
-from common.run import main, make_engine_service, make_route
+from common.run import Deployment, main, make_engine_service, make_route
 
 CLIENTS = 8
 # A stream of 12 s; its client waits 15 s.
@@ -26,7 +26,8 @@
 MOST_MIXED = 2
 
 
-async def scenario(deployment):
+async def scenario(deployment: Deployment) -> bool:
+    """Play the case, and return whether the rule held."""
     services = [make_engine_service("llm", stride=STRIDE)]
     route = make_route(
         "plan", "streaming", "llm", resumable=True, maxAttempts=2, gapAimMs=500
@@ -46,7 +47,7 @@
     found = (name for name in names if deployment.balancer.choose(name, 0) is first)
     streams = [Stream(next(found)) for _ in range(CLIENTS)]
 
-    async def call(stream):
+    async def call(stream: Stream) -> None:
         loop = asyncio.get_running_loop()
         end_s = loop.time() + BUDGET_S
         for attempt in range(1 + RETRIES):
@@ -69,7 +70,7 @@
             left_s = end_s - loop.time()
             await asyncio.sleep(max(0.05, min(got.retry_after_s, left_s / 3)))
 
-    async def release():
+    async def release() -> None:
         await asyncio.sleep(RELEASE_S)
         for number in (1, 2):
             name = f"new-{number}"
@@ -82,7 +83,7 @@
             await worker.stop()
             deployment.note(f"{worker.name} ended")
 
-    async def restart():
+    async def restart() -> None:
         await asyncio.sleep(RESTART_S)
         await second.terminate()
         await second.restart()
@@ -95,9 +96,13 @@
     await asyncio.gather(*tasks)
     mixed = [stream for stream in streams if len(stream.builds) > 1]
     for stream in streams:
-        ends = [(item.gateway, item.status, len(item.events)) for item in stream.attempts]
+        ends = [
+            (item.gateway, item.status, len(item.events)) for item in stream.attempts
+        ]
         deployment.note(f"{stream.client}: versions {stream.builds}, attempts {ends}")
-    deployment.note(f"{len(mixed)} of {len(streams)} streams hold events of two versions")
+    deployment.note(
+        f"{len(mixed)} of {len(streams)} streams hold events of two versions"
+    )
     return len(mixed) <= MOST_MIXED
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -4,10 +4,10 @@
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "tests"))
 
-from common.client import ask, make_headers
-from common.run import WORKER_HOST, main, make_plain_service, make_route
+from common.client import Attempt, ask, make_headers
+from common.run import WORKER_HOST, Deployment, main, make_plain_service, make_route
 from common.worker import Worker
 
 WORKERS = 3
@@ -22,13 +22,15 @@
 
     missing = ""
 
-    def make_entry(self):
+    def make_entry(self) -> dict:
+        """Return the entry without the missing field."""
         entry = super().make_entry()
         del entry[self.missing]
         return entry
 
 
-async def scenario(deployment):
+async def scenario(deployment: Deployment) -> bool:
+    """Play the case, and return whether the rule held."""
     route = make_route(
         "book", "non_idempotent", "desk", timeoutMs=2000, targetLatencyMs=300
     )
@@ -55,7 +57,7 @@
     await deployment.open(gateways=2)
     await asyncio.sleep(3.5)
 
-    async def call(number):
+    async def call(number: int) -> Attempt:
         await asyncio.sleep(number / REQUESTS_PER_S)
         gateway = deployment.balancer.choose(f"client-{number}", 0)
         headers = make_headers("", BUDGET_S * 1000)
--- a/review/common/__init__.py
+++ b/review/tests/common/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins of cases 6 to 10: platform, store, workers and clients, without libraries."""
+"""Stand-ins of cases 6 to 10: platform, store, workers and clients."""
--- a/review/common/gateway.py
+++ b/review/tests/common/gateway.py
@@ -13,7 +13,7 @@
 
 __all__ = ["Balancer", "Gateway", "Ports"]
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[3]
 POLL_S = 1.0
 MISSES = 2
 RESTART_S = 0.5
@@ -23,7 +23,7 @@
 class Ports:
     """Free ports on all the loopback addresses that a script uses."""
 
-    def __init__(self, hosts):
+    def __init__(self, hosts) -> None:
         self._hosts = hosts
         self._next = 21_000 + os.getpid() % 5000
 
@@ -34,7 +34,7 @@
                 return self._next
 
 
-def _is_free(host, port):
+def _is_free(host, port) -> bool:
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as probe:
             try:
@@ -52,7 +52,9 @@
     :param bounds: of the site.
     """
 
-    def __init__(self, name, host, ports, store_address, folder, note, bounds, **limits):
+    def __init__(
+        self, name, host, ports, store_address, folder, note, bounds, **limits
+    ) -> None:
         self.name, self.host = name, host
         self.front, self.ready, self.internal = ports
         self.started_s = float("inf")
@@ -60,7 +62,12 @@
         self._note = note
         self._log = folder / f"{name}.log"
         self._settings = folder / f"{name}.toml"
-        limits = {"cpuShare": 0.817, "cores": 1, "memoryMb": 300, "maxFds": 4200} | limits
+        limits = {
+            "cpuShare": 0.817,
+            "cores": 1,
+            "memoryMb": 300,
+            "maxFds": 4200,
+        } | limits
         rows = [
             f'nodeName = "{name}"',
             'role = "gateway"',
@@ -96,7 +103,7 @@
         ]
         self._settings.write_text("\n".join(rows) + "\n")
 
-    async def start(self):
+    async def start(self) -> None:
         """Start the process; it needs some time to be ready."""
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         command = deploy["roles"]["gateway"]["run"].split()
@@ -112,7 +119,7 @@
         self.started_s = time.monotonic()
         self._note(f"{self.name} started")
 
-    async def wait_until_ready(self, timeout_s=20.0):
+    async def wait_until_ready(self, timeout_s=20.0) -> None:
         async with asyncio.timeout(timeout_s):
             while not await self.is_ready():
                 if self.process.returncode is not None:
@@ -120,14 +127,14 @@
                 await asyncio.sleep(0.05)
         self._note(f"{self.name} ready")
 
-    async def kill(self):
+    async def kill(self) -> None:
         """Send SIGKILL and wait for the end."""
         self._note(f"{self.name} killed")
         self.process.send_signal(signal.SIGKILL)
         await self.process.wait()
         self.started_s = float("inf")
 
-    async def terminate(self, grace_s=8.0):
+    async def terminate(self, grace_s=8.0) -> None:
         """Send SIGTERM, and SIGKILL at the end of the grace period."""
         self._note(f"{self.name} gets SIGTERM")
         self.process.send_signal(signal.SIGTERM)
@@ -139,12 +146,12 @@
         self.started_s = float("inf")
         self._note(f"{self.name} ended")
 
-    async def restart(self):
+    async def restart(self) -> None:
         """Start again after the platform's short delay."""
         await asyncio.sleep(RESTART_S)
         await self.start()
 
-    async def close(self):
+    async def close(self) -> None:
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
@@ -169,15 +176,15 @@
 class Balancer:
     """Chooses a gateway for each new channel of a client, as PROTOCOL.md says."""
 
-    def __init__(self, gateways):
+    def __init__(self, gateways) -> None:
         self.gateways = gateways
         self._misses = dict.fromkeys((item.name for item in gateways), 0)
         self._task = None
 
-    def start(self):
+    def start(self) -> None:
         self._task = asyncio.create_task(self._poll())
 
-    def stop(self):
+    def stop(self) -> None:
         self._task.cancel()
 
     def list_rotation(self):
@@ -190,7 +197,7 @@
         rotation = self.list_rotation()
         return rotation[(zlib.crc32(client.encode()) + attempt) % len(rotation)]
 
-    async def _poll(self):
+    async def _poll(self) -> None:
         while True:
             answers = await asyncio.gather(*(item.is_ready() for item in self.gateways))
             for gateway, is_ready in zip(self.gateways, answers, strict=True):
--- a/review/common/http.py
+++ b/review/tests/common/http.py
@@ -63,7 +63,7 @@
     return "\r\n".join(rows).encode("latin-1") + b"\r\n\r\n" + body
 
 
-async def close_writer(writer):
+async def close_writer(writer) -> None:
     """Close a connection and wait for it, whatever its state."""
     writer.close()
     try:
--- a/review/common/proxy.py
+++ b/review/tests/common/proxy.py
@@ -12,7 +12,7 @@
     A channel that has gone silent stays open; bytes in either direction are lost.
     """
 
-    def __init__(self, host, port, target_port):
+    def __init__(self, host, port, target_port) -> None:
         self.address = f"{host}:{port}"
         self._host, self._port, self._target_port = host, port, target_port
         self._server = None
@@ -20,10 +20,10 @@
         self._silent = set()
         self._tasks = set()
 
-    async def start(self):
+    async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, self._host, self._port)
 
-    async def stop(self):
+    async def stop(self) -> None:
         self._server.close()
         for task in tuple(self._tasks):
             task.cancel()
@@ -34,7 +34,7 @@
         self._silent |= self._open
         return len(self._open)
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, reader, writer) -> None:
         self._tasks.add(asyncio.current_task())
         channel = object()
         self._open.add(channel)
@@ -61,7 +61,7 @@
             writer.close()
             self._tasks.discard(asyncio.current_task())
 
-    async def _relay(self, channel, reader, writer):
+    async def _relay(self, channel, reader, writer) -> None:
         while data := await reader.read(65536):
             if channel not in self._silent:
                 writer.write(data)
--- a/review/common/run.py
+++ b/review/tests/common/run.py
@@ -88,7 +88,7 @@
 class Deployment:
     """The store, the workers, the gateways and the balancer of one run."""
 
-    def __init__(self, folder, record, has_trouble):
+    def __init__(self, folder, record, has_trouble) -> None:
         self.folder, self.has_trouble = folder, has_trouble
         self._record = record
         self._begin_s = time.monotonic()
@@ -102,12 +102,12 @@
         self._gateway_ports = [self.ports.take() for _ in range(3)]
         self._version = 0
 
-    def note(self, text):
+    def note(self, text) -> None:
         elapsed_s = time.monotonic() - self._begin_s
         self._record.write(f"{elapsed_s:8.3f} {text}\n")
         self._record.flush()
 
-    def configure(self, routes, services):
+    def configure(self, routes, services) -> None:
         """Write the next configuration, as the operator does."""
         self._version += 3
         document = {
@@ -137,7 +137,7 @@
         self.note(f"{name} of {service} started, version {worker.build}")
         return worker
 
-    async def open(self, gateways):
+    async def open(self, gateways) -> None:
         """Start the store and the gateways, and wait until these are ready."""
         for number, host in enumerate(GATEWAY_HOSTS[:gateways], 1):
             gateway = Gateway(
@@ -156,7 +156,7 @@
         self.balancer = Balancer(self.gateways)
         self.balancer.start()
 
-    async def close(self):
+    async def close(self) -> None:
         if self.balancer is not None:
             self.balancer.stop()
         await asyncio.gather(*(item.close() for item in self.gateways))
@@ -165,7 +165,7 @@
         await self.store.stop()
 
 
-def main(case, scenario):
+def main(case, scenario) -> None:
     """
     Run a scenario and exit: 0 if the rule held, 1 if it was broken, 2 if it didn't run.
 
@@ -184,16 +184,18 @@
             await deployment.close()
 
     code = 2
-    with tempfile.TemporaryDirectory() as folder:
-        with (case_folder / "record.txt").open("w") as record:
-            deployment = Deployment(Path(folder), record, has_trouble)
-            try:
-                code = 0 if asyncio.run(run(deployment)) else 1
-            except Exception:
-                deployment.note(traceback.format_exc())
-                for gateway in deployment.gateways:
-                    deployment.note(f"log of {gateway.name}:\n{gateway.read_log()}")
-            text = {0: "the rule held", 1: "the rule is broken", 2: "not run"}[code]
-            deployment.note(f"{text}; exit {code}")
+    with (
+        tempfile.TemporaryDirectory() as folder,
+        (case_folder / "record.txt").open("w") as record,
+    ):
+        deployment = Deployment(Path(folder), record, has_trouble)
+        try:
+            code = 0 if asyncio.run(run(deployment)) else 1
+        except Exception:
+            deployment.note(traceback.format_exc())
+            for gateway in deployment.gateways:
+                deployment.note(f"log of {gateway.name}:\n{gateway.read_log()}")
+        text = {0: "the rule held", 1: "the rule is broken", 2: "not run"}[code]
+        deployment.note(f"{text}; exit {code}")
     print(text)
     sys.exit(code)
--- a/review/common/store.py
+++ b/review/tests/common/store.py
@@ -18,7 +18,7 @@
 class Store:
     """Keys, revisions, watches, conditional writes and leases; loses nothing."""
 
-    def __init__(self, host, port):
+    def __init__(self, host, port) -> None:
         self.address = f"{host}:{port}"
         self._host, self.port = host, port
         self.rows = {}
@@ -30,11 +30,11 @@
         self._server = None
         self._expiry = None
 
-    async def start(self):
+    async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, self._host, self.port)
         self._expiry = asyncio.create_task(self._expire())
 
-    async def stop(self):
+    async def stop(self) -> None:
         self._expiry.cancel()
         self._server.close()
 
@@ -54,17 +54,17 @@
         self._publish(self.rows[key])
         return self.rev
 
-    def remove(self, key):
+    def remove(self, key) -> None:
         if self.rows.pop(key, None) is not None:
             self.rev += 1
             self._publish({"key": key, "rev": self.rev, "removed": True})
 
-    def _publish(self, event):
+    def _publish(self, event) -> None:
         self._history.append(event)
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _expire(self):
+    async def _expire(self) -> None:
         while True:
             await asyncio.sleep(LEASE_CHECK_S)
             now = time.monotonic()
@@ -72,12 +72,12 @@
                 if end_s <= now:
                     self._end_lease(lease)
 
-    def _end_lease(self, lease):
+    def _end_lease(self, lease) -> None:
         self._leases.pop(lease, None)
         for key in [key for key, row in self.rows.items() if row["lease"] == lease]:
             self.remove(key)
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, reader, writer) -> None:
         try:
             while True:
                 request = await read_message(reader)
@@ -95,7 +95,9 @@
 
     async def _answer(self, request):
         parts = urlsplit(request.target)
-        query = {name: values[0] for name, values in parse_qs(parts.query, True).items()}
+        query = {
+            name: values[0] for name, values in parse_qs(parts.query, True).items()
+        }
         call, _, rest = parts.path.removeprefix("/persimmonferry/").partition("/")
         match request.method, call:
             case "GET", "kv-key":
--- a/review/common/worker.py
+++ b/review/tests/common/worker.py
@@ -42,7 +42,7 @@
         event_s=None,
         stride=1,
         work_s=0.02,
-    ):
+    ) -> None:
         self.name, self.service, self.build, self.zone = name, service, build, zone
         self.slots, self.event_s, self.work_s = slots, event_s, work_s
         self.stride = stride
@@ -62,22 +62,22 @@
         self._server = None
         self._beat = None
 
-    async def start(self):
+    async def start(self) -> None:
         self._server = await asyncio.start_server(self._serve, self._host, self._port)
         self.register()
 
-    def register(self):
+    def register(self) -> None:
         """Write the entry now, and each heartbeat."""
         self._beat = asyncio.create_task(self._register_often())
 
-    def deregister(self):
+    def deregister(self) -> None:
         """Remove the entry; the worker goes on serving."""
         self._stop_heartbeat()
         self.is_leaving = True
         self._store.remove(f"servers/{self.name}")
         self._note(f"{self.name} entry removed")
 
-    async def stop(self):
+    async def stop(self) -> None:
         """End the process: no more answers, and all its connections are reset."""
         self._stop_heartbeat()
         if self._server is not None:
@@ -103,16 +103,16 @@
             entry |= {"stage": "both", "models": models}
         return entry
 
-    def write_entry(self):
+    def write_entry(self) -> None:
         self._sequence += 1
         self._store.put(f"servers/{self.name}", self.make_entry())
 
-    def _stop_heartbeat(self):
+    def _stop_heartbeat(self) -> None:
         if self._beat is not None:
             self._beat.cancel()
             self._beat = None
 
-    async def _register_often(self):
+    async def _register_often(self) -> None:
         self.write_entry()
         # Workers don't beat at the same moments.
         await asyncio.sleep(random.uniform(0.0, HEARTBEAT_S))
@@ -120,7 +120,7 @@
             self.write_entry()
             await asyncio.sleep(HEARTBEAT_S)
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, reader, writer) -> None:
         self._writers.add(writer)
         try:
             while True:
@@ -193,7 +193,7 @@
             self._running -= 1
             self._free.release()
 
-    def _record(self, request, *, ran):
+    def _record(self, request, *, ran) -> None:
         call_id = request.headers.get("request-id", "")
         row = (time.monotonic(), call_id, ran, request.headers)
         self.arrivals.append(row)
@@ -201,7 +201,7 @@
         ran = "runs" if ran else "refuses"
         self._note(f"{self.name} ({self.build}) {ran} {call_id} after event {after}")
 
-    async def _refuse(self, request, writer, status):
+    async def _refuse(self, request, writer, status) -> bool:
         self._record(request, ran=False)
         call_id = request.headers.get("request-id", "")
         headers = [("Request-Id", call_id), ("Not-Executed", "1")]
@@ -220,7 +220,7 @@
             headers.append(("Server-Leaving", "1"))
         return headers
 
-    async def _stream(self, request, writer):
+    async def _stream(self, request, writer) -> None:
         """Send events for all tokens asked for, after the last one that is named."""
         call_id = request.headers["request-id"]
         tokens = int(request.headers["token-counts"].split(",")[1])
@@ -241,4 +241,3 @@
             await asyncio.sleep(self.event_s)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
-
