--- a/review/tests/common/run.py
+++ b/review/tests/common/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -175,6 +176,9 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run(deployment):
+        # A script that is ended ends what it has started.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         await deployment.store.start()
         await deployment.proxy.start()
         try:
@@ -191,7 +195,7 @@
         deployment = Deployment(Path(folder), record, has_trouble)
         try:
             code = 0 if asyncio.run(run(deployment)) else 1
-        except Exception:
+        except (Exception, asyncio.CancelledError):
             deployment.note(traceback.format_exc())
             for gateway in deployment.gateways:
                 deployment.note(f"log of {gateway.name}:\n{gateway.read_log()}")
