--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,79 +1,99 @@
-"""Entries of another writer, with fields missing, lie among those of the workers."""
+"""An entry of another writer is in the store when all gateways start again."""
 
 import asyncio
+import json
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "tests"))
 
 from common.client import Attempt, ask, make_headers
-from common.run import WORKER_HOST, Deployment, main, make_plain_service, make_route
-from common.worker import Worker
+from common.run import BOUNDS, Deployment, main, make_plain_service, make_route
 
-WORKERS = 3
-REQUESTS = 120
 REQUESTS_PER_S = 20.0
+WORKERS = 4
 BUDGET_S = 4.0
-MISSING = ("sequence", "coldLeftMs", "born")
-
-
-class Other(Worker):
-    """A server of another writer; its entry lacks a field."""
-
-    missing = ""
-
-    def make_entry(self) -> dict:
-        """Return the entry without the missing field."""
-        entry = super().make_entry()
-        del entry[self.missing]
-        return entry
+ENTRY_S = 1.0
+KILL_S = 4.0
+# From recoveryS after the machines are back, for this long.
+JUDGED_S = 6.0
+# A number in place of milliseconds; no clock counts so far.
+DIGITS = 400
 
 
 async def scenario(deployment: Deployment) -> bool:
     """Play the case, and return whether the rule held."""
     route = make_route(
-        "book", "non_idempotent", "desk", timeoutMs=2000, targetLatencyMs=300
+        "status", "idempotent", "desk", timeoutMs=2000, targetLatencyMs=300
     )
     deployment.configure([route], [make_plain_service("desk")])
     for number in range(WORKERS):
         await deployment.add_worker(f"i-7f3a{number}", "desk", slots=6)
-    others = []
-    for name in MISSING if deployment.has_trouble else ():
-        port = deployment.ports.take()
-        other = Other(
-            deployment.store,
-            f"other-without-{name}",
-            "desk",
-            WORKER_HOST,
-            port,
-            deployment.note,
-            slots=6,
-        )
-        other.missing = name
-        await other.start()
-        deployment.note(f"entry of {other.name}: {other.make_entry()}")
-        others.append(other)
-        deployment.workers.append(other)
     await deployment.open(gateways=2)
-    await asyncio.sleep(3.5)
+    await asyncio.sleep(3.0)
+    calls = []
+    is_done = asyncio.Event()
 
     async def call(number: int) -> Attempt:
-        await asyncio.sleep(number / REQUESTS_PER_S)
         gateway = deployment.balancer.choose(f"client-{number}", 0)
         headers = make_headers("", BUDGET_S * 1000)
-        got = await ask(gateway, "POST", f"/book/{number}", headers, BUDGET_S)
-        seal = got.answer.get("response-seal")
-        deployment.note(f"{got.call_id}: status {got.status}, seal {seal}")
-        return got
+        return await ask(
+            gateway,
+            "GET",
+            f"/status/{number}",
+            headers,
+            BUDGET_S,
+            note=deployment.note,
+        )
+
+    async def send() -> None:
+        while not is_done.is_set():
+            calls.append(asyncio.create_task(call(len(calls))))
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+
+    sending = asyncio.create_task(send())
+    await asyncio.sleep(ENTRY_S)
+    if deployment.has_trouble:
+        entry = {
+            "service": "desk",
+            "address": "127.0.3.9:9",
+            "zone": "z1",
+            "version": "1.0",
+            "slots": 6,
+            "state": "ready",
+            "coldLeftMs": int("9" * DIGITS),
+            "sequence": 1,
+            "born": 1,
+        }
+        deployment.store.put("servers/i-00c1", json.dumps(entry).encode())
+        deployment.note("another writer has written servers/i-00c1")
+    await asyncio.sleep(KILL_S - ENTRY_S)
+    # The final fault: all processes are killed.
+    killed_s = time.monotonic()
+    await asyncio.gather(*(gateway.kill() for gateway in deployment.gateways))
+    await asyncio.gather(*(gateway.restart() for gateway in deployment.gateways))
+    back_s = max(gateway.started_s for gateway in deployment.gateways)
+    await asyncio.sleep(BOUNDS["recoveryS"] + JUDGED_S)
+    is_done.set()
+    await sending
+    attempts = await asyncio.gather(*calls)
+
+    def share(found: list[Attempt]) -> float:
+        served = sum(item.status == 200 and item.is_whole for item in found)
+        deployment.note(f"  {served} of {len(found)} served")
+        return served / len(found)
 
-    attempts = await asyncio.gather(*(call(number) for number in range(REQUESTS)))
-    ran = {
-        other.name: sum(has_run for _, _, has_run, _ in other.arrivals)
-        for other in others
-    }
-    served = sum(item.status == 200 for item in attempts)
-    deployment.note(f"{served} of {REQUESTS} answered with 200; ran at servers: {ran}")
-    return not sum(ran.values())
+    deployment.note("before the final fault:")
+    before = share([item for item in attempts if item.sent_s < killed_s])
+    from_s = back_s + BOUNDS["recoveryS"]
+    deployment.note(f"later than {BOUNDS['recoveryS']} s after the machines were back:")
+    after = share([item for item in attempts if item.sent_s > from_s])
+    for gateway in deployment.gateways:
+        ready = "ready" if await gateway.is_ready() else "not ready"
+        errors = gateway.read_log().count("registry response could not be applied")
+        deployment.note(f"{gateway.name}: {ready}, {errors} responses not applied")
+    return not (before >= 0.25 and after < 0.25)
 
 
 if __name__ == "__main__":
--- a/review/tests/common/client.py
+++ b/review/tests/common/client.py
@@ -86,11 +86,15 @@
 async def ask(gateway, method, path, headers, timeout_s, *, on_open=None, note=None):
     """Send a request on a new channel and read its answer until its end."""
     attempt = Attempt(headers["Request-Id"], gateway.name, time.monotonic(), headers)
+    if note is not None:
+        note(f"{headers['Request-Id']} sent to {gateway.name}: {method} {path}")
     try:
         async with asyncio.timeout(CONNECT_S):
             reader, writer = await asyncio.open_connection(gateway.host, gateway.front)
     except (OSError, TimeoutError):
         attempt.status, attempt.ended_s = -1, time.monotonic()
+        if note is not None:
+            note(f"{headers['Request-Id']} at {gateway.name}: no channel")
         return attempt
     rows = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
     try:
