Record which builds serve, for gateways that start after one has left

Cause: whether a stream may go on at any upstream was decided from the builds that this process had seen serving. A gateway that starts when the list holds one build only took it for the only one ever and asked no other gateway.

Change: builds that serve are on record in the registry, one key each under a lease of 600 s, written and renewed by the gateway that the build's hash names. A gateway that starts reads them with its first list; what is on record and serves no more counts as a build that has left just now.

Why it works: the record is written when a build comes, so it is there before the build can leave, needs no gateway to be alive when another one starts, and arrives in the same list as the upstreams.

--- a/packages/core/src/persimmonferry_core/stream_origins.py
+++ b/packages/core/src/persimmonferry_core/stream_origins.py
@@ -7,7 +7,13 @@
 
 from persimmonferry_core.fingerprints import HASH_BYTES
 
-__all__ = ["MAX_LIFETIME_S", "StreamOrigin", "StreamOrigins", "hash_stream"]
+__all__ = [
+    "MAX_LIFETIME_S",
+    "ServiceBuild",
+    "StreamOrigin",
+    "StreamOrigins",
+    "hash_stream",
+]
 
 # Streams are forgotten after this time, however long their callers want to wait.
 MAX_LIFETIME_S = 600.0
@@ -31,6 +37,14 @@
     return int.from_bytes(digest, "big", signed=True)
 
 
+@dataclass(frozen=True, order=True)
+class ServiceBuild:
+    """A build that serves in a service, or has served there."""
+
+    service: str
+    build: str
+
+
 @dataclass(frozen=True)
 class StreamOrigin:
     """
@@ -58,6 +72,9 @@
     messages for a stream does not grow with the fleet. While a service has one build,
     nothing is announced; when another one comes, the streams under way are.
 
+    An entry that starts after a build has left has seen no upstream of it. It takes the
+    builds that other entries have recorded for builds that may have left just now.
+
     :param entry: name of the entry that decides.
 
     >>> origins = StreamOrigins("e1")
@@ -77,7 +94,8 @@
         self._ring: list[tuple[int, str]] = []
         self._builds: Mapping[str, frozenset[str]] = {}
         # Until when streams of builds that have left may be taken up.
-        self._left_until_s: dict[tuple[str, str], float] = {}
+        self._left_until_s: dict[ServiceBuild, float] = {}
+        self._recorded: frozenset[ServiceBuild] = frozenset()
         self._streams: dict[int, StreamOrigin] = {}
         self._own: set[int] = set()
         self._expired_s = float("-inf")
@@ -102,21 +120,36 @@
         names = (self._ring[place][1] for place in places)
         return tuple(name for name in names if name != self._entry)
 
+    def is_first_holder(self, item: ServiceBuild) -> bool:
+        """Whether this entry records that a build serves; all entries agree."""
+        if not self._ring:
+            return False
+        place = bisect(self._ring, (hash_stream(item.build, item.service), ""))
+        return self._ring[place % len(self._ring)][1] == self._entry
+
     def set_builds(
-        self, builds: Mapping[str, frozenset[str]], lifetime_s: float, now: float
+        self,
+        builds: Mapping[str, frozenset[str]],
+        lifetime_s: float,
+        now: float,
+        recorded: frozenset[ServiceBuild] = frozenset(),
     ) -> tuple[StreamOrigin, ...]:
         """
         Set the builds that serve in each service.
 
         :param lifetime_s: longest time for which callers wait for a stream.
+        :param recorded: builds that any entry has seen in the last ``MAX_LIFETIME_S``.
         :returns: own streams that are to be announced now.
         """
         former = {name for name in self._builds if self.is_mixed(name, now)}
         until_s = now + min(lifetime_s, MAX_LIFETIME_S)
         for service, known in self._builds.items():
             for build in known - builds.get(service, frozenset()):
-                self._left_until_s[(service, build)] = until_s
-        self._builds = builds
+                self._left_until_s[ServiceBuild(service, build)] = until_s
+        for item in recorded - self._recorded:
+            if item.build not in builds.get(item.service, frozenset()):
+                self._left_until_s[item] = until_s
+        self._builds, self._recorded = builds, recorded
         begun = {name for name in builds if self.is_mixed(name, now)} - former
         if not begun:
             return ()
@@ -130,8 +163,8 @@
         if len(serving) > 1:
             return True
         return any(
-            name == service and build not in serving and until_s > now
-            for (name, build), until_s in self._left_until_s.items()
+            item.service == service and item.build not in serving and until_s > now
+            for item, until_s in self._left_until_s.items()
         )
 
     def record_own(self, origin: StreamOrigin, now: float) -> bool:
@@ -146,7 +179,7 @@
         self._streams.setdefault(origin.stream, origin)
         if origin.build not in self._builds.get(origin.service, frozenset()):
             # Its upstreams have left, or this entry has not heard of them yet.
-            key = (origin.service, origin.build)
+            key = ServiceBuild(origin.service, origin.build)
             until_s = max(origin.expires_s, self._left_until_s.get(key, 0.0))
             self._left_until_s[key] = until_s
         if len(self._streams) > MAX_STREAMS:
--- a/packages/core/tests/test_stream_origins.py
+++ b/packages/core/tests/test_stream_origins.py
@@ -1,6 +1,7 @@
 from persimmonferry_core.stream_origins import (
     HOLDERS,
     MAX_STREAMS,
+    ServiceBuild,
     StreamOrigin,
     StreamOrigins,
     hash_stream,
@@ -50,6 +51,22 @@
     assert not origins.is_mixed("s", 25.1)
 
 
+def test_a_build_that_left_before_the_start_counts_once():
+    origins = StreamOrigins("g0")
+    builds, recorded = {"s": frozenset({"v2"})}, frozenset({ServiceBuild("s", "v1")})
+    origins.set_builds(builds, 15.0, 10.0, recorded)
+    assert origins.is_mixed("s", 24.9)
+    origins.set_builds(builds, 15.0, 20.0, recorded)
+    assert not origins.is_mixed("s", 25.1)
+
+
+def test_one_entry_records_a_build():
+    everyone = [make_origins(name) for name in ENTRIES]
+    for number in range(20):
+        item = ServiceBuild("s", f"v{number}")
+        assert sum(origins.is_first_holder(item) for origins in everyone) == 1
+
+
 def test_a_build_that_comes_back_is_the_same():
     origins = make_origins(builds=("v1",))
     origins.set_builds({"s": frozenset()}, 15.0, 1.0)
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -8,7 +8,7 @@
 
 from persimmonferry_core.cache_stores import CacheStoreIndex, StoreUpdate
 from persimmonferry_core.codes import ResultCode
-from persimmonferry_core.deployment import CallRoute, UpstreamRecord
+from persimmonferry_core.deployment import CallRoute, Deployment, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher, Refused
 from persimmonferry_core.exceptions import FerryError, NotRun
 from persimmonferry_core.incoming import IncomingCall
@@ -25,6 +25,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+from persimmonferry_gateway.build_records import BuildRecords
 from persimmonferry_gateway.call_handler import CallContext, CallHandler
 from persimmonferry_gateway.call_log import RateLimitedLog
 from persimmonferry_gateway.callers import (
@@ -72,6 +73,7 @@
 MAX_REGISTRY_SILENCE_FOR_FETCH_S = 3.0
 GATEWAY_PREFIX = OWN_PREFIX + "gateways/"
 QUARANTINE_PREFIX = OWN_PREFIX + "quarantine/"
+BUILD_PREFIX = OWN_PREFIX + "builds/"
 # The entry of a gateway that was killed expires after this time; its messages stop at
 # once.
 REGISTRATION_LEASE_S = 5.0
@@ -157,6 +159,9 @@
         self._streams = StreamDirectory(
             settings.name, self._origins, self._loop.time, self._peers.send_streams
         )
+        self._build_records = BuildRecords(
+            registry, BUILD_PREFIX, self._origins.is_first_holder
+        )
         self._quarantine = Quarantine(settings.name)
         self._crash_reports = CrashReports(
             self._quarantine,
@@ -266,6 +271,7 @@
         self._election.start()
         self._rollout.start()
         self._crash_reports.start()
+        self._build_records.start()
         self._maintain()
 
     async def stop(self) -> None:
@@ -286,6 +292,7 @@
         await self._metrics_server.stop()
         await self._stores.stop()
         await self._crash_reports.stop()
+        await self._build_records.stop()
         await self._registry_watch.stop()
 
     def apply_settings(self, settings: GatewaySettings) -> None:
@@ -521,6 +528,7 @@
         self._election.record_leader(ROLLOUT_KEY in keys)
         self._apply_all_gateways(snapshot)
         self._crash_reports.apply_snapshot(snapshot)
+        self._build_records.apply_snapshot(snapshot)
         self._after_registry_change()
 
     def _apply_changes(self, changes: Changes) -> None:
@@ -532,6 +540,7 @@
                 self._election.record_leader(item.value is not None)
         self._apply_gateways(changes.items)
         self._crash_reports.apply_items(changes.items)
+        self._build_records.apply_items(changes.items)
         self._after_registry_change()
 
     def _estimate_change_time(self) -> float:
@@ -589,13 +598,22 @@
         if deployment is not None:
             self._server.set_limits(deployment.limits)
             self._stores.configure(deployment.stores)
-            lifetimes = (route.timeout_s for route in deployment.routes)
-            self._streams.set_builds(
-                self._cluster.list_builds(), max(lifetimes, default=0.0)
-            )
+            self._apply_builds(deployment)
         self._peers.set_engines(self._cluster.list_engine_names())
         self._schedule_assignment()
 
+    def _apply_builds(self, deployment: Deployment) -> None:
+        builds = self._cluster.list_builds()
+        # An entry of another writer may name any service.
+        known = {service.name for service in deployment.services}
+        self._build_records.set_serving(
+            {name: found for name, found in builds.items() if name in known}
+        )
+        lifetimes = (route.timeout_s for route in deployment.routes)
+        self._streams.set_builds(
+            builds, max(lifetimes, default=0.0), self._build_records.list_recorded()
+        )
+
     def _apply_store_update(self, update: StoreUpdate) -> None:
         self._stores.apply_update(update)
 
--- a/packages/gateway/src/persimmonferry_gateway/stream_directory.py
+++ b/packages/gateway/src/persimmonferry_gateway/stream_directory.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from persimmonferry_core.stream_origins import StreamOrigin, StreamOrigins
+from persimmonferry_core.stream_origins import (
+    ServiceBuild,
+    StreamOrigin,
+    StreamOrigins,
+)
 from persimmonferry_wire.generated.peers.ttypes import BegunStream, StreamNews
 
 __all__ = ["StreamDirectory"]
@@ -52,11 +56,14 @@
         self._questions: dict[int, _Question] = {}
 
     def set_builds(
-        self, builds: Mapping[str, frozenset[str]], lifetime_s: float
+        self,
+        builds: Mapping[str, frozenset[str]],
+        lifetime_s: float,
+        recorded: frozenset[ServiceBuild],
     ) -> None:
         """Set the builds that serve in each service, as ``StreamOrigins`` does."""
         now = self._read_clock()
-        self._announce(self._origins.set_builds(builds, lifetime_s, now))
+        self._announce(self._origins.set_builds(builds, lifetime_s, now, recorded))
 
     def is_mixed(self, services: Iterable[str]) -> bool:
         """Whether streams of several builds of any of the services are under way."""
