Apply items of the registry one by one, and bound their numbers

Cause: decode_upstream raised OverflowError, and any error but ValueError ended the application of the whole list, so that all upstreams behind the entry were lost; the watch then listed the same items again for ever.

Independently of that, items are applied one by one (registry_items.apply_each) by all four readers of the registry; an error with one is logged with its key. An upstream that can't be applied is dropped.

Why it works: what can't be decoded is dropped as before, and what no decoder foresees costs its own item only.

--- a/packages/core/src/persimmonferry_core/topology.py
+++ b/packages/core/src/persimmonferry_core/topology.py
@@ -3,7 +3,9 @@
 import enum
 from dataclasses import dataclass
 
-__all__ = ["VM", "Address", "FailureDomain", "Link", "Role", "VMState"]
+__all__ = ["MAX_PORT", "VM", "Address", "FailureDomain", "Link", "Role", "VMState"]
+
+MAX_PORT = 65_535
 
 
 @dataclass(frozen=True, order=True)
@@ -30,10 +32,16 @@
 
         >>> Address.parse("127.0.0.1:80")
         Address(host='127.0.0.1', port=80)
+        >>> Address.parse("127.0.0.1:65536")
+        Traceback (most recent call last):
+            ...
+        ValueError: port 65536 is out of range
         """
         host, separator, port = text.rpartition(":")
         if not separator or not host:
             raise ValueError(f"{text!r} is not of the form host:port")
+        if not 0 <= int(port) <= MAX_PORT:
+            raise ValueError(f"port {port} is out of range")
         return cls(host, int(port))
 
 
--- a/packages/gateway/src/persimmonferry_gateway/build_records.py
+++ b/packages/gateway/src/persimmonferry_gateway/build_records.py
@@ -21,6 +21,7 @@
     Registry,
     Snapshot,
 )
+from persimmonferry_gateway.registry_items import apply_each
 
 __all__ = ["BuildRecords"]
 
@@ -94,9 +95,8 @@
 
     def apply_items(self, items: Iterable[Item]) -> None:
         """Apply changed items of the registry."""
-        for item in items:
-            if item.key.startswith(self._prefix):
-                self._apply_item(item)
+        own = (item for item in items if item.key.startswith(self._prefix))
+        apply_each(own, self._apply_item)
 
     def _apply_item(self, item: Item) -> None:
         self._records.pop(item.key, None)
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -22,6 +22,7 @@
     Snapshot,
     UpstreamLoad,
 )
+from persimmonferry_gateway.registry_items import apply_each
 
 __all__ = ["ClusterState"]
 
@@ -279,7 +280,8 @@
         is_restored: bool = False,
     ) -> None:
         codec = self._codec
-        for item in items:
+
+        def apply(item: Item) -> None:
             if item.key == codec.configuration_key:
                 self._apply_configuration(item, now)
             elif item.key.startswith(codec.weights_prefix):
@@ -289,6 +291,8 @@
             elif item.key.startswith(codec.evacuation_prefix):
                 self._apply_evacuation(item)
 
+        apply_each(items, apply)
+
     def _apply_configuration(self, item: Item, now: float) -> None:
         if item.value is None:
             _log.error(
@@ -360,6 +364,17 @@
         if is_restored and self.fleet.is_outdated(record):
             _log.info("outdated upstream entry ignored", extra={"upstream": name})
             return
+        try:
+            self._put(record, now)
+        except Exception:
+            # It would end the application of each later change of the deployment.
+            self.fleet.drop(name)
+            self._forget(name)
+            raise
+
+    def _put(self, record: UpstreamRecord, now: float) -> None:
+        """Add or replace an upstream."""
+        name = record.name
         former = self.find_record(name)
         self.fleet.put(record)
         if former == record:
--- a/packages/gateway/src/persimmonferry_gateway/crash_reports.py
+++ b/packages/gateway/src/persimmonferry_gateway/crash_reports.py
@@ -19,6 +19,7 @@
 
 from persimmonferry_gateway.call_log import RateLimitedLog
 from persimmonferry_gateway.interfaces import Item, Registry, Snapshot
+from persimmonferry_gateway.registry_items import apply_each
 
 __all__ = ["CrashReports"]
 
@@ -158,9 +159,8 @@
 
     def apply_items(self, items: Iterable[Item]) -> None:
         """Apply changed items of the registry."""
-        for item in items:
-            if item.key.startswith(self._prefix):
-                self._apply_item(item)
+        own = (item for item in items if item.key.startswith(self._prefix))
+        apply_each(own, self._apply_item)
 
     def count_crashes(self) -> dict[str, int]:
         """Return the number of crashes, by quarantined parts."""
@@ -177,7 +177,13 @@
             return
         try:
             entry = _decode_entry(item)
-        except (ValueError, TypeError, KeyError) as error:
+        except (
+            ValueError,
+            TypeError,
+            KeyError,
+            OverflowError,
+            RecursionError,
+        ) as error:
             cause = {"key": item.key, "cause": repr(error)}
             _log.warning("entry of quarantined parts malformed", extra=cause)
             return
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -57,6 +57,7 @@
 from persimmonferry_gateway.probes import Prober
 from persimmonferry_gateway.prompt_handler import PromptHandler
 from persimmonferry_gateway.registration import Registration
+from persimmonferry_gateway.registry_items import apply_each
 from persimmonferry_gateway.registry_watch import RegistryWatch
 from persimmonferry_gateway.settings import GatewaySettings
 from persimmonferry_gateway.stores import StoreWatch
@@ -578,16 +579,7 @@
 
     def _apply_gateways(self, items: tuple[Item, ...]) -> None:
         entries = [item for item in items if item.key.startswith(GATEWAY_PREFIX)]
-        for item in entries:
-            name = item.key.removeprefix(GATEWAY_PREFIX)
-            self._gateways.pop(name, None)
-            if item.value is None:
-                continue
-            try:
-                self._gateways[name] = Address.parse(item.value.decode())
-            except ValueError as error:
-                cause = {"key": item.key, "cause": str(error)}
-                _log.warning("gateway entry malformed", extra=cause)
+        apply_each(entries, self._apply_gateway)
         if entries:
             self._peers.set_peers(self._gateways)
             self._quarantine.set_entries(self._gateways)
@@ -596,6 +588,17 @@
             self._retry_shares.set_entries(self._gateways, boot_s)
             self._update_retry_policy(boot_s)
 
+    def _apply_gateway(self, item: Item) -> None:
+        name = item.key.removeprefix(GATEWAY_PREFIX)
+        self._gateways.pop(name, None)
+        if item.value is None:
+            return
+        try:
+            self._gateways[name] = Address.parse(item.value.decode())
+        except ValueError as error:
+            cause = {"key": item.key, "cause": str(error)}
+            _log.warning("gateway entry malformed", extra=cause)
+
     def _after_registry_change(self) -> None:
         self._retry_shares.confirm(read_boot_clock())
         deployment = self._cluster.deployment
