Let entries of services that aren't named set no wanted weights

What callers saw (by the regression test; not reported): while no operator has named weights, one entry of a service that the configuration doesn't name set the wanted version of a model (99 instead of 1); it also counted among the engines that get orders for weights and that gateways divide among themselves.

Initial versions and lists of engines were taken from all entries, also from those that name no upstream to use.

Change: only entries of a service that the configuration names as a model service count; they are looked at again when a configuration comes.

Evidence: test_an_entry_of_an_unknown_service_sets_the_wanted_weights failed before (99 == 1) and passes now.

--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -121,12 +121,22 @@
     def list_engines(self, model: str) -> tuple[UpstreamRecord, ...]:
         """Return the upstreams that serve a model."""
         records = self.fleet.records.values()
-        return tuple(item for item in records if item.find_version(model) is not None)
+        return tuple(
+            item
+            for item in records
+            if self._is_engine(item) and item.find_version(model) is not None
+        )
 
     def list_engine_names(self) -> tuple[str, ...]:
         """Return the names of all upstreams that serve any model."""
         records = self.fleet.records.values()
-        return tuple(record.name for record in records if record.weights)
+        return tuple(item.name for item in records if self._is_engine(item))
+
+    def _is_engine(self, record: UpstreamRecord) -> bool:
+        """Whether an upstream has weights, and is of a service that is named for it."""
+        service = self.deployment and self.deployment.find_service(record.service)
+        is_model = service is not None and service.engine is not None
+        return is_model and bool(record.weights)
 
     def list_builds(self) -> dict[str, frozenset[str]]:
         """Return the builds of the upstreams of each service."""
@@ -316,6 +326,8 @@
             _log.warning("older configuration ignored", extra=fields)
             return
         self.deployment = deployment
+        for record in self.fleet.records.values():
+            self._record_initial_versions(record)
         self._configure(now)
         _log.info(
             "configuration in force",
@@ -449,6 +461,8 @@
         return ceiling
 
     def _record_initial_versions(self, record: UpstreamRecord) -> None:
+        if not self._is_engine(record):
+            return
         for model, version in record.weights:
             if version > self._initial_versions.get(model, 0):
                 self._initial_versions[model] = version
