Plan the next periodic message before an error can end this one

Each periodic function planned its next run at its end, which an error skips.

Change: each plans its next run first. The error still ends that run and is logged by the event loop. So does the gateway's own maintenance.

Evidence: test_an_error_in_one_message_ends_all_later_ones failed before and passes now; the 16 other tests of the file passed before and do now.

--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -658,12 +658,13 @@
             self._cluster.fleet.record_registry_lost()
 
     def _maintain(self) -> None:
+        # Planned first, as an error ends this run.
+        self._loop.call_later(MAINTENANCE_INTERVAL_S, self._maintain)
         now = self._loop.time()
         self._cluster.expire(now)
         self._server.check(now)
         self._limit_starts(now, read_boot_clock())
         self._update_retry_policy(read_boot_clock())
-        self._loop.call_later(MAINTENANCE_INTERVAL_S, self._maintain)
 
     def _limit_starts(self, now: float, boot_s: float) -> None:
         """
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -558,17 +558,18 @@
         _log.debug("peer message lost", extra={"cause": str(error)})
 
     def _tick(self) -> None:
+        self._call_later("work", self.interval_s, self._tick)
         now = self._loop.time()
         limit_s = now - PEER_EXPIRY_INTERVALS * self.interval_s
         for name, peer in tuple(self._peer_states.items()):
             if peer.received_s < limit_s:
                 self._forget(name)
         self._send_work(now)
-        self._call_later("work", self.interval_s, self._tick)
 
     def _call_later(
         self, name: str, delay_s: float, function: Callable[[], None]
     ) -> None:
+        """Plan a run; each duty plans its next one first, as an error ends a run."""
         self._timers[name] = self._loop.call_later(delay_s, function)
 
     def _send_work(self, now: float) -> None:
@@ -641,6 +642,8 @@
 
     def _flush_updates(self) -> None:
         """Send the queued store updates, at most ``MAX_CHANGES`` in a datagram."""
+        interval_s = min(self.interval_s, UPDATE_INTERVAL_S)
+        self._call_later("updates", interval_s, self._flush_updates)
         updates, self._updates = self._updates, []
         batch: list[KeptUpdate] = []
         room = MAX_CHANGES
@@ -654,8 +657,6 @@
                 room -= size
         if batch:
             self._send_store_updates(batch)
-        interval_s = min(self.interval_s, UPDATE_INTERVAL_S)
-        self._call_later("updates", interval_s, self._flush_updates)
 
     def _send_store_updates(self, batch: list[KeptUpdate]) -> None:
         data = encode(PeerMessage(kept=KeptNews(self._name, batch)))
@@ -668,6 +669,7 @@
 
     def _refresh_loading(self) -> None:
         """Announce loading engines again, and expire those of silent peers."""
+        self._call_later("loading", LOADING_INTERVAL_S, self._refresh_loading)
         if self._is_leader:
             self._send_loading()
         limit_s = self._loop.time() - LOADING_EXPIRY_INTERVALS * LOADING_INTERVAL_S
@@ -675,11 +677,11 @@
             if received_s < limit_s:
                 del self._loading_received_s[name]
                 self._dispatcher.set_paused(name, frozenset())
-        self._call_later("loading", LOADING_INTERVAL_S, self._refresh_loading)
 
     def _repeat_limits(self) -> None:
         """Announce the limits again of which no peer has sent a newer notice."""
         interval_s = self._repetition_interval_s
+        self._call_later("limits", interval_s, self._repeat_limits)
         ended_s = read_boot_clock() - LIMIT_END_ANNOUNCEMENTS * interval_s
         for name, own in tuple(self._own_notices.items()):
             if own.notice.calls_per_s is None:
@@ -689,15 +691,14 @@
             if not is_needed:
                 del self._own_notices[name]
         self._send_limits(self._own_notices.values())
-        self._call_later("limits", interval_s, self._repeat_limits)
 
     def _repeat_crashes(self) -> None:
+        self._call_later("crashes", self._repetition_interval_s, self._repeat_crashes)
         self._send_crashes(self._own_crashes)
         for crash, left in tuple(self._own_crashes.items()):
             self._own_crashes[crash] = left - 1
             if left <= 1:
                 del self._own_crashes[crash]
-        self._call_later("crashes", self._repetition_interval_s, self._repeat_crashes)
 
     def _send_crashes(self, crashes: Iterable[Crash]) -> None:
         """Send crashes, in as few datagrams as hold them."""
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -102,6 +102,25 @@
     run_scenario(scenario)
 
 
+# One error in a periodic message was the last thing that the others heard.
+def test_an_error_in_one_message_ends_all_later_ones(monkeypatch):
+    async def scenario(one, other):
+        failures = []
+
+        def fail(now):
+            failures.append(now)
+            raise OverflowError("unforeseen")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(one.dispatcher, "summarise_own_work", fail)
+            await wait_until(lambda: len(failures) >= 2)
+        assert one.offer("r1", 60_000) == 1
+        await asyncio.sleep(0.2)
+        assert other.offer("r2", 60_000) == 0
+
+    run_scenario(scenario)
+
+
 def test_work_is_sent_together_with_new_blocks_of_the_same_engine():
     async def scenario(one, other):
         assert one.offer("r1", 60_000) == 1
