Keep what a call was accepted under until it ends

Cause: when a refusal was made, the caller's return was recorded before the refusal was sent, and for that the service was looked up in the configuration in force, where it was gone: AttributeError in an except clause, which ended the task and left the connection open. The end of each stream that ran there raised the same error, which closed its caller's connection.

Change: a call keeps the engine capacity of its service as of its arrival. The record of a return needs the call's hash and limit only (promise_return), and is made after the answer is sent. If a handler fails all the same, the error is logged with its trace and the connection closed.

Why it works: nothing that a call needs to end depends on a later version.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -308,20 +308,16 @@
         }
 
     def promise_return(
-        self, request: PromptRequest, after_s: float, now: float
+        self, fingerprint: int, caller_deadline_s: float, after_s: float, now: float
     ) -> ReturnPromise | None:
         """
         Record when a refused request was told to return.
 
+        :param fingerprint: of the request.
         :returns: the promise, for the other entries; None if it has one already.
         """
-        if not request.fingerprint:
-            return None
-        promise = ReturnPromise(
-            request.fingerprint,
-            now + after_s,
-            max(now + after_s, request.caller_deadline_s or 0.0),
-        )
+        due_s = now + after_s
+        promise = ReturnPromise(fingerprint, due_s, max(due_s, caller_deadline_s))
         return promise if self.promises.add(promise, now) else None
 
     def assign(self, now: float) -> tuple[Assignment, ...]:
--- a/packages/core/tests/test_returns.py
+++ b/packages/core/tests/test_returns.py
@@ -55,10 +55,15 @@
     raise AssertionError
 
 
+def promise_return(dispatcher, request, after_s, now):
+    deadline_s = request.caller_deadline_s or 0.0
+    return dispatcher.promise_return(request.fingerprint, deadline_s, after_s, now)
+
+
 def test_a_caller_who_returns_as_told_is_admitted_and_precedes_newcomers():
     dispatcher = make_dispatcher()
     request, answer = refuse_one(dispatcher, 0.0)
-    promise = dispatcher.promise_return(request, answer.retry_after_s, 0.0)
+    promise = promise_return(dispatcher, request, answer.retry_after_s, 0.0)
     back_s = promise.due_s
     assert isinstance(offer(dispatcher, "new", 900, 0.01)[1], Refused)
     for number in range(1, 6):
@@ -73,13 +78,13 @@
 def test_a_caller_who_repeats_at_once_gains_nothing():
     dispatcher = make_dispatcher()
     request, answer = refuse_one(dispatcher, 0.0)
-    promise = dispatcher.promise_return(request, 2.0, 0.0)
+    promise = promise_return(dispatcher, request, 2.0, 0.0)
     for number in range(5):
         now = 0.1 + 0.1 * number
         name = f"repeat{number}"
         repeated, answer = offer(dispatcher, name, request.fingerprint, now)
         assert isinstance(answer, Refused)
-        assert dispatcher.promise_return(repeated, 0.1, now) is None
+        assert promise_return(dispatcher, repeated, 0.1, now) is None
     assert dispatcher.promises.take(request.fingerprint, promise.due_s)
 
 
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -192,7 +192,7 @@
         self._route = route
         self._account = account
         self._caller = caller
-        self._service = _choose_service(route)
+        self._set_service(_choose_service(route))
         self._arrival_s = context.read_clock()
         budget_s = route.timeout_s
         if call.budget_s is not None:
@@ -217,6 +217,12 @@
         self._progress = AttemptProgress.SENT
         self._is_withdrawn = False
 
+    def _set_service(self, name: str) -> None:
+        """Set the service, and its engines as configured now: that may change later."""
+        service = self._context.cluster.deployment.find_service(name)
+        self._service = name
+        self._engine = service.engine if service else None
+
     async def run(self) -> None:
         """Handle the call; every outcome is answered, logged and counted."""
         limit_s = self._deadline_s - REPLY_MARGIN_S - self._context.read_clock()
@@ -291,7 +297,8 @@
         if found is None and streams.is_mixed(services):
             raise NotRun(ResultCode.STREAM_UNKNOWN, "", UNKNOWN_STREAM_RETRY_S)
         if found is not None and found.service in services:
-            self._service, self._build = found.service, found.build
+            self._set_service(found.service)
+            self._build = found.build
 
     def _record_origin(self, build: str) -> None:
         """Record the build that began the stream, before its caller has any of it."""
@@ -399,8 +406,9 @@
             error.retry_after_s = min(
                 error.retry_after_s, left_s * MAX_RETRY_AFTER_SHARE
             )
-            self._record_return(error.retry_after_s)
         self._caller.send_error(error)
+        if error.retry_after_s is not None:
+            self._record_return(error.retry_after_s)
 
     def _record_return(self, after_s: float) -> None:
         """Record when the caller is told to return."""
@@ -605,7 +613,7 @@
     def _find_engines(self, upstream: str, names: tuple[str, ...]) -> list[str | None]:
         """Return, for each part, the address of another engine to fetch it from."""
         context = self._context
-        engine = context.cluster.deployment.find_service(self._service).engine
+        engine = self._engine
         rate = context.dispatcher.find_prefill_rate(self._service)
         if engine is None or not is_fetch_faster(
             engine.token_bytes, engine.link_bytes_per_s, rate
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -403,6 +403,7 @@
         self._tasks.add(task)
         caller.set_disconnect_callback(task.cancel)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda ended: _end_unanswered(ended, caller))
 
     def _make_handler(
         self, request: ReceivedRequest, caller: CallerConnection
@@ -715,6 +716,13 @@
         _log.info("retry budget in force", extra=fields)
 
 
+def _end_unanswered(task: asyncio.Task, caller: CallerConnection) -> None:
+    """Close the connection of a call whose handler failed before it was answered."""
+    if not task.cancelled() and (error := task.exception()) is not None:
+        _log.error("call not answered after an unexpected error", exc_info=error)
+        caller.abort()
+
+
 class _ReadinessHandler(RequestHandler):
     def initialize(self, check: Callable[[], bool]) -> None:
         self._check = check
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -20,6 +20,8 @@
 # Share of the time until the caller gives up that a prompt may wait for an engine; the
 # rest is for its first event.
 MAX_WAIT_SHARE = 0.75
+# After which a prompt may return whose service is none of engines.
+NO_ENGINE_RETRY_S = 0.5
 # Results of an answer whose connection was lost.
 _LOSS_CODES = frozenset((ResultCode.UPSTREAM_LOST, ResultCode.ANSWER_TRUNCATED))
 
@@ -32,6 +34,8 @@
         parts = self._find_parts()
         self._check_quarantine()
         await self._find_origin()
+        if self._engine is None:
+            raise NotRun(ResultCode.NO_UPSTREAM, "", NO_ENGINE_RETRY_S)
         self._queue(context.dispatcher.offer(self._make_request(), self._arrival_s))
         while True:
             assignment = await self._wait_for_assignment(parts)
@@ -143,11 +147,12 @@
 
     def _count_answer_tokens(self) -> int:
         """Estimate the tokens of the answer from the id of its last event."""
-        engine = self._context.cluster.deployment.find_service(self._service).engine
         last_id = self._splitter.last_id or ""
         if not last_id.isdecimal():
             return self._call.prompt.max_tokens
-        return min(self._call.prompt.max_tokens, int(last_id) * engine.event_tokens)
+        return min(
+            self._call.prompt.max_tokens, int(last_id) * self._engine.event_tokens
+        )
 
     def _record_first_event(self) -> None:
         now = self._context.read_clock()
@@ -161,9 +166,9 @@
 
     def _record_return(self, after_s: float) -> None:
         context = self._context
-        now = context.read_clock()
-        request = self._make_request()
-        promise = context.dispatcher.promise_return(request, after_s, now)
+        promise = context.dispatcher.promise_return(
+            self._fingerprint, self._find_start_limit(), after_s, context.read_clock()
+        )
         if promise is not None:
             context.announce_return(promise)
 
@@ -176,7 +181,6 @@
 
     def _make_request(self) -> PromptRequest:
         prompt = self._call.prompt
-        engine = self._context.cluster.deployment.find_service(self._service).engine
         return PromptRequest(
             self._id,
             self._account.name if self._account else "",
@@ -186,10 +190,10 @@
             prompt.max_tokens,
             self._arrival_s,
             block_names=self._block_names(),
-            block_bytes=int(engine.token_bytes),
+            block_bytes=int(self._engine.token_bytes),
             block_tokens=1,
             block_sizes=tuple(part.tokens for part in prompt.parts),
-            caller_deadline_s=self._arrival_s + self._find_max_wait(),
+            caller_deadline_s=self._find_start_limit(),
             build=self._build,
             fingerprint=self._fingerprint,
         )
@@ -203,14 +207,14 @@
             max(0.0, self._deadline_s - now),
             self._find_answer_timeout(),
             stream_s,
-            self._arrival_s + self._find_max_wait() - now,
+            self._find_start_limit() - now,
             context.find_weights_left(prompt.model, version),
         )
 
-    def _find_max_wait(self) -> float:
-        """Return how long the call may wait for an engine."""
+    def _find_start_limit(self) -> float:
+        """Return until when the call may wait for an engine."""
         silence_s = self._route.silence_limit_s or self._budget_s
-        return MAX_WAIT_SHARE * min(self._budget_s, silence_s)
+        return self._arrival_s + MAX_WAIT_SHARE * min(self._budget_s, silence_s)
 
     def _block_names(self) -> tuple[str, ...]:
         prompt = self._call.prompt
