Let builds that have left count for as long as their streams

Cause: a build that had left counted for the longest time of a route. Streams are remembered for as long as their callers say that they wait, 600 s at most.

Change: it counts for 600 s. Records in the registry are renewed each 60 s under leases of 600 s, the longest that the protocol has, so they outlast their build by 540 s or more.

The bounds in test_stream_origins.py are MAX_LIFETIME_S instead of the argument that is gone; what is checked is the same.

--- a/packages/core/src/persimmonferry_core/stream_origins.py
+++ b/packages/core/src/persimmonferry_core/stream_origins.py
@@ -78,11 +78,11 @@
     :param entry: name of the entry that decides.
 
     >>> origins = StreamOrigins("e1")
-    >>> origins.set_builds({"s": frozenset({"v1"})}, 15.0, 0.0)
+    >>> origins.set_builds({"s": frozenset({"v1"})}, 0.0)
     ()
     >>> origins.record_own(StreamOrigin(7, "s", "v1", 20.0), 1.0)
     False
-    >>> origins.set_builds({"s": frozenset({"v1", "v2"})}, 15.0, 2.0)
+    >>> origins.set_builds({"s": frozenset({"v1", "v2"})}, 2.0)
     (StreamOrigin(stream=7, service='s', build='v1', expires_s=20.0),)
     >>> origins.find(7, 3.0).build
     'v1'
@@ -130,19 +130,19 @@
     def set_builds(
         self,
         builds: Mapping[str, frozenset[str]],
-        lifetime_s: float,
         now: float,
         recorded: frozenset[ServiceBuild] = frozenset(),
     ) -> tuple[StreamOrigin, ...]:
         """
         Set the builds that serve in each service.
 
-        :param lifetime_s: longest time for which callers wait for a stream.
-        :param recorded: builds that any entry has seen in the last ``MAX_LIFETIME_S``.
+        A build that has left counts for as long as streams of it may be remembered.
+
+        :param recorded: builds that any entry has seen lately.
         :returns: own streams that are to be announced now.
         """
         former = {name for name in self._builds if self.is_mixed(name, now)}
-        until_s = now + min(lifetime_s, MAX_LIFETIME_S)
+        until_s = now + MAX_LIFETIME_S
         for service, known in self._builds.items():
             for build in known - builds.get(service, frozenset()):
                 self._left_until_s[ServiceBuild(service, build)] = until_s
--- a/packages/core/tests/test_stream_origins.py
+++ b/packages/core/tests/test_stream_origins.py
@@ -1,5 +1,6 @@
 from persimmonferry_core.stream_origins import (
     HOLDERS,
+    MAX_LIFETIME_S,
     MAX_STREAMS,
     ServiceBuild,
     StreamOrigin,
@@ -13,7 +14,7 @@
 def make_origins(entry="g0", builds=("v1", "v2")):
     origins = StreamOrigins(entry)
     origins.set_entries(ENTRIES)
-    origins.set_builds({"s": frozenset(builds)}, 15.0, 0.0)
+    origins.set_builds({"s": frozenset(builds)}, 0.0)
     return origins
 
 
@@ -46,18 +47,18 @@
 
 def test_a_build_that_has_left_counts_while_its_streams_may_be_taken_up():
     origins = make_origins()
-    origins.set_builds({"s": frozenset({"v2"})}, 15.0, 10.0)
-    assert origins.is_mixed("s", 24.9)
-    assert not origins.is_mixed("s", 25.1)
+    origins.set_builds({"s": frozenset({"v2"})}, 10.0)
+    assert origins.is_mixed("s", 10.0 + MAX_LIFETIME_S - 0.1)
+    assert not origins.is_mixed("s", 10.0 + MAX_LIFETIME_S + 0.1)
 
 
 def test_a_build_that_left_before_the_start_counts_once():
     origins = StreamOrigins("g0")
     builds, recorded = {"s": frozenset({"v2"})}, frozenset({ServiceBuild("s", "v1")})
-    origins.set_builds(builds, 15.0, 10.0, recorded)
-    assert origins.is_mixed("s", 24.9)
-    origins.set_builds(builds, 15.0, 20.0, recorded)
-    assert not origins.is_mixed("s", 25.1)
+    origins.set_builds(builds, 10.0, recorded)
+    assert origins.is_mixed("s", 10.0 + MAX_LIFETIME_S - 0.1)
+    origins.set_builds(builds, 20.0, recorded)
+    assert not origins.is_mixed("s", 10.0 + MAX_LIFETIME_S + 0.1)
 
 
 def test_one_entry_records_a_build():
@@ -69,8 +70,8 @@
 
 def test_a_build_that_comes_back_is_the_same():
     origins = make_origins(builds=("v1",))
-    origins.set_builds({"s": frozenset()}, 15.0, 1.0)
-    origins.set_builds({"s": frozenset({"v1"})}, 15.0, 2.0)
+    origins.set_builds({"s": frozenset()}, 1.0)
+    origins.set_builds({"s": frozenset({"v1"})}, 2.0)
     assert not origins.is_mixed("s", 2.0)
 
 
@@ -79,8 +80,8 @@
     assert not origins.record_own(begin(1), 1.0)
     origins.record(begin(2), 1.0)
     builds = {"s": frozenset({"v1", "v2"})}
-    assert [item.stream for item in origins.set_builds(builds, 15.0, 2.0)] == [1]
-    assert origins.set_builds(builds, 15.0, 3.0) == ()
+    assert [item.stream for item in origins.set_builds(builds, 2.0)] == [1]
+    assert origins.set_builds(builds, 3.0) == ()
     assert origins.record_own(begin(3), 3.0)
     assert [item.stream for item in origins.list_mixed(3.0)] == [1, 2, 3]
 
--- a/packages/gateway/src/persimmonferry_gateway/build_records.py
+++ b/packages/gateway/src/persimmonferry_gateway/build_records.py
@@ -8,23 +8,18 @@
 
 from persimmonferry_core.exceptions import LeaseEnded, PlatformError, SwapConflict
 from persimmonferry_core.fingerprints import format_hash
-from persimmonferry_core.stream_origins import (
-    MAX_LIFETIME_S,
-    ServiceBuild,
-    hash_stream,
-)
+from persimmonferry_core.stream_origins import ServiceBuild, hash_stream
 from persimmonferry_daemon.periodic import BackgroundTask
 
-from persimmonferry_gateway.interfaces import (
-    RENEWALS_PER_LEASE,
-    Item,
-    Registry,
-    Snapshot,
-)
+from persimmonferry_gateway.interfaces import Item, Registry, Snapshot
 from persimmonferry_gateway.registry_items import apply_each
 
 __all__ = ["BuildRecords"]
 
+# The longest lease that the registry gives. A record outlasts its build by what is left
+# of it after the last renewal.
+LEASE_S = 600.0
+RENEWAL_INTERVAL_S = 60.0
 RETRY_S = 1.0
 
 _log = logging.getLogger(__name__)
@@ -43,7 +38,7 @@
     Keeps the registry's records of the builds that serve.
 
     One gateway writes each record and renews its lease while the build serves. After
-    the build has left, the record stays for as long as callers may take up a stream.
+    the build has left, the record stays until the lease ends.
 
     :param prefix: of the keys in the registry.
     :param is_responsible: whether this gateway writes the record of a build.
@@ -74,7 +69,7 @@
         await self._background.stop()
 
     def list_recorded(self) -> frozenset[ServiceBuild]:
-        """Return the builds that served in the last ``MAX_LIFETIME_S``."""
+        """Return the builds on record: those that serve, or did until lately."""
         return frozenset(record.item for record in self._records.values())
 
     def set_serving(self, builds: Mapping[str, frozenset[str]]) -> None:
@@ -118,10 +113,9 @@
         return [item for item in self._list_own() if self._key(item) not in known]
 
     async def _run(self) -> None:
-        interval_s = MAX_LIFETIME_S / RENEWALS_PER_LEASE
         while True:
             try:
-                async with asyncio.timeout(interval_s):
+                async with asyncio.timeout(RENEWAL_INTERVAL_S):
                     await self._is_changed.wait()
             except TimeoutError:
                 await self._act(self._renew, self._list_own())
@@ -145,7 +139,7 @@
 
     async def _write(self, item: ServiceBuild) -> None:
         key = self._key(item)
-        lease = await self._registry.open_lease(MAX_LIFETIME_S)
+        lease = await self._registry.open_lease(LEASE_S)
         try:
             await self._registry.write(key, _encode_record(item), 0, lease)
         except SwapConflict:
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -617,10 +617,7 @@
         self._build_records.set_serving(
             {name: found for name, found in builds.items() if name in known}
         )
-        lifetimes = (route.timeout_s for route in deployment.routes)
-        self._streams.set_builds(
-            builds, max(lifetimes, default=0.0), self._build_records.list_recorded()
-        )
+        self._streams.set_builds(builds, self._build_records.list_recorded())
 
     def _apply_store_update(self, update: StoreUpdate) -> None:
         self._stores.apply_update(update)
--- a/packages/gateway/src/persimmonferry_gateway/stream_directory.py
+++ b/packages/gateway/src/persimmonferry_gateway/stream_directory.py
@@ -64,12 +64,11 @@
     def set_builds(
         self,
         builds: Mapping[str, frozenset[str]],
-        lifetime_s: float,
         recorded: frozenset[ServiceBuild],
     ) -> None:
         """Set the builds that serve in each service, as ``StreamOrigins`` does."""
         now = self._read_clock()
-        self._announce(self._origins.set_builds(builds, lifetime_s, now, recorded))
+        self._announce(self._origins.set_builds(builds, now, recorded))
 
     def is_mixed(self, services: Iterable[str]) -> bool:
         """Whether streams of several builds of any of the services are under way."""
--- a/packages/gateway/tests/test_build_records.py
+++ b/packages/gateway/tests/test_build_records.py
@@ -53,7 +53,7 @@
 
 
 def test_a_record_ends_while_its_build_serves(monkeypatch):
-    monkeypatch.setattr(build_records, "MAX_LIFETIME_S", 0.15)
+    monkeypatch.setattr(build_records, "RENEWAL_INTERVAL_S", 0.05)
 
     async def scenario():
         registry = FakeRegistry()
