--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -86,17 +86,17 @@
     >>> judge([PartResult(5), PartResult(5)], set()), judge([PartResult(2)], set())
     (5, 2)
     """
-    worst = 0
     for part in parts:
+        is_known = bool(part.failures) and part.failures <= known
         match part.status:
             case ExitCode.OK | ExitCode.NO_TESTS_COLLECTED:
                 continue
-            case ExitCode.TESTS_FAILED if part.failures and part.failures <= known:
+            case ExitCode.TESTS_FAILED if is_known:
                 continue
             case status:
-                worst = max(worst, status, key=abs)
+                return int(status)
     is_empty = all(part.status == ExitCode.NO_TESTS_COLLECTED for part in parts)
-    return int(worst or (ExitCode.NO_TESTS_COLLECTED if is_empty else 0))
+    return int(ExitCode.NO_TESTS_COLLECTED if is_empty else ExitCode.OK)
 
 
 def main() -> int:
