Log that a gateway stood still

A gateway that was frozen learns of changes late. A pause of 1 s or more between two maintenance checks, which run each 0.25 s, is logged with its length, on the clock that counts suspended time.

--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -80,6 +80,8 @@
 REGISTRATION_LEASE_S = 5.0
 # Interval of the checks for expired entries and for engines with outdated weights.
 MAINTENANCE_INTERVAL_S = 0.25
+# A pause between two of these checks that is logged.
+LOGGED_STANDSTILL_S = 1.0
 # No prompts are sent to engines with replaced weights from this long before the limit
 # on; earlier ones only if they are expected to start in time.
 OUTDATED_MARGIN_S = 1.5
@@ -262,6 +264,7 @@
         self._notice_end_s = float("inf")
         self._assign_timer: asyncio.TimerHandle | None = None
         self._assigned_s = 0.0
+        self._maintained_s = read_boot_clock()
         self._update_retry_policy(read_boot_clock())
 
     async def start(self) -> None:
@@ -658,11 +661,19 @@
     def _maintain(self) -> None:
         # Planned first, as an error ends this run.
         self._loop.call_later(MAINTENANCE_INTERVAL_S, self._maintain)
-        now = self._loop.time()
+        now, boot_s = self._loop.time(), read_boot_clock()
+        self._log_standstill(boot_s)
         self._cluster.expire(now)
         self._server.check(now)
-        self._limit_starts(now, read_boot_clock())
-        self._update_retry_policy(read_boot_clock())
+        self._limit_starts(now, boot_s)
+        self._update_retry_policy(boot_s)
+
+    def _log_standstill(self, boot_s: float) -> None:
+        """Log that the process was suspended, or got no processor time."""
+        standstill_s = boot_s - self._maintained_s
+        self._maintained_s = boot_s
+        if standstill_s >= LOGGED_STANDSTILL_S:
+            _log.warning("process stood still", extra={"for_s": round(standstill_s, 3)})
 
     def _limit_starts(self, now: float, boot_s: float) -> None:
         """
