Date changes of the registry from the call that returned them

Callers saw: a prompt begins on an older version of its model's weights later than the operator allows after a newer one was acknowledged (VERSION).

Cause: RegistryWatch took a response for as recent as the moment at which it was read. One that waited in the socket of a frozen process is older. Weights named after it was written and before it was read were dated from its reading: up to 3 s late, the time-out of a watch, more where the steady clock stops as well. Class: a moment of reading stands for a moment of writing.

Change: the state counts as known up to the sending of the call that returned it, or up to the end of a wait that found no change. The fetch of stored parts and the origins of streams use the same age.

Why it works: the registry writes a response after the call was sent, so what the response lacks was made later than that.

--- a/packages/core/src/persimmonferry_core/weight_orders.py
+++ b/packages/core/src/persimmonferry_core/weight_orders.py
@@ -148,7 +148,7 @@
     gateways may. If the registry is slow while a gateway starts, the time counts from
     its start, because limits on its delays apply from then on.
 
-    :param gap_s: time since the previous response, infinite for the first one.
+    :param gap_s: time since all changes were known, infinite for the first response.
     :param unknown_age_s: assumed age of a change if nothing is known about it.
     :param started_s: when the process started.
 
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -69,7 +69,7 @@
 
 OWN_PREFIX = "persimmonferry/"
 ROLLOUT_KEY = OWN_PREFIX + "rollout"
-# Parts are fetched only if the registry responded within this time, as parts of
+# Parts are fetched only if the registry's changes until then are known, as parts of
 # replaced weights are freed some seconds after newer ones are wanted.
 MAX_REGISTRY_SILENCE_FOR_FETCH_S = 3.0
 GATEWAY_PREFIX = OWN_PREFIX + "gateways/"
--- a/packages/gateway/src/persimmonferry_gateway/registry_watch.py
+++ b/packages/gateway/src/persimmonferry_gateway/registry_watch.py
@@ -37,8 +37,11 @@
     """
     Watches all items of the registry.
 
-    Its field ``gap_s`` holds the seconds between its last two responses, including
-    time in which the process was suspended.
+    A response may wait to be read, for as long as the process is suspended or busy. So
+    the state is taken for as old as the call that returned it, not as its reading.
+
+    Its field ``gap_s`` holds the seconds within which the last changes were made,
+    including time in which the process was suspended.
 
     :param apply_snapshot: called with all items; others no longer exist, unless the
         registry was restored from an older copy.
@@ -62,7 +65,8 @@
         self._reread_s = float("inf")
         self._failures = 0
         self._keys: set[str] = set()
-        self._last_response_s = float("-inf")
+        # Changes made until then have been received.
+        self._current_s = float("-inf")
         self.gap_s = float("inf")
         self._background = BackgroundTask(self._run)
 
@@ -92,9 +96,10 @@
                 await asyncio.sleep(MAX_BACKOFF_S)
 
     async def _step(self) -> None:
+        asked_s = read_boot_clock()
         if self._revision is None:
             snapshot = await self._registry.list_items(ALL_KEYS)
-            self._record_response()
+            self._record_response(asked_s)
             snapshot = self._mark_restored(snapshot, read_boot_clock())
             self._keys = {item.key for item in snapshot.items}
             self._apply_snapshot(snapshot)
@@ -103,7 +108,7 @@
         # After an outage all may have changed, also the registry's history.
         wait_s = 0.0 if self._failures else WATCH_WAIT_S
         changes = await self._registry.watch(ALL_KEYS, self._revision, wait_s)
-        self._record_response()
+        self._record_response(_find_current_time(changes, asked_s, wait_s))
         for item in changes.items:
             change = self._keys.discard if item.value is None else self._keys.add
             change(item.key)
@@ -124,12 +129,12 @@
         return replace(snapshot, is_restored=is_restored)
 
     def measure_silence(self) -> float:
-        """Return the seconds since the registry responded, on the boot clock."""
-        return read_boot_clock() - self._last_response_s
+        """Return for how long changes may not have been received, in seconds."""
+        return read_boot_clock() - self._current_s
 
-    def _record_response(self) -> None:
-        now = read_boot_clock()
-        self.gap_s, self._last_response_s = now - self._last_response_s, now
+    def _record_response(self, current_s: float) -> None:
+        self.gap_s = read_boot_clock() - self._current_s
+        self._current_s = max(self._current_s, current_s)
         if self._failures:
             _log.warning("registry reachable", extra={"failures": self._failures})
             self._record_reachable(True)
@@ -144,6 +149,18 @@
         await asyncio.sleep(random.uniform(MIN_BACKOFF_S, ceiling))
 
 
+def _find_current_time(changes: Changes, asked_s: float, wait_s: float) -> float:
+    """
+    Return until when a watch has certainly received all changes, on the boot clock.
+
+    Changes end the wait at once, so more may have been made since the call was sent. A
+    watch without changes has waited in vain.
+    """
+    if changes.items or read_boot_clock() < asked_s + wait_s:
+        return asked_s
+    return asked_s + wait_s
+
+
 def _choose_pause(items: int) -> float:
     """
     Return the pause between two watch calls.
--- a/packages/gateway/src/persimmonferry_gateway/stream_directory.py
+++ b/packages/gateway/src/persimmonferry_gateway/stream_directory.py
@@ -43,7 +43,8 @@
     Finds where streams began, also those that began at other gateways.
 
     :param send: sends news to the named gateways.
-    :param measure_silence: returns the seconds since the registry responded.
+    :param measure_silence: returns for how long the registry may have had changes that
+        were not received, in seconds.
     """
 
     def __init__(
--- a/packages/gateway/tests/fakeregistry.py
+++ b/packages/gateway/tests/fakeregistry.py
@@ -25,6 +25,8 @@
         self.is_unavailable = False
         self.drops_answers = False
         self.oldest = 0
+        # For which answers wait to be read.
+        self.delay_s = 0.0
         self.calls: list[str] = []
         self._changed = asyncio.Event()
 
@@ -65,7 +67,9 @@
 
     async def list_items(self, prefix):
         self._record_call("list")
-        return Snapshot(tuple(self.items.values()), self.revision, self.era)
+        snapshot = Snapshot(tuple(self.items.values()), self.revision, self.era)
+        await asyncio.sleep(self.delay_s)
+        return snapshot
 
     async def watch(self, prefix, after, wait_s):
         self._record_call("watch")
@@ -78,7 +82,9 @@
             pass
         self._record_call("watch ends")
         self._check_history(after)
-        return Changes(self._find(after), self.revision)
+        changes = Changes(self._find(after), self.revision)
+        await asyncio.sleep(self.delay_s)
+        return changes
 
     def _check_history(self, after):
         if after < self.restored_at:
--- a/packages/gateway/tests/test_registry_watch.py
+++ b/packages/gateway/tests/test_registry_watch.py
@@ -1,9 +1,15 @@
 import asyncio
 
+import pytest
 from fakeregistry import FakeRegistry
 from helpers import wait_until
 from persimmonferry_gateway import registry_watch
-from persimmonferry_gateway.registry_watch import RegistryWatch
+from persimmonferry_gateway.clocks import read_boot_clock
+from persimmonferry_gateway.registry_watch import WATCH_WAIT_S, RegistryWatch
+
+
+# Between the reading of an answer and its application.
+TOLERANCE_S = 0.01
 
 
 class RecordedItems:
@@ -12,6 +18,7 @@
         self.snapshots = 0
         self.restored = []
         self.contacts = []
+        self.changed_s = 0.0
 
     def take(self, snapshot):
         self.snapshots += 1
@@ -19,6 +26,7 @@
         self.items = {item.key: item.value for item in snapshot.items}
 
     def change(self, changes):
+        self.changed_s = read_boot_clock()
         for item in changes.items:
             if item.value is None:
                 self.items.pop(item.key, None)
@@ -140,3 +148,30 @@
         await wait_until(lambda: recorded.contacts == [False, True], timeout_s=1.2)
 
     run_scenario(scenario)
+
+
+# Changes made while an answer waited to be read were dated from its reading.
+@pytest.mark.parametrize("call", ["list", "watch"])
+def test_changes_made_while_an_answer_waits_are_as_old_as_its_call(call):
+    async def scenario(registry, recorded, watch):
+        if call == "list":
+            registry.oldest = registry.revision + 1
+        registry.delay_s = 0.6
+        registry.put("b", b"2")
+        await wait_until(lambda: registry.calls[-1] in ("list", "watch ends"))
+        made_s = read_boot_clock()
+        registry.put("c", b"3")
+        await wait_until(lambda: "c" in recorded.items, timeout_s=4.0)
+        assert watch.gap_s >= recorded.changed_s - made_s - TOLERANCE_S
+        assert watch.measure_silence() >= registry.delay_s
+
+    run_scenario(scenario)
+
+
+def test_a_watch_without_changes_is_current_until_its_end():
+    async def scenario(registry, recorded, watch):
+        watches = registry.calls.count("watch ends")
+        await wait_until(lambda: registry.calls.count("watch ends") > watches)
+        await wait_until(lambda: watch.measure_silence() < WATCH_WAIT_S / 2)
+
+    run_scenario(scenario)
