Ask other gateways since when weights are wanted

Callers saw: prompts of a gateway that has just started begin on weights that were replaced longer ago than the operator allows (VERSION).

Cause: a gateway that hears late of newer weights does not know since when they are wanted. At its start it took them for versionMs - contactMs old, and after a silence of the registry for no older than that, counted from the first response after it. A process that ended by itself counts as running all the while, so its prompts in the first 1.5 s break the rule. Class: a decision that depends on the past is taken from the memory of a process whose past is shorter.

They answer with the earliest time at which each version may have been named, as an age; it counts from the question.

Why it works: an answer is written after the question was sent, so the age counted from the question is never too small; the latest of several such times holds, as a version was named after each of them.

Weighed: a record in the registry, which has no clock that all share; the time of day, which jumps and differs.

--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -35,6 +35,7 @@
     StartedWork,
     StreamNews,
     UpstreamLimit,
+    WeightsNews,
 )
 
 from persimmonferry_gateway.clocks import read_boot_clock
@@ -135,6 +136,8 @@
     :param record_crashes: called with the crashes that another gateway has observed,
         the parts with which it has received an answer, and its name.
     :param receive_streams: called with another gateway's news of streams.
+    :param receive_weights: called with another gateway's question or answer about
+        wanted weights, and its address.
     """
 
     def __init__(
@@ -148,8 +151,10 @@
         record_limit: Callable[[LimitNotice, str], bool],
         record_crashes: Callable[[tuple[Crash, ...], frozenset[int], str], None],
         receive_streams: Callable[[StreamNews], None],
+        receive_weights: Callable[[WeightsNews, tuple[str, int]], None],
     ) -> None:
         self._receive_streams = receive_streams
+        self._receive_weights = receive_weights
         self._record_version = record_version
         self._record_limit = record_limit
         self._own_notices: dict[str, _OwnNotice] = {}
@@ -412,6 +417,15 @@
         """Send news of streams to the named gateways."""
         self._send(encode(PeerMessage(streams=news)), names)
 
+    def send_weights(self, news: WeightsNews, names: Iterable[str]) -> None:
+        """Send a question about wanted weights to the named gateways."""
+        self._send(encode(PeerMessage(weights=news)), names)
+
+    def reply_weights(self, news: WeightsNews, address: tuple[str, int]) -> None:
+        """Send an answer about wanted weights to the gateway at an address."""
+        if self._transport is not None:
+            self._transport.sendto(encode(PeerMessage(weights=news)), address)
+
     def _plan_crash_news(self) -> None:
         if "crash news" not in self._timers:
             self._call_later("crash news", CRASH_NEWS_DELAY_S, self._send_crash_news)
@@ -437,6 +451,10 @@
         except ValueError as error:
             _log.warning("peer message malformed", extra={"cause": str(error)})
             return
+        if message.weights is not None:
+            # One that asks may have just started, and not be listed yet.
+            self._receive_weights(message.weights, addr)
+            return
         payload = (
             message.work
             or message.kept
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -19,6 +19,7 @@
     PEER_TIMEOUT_S,
     PeerExchange,
 )
+from persimmonferry_wire.generated.peers.ttypes import WantedWeights, WeightsNews
 
 REPORT = UpstreamReport(
     "u0", 1, 1, "z1", "s", "m", "1", 0, 0, 0, 8, 0.0, 100.0, memory_tokens=100_000
@@ -41,6 +42,7 @@
         self.updates = []
         self.crashes = []
         self.streams = []
+        self.weights = []
         self.exchange = PeerExchange(
             name,
             incarnation,
@@ -51,6 +53,7 @@
             self.record_limit,
             lambda *news: self.crashes.append(news),
             self.streams.append,
+            lambda *news: self.weights.append(news),
         )
 
     def record_limit(self, notice, sender):
@@ -338,3 +341,18 @@
         assert not one.exchange._own_crashes
 
     run_scenario(scenario)
+
+
+def test_a_gateway_that_is_not_listed_is_answered_about_weights():
+    async def scenario(first, second):
+        first.exchange.set_peers({"g1": first.address})
+        second.exchange.send_weights(WeightsNews("g2", 5, True, []), ["g1"])
+        await wait_until(lambda: first.weights)
+        news, address = first.weights[0]
+        assert (news.question, address[1]) == (5, second.address.port)
+        wanted = [WantedWeights("m1", 3, 1500)]
+        first.exchange.reply_weights(WeightsNews("g1", 5, False, wanted), address)
+        await wait_until(lambda: second.weights)
+        assert second.weights[0][0].wanted == wanted
+
+    run_scenario(scenario)
--- a/packages/gateway/tests/test_registry_watch.py
+++ b/packages/gateway/tests/test_registry_watch.py
@@ -7,7 +7,6 @@
 from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.registry_watch import WATCH_WAIT_S, RegistryWatch
 
-
 # Between the reading of an answer and its application.
 TOLERANCE_S = 0.01
 
--- a/packages/gateway/tests/test_storewatch.py
+++ b/packages/gateway/tests/test_storewatch.py
@@ -39,6 +39,7 @@
             lambda *_: False,
             lambda *_: None,
             lambda _: None,
+            lambda *_: None,
         )
         self.watch = StoreWatch(
             self.kept,
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -159,6 +159,25 @@
   2: list<PromisedReturn> returns
 }
 
+// A version of a model's weights that is wanted.
+struct WantedWeights {
+  1: string model
+  2: i32 version
+  // Time since the earliest moment at which it may have been named.
+  3: i64 age_ms
+}
+
+// Sent to a few gateways by one that has heard of wanted weights late, and by each of these
+// to the address from which it was asked.
+struct WeightsNews {
+  1: string sender
+  // Repeated in the answer.
+  2: i64 question
+  3: bool is_question
+  // All versions of each model that is named; none in a question.
+  4: list<WantedWeights> wanted
+}
+
 // One datagram.
 union PeerMessage {
   1: PeerNews work
@@ -169,4 +188,5 @@
   6: CrashNews crashes
   7: StreamNews streams
   8: ReturnNews returns
+  9: WeightsNews weights
 }
