End prompts at engines before weights named after their sending run out

Callers saw: a prompt begins on an older version of its model's weights later than the operator allows after a newer one was acknowledged (VERSION).

Cause: a prompt that is sent while no newer weights are wanted got the time that its caller waits, up to 15 s, at an engine that may not begin it on replaced weights later than 8 s after the naming. If these are named just then, only the gateway ends it, by closing its connection. One that stands still does not. Class: a limit is kept by a process that need not be there when it is reached.

Change: the engine's time budget ends before weights that are named right after the sending run out, if the answer is expected to end by then at the latest: its caller leaves when none has begun, and twice the longest time of an answer fits.

Why it works: an engine ends its work at the time budget, whatever becomes of the gateway. Prompts that began later would have no caller any more.

An answer that may take longer keeps its whole time, and the fault: nothing but the gateway can end it then.

--- a/packages/core/src/persimmonferry_core/attempt_budgets.py
+++ b/packages/core/src/persimmonferry_core/attempt_budgets.py
@@ -19,6 +19,8 @@
 # Between the end of the time budget and the limit on replaced weights. The budget
 # counts from the arrival at the upstream, after a connection has been made.
 REPLACED_WEIGHTS_MARGIN_S = 0.5
+# An answer may take this many times its expected longest time.
+ANSWER_TIME_MARGIN = 2.0
 # Assumed until answers were observed.
 ASSUMED_TOKEN_S = 0.01
 EWMA_ALPHA = 0.05
@@ -44,6 +46,8 @@
     stream_s: float,
     wait_left_s: float,
     weights_left_s: float | None,
+    weights_limit_s: float,
+    begin_left_s: float,
 ) -> AttemptBudget:
     """
     Return the limits on the time of an attempt at a model engine.
@@ -53,6 +57,11 @@
     which the engine has ended it. Without the time to go on elsewhere afterwards, it
     stays where it is.
 
+    Newer weights may be named just after the prompt was sent, and nothing but the time
+    budget ends it if this process stands still then. So it ends before replaced weights
+    may no longer be used, unless that might cut off an answer that its caller waits
+    for.
+
     :param left_s: until the caller's deadline.
     :param answer_timeout_s: after which the prompt may go on elsewhere, None if it may
         not.
@@ -60,12 +69,16 @@
     :param wait_left_s: time for which the caller may still wait for an engine.
     :param weights_left_s: time for which prompts may still begin on the engine's
         weights, None if these are wanted.
+    :param weights_limit_s: time after which replaced weights may no longer be used.
+    :param begin_left_s: until the caller leaves if no answer has begun.
 
-    >>> choose_prompt_budget(3.0, 1.2, 0.1, 1.8, None)
+    >>> choose_prompt_budget(3.0, 1.2, 0.1, 1.8, None, 8.0, 2.4)
     AttemptBudget(work_s=1.4, answer_s=1.2)
-    >>> choose_prompt_budget(15.0, 2.4, 3.0, 3.0, None)
+    >>> choose_prompt_budget(15.0, None, 1.0, 3.0, None, 8.0, 4.0)
+    AttemptBudget(work_s=7.5, answer_s=None)
+    >>> choose_prompt_budget(15.0, 2.4, 3.0, 3.0, None, 8.0, 4.0)
     AttemptBudget(work_s=15.0, answer_s=None)
-    >>> choose_prompt_budget(15.0, None, 3.0, 3.0, 4.0)
+    >>> choose_prompt_budget(15.0, None, 3.0, 3.0, 4.0, 8.0, 4.0)
     AttemptBudget(work_s=3.5, answer_s=None)
     """
     work_s, answer_s = left_s, None
@@ -75,6 +88,10 @@
             work_s, answer_s = min(left_s, ended_s), answer_timeout_s
     if weights_left_s is not None:
         work_s = min(work_s, max(0.0, weights_left_s - REPLACED_WEIGHTS_MARGIN_S))
+        return AttemptBudget(work_s, answer_s)
+    bound_s = weights_limit_s - REPLACED_WEIGHTS_MARGIN_S
+    if begin_left_s + ANSWER_TIME_MARGIN * stream_s <= bound_s:
+        work_s = min(work_s, bound_s)
     return AttemptBudget(work_s, answer_s)
 
 
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -104,6 +104,8 @@
         seconds, None when parts must not be fetched now.
     :param find_weights_left: returns the seconds for which prompts may still begin on a
         version of a model's weights, None without a limit.
+    :param find_weights_limit: returns the seconds after which no prompt may begin on
+        replaced weights.
     :param waiting: futures of the requests that the dispatcher has queued.
     :param waiting_parts: hashes of the parts of these requests.
     :param withdrawals: functions that end the attempts of prompts at engines, unless
@@ -126,6 +128,7 @@
     record_limit: Callable[[UpstreamRecord, ResponseHead, float], None]
     find_fetch_deadline: Callable[[float], float | None]
     find_weights_left: Callable[[str, int], float | None]
+    find_weights_limit: Callable[[], float]
     quarantine: Quarantine
     crash_reports: CrashReports
     streams: StreamDirectory
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -228,6 +228,7 @@
             self._record_limit,
             self._find_fetch_deadline,
             self._find_weights_left,
+            lambda: self._settings.replaced_weights_limit_s,
             self._quarantine,
             self._crash_reports,
             self._streams,
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -209,12 +209,17 @@
             stream_s,
             self._find_start_limit() - now,
             context.find_weights_left(prompt.model, version),
+            context.find_weights_limit(),
+            self._arrival_s + self._find_silence_limit() - now,
         )
 
     def _find_start_limit(self) -> float:
         """Return until when the call may wait for an engine."""
-        silence_s = self._route.silence_limit_s or self._budget_s
-        return self._arrival_s + MAX_WAIT_SHARE * min(self._budget_s, silence_s)
+        return self._arrival_s + MAX_WAIT_SHARE * self._find_silence_limit()
+
+    def _find_silence_limit(self) -> float:
+        """Return after how long without an answer the caller leaves."""
+        return min(self._budget_s, self._route.silence_limit_s or self._budget_s)
 
     def _block_names(self) -> tuple[str, ...]:
         prompt = self._call.prompt
