Return the memory of large bodies as soon as they are freed

Callers saw: a gateway is killed over the memory limit some time after a crowd of large bodies has left, while no request arrives.

Cause: the GNU C library raises the size from which it maps blocks one by one when such a block is freed, up to 32 MiB. Then growing bodies move about in its heap, and the gaps are lost: with the same 35 MiB of bodies held, fewer and larger ones each, a gateway grew from 112 to 143 MiB while its crowd left.

Change: a gateway sets this size to 128 KiB, which fixes it.

--- a/packages/gateway/src/persimmonferry_gateway/process.py
+++ b/packages/gateway/src/persimmonferry_gateway/process.py
@@ -7,6 +7,7 @@
 import sys
 from collections.abc import Callable
 
+from persimmonferry_daemon.allocation import return_freed_blocks
 from persimmonferry_daemon.logs import set_up_logs
 
 from persimmonferry_gateway.gateway import Gateway
@@ -36,6 +37,7 @@
     :param parse: returns the settings in a text.
     """
     set_up_logs(settings.name, "INFO", sys.stdout)
+    return_freed_blocks()
     asyncio.run(_serve(settings, build, read, parse))
 
 
