Bound what callers' connections receive unread

Callers saw: a gateway is killed over the memory limit by clients that stop just short of the end of their bodies and stay. The platform counts bytes that were received and not read.

Cause: large bodies wait in their connections while there is no room, and the kernel lets the receive buffer of each grow to megabytes. Nothing bounded one connection's bytes, nor those of all.

Change: the listening socket has a receive buffer of 16 KiB, which connections inherit, also before they are accepted: 24 KiB each (measured). That is within the 32 KiB for which a connection counts, so the limit on connections bounds them all.

Weighed: setting it on accepted connections, where one of 8 KiB made 4 MiB take 54 s; refusing bodies at once when some wait, which refuses callers that a short wait would serve.

--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -42,6 +42,9 @@
 HARD_IDLE_TIMEOUT_S = 60.0
 # Read at a time; each connection that waits for room holds about as much.
 READ_BYTES = 16 * 1024
+# Receive buffer of a connection in the kernel, which holds half as much again. Without
+# it, the kernel lets it grow to megabytes.
+RECEIVE_BUFFER_BYTES = 16 * 1024
 # For which the rest of a refused body is read, so that its caller reads the refusal.
 LINGER_S = 1.0
 NO_CONFIGURATION_RETRY_S = 0.5
@@ -474,6 +477,9 @@
         self.limits: CallerLimits | None = None
         self.is_stopping = False
         self._sockets = bind_sockets(port, host, backlog=BACKLOG)
+        for opened in self._sockets:
+            # Connections inherit it, also those that are not accepted yet.
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.port = self._sockets[0].getsockname()[1]
         self._server = _Server(
             self,
--- a/packages/gateway/src/persimmonferry_gateway/open_connections.py
+++ b/packages/gateway/src/persimmonferry_gateway/open_connections.py
@@ -16,7 +16,8 @@
 # Shares of the other descriptors; the rest is for the gateway's own.
 CALLER_DESCRIPTOR_SHARE = 0.45
 UPSTREAM_DESCRIPTOR_SHARE = 0.3
-# What a connection may hold besides bodies: the part of a head, and its objects.
+# What a connection may hold besides bodies: its objects, and the part of a head or what
+# it has received and not read.
 CONNECTION_BYTES = 32 * 1024
 CONNECTION_MEMORY_SHARE = 0.25
 MIN_CONNECTIONS = 16
