Bound what the ports of readiness and metrics take

Seen: whoever reaches one of these ports ends a gateway by memory.

Cause: they were plain Tornado servers, which take bodies of 100 MB each, on any number of connections.

Change: one server for pages that are asked for without a body, with bounds on connections, heads, bodies and times.

--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -20,9 +20,7 @@
 from persimmonferry_core.topology import Address
 from persimmonferry_core.upstreams.limits import LimitNotice, make_notice
 from persimmonferry_wire.generated.peers.ttypes import StreamNews, WeightsNews
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
-from tornado.web import Application, RequestHandler
+from tornado.web import RequestHandler
 
 from persimmonferry_gateway.build_records import BuildRecords
 from persimmonferry_gateway.call_handler import CallContext, CallHandler
@@ -51,6 +49,7 @@
     MetricsServer,
 )
 from persimmonferry_gateway.open_connections import limit_connections
+from persimmonferry_gateway.page_server import PageServer
 from persimmonferry_gateway.peers import PeerExchange
 from persimmonferry_gateway.plain_handler import PlainHandler
 from persimmonferry_gateway.probes import Prober
@@ -264,8 +263,9 @@
             client.held_bytes,
         )
         self._limit_held_bytes()
-        self._readiness = HTTPServer(
-            Application([(r"/.*", _ReadinessHandler, {"check": self._is_ready})])
+        self._readiness = PageServer(
+            settings.readiness,
+            [(r"/.*", _ReadinessHandler, {"check": self._is_ready})],
         )
         self._tasks: set[asyncio.Task] = set()
         self._timers: list[asyncio.TimerHandle] = []
@@ -281,8 +281,7 @@
     async def start(self) -> None:
         """Start serving."""
         self._server.start()
-        ready = self._settings.readiness
-        self._readiness.add_sockets(bind_sockets(ready.port, ready.host))
+        self._readiness.start()
         self._metrics_server.start()
         await self._peers.start()
         self._registry_watch.start()
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -8,11 +8,10 @@
 from persimmonferry_core.room import Resource
 from persimmonferry_core.topology import Address
 from persimmonferry_daemon.histograms import Histograms, Measure
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
-from tornado.web import Application, RequestHandler
+from tornado.web import RequestHandler
 
 from persimmonferry_gateway.held_bytes import HeldBytes, Place
+from persimmonferry_gateway.page_server import PageServer
 
 __all__ = ["CallMetrics", "GatewayFigures", "MetricsServer"]
 
@@ -174,23 +173,12 @@
     return lines
 
 
-class MetricsServer:
+class MetricsServer(PageServer):
     """Serves ``/metrics`` at an address."""
 
     def __init__(self, address: Address, metrics: CallMetrics) -> None:
         rules = [("/metrics", _MetricsHandler, {"metrics": metrics})]
-        self._server = HTTPServer(Application(rules))
-        self._address = address
-
-    def start(self) -> None:
-        """Bind the address and start serving."""
-        sockets = bind_sockets(self._address.port, self._address.host)
-        self._server.add_sockets(sockets)
-
-    async def stop(self) -> None:
-        """Close the server and its connections."""
-        self._server.stop()
-        await self._server.close_all_connections()
+        super().__init__(address, rules)
 
 
 class _MetricsHandler(RequestHandler):
