Bound what connections to upstreams receive unread

Cause: large answers wait in their connections while there is no room for them, and the kernel lets the receive buffer of each grow to megabytes, as it did for callers.

Change: connections to upstreams have a receive buffer of 16 KiB.

--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -42,6 +42,8 @@
 # TCP_USER_TIMEOUT: the connection is closed when sent data is not acknowledged for this
 # long. Longer than two retransmissions on a lossy link, shorter than callers wait.
 UNACKNOWLEDGED_TIMEOUT_MS = 1000
+# Receive buffer of a connection in the kernel, where an answer waits for room.
+RECEIVE_BUFFER_BYTES = 16 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 # Of Tornado's client.
 DEFAULT_CONNECTIONS = 10
@@ -572,5 +574,6 @@
         opened.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
         )
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     finally:
         opened.detach()
