Move the decisions on bodies to the core, for entries too

No change of behaviour: RequestRoom and HeldBytes decide without I/O, and the product's own entry needs them. Their tests and those of the gateway's callers pass.

--- a/packages/gateway/src/persimmonferry_gateway/held_bytes.py
+++ b/packages/core/src/persimmonferry_core/held_bytes.py
@@ -1,4 +1,4 @@
-"""Counts the bytes that a gateway holds for others, and bounds those of answers."""
+"""Counts the bytes that a process holds for others, and bounds those of answers."""
 
 import enum
 from collections import Counter
@@ -13,7 +13,7 @@
 
 
 class Place(enum.StrEnum):
-    """Where a gateway holds bytes; all but those of requests belong to answers."""
+    """Where a process holds bytes; all but those of requests belong to answers."""
 
     REQUEST = "request"
     UNREAD = "unread"
@@ -26,7 +26,7 @@
     """
     The bytes of one answer that are held.
 
-    :param memory: of the gateway, which counts them.
+    :param memory: of the process, which counts them.
     :param resume: called when the answer may be received again after ``may_grow`` has
         returned False.
     """
--- a/packages/gateway/src/persimmonferry_gateway/request_room.py
+++ b/packages/core/src/persimmonferry_core/request_room.py
@@ -4,8 +4,7 @@
 from dataclasses import dataclass
 
 from persimmonferry_core.codes import ResultCode
-
-from persimmonferry_gateway.held_bytes import HeldBytes, Place
+from persimmonferry_core.held_bytes import HeldBytes, Place
 
 __all__ = ["HeldRequest", "Refusal", "RequestRoom"]
 
--- a/packages/gateway/tests/test_request_room.py
+++ b/packages/core/tests/test_request_room.py
@@ -2,8 +2,8 @@
 
 import pytest
 from persimmonferry_core.codes import Ran, ResultCode
-from persimmonferry_gateway.held_bytes import HeldAnswer, HeldBytes, Place
-from persimmonferry_gateway.request_room import (
+from persimmonferry_core.held_bytes import HeldAnswer, HeldBytes, Place
+from persimmonferry_core.request_room import (
     MAX_STALL_S,
     MAX_WAIT_S,
     SMALL_BODY_BYTES,
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -27,6 +27,7 @@
 from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
 from persimmonferry_core.fetch_sources import choose_fetch_timeout, is_fetch_faster
 from persimmonferry_core.fingerprints import format_hash, hash_call
+from persimmonferry_core.held_bytes import Place
 from persimmonferry_core.incoming import IncomingCall
 from persimmonferry_core.quarantine import Quarantine
 from persimmonferry_core.returns import ReturnPromise
@@ -50,7 +51,6 @@
 from persimmonferry_gateway.cluster_state import ClusterState
 from persimmonferry_gateway.crash_reports import CrashReports
 from persimmonferry_gateway.events import EndlessStream, EventSplitter
-from persimmonferry_gateway.held_bytes import Place
 from persimmonferry_gateway.interfaces import Codec, ForwardOptions, ResponseHead
 from persimmonferry_gateway.metrics import CallMetrics
 from persimmonferry_gateway.stream_directory import StreamDirectory
--- a/packages/gateway/src/persimmonferry_gateway/callers.py
+++ b/packages/gateway/src/persimmonferry_gateway/callers.py
@@ -13,6 +13,8 @@
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.deployment import CallerLimits
 from persimmonferry_core.exceptions import FerryError, NotRun
+from persimmonferry_core.held_bytes import HeldBytes, Place
+from persimmonferry_core.request_room import HeldRequest, Refusal, RequestRoom
 from persimmonferry_daemon.servers import describe_error
 from tornado.concurrent import future_add_done_callback
 from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
@@ -27,9 +29,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
-from persimmonferry_gateway.held_bytes import HeldBytes, Place
 from persimmonferry_gateway.open_connections import OpenConnections
-from persimmonferry_gateway.request_room import HeldRequest, Refusal, RequestRoom
 
 __all__ = ["AnswerBegun", "CallerConnection", "CallerServer", "ReceivedRequest"]
 
--- a/packages/gateway/src/persimmonferry_gateway/metrics.py
+++ b/packages/gateway/src/persimmonferry_gateway/metrics.py
@@ -4,13 +4,13 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
+from persimmonferry_core.held_bytes import HeldBytes, Place
 from persimmonferry_core.returns import ReturnPromises
 from persimmonferry_core.room import Resource
 from persimmonferry_core.topology import Address
 from persimmonferry_daemon.histograms import Histograms, Measure
 from tornado.web import RequestHandler
 
-from persimmonferry_gateway.held_bytes import HeldBytes, Place
 from persimmonferry_gateway.page_server import PageServer
 
 __all__ = ["CallMetrics", "GatewayFigures", "MetricsServer"]
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -18,6 +18,7 @@
     RequestFailure,
     fetch,
 )
+from persimmonferry_core.held_bytes import HeldAnswer, HeldBytes, Place
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPResponse
 
@@ -29,7 +30,6 @@
     find_mismatch,
     is_identified,
 )
-from persimmonferry_gateway.held_bytes import HeldAnswer, HeldBytes, Place
 from persimmonferry_gateway.interfaces import ResponseHead
 from persimmonferry_gateway.kept_connections import (
     ConnectionAddresses,
--- a/packages/gateway/tests/test_callers.py
+++ b/packages/gateway/tests/test_callers.py
@@ -6,8 +6,8 @@
 import pytest
 from helpers import wait_until
 from persimmonferry_core.deployment import CallerLimits
+from persimmonferry_core.held_bytes import Place
 from persimmonferry_gateway.callers import CallerServer
-from persimmonferry_gateway.held_bytes import Place
 
 REQUEST = b"POST /%d HTTP/1.1\r\nHost: host.example\r\nContent-Length: 0\r\n\r\n"
 
--- a/packages/gateway/tests/test_metrics.py
+++ b/packages/gateway/tests/test_metrics.py
@@ -1,6 +1,6 @@
+from persimmonferry_core.held_bytes import HeldBytes, Place
 from persimmonferry_core.returns import ReturnPromise, ReturnPromises
 from persimmonferry_core.room import Resource
-from persimmonferry_gateway.held_bytes import HeldBytes, Place
 from persimmonferry_gateway.metrics import CallMetrics, GatewayFigures
 
 
--- a/packages/gateway/tests/test_upstream_client.py
+++ b/packages/gateway/tests/test_upstream_client.py
@@ -4,7 +4,7 @@
 
 import pytest
 from persimmonferry_adapters.http_client import ConnectionReuse, RequestFailure
-from persimmonferry_gateway.held_bytes import MIN_ANSWER_BYTES, Place
+from persimmonferry_core.held_bytes import MIN_ANSWER_BYTES, Place
 from persimmonferry_gateway.interfaces import ResponseHead
 from persimmonferry_gateway.upstream_client import (
     MAX_UNREAD_BYTES,
