Bound the bodies that an entry holds

Callers saw: an entry grows by the bodies of all callers together, also of those that it refuses, and keeps the memory when they have left.

Cause: each body was bounded, all of them were not. The key was checked when the body was whole, a path without a handler was refused then too, and handlers that had ended kept their bodies until old garbage was collected.

Change: an entry receives bodies through the room of gateways, with a setting for all together; the key is checked with the head, bodies without a handler are dropped as they arrive, and a handler drops its body at its end. Callers' connections have a receive buffer of 16 KiB, and large blocks are returned.

--- a/packages/core/src/persimmonferry_core/settings.py
+++ b/packages/core/src/persimmonferry_core/settings.py
@@ -37,12 +37,14 @@
 
     :param callers: listen address for callers' requests.
     :param max_body_bytes: maximum size of a request body.
+    :param body_memory_bytes: maximum size of all bodies that are received or served.
     :param body_timeout_s: maximum time to receive a body.
     :param readiness_grace_s: time between reporting not ready and refusing requests.
     """
 
     callers: Address
     max_body_bytes: int = 4 * 1024 * 1024
+    body_memory_bytes: int = 32 * 1024 * 1024
     body_timeout_s: float = 10.0
     readiness_grace_s: float = 1.0
 
@@ -86,7 +88,12 @@
     "listen": {"callers", "peers"},
     "platform": {"url", "vm_list_url"},
     "upstream": {"kind", "service", "url"},
-    "entry": {"max_body_bytes", "body_timeout_s", "readiness_grace_s"},
+    "entry": {
+        "max_body_bytes",
+        "body_memory_bytes",
+        "body_timeout_s",
+        "readiness_grace_s",
+    },
     "log": {"level"},
 }
 _LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
@@ -185,6 +192,12 @@
                 max_body_bytes=reader.read(
                     "entry", "max_body_bytes", _read_count, EntrySettings.max_body_bytes
                 ),
+                body_memory_bytes=reader.read(
+                    "entry",
+                    "body_memory_bytes",
+                    _read_count,
+                    EntrySettings.body_memory_bytes,
+                ),
                 body_timeout_s=reader.read(
                     "entry",
                     "body_timeout_s",
--- a/packages/daemon/src/persimmonferry_daemon/edge.py
+++ b/packages/daemon/src/persimmonferry_daemon/edge.py
@@ -4,13 +4,15 @@
 import json
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from persimmonferry_core.accounts import hash_key
 from persimmonferry_core.bodies import PromptBody, parse_chat, parse_completion
 from persimmonferry_core.codes import ResultCode
 from persimmonferry_core.exceptions import FerryError, NotRun
+from persimmonferry_core.held_bytes import HeldBytes
+from persimmonferry_core.request_room import HeldRequest, Refusal, RequestRoom
 from persimmonferry_core.runs import CallAnswer
 from persimmonferry_core.schema import (
     ClientAccount,
@@ -45,6 +47,7 @@
     Dependencies shared by the callers' handlers.
 
     :param read_document: returns the document in force, None before the first.
+    :ivar room: decides which bodies are received.
     """
 
     def __init__(
@@ -62,6 +65,9 @@
         self.calls = calls
         self.histograms = histograms
         self.limits = limits
+        self.room = RequestRoom(HeldBytes(), limits.body_memory_bytes)
+        self.room.body_bytes = limits.max_body_bytes
+        self.room.idle_s = limits.body_timeout_s
         shared = {"edge": self}
         chat = {"parse": parse_chat, "form": _ChatForm()}
         completion = {"parse": parse_completion, "form": _CompletionForm()}
@@ -133,45 +139,87 @@
 
 @stream_request_body
 class _BodyHandler(_CallerHandler):
-    """Base of the handlers that read a body of limited size in a limited time."""
+    """
+    Base of the handlers that read a body of limited size in a limited time.
+
+    A body is received only while there is room for it, and for a caller with a key.
+    """
 
     def prepare(self) -> None:
-        """Check the declared length, and start the timeout of the body."""
+        """Check key and declared length, and start the timeout of the body."""
         self.body = bytearray()
         self._timer: asyncio.TimerHandle | None = None
+        self._held: HeldRequest | None = None
+        self._room_found: asyncio.Future | None = None
         # Checked here instead of by Tornado, so that the error gets a result code.
         self.request.connection.set_max_body_size(sys.maxsize)
+        try:
+            self.authenticate()
+        except FerryError as error:
+            self.send_failure(error)
+            return
         length = self.request.headers.get("Content-Length", "0")
         if length.isdecimal() and int(length) > self._edge.limits.max_body_bytes:
             self._refuse(ResultCode.BODY_TOO_LARGE)
             return
+        self._held = self._edge.room.begin(
+            self._resume, self._refuse_for_room, time.monotonic()
+        )
         timeout_s = self._edge.limits.body_timeout_s
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(
             timeout_s, self._refuse, ResultCode.CALLER_TOO_SLOW
         )
 
-    def data_received(self, chunk: bytes) -> None:
-        """Append a chunk of the body."""
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Append a chunk of the body; the next one follows when there is room."""
         if self._finished:
-            return
+            return None
         self.body += chunk
         if len(self.body) > self._edge.limits.max_body_bytes:
             self._refuse(ResultCode.BODY_TOO_LARGE)
+            return None
+        if self._held.receive(len(chunk), time.monotonic()):
+            return None
+        self._room_found = asyncio.get_running_loop().create_future()
+        return self._room_found
 
     def end_body(self) -> bytes:
         """Return the whole body."""
         self._cancel_timer()
-        return bytes(self.body)
+        self._held.complete()
+        body, self.body = bytes(self.body), bytearray()
+        return body
+
+    def on_finish(self) -> None:
+        """Drop the body when the response has been sent."""
+        self._drop_body()
 
     def on_connection_close(self) -> None:
-        """Cancel the timeout of the body when the caller disconnects."""
+        """Drop the body when the caller disconnects."""
         self._cancel_timer()
+        self._drop_body()
+
+    def _drop_body(self) -> None:
+        # Cycles keep the handler until the garbage is collected.
+        self.body = bytearray()
+        if self._held is not None:
+            self._held.release()
+        self._resume()
+
+    def _resume(self) -> None:
+        """Read on; called when there is room again."""
+        found, self._room_found = self._room_found, None
+        if found is not None and not found.done():
+            found.set_result(None)
+
+    def _refuse_for_room(self, refusal: Refusal) -> None:
+        self._refuse(refusal.code, refusal.retry_s)
 
-    def _refuse(self, code: ResultCode) -> None:
+    def _refuse(self, code: ResultCode, retry_s: float | None = None) -> None:
         self._cancel_timer()
         if not self._finished:
-            self.send_failure(NotRun(code))
+            self.send_failure(NotRun(code, "", retry_s))
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
--- a/packages/daemon/src/persimmonferry_daemon/entry.py
+++ b/packages/daemon/src/persimmonferry_daemon/entry.py
@@ -42,6 +42,11 @@
 __all__ = ["Entry"]
 
 REFRESH_INTERVAL_S = 1.0
+BODY_CHECK_INTERVAL_S = 0.25
+# Of a request to a page that takes no body.
+MAX_IGNORED_BODY_BYTES = 1024
+# Receive buffer of a caller's connection in the kernel, where a body waits for room.
+RECEIVE_BUFFER_BYTES = 16 * 1024
 FIRST_REPORTS_TIMEOUT_S = 3.0
 
 _log = logging.getLogger(__name__)
@@ -109,8 +114,10 @@
         self._caller_listener = Listener(
             self._role.callers,
             lambda: self.is_ready,
-            self._role.max_body_bytes,
+            MAX_IGNORED_BODY_BYTES,
+            RECEIVE_BUFFER_BYTES,
         )
+        self._checking = PeriodicTask(self._check_bodies, lambda: BODY_CHECK_INTERVAL_S)
         self._refreshing = PeriodicTask(self._refresh, lambda: REFRESH_INTERVAL_S)
 
     @property
@@ -146,6 +153,7 @@
         await self._upstreams.start(self._peer_listener.address)
         await self._refresh()
         self._refreshing.start()
+        self._checking.start()
         self._limit_shares.start()
         self._ledger.start()
         self._caller_listener.start(self._edge.rules)
@@ -182,6 +190,7 @@
 
     async def _stop_parts(self) -> None:
         await self._refreshing.stop()
+        await self._checking.stop()
         await self._upstreams.stop()
         await self._configuration.stop()
         await self._vms.stop()
@@ -268,6 +277,10 @@
         }
         return tuple(listed | {self._identity})
 
+    async def _check_bodies(self) -> None:
+        """Refuse the callers whose bodies make no progress or find no room."""
+        self._edge.room.check(time.monotonic())
+
     async def _refresh(self) -> None:
         """Update the dispatcher from the VM list."""
         names = tuple(entry.name for entry in self._list_entries())
--- a/packages/daemon/src/persimmonferry_daemon/main.py
+++ b/packages/daemon/src/persimmonferry_daemon/main.py
@@ -18,6 +18,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from persimmonferry_daemon.agent import Agent
+from persimmonferry_daemon.allocation import return_freed_blocks
 from persimmonferry_daemon.entry import Entry
 from persimmonferry_daemon.logs import set_up_logs
 
@@ -55,6 +56,7 @@
         print(f"{settings}: no faults")
         return 0
     set_up_logs(process.name, process.log_level)
+    return_freed_blocks()
     asyncio.run(_serve(process))
     return 0
 
--- a/packages/daemon/src/persimmonferry_daemon/servers.py
+++ b/packages/daemon/src/persimmonferry_daemon/servers.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import socket
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -11,7 +12,7 @@
 from persimmonferry_wire import PeerHandler, PeerRoute
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
-from tornado.web import Application, RequestHandler
+from tornado.web import Application, RequestHandler, stream_request_body
 
 __all__ = ["ErrorHandler", "Listener", "describe_error", "list_peer_rules"]
 
@@ -19,6 +20,7 @@
 
 BACKLOG = 1024
 MAX_HEADER_BYTES = 64 * 1024
+READ_BYTES = 16 * 1024
 IDLE_CONNECTION_TIMEOUT_S = 120
 MAX_PEER_BODY_BYTES = 64 * 1024 * 1024
 
@@ -76,10 +78,14 @@
         self.send_failure(FerryError(code))
 
 
+@stream_request_body
 class _NotFound(ErrorHandler):
     def prepare(self) -> None:
         self.send_failure(FerryError(ResultCode.NOT_FOUND))
 
+    def data_received(self, chunk: bytes) -> None:
+        """Drop a part of the body, which nobody reads."""
+
 
 class _Health(RequestHandler):
     def initialize(self, check: Callable[[], bool]) -> None:
@@ -101,6 +107,9 @@
     One HTTP server on one address, which is bound at creation.
 
     :param is_ready: returns what ``/ready`` reports to the platform's load balancer.
+    :param max_body_bytes: largest body of a handler that sets no limit of its own.
+    :param receive_buffer_bytes: of a connection in the kernel, None for the kernel's
+        choice, which grows to megabytes.
     """
 
     def __init__(
@@ -108,10 +117,16 @@
         address: Address,
         is_ready: Callable[[], bool],
         max_body_bytes: int = MAX_PEER_BODY_BYTES,
+        receive_buffer_bytes: int | None = None,
     ) -> None:
         self._is_ready = is_ready
         self._max_body_bytes = max_body_bytes
         self._sockets = bind_sockets(address.port, address.host, backlog=BACKLOG)
+        if receive_buffer_bytes is not None:
+            for opened in self._sockets:
+                opened.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+                )
         self._server: HTTPServer | None = None
         port = self._sockets[0].getsockname()[1]
         self.address = Address(address.host, port)
@@ -128,6 +143,7 @@
         )
         self._server = HTTPServer(
             application,
+            chunk_size=READ_BYTES,
             max_body_size=self._max_body_bytes,
             max_header_size=MAX_HEADER_BYTES,
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT_S,
