Log how the build of a resumed stream was found, and how old the registry's copy was

The logs named the build of the entry of each attempt, and neither whether it was known which build began the stream nor how late the gateway's copy of the entry could be, so a gateway that took one known build for the only one could not be told from an upstream that had started again under its name.

Lines of ended calls have 'origin' (remembered, other gateway, only build, unknown); attempts have the incarnation of the entry and the age of the copy.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -44,6 +44,7 @@
     AttemptNote,
     AttemptProgress,
     CallNotes,
+    OriginSource,
     to_ms,
 )
 from persimmonferry_gateway.callers import CallerConnection
@@ -295,9 +296,14 @@
             return
         services = {target.service for target in route.targets}
         found = streams.find_known(self._stream)
+        self.notes.origin = OriginSource.REMEMBERED
         if found is None and call.resumes_call and streams.may_be_mixed(services):
             found = await streams.ask(self._stream)
+            self.notes.origin = OriginSource.OTHER_GATEWAY
+        if found is None:
+            self.notes.origin = OriginSource.ONLY_BUILD
         if found is None and streams.is_mixed(services):
+            self.notes.origin = OriginSource.UNKNOWN
             raise NotRun(ResultCode.STREAM_UNKNOWN, "", UNKNOWN_STREAM_RETRY_S)
         if found is not None and found.service in services:
             self._set_service(found.service)
@@ -353,6 +359,7 @@
             "parts": self._list_shared_parts(),
             "resumes_call": _limit_id(self._call.resumes_call),
             "resumes_after": _limit_id(self._call.resumes_after),
+            "origin": notes.origin and notes.origin.value,
             "fetched_tokens": notes.fetched_tokens,
             "saved_tokens": notes.saved_tokens,
             "budget_ms": to_ms(self._budget_s),
@@ -423,7 +430,8 @@
         :raises AttemptFailed: no complete answer was received.
         """
         note = AttemptNote(record.name, self._context.read_clock(), version)
-        note.build = record.build
+        note.build, note.incarnation = record.build, record.incarnation
+        note.registry_age_s = self._context.streams.measure_silence()
         if version is not None:
             note.replaced_s = self._find_replaced_age(version)
         self.notes.attempts.append(note)
--- a/packages/gateway/src/persimmonferry_gateway/call_notes.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_notes.py
@@ -7,7 +7,14 @@
 
 from persimmonferry_gateway.upstream_client import Framing
 
-__all__ = ["AnswerEnd", "AttemptNote", "AttemptProgress", "CallNotes", "to_ms"]
+__all__ = [
+    "AnswerEnd",
+    "AttemptNote",
+    "AttemptProgress",
+    "CallNotes",
+    "OriginSource",
+    "to_ms",
+]
 
 MS_PER_S = 1000
 
@@ -20,6 +27,15 @@
     CONTENT_RECEIVED = "content received"
 
 
+class OriginSource(enum.Enum):
+    """How it was found out which build began a stream that its caller takes up."""
+
+    REMEMBERED = "remembered"
+    OTHER_GATEWAY = "other gateway"
+    ONLY_BUILD = "only build"
+    UNKNOWN = "unknown"
+
+
 @dataclass(frozen=True)
 class AnswerEnd:
     """
@@ -62,6 +78,9 @@
     :param head_s: when the head of its answer had arrived.
     :param refused_s: for how long the upstream takes no calls, by its answer.
     :param build: version of the upstream's software.
+    :param incarnation: of the upstream's entry by which it was chosen.
+    :param registry_age_s: for how long changes of that entry may not have been received
+        when it was sent.
     """
 
     upstream: str
@@ -77,6 +96,8 @@
     head_s: float | None = None
     refused_s: float | None = None
     build: str = ""
+    incarnation: int = 0
+    registry_age_s: float = 0.0
 
     def describe(self, arrival_s: float) -> dict[str, object]:
         """
@@ -91,6 +112,8 @@
         fields = {
             "upstream": self.upstream,
             "build": self.build,
+            "incarnation": self.incarnation,
+            "registry_age_ms": to_ms(self.registry_age_s),
             "sent_ms": to_ms(self.sent_s - arrival_s),
             "received_bytes": self.received_bytes,
             "end": self.end or "call ended",
@@ -124,6 +147,7 @@
     :param answer_ends: of attempts whose answer had begun, how it ended.
     :param fetched_tokens: of its shared parts that the engine was to fetch.
     :param saved_tokens: of its shared parts that the engine was to store.
+    :param origin: of a stream that its caller takes up, None for other calls.
     """
 
     upstreams: list[str] = field(default_factory=list)
@@ -139,6 +163,7 @@
     answer_ends: list[AnswerEnd] = field(default_factory=list)
     fetched_tokens: int = 0
     saved_tokens: int = 0
+    origin: OriginSource | None = None
 
 
 def to_ms(seconds: float) -> int:
--- a/packages/gateway/src/persimmonferry_gateway/stream_directory.py
+++ b/packages/gateway/src/persimmonferry_gateway/stream_directory.py
@@ -59,7 +59,7 @@
         self._origins = origins
         self._read_clock = read_clock
         self._send = send
-        self._measure_silence = measure_silence
+        self.measure_silence = measure_silence
         self._questions: dict[int, _Question] = {}
 
     def set_builds(
@@ -78,7 +78,7 @@
 
     def may_be_mixed(self, services: Iterable[str]) -> bool:
         """Whether there may be streams of builds that this gateway has not seen."""
-        return self.is_mixed(services) or self._measure_silence() > MAX_SILENCE_S
+        return self.is_mixed(services) or self.measure_silence() > MAX_SILENCE_S
 
     def record(self, origin: StreamOrigin) -> None:
         """Record a stream before its caller receives the first event."""
