Take one known build for the only one only after asking the registry

A gateway that did not know a stream let it go on at any upstream if it knew one build; it asked the gateways that remember streams only if it knew several, or had not heard from the registry for 3 s. So it was wrong whenever it was late: cut off for less, between two watch calls, suspended.

Evidence: the lines of such calls have the origin 'only build' with a copy of the registry that is 1.7 s old, and are sent 3 to 8 ms after arrival.

Each stream is now announced when it begins, and asked for when it is not known, however many builds are known. What is found nowhere goes on only if the registry, read after the caller came, states one build; a shared call beside the waiting watch reads it. The test that streams are announced only when a second build comes is replaced: all are.

The tests of the registry's watch fail without catch_up.

--- a/packages/core/src/persimmonferry_core/stream_origins.py
+++ b/packages/core/src/persimmonferry_core/stream_origins.py
@@ -69,8 +69,11 @@
     streams up again at any entry, when the one before has just been killed. So an entry
     announces each stream when it begins to a few entries, chosen by the hash of the
     stream, where any other one finds it. No entry knows all streams, and the number of
-    messages for a stream does not grow with the fleet. While a service has one build,
-    nothing is announced; when another one comes, the streams under way are.
+    messages for a stream does not grow with the fleet.
+
+    Streams are announced however many builds are known: an entry that is behind the
+    registry knows fewer than there are. One that finds a stream nowhere needs the
+    present state of the registry to conclude that there is only one build.
 
     An entry that starts after a build has left has seen no upstream of it. It takes the
     builds that other entries have recorded for builds that may have left just now.
@@ -79,13 +82,11 @@
 
     >>> origins = StreamOrigins("e1")
     >>> origins.set_builds({"s": frozenset({"v1"})}, 0.0)
-    ()
-    >>> origins.record_own(StreamOrigin(7, "s", "v1", 20.0), 1.0)
-    False
-    >>> origins.set_builds({"s": frozenset({"v1", "v2"})}, 2.0)
-    (StreamOrigin(stream=7, service='s', build='v1', expires_s=20.0),)
+    >>> origins.record(StreamOrigin(7, "s", "v1", 20.0), 1.0)
     >>> origins.find(7, 3.0).build
     'v1'
+    >>> origins.find_only_build("s", 3.0)
+    'v1'
     """
 
     def __init__(self, entry: str) -> None:
@@ -97,7 +98,6 @@
         self._left_until_s: dict[ServiceBuild, float] = {}
         self._recorded: frozenset[ServiceBuild] = frozenset()
         self._streams: dict[int, StreamOrigin] = {}
-        self._own: set[int] = set()
         self._expired_s = float("-inf")
         self.set_entries(())
 
@@ -132,16 +132,14 @@
         builds: Mapping[str, frozenset[str]],
         now: float,
         recorded: frozenset[ServiceBuild] = frozenset(),
-    ) -> tuple[StreamOrigin, ...]:
+    ) -> None:
         """
         Set the builds that serve in each service.
 
         A build that has left counts for as long as streams of it may be remembered.
 
         :param recorded: builds that any entry has seen lately.
-        :returns: own streams that are to be announced now.
         """
-        former = {name for name in self._builds if self.is_mixed(name, now)}
         until_s = now + MAX_LIFETIME_S
         for service, known in self._builds.items():
             for build in known - builds.get(service, frozenset()):
@@ -150,12 +148,6 @@
             if item.build not in builds.get(item.service, frozenset()):
                 self._left_until_s[item] = until_s
         self._builds, self._recorded = builds, recorded
-        begun = {name for name in builds if self.is_mixed(name, now)} - former
-        if not begun:
-            return ()
-        self._expire(now)
-        own = (self._streams[stream] for stream in self._own)
-        return tuple(origin for origin in own if origin.service in begun)
 
     def is_mixed(self, service: str, now: float) -> bool:
         """Whether streams of several builds of a service may be under way."""
@@ -167,14 +159,13 @@
             for item, until_s in self._left_until_s.items()
         )
 
-    def record_own(self, origin: StreamOrigin, now: float) -> bool:
-        """Record a stream that began at this entry; return whether to announce it."""
-        self.record(origin, now)
-        self._own.add(origin.stream)
-        return self.is_mixed(origin.service, now)
+    def find_only_build(self, service: str, now: float) -> str | None:
+        """Return the build of a service if it is known to have one only."""
+        serving = self._builds.get(service, frozenset())
+        return None if self.is_mixed(service, now) else next(iter(serving), None)
 
     def record(self, origin: StreamOrigin, now: float) -> None:
-        """Record a stream that began at another entry."""
+        """Record a stream that began at any entry."""
         self._expire(now)
         self._streams.setdefault(origin.stream, origin)
         if origin.build not in self._builds.get(origin.service, frozenset()):
@@ -183,24 +174,17 @@
             until_s = max(origin.expires_s, self._left_until_s.get(key, 0.0))
             self._left_until_s[key] = until_s
         if len(self._streams) > MAX_STREAMS:
-            self._forget(next(iter(self._streams)))
+            del self._streams[next(iter(self._streams))]
 
     def find(self, stream: int, now: float) -> StreamOrigin | None:
         """Return where a stream began, None if this entry does not know it."""
         self._expire(now)
         return self._streams.get(stream)
 
-    def list_mixed(self, now: float) -> tuple[StreamOrigin, ...]:
-        """Return the streams of services with several builds, for other entries."""
+    def list_all(self, now: float) -> tuple[StreamOrigin, ...]:
+        """Return all streams that this entry remembers, for other entries."""
         self._expire(now)
-        mixed = {name for name in self._builds if self.is_mixed(name, now)}
-        return tuple(
-            origin for origin in self._streams.values() if origin.service in mixed
-        )
-
-    def _forget(self, stream: int) -> None:
-        del self._streams[stream]
-        self._own.discard(stream)
+        return tuple(self._streams.values())
 
     def _expire(self, now: float) -> None:
         if now < self._expired_s + EXPIRY_INTERVAL_S:
@@ -208,7 +192,7 @@
         self._expired_s = now
         for stream, origin in tuple(self._streams.items()):
             if origin.expires_s <= now:
-                self._forget(stream)
+                del self._streams[stream]
         for item, until_s in tuple(self._left_until_s.items()):
             if until_s <= now:
                 del self._left_until_s[item]
--- a/packages/core/tests/test_stream_origins.py
+++ b/packages/core/tests/test_stream_origins.py
@@ -75,27 +75,31 @@
     assert not origins.is_mixed("s", 2.0)
 
 
-def test_only_own_streams_are_announced_when_another_build_comes():
+def test_all_streams_are_listed_for_other_entries_whatever_their_build():
     origins = make_origins(builds=("v1",))
-    assert not origins.record_own(begin(1), 1.0)
-    origins.record(begin(2), 1.0)
-    builds = {"s": frozenset({"v1", "v2"})}
-    assert [item.stream for item in origins.set_builds(builds, 2.0)] == [1]
-    assert origins.set_builds(builds, 3.0) == ()
-    assert origins.record_own(begin(3), 3.0)
-    assert [item.stream for item in origins.list_mixed(3.0)] == [1, 2, 3]
+    origins.record(begin(1), 1.0)
+    origins.record(begin(2, build="v2"), 1.0)
+    assert [item.stream for item in origins.list_all(3.0)] == [1, 2]
+
+
+def test_the_only_build_of_a_service_is_known_while_no_other_counts():
+    origins = make_origins(builds=("v1",))
+    assert origins.find_only_build("s", 1.0) == "v1"
+    origins.set_builds({"s": frozenset({"v2"})}, 10.0)
+    assert origins.find_only_build("s", 10.0) is None
+    assert origins.find_only_build("s", 10.0 + MAX_LIFETIME_S + 0.1) == "v2"
 
 
 def test_a_stream_is_forgotten_when_its_caller_no_longer_waits():
     origins = make_origins()
-    origins.record_own(begin(1, expires_s=5.0), 1.0)
+    origins.record(begin(1, expires_s=5.0), 1.0)
     assert origins.find(1, 4.0).build == "v1"
     assert origins.find(1, 6.5) is None
 
 
 def test_the_first_origin_of_a_stream_counts():
     origins = make_origins()
-    origins.record_own(begin(1), 1.0)
+    origins.record(begin(1), 1.0)
     origins.record(begin(1, build="v2"), 2.0)
     assert origins.find(1, 3.0).build == "v1"
 
@@ -103,7 +107,7 @@
 def test_what_is_remembered_is_bounded():
     origins = make_origins()
     for stream in range(MAX_STREAMS + 10):
-        origins.record_own(begin(stream, expires_s=500.0), 1.0)
+        origins.record(begin(stream, expires_s=500.0), 1.0)
     assert origins.find(9, 1.5) is None
     assert origins.find(10, 1.5) is not None
 
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -98,6 +98,8 @@
     :param check_version: asks an engine for the version of its weights.
     :param kept: index of the parts of prompts that are stored at store VMs.
     :param log: of calls that have ended.
+    :param measure_silence: returns for how long changes of the registry may not have
+        been received.
     :param announce_call: tells the other gateways of a call to a plain service.
     :param record_limit: records the limit that an upstream stated with a response to a
         call, which was sent at the given time.
@@ -133,6 +135,7 @@
     quarantine: Quarantine
     crash_reports: CrashReports
     streams: StreamDirectory
+    measure_silence: Callable[[], float]
     announce_call: Callable[[str], None]
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
     waiting_parts: dict[str, frozenset[int]] = field(default_factory=dict)
@@ -295,17 +298,18 @@
         if call.resumes_after is None or not route.is_resumable:
             return
         services = {target.service for target in route.targets}
-        found = streams.find_known(self._stream)
         self.notes.origin = OriginSource.REMEMBERED
-        if found is None and call.resumes_call and streams.may_be_mixed(services):
-            found = await streams.ask(self._stream)
+        found = streams.find_known(self._stream)
+        if found is None and call.resumes_call:
             self.notes.origin = OriginSource.OTHER_GATEWAY
-        if found is None:
-            self.notes.origin = OriginSource.ONLY_BUILD
-        if found is None and streams.is_mixed(services):
+            found = await streams.ask(self._stream)
+        if found is None and not await streams.have_one_build_each(services):
             self.notes.origin = OriginSource.UNKNOWN
             raise NotRun(ResultCode.STREAM_UNKNOWN, "", UNKNOWN_STREAM_RETRY_S)
-        if found is not None and found.service in services:
+        if found is None:
+            self.notes.origin = OriginSource.ONLY_BUILD
+            self._build = streams.find_only_build(self._service) or ""
+        elif found.service in services:
             self._set_service(found.service)
             self._build = found.build
 
@@ -431,7 +435,7 @@
         """
         note = AttemptNote(record.name, self._context.read_clock(), version)
         note.build, note.incarnation = record.build, record.incarnation
-        note.registry_age_s = self._context.streams.measure_silence()
+        note.registry_age_s = self._context.measure_silence()
         if version is not None:
             note.replaced_s = self._find_replaced_age(version)
         self.notes.attempts.append(note)
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -173,7 +173,7 @@
             self._origins,
             self._loop.time,
             self._peers.send_streams,
-            lambda: self._registry_watch.measure_silence(),
+            lambda: self._registry_watch.catch_up(read_boot_clock()),
         )
         self._build_records = BuildRecords(
             registry, BUILD_PREFIX, self._origins.is_first_holder
@@ -231,6 +231,7 @@
             self._quarantine,
             self._crash_reports,
             self._streams,
+            lambda: self._registry_watch.measure_silence(),
             self._peers.announce_call,
         )
         self._registry_watch = RegistryWatch(
--- a/packages/gateway/src/persimmonferry_gateway/registry_watch.py
+++ b/packages/gateway/src/persimmonferry_gateway/registry_watch.py
@@ -11,6 +11,7 @@
 
 from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.interfaces import Changes, Registry, Snapshot
+from persimmonferry_gateway.shared_calls import SharedCall
 
 __all__ = ["RegistryWatch"]
 
@@ -28,6 +29,8 @@
 # After the registry came back from an older copy, all items are read once more when the
 # others have written theirs again, or their leases have expired.
 REREAD_AFTER_S = 7.0
+# Callers wait meanwhile; the registry answers in some milliseconds.
+CATCH_UP_TIMEOUT_S = 0.25
 ALL_KEYS = ""
 
 _log = logging.getLogger(__name__)
@@ -69,14 +72,16 @@
         self._current_s = float("-inf")
         self.gap_s = float("inf")
         self._background = BackgroundTask(self._run)
+        self._present = SharedCall(self._ask_now, read_boot_clock)
 
     def start(self) -> None:
         """Start watching."""
         self._background.start()
 
     async def stop(self) -> None:
-        """Stop watching and cancel a call in progress."""
+        """Stop watching and cancel the calls in progress."""
         await self._background.stop()
+        await self._present.stop()
 
     async def _run(self) -> None:
         while True:
@@ -99,24 +104,74 @@
         asked_s = read_boot_clock()
         if self._revision is None:
             snapshot = await self._registry.list_items(ALL_KEYS)
-            self._record_response(asked_s)
+            self._record_response()
             snapshot = self._mark_restored(snapshot, read_boot_clock())
             self._keys = {item.key for item in snapshot.items}
             self._apply_snapshot(snapshot)
             self._revision = snapshot.revision
+            self._current_s = max(self._current_s, asked_s)
             return
         # After an outage all may have changed, also the registry's history.
         wait_s = 0.0 if self._failures else WATCH_WAIT_S
         changes = await self._registry.watch(ALL_KEYS, self._revision, wait_s)
-        self._record_response(_find_current_time(changes, asked_s, wait_s))
-        for item in changes.items:
+        self._receive(changes, _find_current_time(changes, asked_s, wait_s))
+        if read_boot_clock() >= self._reread_s:
+            self._revision = None
+        await asyncio.sleep(_choose_pause(len(self._keys)))
+
+    def _receive(self, changes: Changes, current_s: float) -> None:
+        """Apply the changes that no other call has returned before."""
+        if self._revision is None:
+            # All items are about to be read again.
+            return
+        self._record_response()
+        items = tuple(item for item in changes.items if item.revision > self._revision)
+        for item in items:
             change = self._keys.discard if item.value is None else self._keys.add
             change(item.key)
-        self._apply_changes(changes)
+        self._apply_changes(replace(changes, items=items))
         self._revision = max(self._revision, changes.revision)
-        if read_boot_clock() >= self._reread_s:
+        self._current_s = max(self._current_s, current_s)
+
+    @property
+    def current_s(self) -> float:
+        """Until when changes have been received, on the boot clock."""
+        return self._current_s
+
+    async def catch_up(self, until_s: float) -> bool:
+        """
+        Receive all changes that were made until a time, and return whether this worked.
+
+        While the registry does not respond, this fails at once.
+        """
+        if self._current_s >= until_s:
+            return True
+        try:
+            async with asyncio.timeout(CATCH_UP_TIMEOUT_S):
+                await asyncio.sleep(until_s - read_boot_clock())
+                if not self._failures and self._current_s < until_s:
+                    await self._present.get(until_s)
+        except TimeoutError:
+            _log.info("registry not read in time", extra={"for_s": CATCH_UP_TIMEOUT_S})
+        return self._current_s >= until_s
+
+    async def _ask_now(self) -> None:
+        """Receive the changes until now, beside the watch call that is waiting."""
+        revision = self._revision
+        if revision is None:
+            return
+        asked_s = read_boot_clock()
+        try:
+            changes = await self._registry.watch(ALL_KEYS, revision, 0.0)
+        except PlatformError as error:
+            # The next watch call meets the same error, and counts it.
+            _log.info("registry not read", extra={"cause": str(error)})
+            return
+        try:
+            self._receive(changes, asked_s)
+        except Exception:
+            _log.exception("registry response could not be applied")
             self._revision = None
-        await asyncio.sleep(_choose_pause(len(self._keys)))
 
     def _mark_restored(self, snapshot: Snapshot, now: float) -> Snapshot:
         """Mark the first snapshot of another era, and schedule one more."""
@@ -132,9 +187,8 @@
         """Return for how long changes may not have been received, in seconds."""
         return read_boot_clock() - self._current_s
 
-    def _record_response(self, current_s: float) -> None:
+    def _record_response(self) -> None:
         self.gap_s = read_boot_clock() - self._current_s
-        self._current_s = max(self._current_s, current_s)
         if self._failures:
             _log.warning("registry reachable", extra={"failures": self._failures})
             self._record_reachable(True)
--- a/packages/gateway/src/persimmonferry_gateway/stream_directory.py
+++ b/packages/gateway/src/persimmonferry_gateway/stream_directory.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from persimmonferry_core.stream_origins import (
@@ -16,9 +16,6 @@
 
 # The question is asked again after the first time, as datagrams may be lost.
 ANSWER_TIMEOUTS_S = (0.1, 0.15)
-# Without the registry for longer than this, builds may have come and gone unseen; a
-# gateway in touch hears of it more often.
-MAX_SILENCE_S = 3.0
 # Streams in one datagram; the names of services and builds take up most of it.
 MAX_STREAMS_SENT = 12
 MS_PER_S = 1000
@@ -43,8 +40,8 @@
     Finds where streams began, also those that began at other gateways.
 
     :param send: sends news to the named gateways.
-    :param measure_silence: returns for how long the registry may have had changes that
-        were not received, in seconds.
+    :param catch_up: receives the changes of the registry until now, and returns whether
+        this worked.
     """
 
     def __init__(
@@ -53,13 +50,13 @@
         origins: StreamOrigins,
         read_clock: Callable[[], float],
         send: Callable[[StreamNews, Iterable[str]], None],
-        measure_silence: Callable[[], float],
+        catch_up: Callable[[], Awaitable[bool]],
     ) -> None:
         self._name = name
         self._origins = origins
         self._read_clock = read_clock
         self._send = send
-        self.measure_silence = measure_silence
+        self._catch_up = catch_up
         self._questions: dict[int, _Question] = {}
 
     def set_builds(
@@ -68,22 +65,31 @@
         recorded: frozenset[ServiceBuild],
     ) -> None:
         """Set the builds that serve in each service, as ``StreamOrigins`` does."""
-        now = self._read_clock()
-        self._announce(self._origins.set_builds(builds, now, recorded))
+        self._origins.set_builds(builds, self._read_clock(), recorded)
+
+    async def have_one_build_each(self, services: Collection[str]) -> bool:
+        """
+        Whether streams of one build at most are under way in each of the services.
+
+        What this gateway has not heard of yet may serve all the same, so the answer is
+        no unless the registry states it now.
+        """
+        if self._are_mixed(services) or not await self._catch_up():
+            return False
+        return not self._are_mixed(services)
 
-    def is_mixed(self, services: Iterable[str]) -> bool:
-        """Whether streams of several builds of any of the services are under way."""
+    def _are_mixed(self, services: Collection[str]) -> bool:
         now = self._read_clock()
         return any(self._origins.is_mixed(service, now) for service in services)
 
-    def may_be_mixed(self, services: Iterable[str]) -> bool:
-        """Whether there may be streams of builds that this gateway has not seen."""
-        return self.is_mixed(services) or self.measure_silence() > MAX_SILENCE_S
+    def find_only_build(self, service: str) -> str | None:
+        """Return the build of a service if it is known to have one only."""
+        return self._origins.find_only_build(service, self._read_clock())
 
     def record(self, origin: StreamOrigin) -> None:
         """Record a stream before its caller receives the first event."""
-        if self._origins.record_own(origin, self._read_clock()):
-            self._announce((origin,))
+        self._origins.record(origin, self._read_clock())
+        self._announce((origin,))
 
     def find_known(self, stream: int) -> StreamOrigin | None:
         """Return where a stream began, None if this gateway does not know it."""
@@ -135,7 +141,7 @@
     def hand_over(self) -> None:
         """Announce all that this gateway remembers to those that will remember it."""
         self._origins.leave()
-        self._announce(self._origins.list_mixed(self._read_clock()))
+        self._announce(self._origins.list_all(self._read_clock()))
 
     def _announce(self, origins: Iterable[StreamOrigin]) -> None:
         """Send at once, as a caller may take its stream up at any moment."""
--- a/packages/gateway/tests/test_registry_watch.py
+++ b/packages/gateway/tests/test_registry_watch.py
@@ -174,3 +174,62 @@
         await wait_until(lambda: watch.measure_silence() < WATCH_WAIT_S / 2)
 
     run_scenario(scenario)
+
+
+# Between two watch calls, what has not been heard of was taken for what is not there.
+def test_catching_up_returns_before_the_changes_are_applied():
+    async def scenario(registry, recorded, watch):
+        await wait_until(lambda: registry.calls.count("watch") == 1)
+        registry.put("b", b"2")
+        await wait_until(lambda: "b" in recorded.items)
+        # The watch pauses now.
+        registry.put("c", b"3")
+        assert "c" not in recorded.items
+        until_s = read_boot_clock()
+        assert await watch.catch_up(until_s)
+        assert recorded.items["c"] == b"3"
+        assert until_s <= watch.current_s <= read_boot_clock()
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("failure", ["is_unavailable", "is_silent"])
+def test_catching_up_succeeds_without_the_registry(failure):
+    async def scenario(registry, recorded, watch):
+        match failure:
+            case "is_unavailable":
+                registry.is_unavailable = True
+            case "is_silent":
+                registry.delay_s = 60.0
+        begun_s = read_boot_clock()
+        assert not await watch.catch_up(begun_s)
+        assert read_boot_clock() - begun_s < 2 * registry_watch.CATCH_UP_TIMEOUT_S
+
+    run_scenario(scenario)
+
+
+def test_a_late_answer_to_a_watch_takes_back_what_catching_up_has_applied():
+    async def scenario(registry, recorded, watch):
+        await wait_until(lambda: registry.calls.count("watch") == 1)
+        registry.delay_s = 0.2
+        registry.put("b", b"1")
+        await wait_until(lambda: "watch ends" in registry.calls)
+        registry.delay_s = 0.0
+        registry.put("b", b"2")
+        assert await watch.catch_up(read_boot_clock())
+        assert recorded.items["b"] == b"2"
+        await asyncio.sleep(0.3)
+        assert recorded.items["b"] == b"2"
+
+    run_scenario(scenario)
+
+
+def test_many_that_catch_up_share_calls_to_the_registry():
+    async def scenario(registry, recorded, watch):
+        before = len(registry.calls)
+        until_s = read_boot_clock()
+        found = await asyncio.gather(*(watch.catch_up(until_s) for _ in range(50)))
+        assert all(found)
+        assert len(registry.calls) - before <= 4
+
+    run_scenario(scenario)
