Let a stream go on only at a process whose build is certain

The build of an upstream is that of its entry, but an upstream may start again under its name and address: until the new entry was read, a stream of the former build was sent to the new process.

Class: a name is taken for one start of what bears it. A connection belongs to one process. Its build is that of the entry if the registry was read after the connection had been made, with some time for the process to write its entry, and still states the same start. Where the registry doesn't respond, the upstream's report is asked for its start; if neither tells, the attempt ends before any of its events is relayed, without blame for the upstream. Kept connections need no further call. Before a stream goes on, the registry is read, so that mostly the right upstream is chosen at once.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -4,7 +4,7 @@
 import functools
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 
 from persimmonferry_adapters.http_client import (
@@ -36,6 +36,7 @@
     StreamOrigin,
     hash_stream,
 )
+from persimmonferry_core.upstream_starts import UpstreamStart
 
 from persimmonferry_gateway.answer_identity import AnswerFinder
 from persimmonferry_gateway.call_log import RateLimitedLog
@@ -54,6 +55,7 @@
 from persimmonferry_gateway.events import EndlessStream, EventSplitter
 from persimmonferry_gateway.interfaces import Codec, ForwardOptions, ResponseHead
 from persimmonferry_gateway.metrics import CallMetrics
+from persimmonferry_gateway.start_checks import StartChecks
 from persimmonferry_gateway.stream_directory import StreamDirectory
 from persimmonferry_gateway.upstream_client import (
     CancellableClient,
@@ -98,6 +100,9 @@
     :param check_version: asks an engine for the version of its weights.
     :param kept: index of the parts of prompts that are stored at store VMs.
     :param log: of calls that have ended.
+    :param starts: tells which process of an upstream took a connection.
+    :param catch_up: receives the changes of the registry until a time on the boot
+        clock.
     :param measure_silence: returns for how long changes of the registry may not have
         been received.
     :param announce_call: tells the other gateways of a call to a plain service.
@@ -135,6 +140,8 @@
     quarantine: Quarantine
     crash_reports: CrashReports
     streams: StreamDirectory
+    starts: StartChecks
+    catch_up: Callable[[float], Awaitable[bool]]
     measure_silence: Callable[[], float]
     announce_call: Callable[[str], None]
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
@@ -150,6 +157,7 @@
     :param ran: whether it may have run.
     :param arrived: False when no connection to the upstream could be made.
     :param endless: whether it was ended, as its answer held more than was asked for.
+    :param is_upstream_sound: whether its upstream is not to blame.
     :ivar resend_s: until then its upstream may still work on it.
     """
 
@@ -160,9 +168,11 @@
         ran: bool,
         arrived: bool = True,
         endless: bool = False,
+        is_upstream_sound: bool = False,
     ) -> None:
         super().__init__(error)
         self.endless = endless
+        self.is_upstream_sound = is_upstream_sound
         self.resend_s = 0.0
         self.error = error
         self.ran = ran
@@ -559,6 +569,8 @@
             exchange.cancel()
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, f"status {head.status}")
             raise AttemptFailed(error, ran=True)
+        if is_stream and self._build:
+            await self._check_start(record, exchange)
         self.notes.version = head.version
         if head.status < 300:
             self._progress = AttemptProgress.ANSWER_BEGUN
@@ -567,6 +579,29 @@
         else:
             await self._relay_whole(exchange, head)
 
+    async def _check_start(
+        self, record: UpstreamRecord, exchange: UpstreamExchange
+    ) -> None:
+        """
+        Check that the upstream has not started again with another build.
+
+        :raises AttemptFailed: it has, or may have.
+        """
+        start = UpstreamStart(record.name, record.incarnation, exchange.connected_s)
+        if not await self._context.starts.confirm(start):
+            exchange.cancel()
+            error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, "start not confirmed")
+            raise AttemptFailed(error, ran=True, is_upstream_sound=True)
+
+    async def _prepare_continuation(self) -> None:
+        """
+        Read the present builds before an upstream continues the stream.
+
+        Without them the upstream may be a wrong one, which is noticed when it answers.
+        """
+        if self._build:
+            await self._context.catch_up(read_boot_clock())
+
     def _choose_budget(self, version: int | None, now: float) -> AttemptBudget:
         """Return the limits on the time of the present attempt."""
         left_s = max(0.0, self._deadline_s - now)
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -7,6 +7,11 @@
 from persimmonferry_core.deployment import Deployment, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.named_weights import NamedWeights
+from persimmonferry_core.upstream_starts import (
+    StartVerdict,
+    UpstreamStart,
+    judge_start,
+)
 from persimmonferry_core.upstreams import ColdBound, LimitNotice, RateCeiling
 from persimmonferry_core.weight_orders import (
     find_replacement_time,
@@ -77,6 +82,22 @@
         """Return an upstream's entry, or None."""
         return self.fleet.records.get(upstream)
 
+    def judge_start(
+        self, start: UpstreamStart, current_s: float, now: float
+    ) -> StartVerdict:
+        """
+        Return whether an upstream's process is the expected one, by its entry.
+
+        :param current_s: until when all changes have been applied, on the boot clock.
+        """
+        record = self.find_record(start.upstream)
+        incarnation = record.incarnation if record else None
+        verdict = judge_start(start, incarnation, current_s)
+        is_settled = self.fleet.is_settled(start.upstream, now)
+        if verdict is StartVerdict.SAME and not is_settled:
+            return StartVerdict.UNDECIDED
+        return verdict
+
     def find_version(self, upstream: str) -> int | None:
         """Return the last known version of an upstream's weights, or None."""
         return self._versions.get(upstream)
@@ -393,7 +414,7 @@
         """Add or replace an upstream."""
         name = record.name
         former = self.find_record(name)
-        self.fleet.put(record)
+        self.fleet.put(record, now)
         if former == record:
             self.record_cold(name, record.cold_left_s, "its entry", now)
             return
--- a/packages/gateway/src/persimmonferry_gateway/fleet.py
+++ b/packages/gateway/src/persimmonferry_gateway/fleet.py
@@ -23,6 +23,7 @@
 
     records: dict[str, UpstreamRecord] = field(default_factory=dict)
     _removal_due_s: dict[str, float] = field(default_factory=dict)
+    _received_s: dict[str, float] = field(default_factory=dict)
     # Incarnations of the upstreams that were dropped last.
     _dropped: dict[str, int] = field(default_factory=dict)
     _is_registry_lost: bool = False
@@ -58,8 +59,21 @@
             return False
         return record.incarnation < known.incarnation or known.is_leaving
 
-    def put(self, record: UpstreamRecord) -> None:
+    def is_settled(self, name: str, now: float) -> bool:
+        """
+        Whether the registry holds what an upstream has written last.
+
+        After an outage of the registry, entries that expired or were lost in it are
+        missing until their upstreams have written them again.
+        """
+        if self._is_registry_lost:
+            return False
+        is_received = self._received_s.get(name, float("-inf")) >= self._restored_s
+        return is_received or now >= self._restored_s + REREGISTRATION_GRACE_S
+
+    def put(self, record: UpstreamRecord, now: float) -> None:
         """Add or replace an entry."""
+        self._received_s[record.name] = now
         self._removal_due_s.pop(record.name, None)
         self._dropped.pop(record.name, None)
         self.records[record.name] = record
@@ -85,6 +99,7 @@
     def drop(self, name: str) -> None:
         """Drop an upstream at once."""
         self._removal_due_s.pop(name, None)
+        self._received_s.pop(name, None)
         record = self.records.pop(name, None)
         if record is not None:
             self._dropped[name] = record.incarnation
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -18,6 +18,7 @@
 from persimmonferry_core.schema import TeamDocument
 from persimmonferry_core.stream_origins import StreamOrigins
 from persimmonferry_core.topology import Address
+from persimmonferry_core.upstream_starts import StartVerdict, UpstreamStart
 from persimmonferry_core.upstreams.limits import LimitNotice, make_notice
 from persimmonferry_wire.generated.peers.ttypes import StreamNews, WeightsNews
 from tornado.web import RequestHandler
@@ -37,6 +38,7 @@
 from persimmonferry_gateway.interfaces import (
     Changes,
     Codec,
+    EngineReport,
     Item,
     Registry,
     ResponseHead,
@@ -58,6 +60,7 @@
 from persimmonferry_gateway.registry_items import apply_each
 from persimmonferry_gateway.registry_watch import RegistryWatch
 from persimmonferry_gateway.settings import GatewaySettings
+from persimmonferry_gateway.start_checks import StartChecks
 from persimmonferry_gateway.stores import StoreWatch
 from persimmonferry_gateway.stream_directory import StreamDirectory
 from persimmonferry_gateway.upstream_client import CancellableClient
@@ -211,6 +214,12 @@
             self._peers.list_alive,
             self._peers.queue_update,
         )
+        self._starts = StartChecks(
+            self._judge_start,
+            lambda until_s: self._registry_watch.catch_up(until_s),
+            self._ask_report,
+            read_boot_clock,
+        )
         self._context = CallContext(
             codec,
             self._cluster,
@@ -231,6 +240,8 @@
             self._quarantine,
             self._crash_reports,
             self._streams,
+            self._starts,
+            lambda until_s: self._registry_watch.catch_up(until_s),
             lambda: self._registry_watch.measure_silence(),
             self._peers.announce_call,
         )
@@ -537,6 +548,14 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _judge_start(self, start: UpstreamStart) -> StartVerdict:
+        current_s = self._registry_watch.current_s
+        return self._cluster.judge_start(start, current_s, self._loop.time())
+
+    async def _ask_report(self, upstream: str) -> EngineReport | None:
+        record = self._cluster.find_record(upstream)
+        return await self._prober.ask(record) if record else None
+
     async def _ask_version(self, record: UpstreamRecord) -> None:
         report = await self._prober.ask(record)
         for _, version in report.versions if report else ():
--- a/packages/gateway/src/persimmonferry_gateway/interfaces.py
+++ b/packages/gateway/src/persimmonferry_gateway/interfaces.py
@@ -229,11 +229,13 @@
     :param versions: of its weights, by model.
     :param is_busy: whether it is carrying out an order.
     :param accepted_orders: number of orders accepted since its start.
+    :param incarnation: start time of the process as in its entry, None if not stated.
     """
 
     versions: tuple[tuple[str, int], ...]
     is_busy: bool
     accepted_orders: int
+    incarnation: int | None = None
 
 
 @dataclass(frozen=True)
--- a/packages/gateway/src/persimmonferry_gateway/kept_connections.py
+++ b/packages/gateway/src/persimmonferry_gateway/kept_connections.py
@@ -39,16 +39,25 @@
     def __init__(self) -> None:
         self._descriptors: dict[ConnectionAddresses, int] = {}
         self._addresses: dict[int, ConnectionAddresses] = {}
+        # When each was recorded, on the boot clock.
+        self._opened_s: dict[int, float] = {}
         # Hashes of the ids of calls, as ids may be long.
         self._calls: dict[int, array[int]] = {}
 
-    def record_opened(self, descriptor: int, addresses: ConnectionAddresses) -> None:
-        """Record a new connection; descriptors of closed ones are used again."""
+    def record_opened(
+        self, descriptor: int, addresses: ConnectionAddresses, opened_s: float
+    ) -> None:
+        """
+        Record a new connection; descriptors of closed ones are used again.
+
+        :param opened_s: on the boot clock.
+        """
         former = self._addresses.get(descriptor)
         if former is not None and self._descriptors.get(former) == descriptor:
             del self._descriptors[former]
         self._addresses[descriptor] = addresses
         self._descriptors[addresses] = descriptor
+        self._opened_s[descriptor] = opened_s
         self._calls[descriptor] = array("q")
 
     def record_call(self, descriptor: int, call_id: str) -> None:
@@ -70,6 +79,10 @@
         """Return the descriptor of an open connection, None if it is not known."""
         return self._descriptors.get(addresses)
 
+    def find_opening_time(self, descriptor: int) -> float:
+        """Return when a connection was recorded, on the boot clock."""
+        return self._opened_s[descriptor]
+
     def may_carry(self, addresses: ConnectionAddresses, call_id: str) -> bool:
         """Return whether no answer but its own can follow a call on a connection."""
         descriptor = self.find(addresses)
--- a/packages/gateway/src/persimmonferry_gateway/plain_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/plain_handler.py
@@ -21,6 +21,7 @@
         await self._find_origin()
         context.dispatcher.plain_offered(self._service, self._arrival_s)
         while True:
+            await self._prepare_continuation()
             self._check_quarantine()
             now = context.read_clock()
             avoid = self._avoid | self._list_other_builds()
@@ -57,9 +58,12 @@
             self._attempts -= 1
             context.dispatcher.plain_unreachable(self._id, now)
             return
-        context.dispatcher.plain_finished(
-            self._id, now, whole=False, refused=not failure.ran
-        )
+        if failure.is_upstream_sound:
+            context.dispatcher.plain_abandoned(self._id, now)
+        else:
+            context.dispatcher.plain_finished(
+                self._id, now, whole=False, refused=not failure.ran
+            )
         if failure.ran and not self._can_repeat():
             raise failure.error
         self._check_quarantine()
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -39,6 +39,7 @@
         self._queue(context.dispatcher.offer(self._make_request(), self._arrival_s))
         while True:
             assignment = await self._wait_for_assignment(parts)
+            await self._prepare_continuation()
             self._check_quarantine()
             record = context.cluster.find_record(assignment.upstream)
             now = context.read_clock()
@@ -101,7 +102,7 @@
             failure.ran,
             now,
             connected=failure.arrived,
-            withdrawn=self._is_withdrawn,
+            withdrawn=self._is_withdrawn or failure.is_upstream_sound,
             endless=failure.endless,
             resend_s=failure.resend_s,
             build=self._build,
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -30,6 +30,7 @@
     find_mismatch,
     is_identified,
 )
+from persimmonferry_gateway.clocks import read_boot_clock
 from persimmonferry_gateway.interfaces import ResponseHead
 from persimmonferry_gateway.kept_connections import (
     ConnectionAddresses,
@@ -252,6 +253,8 @@
     :param reuse: whether it may be sent on an open connection.
     :param idle_s: open connections that were idle for longer are not used.
     :ivar sent_s: when it was sent, None before that.
+    :ivar connected_s: when the connection on which it was sent had been made, on the
+        boot clock.
     """
 
     def __init__(
@@ -287,6 +290,8 @@
         self._is_cancelled = False
         self._is_rejected = False
         self.sent_s: float | None = None
+        # Of a connection that is not known, no time is early enough.
+        self.connected_s = float("inf")
         self._opened_descriptor: int | None = None
         self._is_connection_stale = False
         self._is_connection_open = False
@@ -499,7 +504,9 @@
         # Tornado's own clock is the time of day.
         self.sent_s = self._client.io_loop.asyncio_loop.time()
         if self._opened_descriptor is not None:
-            connections.record_opened(self._opened_descriptor, addresses)
+            connections.record_opened(
+                self._opened_descriptor, addresses, read_boot_clock()
+            )
         elif not self.was_sent and not connections.may_carry(addresses, self._call_id):
             # Aborting closes the connection; the request is sent on a new one.
             self._is_connection_stale = True
@@ -508,6 +515,7 @@
         self._descriptor = connections.find(addresses)
         if self._descriptor is not None:
             connections.record_call(self._descriptor, self._call_id)
+            self.connected_s = connections.find_opening_time(self._descriptor)
         return self._request.check_sending(*addresses)
 
     def _read_line(self, line: bytes) -> int:
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -18,7 +18,7 @@
 def make_fleet(*names):
     fleet = Fleet()
     for name in names:
-        fleet.put(make_record(name))
+        fleet.put(make_record(name), 0.0)
     return fleet
 
 
@@ -33,7 +33,7 @@
     fleet.record_registry_lost()
     fleet.record_registry_restored(10.0)
     fleet.keep_only(frozenset(), 10.0)
-    fleet.put(make_record("u1"))
+    fleet.put(make_record("u1"), 0.0)
     assert set(fleet.records) == {"u1", "u2"}
     assert fleet.expire(10.0 + REREGISTRATION_GRACE_S - 0.01) == ()
     assert fleet.expire(10.0 + REREGISTRATION_GRACE_S) == ("u2",)
@@ -42,7 +42,7 @@
 
 def test_an_upstream_that_was_leaving_before_the_outage_gets_no_grace():
     fleet = Fleet()
-    fleet.put(make_record("u1", is_leaving=True))
+    fleet.put(make_record("u1", is_leaving=True), 0.0)
     fleet.record_registry_lost()
     fleet.record_registry_restored(10.0)
     fleet.keep_only(frozenset(), 10.0)
@@ -69,8 +69,8 @@
 # Upstreams that were leaving or gone got calls again, by an entry from before.
 def test_an_entry_that_was_replaced_or_removed_since_the_copy_is_outdated():
     fleet = make_fleet("left", "ready")
-    fleet.put(make_record("leaving", is_leaving=True))
-    fleet.put(make_record("restarted", incarnation=2))
+    fleet.put(make_record("leaving", is_leaving=True), 0.0)
+    fleet.put(make_record("restarted", incarnation=2), 0.0)
     fleet.remove("left", 5.0)
     fleet.record_history_replaced(10.0)
     outdated = [
@@ -85,7 +85,7 @@
     fleet = make_fleet("u1")
     fleet.remove("u1", 5.0)
     fleet.record_history_replaced(10.0)
-    fleet.put(make_record("u1"))
+    fleet.put(make_record("u1"), 0.0)
     assert set(fleet.records) == {"u1"}
     assert not fleet.is_outdated(make_record("u1"))
 
