Remember a stream's build only if its first event came from the process on record

A stream that begins at an upstream which has just started again, with another build, was remembered as of the former build, and went on at upstreams of that one, within its call or over tries.

Class: a name is taken for one start of what bears it, here for the origin. The origin has the process that was expected and the time of the connection, unless the registry was read after that. Each gateway that remembers the stream settles it by its own copy, as of the last reading before an entry changes; what another process may have begun is forgotten, and refused when it is taken up. A call that goes on by itself checks it, too.

--- a/packages/core/src/persimmonferry_core/stream_origins.py
+++ b/packages/core/src/persimmonferry_core/stream_origins.py
@@ -2,10 +2,11 @@
 
 import hashlib
 from bisect import bisect
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, replace
 
 from persimmonferry_core.fingerprints import HASH_BYTES
+from persimmonferry_core.upstream_starts import StartVerdict, UpstreamStart
 
 __all__ = [
     "MAX_LIFETIME_S",
@@ -53,12 +54,15 @@
     :param stream: as of ``hash_stream``.
     :param build: software version of the upstream that sent the first event.
     :param expires_s: when the caller no longer waits for the stream.
+    :param start: process that has the build, if another one may have sent the first
+        event; None if the build is certain.
     """
 
     stream: int
     service: str
     build: str
     expires_s: float
+    start: UpstreamStart | None = None
 
 
 class StreamOrigins:
@@ -98,6 +102,8 @@
         self._left_until_s: dict[ServiceBuild, float] = {}
         self._recorded: frozenset[ServiceBuild] = frozenset()
         self._streams: dict[int, StreamOrigin] = {}
+        # Those whose build is not certain.
+        self._uncertain: set[int] = set()
         self._expired_s = float("-inf")
         self.set_entries(())
 
@@ -167,14 +173,42 @@
     def record(self, origin: StreamOrigin, now: float) -> None:
         """Record a stream that began at any entry."""
         self._expire(now)
-        self._streams.setdefault(origin.stream, origin)
+        known = self._streams.setdefault(origin.stream, origin)
+        if origin.start is None and known.start is not None:
+            self._streams[origin.stream] = origin
+        self._note_certainty(origin.stream)
         if origin.build not in self._builds.get(origin.service, frozenset()):
             # Its upstreams have left, or this entry has not heard of them yet.
             key = ServiceBuild(origin.service, origin.build)
             until_s = max(origin.expires_s, self._left_until_s.get(key, 0.0))
             self._left_until_s[key] = until_s
         if len(self._streams) > MAX_STREAMS:
-            del self._streams[next(iter(self._streams))]
+            self.forget(next(iter(self._streams)))
+
+    def settle(self, judge: Callable[[UpstreamStart], StartVerdict]) -> None:
+        """Keep the builds that have become certain, and forget those found wrong."""
+        for stream in tuple(self._uncertain):
+            match judge(self._streams[stream].start):
+                case StartVerdict.SAME:
+                    self.confirm(stream)
+                case StartVerdict.OTHER:
+                    self.forget(stream)
+
+    def confirm(self, stream: int) -> None:
+        """Record that the build of a stream is certain."""
+        origin = self._streams.get(stream)
+        if origin is not None:
+            self._streams[stream] = replace(origin, start=None)
+            self._note_certainty(stream)
+
+    def forget(self, stream: int) -> None:
+        """Forget a stream."""
+        self._streams.pop(stream, None)
+        self._uncertain.discard(stream)
+
+    def _note_certainty(self, stream: int) -> None:
+        is_certain = self._streams[stream].start is None
+        (self._uncertain.discard if is_certain else self._uncertain.add)(stream)
 
     def find(self, stream: int, now: float) -> StreamOrigin | None:
         """Return where a stream began, None if this entry does not know it."""
@@ -192,7 +226,7 @@
         self._expired_s = now
         for stream, origin in tuple(self._streams.items()):
             if origin.expires_s <= now:
-                del self._streams[stream]
+                self.forget(stream)
         for item, until_s in tuple(self._left_until_s.items()):
             if until_s <= now:
                 del self._left_until_s[item]
--- a/packages/core/tests/test_stream_origins.py
+++ b/packages/core/tests/test_stream_origins.py
@@ -1,3 +1,6 @@
+from dataclasses import replace
+
+import pytest
 from persimmonferry_core.stream_origins import (
     HOLDERS,
     MAX_LIFETIME_S,
@@ -7,6 +10,7 @@
     StreamOrigins,
     hash_stream,
 )
+from persimmonferry_core.upstream_starts import StartVerdict, UpstreamStart
 
 ENTRIES = [f"g{number}" for number in range(40)]
 
@@ -119,3 +123,32 @@
     origins.record(begin(1, build="v2", expires_s=9.0), 1.0)
     assert origins.is_mixed("s", 8.0)
     assert not origins.is_mixed("s", 9.0)
+
+
+START = UpstreamStart("u1", 17, 5.0)
+
+
+@pytest.mark.parametrize(
+    ("verdict", "build"),
+    [
+        (StartVerdict.SAME, "v1"),
+        (StartVerdict.UNDECIDED, "v1"),
+        (StartVerdict.OTHER, None),
+    ],
+)
+def test_a_stream_counts_as_of_a_build_that_another_start_had(verdict, build):
+    origins = make_origins()
+    origins.record(replace(begin(1), start=START), 1.0)
+    origins.settle(lambda start: verdict)
+    found = origins.find(1, 2.0)
+    assert (found and found.build) == build
+    assert found is None or (found.start is None) == (verdict is StartVerdict.SAME)
+
+
+# What was certain once stays so when the upstream starts again later.
+def test_a_certain_build_is_forgotten_after_a_restart():
+    origins = make_origins()
+    origins.record(replace(begin(1), start=START), 1.0)
+    origins.record(begin(1), 1.5)
+    origins.settle(lambda start: StartVerdict.OTHER)
+    assert origins.find(1, 2.0).build == "v1"
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -225,6 +225,8 @@
         )
         # That began the stream; empty until then.
         self._build = ""
+        # Of a stream that began with this call.
+        self._origin: StreamOrigin | None = None
         self._attempts = 0
         self._may_have_run = False
         self._avoid: frozenset[str] = frozenset()
@@ -313,6 +315,9 @@
         if found is None and call.resumes_call:
             self.notes.origin = OriginSource.OTHER_GATEWAY
             found = await streams.ask(self._stream)
+        if found is not None and not await streams.confirm(found):
+            self.notes.origin = OriginSource.UNKNOWN
+            raise NotRun(ResultCode.STREAM_UNKNOWN, "", UNKNOWN_STREAM_RETRY_S)
         if found is None and not await streams.have_one_build_each(services):
             self.notes.origin = OriginSource.UNKNOWN
             raise NotRun(ResultCode.STREAM_UNKNOWN, "", UNKNOWN_STREAM_RETRY_S)
@@ -323,15 +328,19 @@
             self._set_service(found.service)
             self._build = found.build
 
-    def _record_origin(self, build: str) -> None:
+    def _record_origin(self, record: UpstreamRecord) -> None:
         """Record the build that began the stream, before its caller has any of it."""
         if self._build or not self._route.is_resumable:
             return
-        self._build = build
+        self._build = record.build
+        connected_s = self._exchange.connected_s
+        start = UpstreamStart(record.name, record.incarnation, connected_s)
         budget_s = max(self._budget_s, self._call.budget_s or 0.0)
         expires_s = self._arrival_s + min(budget_s, MAX_LIFETIME_S)
-        origin = StreamOrigin(self._stream, self._service, build, expires_s)
-        self._context.streams.record(origin)
+        self._origin = StreamOrigin(
+            self._stream, self._service, record.build, expires_s, start
+        )
+        self._context.streams.record(self._origin)
 
     def _report_crash(self, record: UpstreamRecord, failure: AttemptFailed) -> None:
         """Report an upstream that was lost before it had begun an answer."""
@@ -575,7 +584,7 @@
         if head.status < 300:
             self._progress = AttemptProgress.ANSWER_BEGUN
         if is_stream:
-            await self._relay_stream(exchange, head, record.build)
+            await self._relay_stream(exchange, head, record)
         else:
             await self._relay_whole(exchange, head)
 
@@ -595,12 +604,18 @@
 
     async def _prepare_continuation(self) -> None:
         """
-        Read the present builds before an upstream continues the stream.
+        Make sure which build continues the stream, and read where it serves now.
 
-        Without them the upstream may be a wrong one, which is noticed when it answers.
+        Without the registry the upstream may be a wrong one, which is noticed when it
+        answers.
+
+        :raises NotRun: the build that began the stream is not certain.
         """
-        if self._build:
-            await self._context.catch_up(read_boot_clock())
+        if not self._build:
+            return
+        if self._origin and not await self._context.streams.confirm(self._origin):
+            raise NotRun(ResultCode.STREAM_UNKNOWN, "start not confirmed")
+        await self._context.catch_up(read_boot_clock())
 
     def _choose_budget(self, version: int | None, now: float) -> AttemptBudget:
         """Return the limits on the time of the present attempt."""
@@ -720,7 +735,7 @@
         self._caller.send_complete(head.status, head.reason, list(head.headers), body)
 
     async def _relay_stream(
-        self, exchange: UpstreamExchange, head: ResponseHead, build: str
+        self, exchange: UpstreamExchange, head: ResponseHead, record: UpstreamRecord
     ) -> None:
         while (chunk := await exchange.read_chunk()) is not None:
             try:
@@ -741,7 +756,7 @@
                 self._record_content()
             if not self._caller.is_head_sent:
                 self.notes.first_s = self._context.read_clock()
-                self._record_origin(build)
+                self._record_origin(record)
                 self._record_first_event()
                 self._caller.send_head(head.status, head.reason, list(head.headers))
             self._caller.send_chunk(events)
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -170,6 +170,12 @@
             self._find_assumed_change_time,
             self._apply_weight_ages,
         )
+        self._starts = StartChecks(
+            self._judge_start,
+            lambda until_s: self._registry_watch.catch_up(until_s),
+            self._ask_report,
+            read_boot_clock,
+        )
         self._origins = StreamOrigins(settings.name)
         self._streams = StreamDirectory(
             settings.name,
@@ -177,6 +183,7 @@
             self._loop.time,
             self._peers.send_streams,
             lambda: self._registry_watch.catch_up(read_boot_clock()),
+            self._starts,
         )
         self._build_records = BuildRecords(
             registry, BUILD_PREFIX, self._origins.is_first_holder
@@ -214,12 +221,6 @@
             self._peers.list_alive,
             self._peers.queue_update,
         )
-        self._starts = StartChecks(
-            self._judge_start,
-            lambda until_s: self._registry_watch.catch_up(until_s),
-            self._ask_report,
-            read_boot_clock,
-        )
         self._context = CallContext(
             codec,
             self._cluster,
@@ -568,6 +569,8 @@
             future.set_result(answer)
 
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
+        # While the entries are as they were when the registry was last current.
+        self._streams.settle()
         self._cluster.apply_snapshot(
             snapshot, self._loop.time(), self._find_change_time()
         )
@@ -581,6 +584,7 @@
         self._after_registry_change()
 
     def _apply_changes(self, changes: Changes) -> None:
+        self._streams.settle()
         self._cluster.apply_changes(
             changes, self._loop.time(), self._find_change_time()
         )
--- a/packages/gateway/src/persimmonferry_gateway/stream_directory.py
+++ b/packages/gateway/src/persimmonferry_gateway/stream_directory.py
@@ -3,14 +3,22 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from persimmonferry_core.stream_origins import (
     ServiceBuild,
     StreamOrigin,
     StreamOrigins,
 )
-from persimmonferry_wire.generated.peers.ttypes import BegunStream, StreamNews
+from persimmonferry_core.upstream_starts import StartVerdict, UpstreamStart
+from persimmonferry_wire.generated.peers.ttypes import (
+    BegunStream,
+    ConnectedUpstream,
+    StreamNews,
+)
+
+from persimmonferry_gateway.clocks import read_boot_clock
+from persimmonferry_gateway.start_checks import StartChecks
 
 __all__ = ["StreamDirectory"]
 
@@ -42,6 +50,7 @@
     :param send: sends news to the named gateways.
     :param catch_up: receives the changes of the registry until now, and returns whether
         this worked.
+    :param starts: tells which process of an upstream has sent the first event.
     """
 
     def __init__(
@@ -51,12 +60,14 @@
         read_clock: Callable[[], float],
         send: Callable[[StreamNews, Iterable[str]], None],
         catch_up: Callable[[], Awaitable[bool]],
+        starts: StartChecks,
     ) -> None:
         self._name = name
         self._origins = origins
         self._read_clock = read_clock
         self._send = send
         self._catch_up = catch_up
+        self._starts = starts
         self._questions: dict[int, _Question] = {}
 
     def set_builds(
@@ -88,9 +99,26 @@
 
     def record(self, origin: StreamOrigin) -> None:
         """Record a stream before its caller receives the first event."""
+        verdict = origin.start and self._starts.judge(origin.start)
+        if verdict is StartVerdict.SAME:
+            origin = replace(origin, start=None)
         self._origins.record(origin, self._read_clock())
         self._announce((origin,))
 
+    async def confirm(self, origin: StreamOrigin) -> bool:
+        """Whether the build that began a stream is certain."""
+        known = self._origins.find(origin.stream, self._read_clock()) or origin
+        if known.start is None:
+            return True
+        is_certain = await self._starts.confirm(origin.start)
+        if is_certain:
+            self._origins.confirm(origin.stream)
+        return is_certain
+
+    def settle(self) -> None:
+        """Settle by the registry which streams began at the builds on record."""
+        self._origins.settle(self._starts.judge)
+
     def find_known(self, stream: int) -> StreamOrigin | None:
         """Return where a stream began, None if this gateway does not know it."""
         return self._origins.find(stream, self._read_clock())
@@ -125,7 +153,13 @@
         now = self._read_clock()
         for item in news.begun:
             expires_s = now + item.left_ms / MS_PER_S
-            origin = StreamOrigin(item.stream, item.service_name, item.build, expires_s)
+            origin = StreamOrigin(
+                item.stream,
+                item.service_name,
+                item.build,
+                expires_s,
+                _decode_start(item.start),
+            )
             self._origins.record(origin, now)
             if item.stream in self._questions:
                 self._questions[item.stream].is_answered.set()
@@ -169,9 +203,25 @@
                 origin.service,
                 origin.build,
                 max(0, round((origin.expires_s - now) * MS_PER_S)),
+                _encode_start(origin.start),
             )
             for origin in origins
         ]
         for first in range(0, len(begun), MAX_STREAMS_SENT):
             batch = begun[first : first + MAX_STREAMS_SENT]
             self._send(StreamNews(self._name, batch, [], []), (name,))
+
+
+def _encode_start(start: UpstreamStart | None) -> ConnectedUpstream | None:
+    if start is None:
+        return None
+    # Rounded down, as a connection that seems older than it is would prove too much.
+    age_ms = int((read_boot_clock() - start.connected_s) * MS_PER_S)
+    return ConnectedUpstream(start.upstream, start.incarnation, age_ms)
+
+
+def _decode_start(start: ConnectedUpstream | None) -> UpstreamStart | None:
+    if start is None:
+        return None
+    connected_s = read_boot_clock() - start.age_ms / MS_PER_S
+    return UpstreamStart(start.upstream, start.incarnation, connected_s)
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -123,6 +123,15 @@
   3: list<i64> sound
 }
 
+// A process of an upstream that took a connection.
+struct ConnectedUpstream {
+  1: string upstream
+  // Of the entry by which it was chosen.
+  2: i64 incarnation
+  // Time since the connection had been made.
+  3: i64 age_ms
+}
+
 // Where a stream began; only upstreams of that build may continue it.
 struct BegunStream {
   // Hash of the call that brought its first event.
@@ -131,6 +140,8 @@
   3: string build
   // Time until its caller no longer waits for it.
   4: i32 left_ms
+  // Has the build, if another process may have sent the first event.
+  5: optional ConnectedUpstream start
 }
 
 // Sent to the gateways that remember a stream when it begins, to one that asks, and by
