Ask the gateway where a stream began when its build is not certain

Gateways ask the three that remember a stream also when they know it without certainty, and with them the one where it began; an uncertain answer does not end the question while others are open.

--- a/packages/core/src/persimmonferry_core/stream_origins.py
+++ b/packages/core/src/persimmonferry_core/stream_origins.py
@@ -56,6 +56,8 @@
     :param expires_s: when the caller no longer waits for the stream.
     :param start: process that has the build, if another one may have sent the first
         event; None if the build is certain.
+    :param entry: where the stream began, which is the first to be certain; empty if it
+        need not be asked.
     """
 
     stream: int
@@ -63,6 +65,12 @@
     build: str
     expires_s: float
     start: UpstreamStart | None = None
+    entry: str = ""
+
+    @property
+    def is_certain(self) -> bool:
+        """Whether the first event came from an upstream of the build."""
+        return self.start is None
 
 
 class StreamOrigins:
@@ -174,7 +182,7 @@
         """Record a stream that began at any entry."""
         self._expire(now)
         known = self._streams.setdefault(origin.stream, origin)
-        if origin.start is None and known.start is not None:
+        if origin.is_certain and not known.is_certain:
             self._streams[origin.stream] = origin
         self._note_certainty(origin.stream)
         if origin.build not in self._builds.get(origin.service, frozenset()):
@@ -207,8 +215,10 @@
         self._uncertain.discard(stream)
 
     def _note_certainty(self, stream: int) -> None:
-        is_certain = self._streams[stream].start is None
-        (self._uncertain.discard if is_certain else self._uncertain.add)(stream)
+        if self._streams[stream].is_certain:
+            self._uncertain.discard(stream)
+        else:
+            self._uncertain.add(stream)
 
     def find(self, stream: int, now: float) -> StreamOrigin | None:
         """Return where a stream began, None if this entry does not know it."""
--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -92,6 +92,7 @@
     """
     What all calls of a gateway share.
 
+    :param entry: name of this gateway.
     :param schedule_assignment: has the dispatcher start the requests that can start.
     :param announce_return: announces to the other gateways when a refused prompt was
         told to return.
@@ -121,6 +122,7 @@
     :param idle_s: time for which connections may be reused, by upstream.
     """
 
+    entry: str
     codec: Codec
     cluster: ClusterState
     dispatcher: Dispatcher
@@ -310,14 +312,11 @@
         if call.resumes_after is None or not route.is_resumable:
             return
         services = {target.service for target in route.targets}
-        self.notes.origin = OriginSource.REMEMBERED
-        found = streams.find_known(self._stream)
-        if found is None and call.resumes_call:
-            self.notes.origin = OriginSource.OTHER_GATEWAY
-            found = await streams.ask(self._stream)
-        if found is not None and not await streams.confirm(found):
-            self.notes.origin = OriginSource.UNKNOWN
-            raise NotRun(ResultCode.STREAM_UNKNOWN, "", UNKNOWN_STREAM_RETRY_S)
+        known = streams.find_known(self._stream)
+        self.notes.origin = OriginSource.OTHER_GATEWAY
+        if known is not None:
+            self.notes.origin = OriginSource.REMEMBERED
+        found = await streams.find(self._stream) if known or call.resumes_call else None
         if found is None and not await streams.have_one_build_each(services):
             self.notes.origin = OriginSource.UNKNOWN
             raise NotRun(ResultCode.STREAM_UNKNOWN, "", UNKNOWN_STREAM_RETRY_S)
@@ -338,7 +337,12 @@
         budget_s = max(self._budget_s, self._call.budget_s or 0.0)
         expires_s = self._arrival_s + min(budget_s, MAX_LIFETIME_S)
         self._origin = StreamOrigin(
-            self._stream, self._service, record.build, expires_s, start
+            self._stream,
+            self._service,
+            record.build,
+            expires_s,
+            start,
+            self._context.entry,
         )
         self._context.streams.record(self._origin)
 
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -222,6 +222,7 @@
             self._peers.queue_update,
         )
         self._context = CallContext(
+            settings.name,
             codec,
             self._cluster,
             self._dispatcher,
--- a/packages/gateway/src/persimmonferry_gateway/stream_directory.py
+++ b/packages/gateway/src/persimmonferry_gateway/stream_directory.py
@@ -106,13 +106,13 @@
         self._announce((origin,))
 
     async def confirm(self, origin: StreamOrigin) -> bool:
-        """Whether the build that began a stream is certain."""
-        known = self._origins.find(origin.stream, self._read_clock()) or origin
-        if known.start is None:
+        """Whether the first event of a stream certainly came from its build."""
+        known = self.find_known(origin.stream) or origin
+        if known.is_certain:
             return True
-        is_certain = await self._starts.confirm(origin.start)
+        is_certain = await self._starts.confirm(known.start)
         if is_certain:
-            self._origins.confirm(origin.stream)
+            self._origins.confirm(known.stream)
         return is_certain
 
     def settle(self) -> None:
@@ -123,12 +123,28 @@
         """Return where a stream began, None if this gateway does not know it."""
         return self._origins.find(stream, self._read_clock())
 
-    async def ask(self, stream: int) -> StreamOrigin | None:
-        """Return where a stream began, None if no gateway that was asked knows it."""
-        holders = self._origins.list_holders(stream)
+    async def find(self, stream: int) -> StreamOrigin | None:
+        """
+        Return where a stream began, None if that is not certain.
+
+        Gateways learn at different moments that an upstream has started again, so one
+        may be certain where another one can't be any longer.
+        """
+        known = self.find_known(stream)
+        if known is not None and await self.confirm(known):
+            return known
+        await self._ask(stream, known)
+        found = self.find_known(stream)
+        return found if found is not None and await self.confirm(found) else None
+
+    async def _ask(self, stream: int, known: StreamOrigin | None) -> None:
+        """Ask the gateways that remember a stream, and the one where it began."""
+        holders = set(self._origins.list_holders(stream))
+        if known is not None and known.entry not in ("", self._name):
+            holders.add(known.entry)
         if not holders:
-            return None
-        question = self._questions.setdefault(stream, _Question(set(holders)))
+            return
+        question = self._questions.setdefault(stream, _Question(holders))
         try:
             for timeout_s in ANSWER_TIMEOUTS_S:
                 news = StreamNews(self._name, [], [stream], [])
@@ -141,12 +157,10 @@
                     continue
         finally:
             self._questions.pop(stream, None)
-        found = self._origins.find(stream, self._read_clock())
-        if found is None:
-            fields = {"holders": holders, "silent": sorted(question.open)}
+        if question.open:
             # Callers choose what is asked for; the end of each call is logged.
-            _log.debug("origin of stream unknown", extra=fields)
-        return found
+            fields = {"asked": sorted(holders), "silent": sorted(question.open)}
+            _log.debug("gateways silent on a stream", extra=fields)
 
     def receive(self, news: StreamNews) -> None:
         """Apply another gateway's news, and answer what it asks for."""
@@ -159,19 +173,23 @@
                 item.build,
                 expires_s,
                 _decode_start(item.start),
+                item.gateway or "",
             )
             self._origins.record(origin, now)
-            if item.stream in self._questions:
-                self._questions[item.stream].is_answered.set()
+            self._note_answer(item.stream, news.sender, is_certain=origin.is_certain)
         for stream in news.unknown:
-            question = self._questions.get(stream)
-            if question is not None:
-                question.open.discard(news.sender)
-                if not question.open:
-                    question.is_answered.set()
+            self._note_answer(stream, news.sender, is_certain=False)
         if news.asked:
             self._answer(news.asked, news.sender, now)
 
+    def _note_answer(self, stream: int, sender: str, *, is_certain: bool) -> None:
+        question = self._questions.get(stream)
+        if question is None:
+            return
+        question.open.discard(sender)
+        if is_certain or not question.open:
+            question.is_answered.set()
+
     def hand_over(self) -> None:
         """Announce all that this gateway remembers to those that will remember it."""
         self._origins.leave()
@@ -204,6 +222,7 @@
                 origin.build,
                 max(0, round((origin.expires_s - now) * MS_PER_S)),
                 _encode_start(origin.start),
+                origin.entry if origin.start else None,
             )
             for origin in origins
         ]
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -142,6 +142,8 @@
   4: i32 left_ms
   // Has the build, if another process may have sent the first event.
   5: optional ConnectedUpstream start
+  // Where it began, if the build is not certain.
+  6: optional string gateway
 }
 
 // Sent to the gateways that remember a stream when it begins, to one that asks, and by
