Ask other gateways for upstreams' entries while the registry does not respond

The registry serves the others meanwhile. Without an answer the upstream is asked for its start, as before. Messages don't grow with the fleet.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -33,6 +33,7 @@
 from persimmonferry_core.returns import ReturnPromise
 from persimmonferry_core.stream_origins import (
     MAX_LIFETIME_S,
+    ServiceBuild,
     StreamOrigin,
     hash_stream,
 )
@@ -104,6 +105,8 @@
     :param starts: tells which process of an upstream took a connection.
     :param catch_up: receives the changes of the registry until a time on the boot
         clock.
+    :param learn_upstreams: asks other gateways for upstreams of a build if none is
+        known and the registry does not respond.
     :param measure_silence: returns for how long changes of the registry may not have
         been received.
     :param announce_call: tells the other gateways of a call to a plain service.
@@ -144,6 +147,7 @@
     streams: StreamDirectory
     starts: StartChecks
     catch_up: Callable[[float], Awaitable[bool]]
+    learn_upstreams: Callable[[ServiceBuild], Awaitable[None]]
     measure_silence: Callable[[], float]
     announce_call: Callable[[str], None]
     waiting: dict[str, asyncio.Future] = field(default_factory=dict)
@@ -326,6 +330,9 @@
         elif found.service in services:
             self._set_service(found.service)
             self._build = found.build
+            await self._context.learn_upstreams(
+                ServiceBuild(found.service, found.build)
+            )
 
     def _record_origin(self, record: UpstreamRecord) -> None:
         """Record the build that began the stream, before its caller has any of it."""
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -1,12 +1,14 @@
 """State of the deployment from the registry and from upstreams' responses."""
 
 import logging
+from collections.abc import Iterable
 from dataclasses import replace
 from math import isfinite
 
 from persimmonferry_core.deployment import Deployment, UpstreamRecord
 from persimmonferry_core.dispatch import Dispatcher
 from persimmonferry_core.named_weights import NamedWeights
+from persimmonferry_core.stream_origins import ServiceBuild
 from persimmonferry_core.upstream_starts import (
     StartVerdict,
     UpstreamStart,
@@ -82,6 +84,33 @@
         """Return an upstream's entry, or None."""
         return self.fleet.records.get(upstream)
 
+    def find_settled_record(self, upstream: str, now: float) -> UpstreamRecord | None:
+        """
+        Return an upstream's entry, None if it certainly has none.
+
+        :raises LookupError: it may have one that is not in the registry yet.
+        """
+        if not self.fleet.is_settled(upstream, now):
+            raise LookupError(upstream)
+        return self.find_record(upstream)
+
+    def list_serving(self, item: ServiceBuild) -> tuple[UpstreamRecord, ...]:
+        """Return the upstreams of a build that take calls."""
+        return tuple(
+            record
+            for record in self.fleet.records.values()
+            if ServiceBuild(record.service, record.build) == item
+            and not self.is_leaving(record)
+        )
+
+    def learn(self, records: Iterable[UpstreamRecord], now: float) -> None:
+        """Add or replace upstreams by entries that another gateway has read."""
+        for record in records:
+            known = self.find_record(record.name)
+            if known is None or known.incarnation != record.incarnation:
+                _log.info("upstream learned", extra={"upstream": record.name})
+                self._put(record, now)
+
     def judge_start(
         self, start: UpstreamStart, current_s: float, now: float
     ) -> StartVerdict:
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -16,11 +16,15 @@
 from persimmonferry_core.retries import RetryPolicy
 from persimmonferry_core.retry_shares import RetryShares
 from persimmonferry_core.schema import TeamDocument
-from persimmonferry_core.stream_origins import StreamOrigins
+from persimmonferry_core.stream_origins import ServiceBuild, StreamOrigins
 from persimmonferry_core.topology import Address
 from persimmonferry_core.upstream_starts import StartVerdict, UpstreamStart
 from persimmonferry_core.upstreams.limits import LimitNotice, make_notice
-from persimmonferry_wire.generated.peers.ttypes import StreamNews, WeightsNews
+from persimmonferry_wire.generated.peers.ttypes import (
+    EntryNews,
+    StreamNews,
+    WeightsNews,
+)
 from tornado.web import RequestHandler
 
 from persimmonferry_gateway.build_records import BuildRecords
@@ -35,10 +39,10 @@
 from persimmonferry_gateway.cluster_state import ClusterState
 from persimmonferry_gateway.crash_reports import CrashReports
 from persimmonferry_gateway.dispatch_document import CACHE_STORE_SOURCE
+from persimmonferry_gateway.entry_questions import EntryQuestions
 from persimmonferry_gateway.interfaces import (
     Changes,
     Codec,
-    EngineReport,
     Item,
     Registry,
     ResponseHead,
@@ -60,7 +64,7 @@
 from persimmonferry_gateway.registry_items import apply_each
 from persimmonferry_gateway.registry_watch import RegistryWatch
 from persimmonferry_gateway.settings import GatewaySettings
-from persimmonferry_gateway.start_checks import StartChecks
+from persimmonferry_gateway.start_checks import StartChecks, StatedStart
 from persimmonferry_gateway.stores import StoreWatch
 from persimmonferry_gateway.stream_directory import StreamDirectory
 from persimmonferry_gateway.upstream_client import CancellableClient
@@ -160,6 +164,16 @@
             self._record_peer_crashes,
             self._receive_stream_news,
             self._receive_weights_news,
+            self._receive_entry_news,
+        )
+        self._entry_questions = EntryQuestions(
+            settings.name,
+            lambda: self._peers.list_alive()[1:],
+            self._peers.send_entries,
+            self._peers.reply_entries,
+            lambda: self._catch_up(read_boot_clock()),
+            lambda name: self._cluster.find_settled_record(name, self._loop.time()),
+            self._cluster.list_serving,
         )
         self._weight_ages = WeightAges(
             settings.name,
@@ -172,8 +186,8 @@
         )
         self._starts = StartChecks(
             self._judge_start,
-            lambda until_s: self._registry_watch.catch_up(until_s),
-            self._ask_report,
+            self._catch_up,
+            (self._ask_gateways, self._ask_upstream),
             read_boot_clock,
         )
         self._origins = StreamOrigins(settings.name)
@@ -182,7 +196,7 @@
             self._origins,
             self._loop.time,
             self._peers.send_streams,
-            lambda: self._registry_watch.catch_up(read_boot_clock()),
+            lambda: self._catch_up(read_boot_clock()),
             self._starts,
         )
         self._build_records = BuildRecords(
@@ -243,7 +257,8 @@
             self._crash_reports,
             self._streams,
             self._starts,
-            lambda until_s: self._registry_watch.catch_up(until_s),
+            self._catch_up,
+            self._learn_upstreams,
             lambda: self._registry_watch.measure_silence(),
             self._peers.announce_call,
         )
@@ -528,6 +543,9 @@
     ) -> None:
         self._weight_ages.receive(news, address)
 
+    def _receive_entry_news(self, news: EntryNews, address: tuple[str, int]) -> None:
+        self._entry_questions.receive(news, address)
+
     def _apply_weight_ages(self) -> None:
         self._limit_starts(self._loop.time(), read_boot_clock())
         self._schedule_assignment()
@@ -554,9 +572,31 @@
         current_s = self._registry_watch.current_s
         return self._cluster.judge_start(start, current_s, self._loop.time())
 
-    async def _ask_report(self, upstream: str) -> EngineReport | None:
+    async def _catch_up(self, until_s: float) -> bool:
+        return await self._registry_watch.catch_up(until_s)
+
+    async def _ask_gateways(self, upstream: str) -> StatedStart | None:
+        """Ask other gateways which process an upstream is by its entry."""
+        records = await self._entry_questions.ask_record(upstream)
+        if records is None:
+            return None
+        return StatedStart(records[0].incarnation if records else None)
+
+    async def _ask_upstream(self, upstream: str) -> StatedStart | None:
+        """Ask an upstream which process it is."""
         record = self._cluster.find_record(upstream)
-        return await self._prober.ask(record) if record else None
+        report = await self._prober.ask(record) if record else None
+        if report is None or report.incarnation is None:
+            return None
+        return StatedStart(report.incarnation)
+
+    async def _learn_upstreams(self, item: ServiceBuild) -> None:
+        """Ask other gateways for upstreams of a build if none is known here."""
+        if self._cluster.list_serving(item) or await self._catch_up(read_boot_clock()):
+            return
+        records = await self._entry_questions.ask_serving(item)
+        self._cluster.learn(records, self._loop.time())
+        self._after_registry_change()
 
     async def _ask_version(self, record: UpstreamRecord) -> None:
         report = await self._prober.ask(record)
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -20,6 +20,7 @@
     CallNews,
     CrashedPrompt,
     CrashNews,
+    EntryNews,
     KeptChange,
     KeptNews,
     KeptUpdate,
@@ -138,6 +139,8 @@
     :param receive_streams: called with another gateway's news of streams.
     :param receive_weights: called with another gateway's question or answer about
         wanted weights, and its address.
+    :param receive_entries: called with another gateway's question or answer about
+        upstreams' entries, and its address.
     """
 
     def __init__(
@@ -152,8 +155,10 @@
         record_crashes: Callable[[tuple[Crash, ...], frozenset[int], str], None],
         receive_streams: Callable[[StreamNews], None],
         receive_weights: Callable[[WeightsNews, tuple[str, int]], None],
+        receive_entries: Callable[[EntryNews, tuple[str, int]], None],
     ) -> None:
         self._receive_streams = receive_streams
+        self._receive_entries = receive_entries
         self._receive_weights = receive_weights
         self._record_version = record_version
         self._record_limit = record_limit
@@ -426,6 +431,15 @@
         if self._transport is not None:
             self._transport.sendto(encode(PeerMessage(weights=news)), address)
 
+    def send_entries(self, news: EntryNews, names: Iterable[str]) -> None:
+        """Send a question about upstreams' entries to the named gateways."""
+        self._send(encode(PeerMessage(entries=news)), names)
+
+    def reply_entries(self, news: EntryNews, address: tuple[str, int]) -> None:
+        """Send an answer about upstreams' entries to the gateway at an address."""
+        if self._transport is not None:
+            self._transport.sendto(encode(PeerMessage(entries=news)), address)
+
     def _plan_crash_news(self) -> None:
         if "crash news" not in self._timers:
             self._call_later("crash news", CRASH_NEWS_DELAY_S, self._send_crash_news)
@@ -455,6 +469,10 @@
             # One that asks may have just started, and not be listed yet.
             self._receive_weights(message.weights, addr)
             return
+        if message.entries is not None:
+            # One that the registry refuses may no longer be listed.
+            self._receive_entries(message.entries, addr)
+            return
         payload = (
             message.work
             or message.kept
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -290,7 +290,6 @@
         self._is_cancelled = False
         self._is_rejected = False
         self.sent_s: float | None = None
-        # Of a connection that is not known, no time is early enough.
         self.connected_s = float("inf")
         self._opened_descriptor: int | None = None
         self._is_connection_stale = False
@@ -512,6 +511,8 @@
             self._is_connection_stale = True
             return pycurl.PREREQFUNC_ABORT
         self._addresses = addresses
+        # Of a connection that is not known, it is known only that it is open.
+        self.connected_s = read_boot_clock()
         self._descriptor = connections.find(addresses)
         if self._descriptor is not None:
             connections.record_call(self._descriptor, self._call_id)
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -42,6 +42,7 @@
         self.updates = []
         self.crashes = []
         self.streams = []
+        self.entries = []
         self.weights = []
         self.exchange = PeerExchange(
             name,
@@ -54,6 +55,7 @@
             lambda *news: self.crashes.append(news),
             self.streams.append,
             lambda *news: self.weights.append(news),
+            lambda *news: self.entries.append(news),
         )
 
     def record_limit(self, notice, sender):
--- a/packages/gateway/tests/test_storewatch.py
+++ b/packages/gateway/tests/test_storewatch.py
@@ -40,6 +40,7 @@
             lambda *_: None,
             lambda _: None,
             lambda *_: None,
+            lambda *_: None,
         )
         self.watch = StoreWatch(
             self.kept,
--- a/packages/wire/messages/peers.thrift
+++ b/packages/wire/messages/peers.thrift
@@ -191,6 +191,37 @@
   4: list<WantedWeights> wanted
 }
 
+// The entry of an upstream in the registry.
+struct KnownUpstream {
+  1: string name
+  2: string service_name
+  3: string address
+  4: string failure_domain
+  5: i32 slots
+  6: bool is_leaving
+  7: i64 incarnation
+  // Version of the weights of each model.
+  8: map<string, i32> weights
+  // Version of its software.
+  9: string build
+}
+
+// Sent to a few gateways by one to which the registry does not respond, and by each of
+// these to the address from which it was asked.
+struct EntryNews {
+  1: string sender
+  // Repeated in the answer.
+  2: i64 question
+  3: bool is_question
+  // Whether the sender has read the registry since the question; false in a question.
+  4: bool is_present
+  // The upstream that is asked for; otherwise some of a build. Empty in an answer.
+  5: string upstream
+  6: string service_name
+  7: string build
+  8: list<KnownUpstream> known
+}
+
 // One datagram.
 union PeerMessage {
   1: PeerNews work
@@ -202,4 +233,5 @@
   7: StreamNews streams
   8: ReturnNews returns
   9: WeightsNews weights
+  10: EntryNews entries
 }
