Answer a gateway that has just started where a stream began

A gateway that has just started was not answered until the others had read its entry, about a second later: while several builds serve, streams that their callers take up there were refused (2027) without need.

--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -196,6 +196,7 @@
             self._origins,
             self._loop.time,
             self._peers.send_streams,
+            self._peers.reply_streams,
             lambda: self._catch_up(read_boot_clock()),
             self._starts,
         )
@@ -535,8 +536,8 @@
     ) -> None:
         self._crash_reports.receive(crashes, sound, sender)
 
-    def _receive_stream_news(self, news: StreamNews) -> None:
-        self._streams.receive(news)
+    def _receive_stream_news(self, news: StreamNews, address: tuple[str, int]) -> None:
+        self._streams.receive(news, address)
 
     def _receive_weights_news(
         self, news: WeightsNews, address: tuple[str, int]
--- a/packages/gateway/src/persimmonferry_gateway/peers.py
+++ b/packages/gateway/src/persimmonferry_gateway/peers.py
@@ -136,7 +136,8 @@
         gateway, and with its name; returns False for an outdated notice.
     :param record_crashes: called with the crashes that another gateway has observed,
         the parts with which it has received an answer, and its name.
-    :param receive_streams: called with another gateway's news of streams.
+    :param receive_streams: called with another gateway's news of streams, and its
+        address.
     :param receive_weights: called with another gateway's question or answer about
         wanted weights, and its address.
     :param receive_entries: called with another gateway's question or answer about
@@ -153,7 +154,7 @@
         apply_update: Callable[[StoreUpdate], None],
         record_limit: Callable[[LimitNotice, str], bool],
         record_crashes: Callable[[tuple[Crash, ...], frozenset[int], str], None],
-        receive_streams: Callable[[StreamNews], None],
+        receive_streams: Callable[[StreamNews, tuple[str, int]], None],
         receive_weights: Callable[[WeightsNews, tuple[str, int]], None],
         receive_entries: Callable[[EntryNews, tuple[str, int]], None],
     ) -> None:
@@ -422,14 +423,17 @@
         """Send news of streams to the named gateways."""
         self._send(encode(PeerMessage(streams=news)), names)
 
+    def reply_streams(self, news: StreamNews, address: tuple[str, int]) -> None:
+        """Send an answer about streams to the gateway at an address."""
+        self._reply(PeerMessage(streams=news), address)
+
     def send_weights(self, news: WeightsNews, names: Iterable[str]) -> None:
         """Send a question about wanted weights to the named gateways."""
         self._send(encode(PeerMessage(weights=news)), names)
 
     def reply_weights(self, news: WeightsNews, address: tuple[str, int]) -> None:
         """Send an answer about wanted weights to the gateway at an address."""
-        if self._transport is not None:
-            self._transport.sendto(encode(PeerMessage(weights=news)), address)
+        self._reply(PeerMessage(weights=news), address)
 
     def send_entries(self, news: EntryNews, names: Iterable[str]) -> None:
         """Send a question about upstreams' entries to the named gateways."""
@@ -437,8 +441,11 @@
 
     def reply_entries(self, news: EntryNews, address: tuple[str, int]) -> None:
         """Send an answer about upstreams' entries to the gateway at an address."""
+        self._reply(PeerMessage(entries=news), address)
+
+    def _reply(self, message: PeerMessage, address: tuple[str, int]) -> None:
         if self._transport is not None:
-            self._transport.sendto(encode(PeerMessage(entries=news)), address)
+            self._transport.sendto(encode(message), address)
 
     def _plan_crash_news(self) -> None:
         if "crash news" not in self._timers:
@@ -486,8 +493,8 @@
         if payload is None:
             return
         if payload.sender not in self._addresses:
-            if message.streams is not None and payload.sender in self._removed_s:
-                self._receive_streams(message.streams)
+            if message.streams is not None:
+                self._receive_unlisted_streams(message.streams, addr)
             return
         self._last_message_s[payload.sender] = self._loop.time()
         if message.kept is not None:
@@ -501,12 +508,24 @@
         elif message.returns is not None:
             self._handle_returns(message.returns)
         elif message.streams is not None:
-            self._receive_streams(message.streams)
+            self._receive_streams(message.streams, addr)
         elif message.started is not None:
             self._handle_started(message.started)
         else:
             self._handle_work(message.work)
 
+    def _receive_unlisted_streams(
+        self, news: StreamNews, address: tuple[str, int]
+    ) -> None:
+        """
+        Apply the news of a gateway that drains, or answer one that has just started.
+
+        Only gateways that have been listed state where streams began.
+        """
+        if news.sender not in self._removed_s:
+            news = StreamNews(news.sender, [], news.asked, [])
+        self._receive_streams(news, address)
+
     def _handle_store_updates(self, payload: KeptNews) -> None:
         for item in payload.updates:
             events = tuple(
--- a/packages/gateway/src/persimmonferry_gateway/stream_directory.py
+++ b/packages/gateway/src/persimmonferry_gateway/stream_directory.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 
 from persimmonferry_core.stream_origins import (
@@ -48,6 +48,8 @@
     Finds where streams began, also those that began at other gateways.
 
     :param send: sends news to the named gateways.
+    :param reply: sends news to an address: a gateway that has just started is not
+        listed yet.
     :param catch_up: receives the changes of the registry until now, and returns whether
         this worked.
     :param starts: tells which process of an upstream has sent the first event.
@@ -59,6 +61,7 @@
         origins: StreamOrigins,
         read_clock: Callable[[], float],
         send: Callable[[StreamNews, Iterable[str]], None],
+        reply: Callable[[StreamNews, tuple[str, int]], None],
         catch_up: Callable[[], Awaitable[bool]],
         starts: StartChecks,
     ) -> None:
@@ -66,6 +69,7 @@
         self._origins = origins
         self._read_clock = read_clock
         self._send = send
+        self._reply = reply
         self._catch_up = catch_up
         self._starts = starts
         self._questions: dict[int, _Question] = {}
@@ -162,8 +166,8 @@
             fields = {"asked": sorted(holders), "silent": sorted(question.open)}
             _log.debug("gateways silent on a stream", extra=fields)
 
-    def receive(self, news: StreamNews) -> None:
-        """Apply another gateway's news, and answer what it asks for."""
+    def receive(self, news: StreamNews, address: tuple[str, int]) -> None:
+        """Apply the news of the gateway at an address, and answer what it asks for."""
         now = self._read_clock()
         for item in news.begun:
             expires_s = now + item.left_ms / MS_PER_S
@@ -180,7 +184,7 @@
         for stream in news.unknown:
             self._note_answer(stream, news.sender, is_certain=False)
         if news.asked:
-            self._answer(news.asked, news.sender, now)
+            self._answer(news.asked, address, now)
 
     def _note_answer(self, stream: int, sender: str, *, is_certain: bool) -> None:
         question = self._questions.get(stream)
@@ -202,18 +206,21 @@
             for name in self._origins.list_holders(origin.stream):
                 recipients.setdefault(name, []).append(origin)
         for name, found in recipients.items():
-            self._send_origins(found, name)
+            for news in self._describe(found):
+                self._send(news, (name,))
 
-    def _answer(self, asked: list[int], sender: str, now: float) -> None:
+    def _answer(self, asked: list[int], address: tuple[str, int], now: float) -> None:
         asked = asked[:MAX_STREAMS_SENT]
         found = [self._origins.find(stream, now) for stream in asked]
-        self._send_origins([origin for origin in found if origin], sender)
+        for news in self._describe([origin for origin in found if origin]):
+            self._reply(news, address)
         pairs = zip(asked, found, strict=True)
         unknown = [stream for stream, origin in pairs if origin is None]
         if unknown:
-            self._send(StreamNews(self._name, [], [], unknown), (sender,))
+            self._reply(StreamNews(self._name, [], [], unknown), address)
 
-    def _send_origins(self, origins: list[StreamOrigin], name: str) -> None:
+    def _describe(self, origins: list[StreamOrigin]) -> Iterator[StreamNews]:
+        """Return messages that state where streams began."""
         now = self._read_clock()
         begun = [
             BegunStream(
@@ -228,7 +235,7 @@
         ]
         for first in range(0, len(begun), MAX_STREAMS_SENT):
             batch = begun[first : first + MAX_STREAMS_SENT]
-            self._send(StreamNews(self._name, batch, [], []), (name,))
+            yield StreamNews(self._name, batch, [], [])
 
 
 def _encode_start(start: UpstreamStart | None) -> ConnectedUpstream | None:
--- a/packages/gateway/tests/test_peers.py
+++ b/packages/gateway/tests/test_peers.py
@@ -53,7 +53,7 @@
             self.updates.append,
             self.record_limit,
             lambda *news: self.crashes.append(news),
-            self.streams.append,
+            lambda news, _: self.streams.append(news),
             lambda *news: self.weights.append(news),
             lambda *news: self.entries.append(news),
         )
