Learn from other gateways which build an upstream has before a stream goes on there

The upstream is asked about before the stream is sent, and what another gateway states of its entry is kept, so the next choice leaves it out and refusals come at once. After one caller has waited in vain for the registry, others don't until it responds.

--- a/packages/gateway/src/persimmonferry_gateway/call_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/call_handler.py
@@ -37,7 +37,7 @@
     StreamOrigin,
     hash_stream,
 )
-from persimmonferry_core.upstream_starts import UpstreamStart
+from persimmonferry_core.upstream_starts import ENTRY_DELAY_S, UpstreamStart
 
 from persimmonferry_gateway.answer_identity import AnswerFinder
 from persimmonferry_gateway.call_log import RateLimitedLog
@@ -613,20 +613,24 @@
             error = OutcomeUnknown(ResultCode.UPSTREAM_LOST, "start not confirmed")
             raise AttemptFailed(error, ran=True, is_upstream_sound=True)
 
-    async def _prepare_continuation(self) -> None:
+    async def _prepare_continuation(self, upstream: str) -> None:
         """
-        Make sure which build continues the stream, and read where it serves now.
+        Find out which build began the stream, and which one the upstream has now.
 
-        Without the registry the upstream may be a wrong one, which is noticed when it
-        answers.
+        What remains open is decided when the upstream answers.
 
         :raises NotRun: the build that began the stream is not certain.
         """
         if not self._build:
             return
-        if self._origin and not await self._context.streams.confirm(self._origin):
+        context = self._context
+        if self._origin and not await context.streams.confirm(self._origin):
             raise NotRun(ResultCode.STREAM_UNKNOWN, "start not confirmed")
-        await self._context.catch_up(read_boot_clock())
+        now = read_boot_clock()
+        record = context.cluster.find_record(upstream)
+        if not await context.catch_up(now) and record is not None:
+            present = UpstreamStart(upstream, record.incarnation, now - ENTRY_DELAY_S)
+            await context.starts.confirm(present)
 
     def _choose_budget(self, version: int | None, now: float) -> AttemptBudget:
         """Return the limits on the time of the present attempt."""
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -103,13 +103,21 @@
             and not self.is_leaving(record)
         )
 
-    def learn(self, records: Iterable[UpstreamRecord], now: float) -> None:
-        """Add or replace upstreams by entries that another gateway has read."""
-        for record in records:
-            known = self.find_record(record.name)
-            if known is None or known.incarnation != record.incarnation:
-                _log.info("upstream learned", extra={"upstream": record.name})
-                self._put(record, now)
+    def learn(self, records: Iterable[UpstreamRecord], now: float) -> bool:
+        """
+        Add or replace upstreams by entries that another gateway has read.
+
+        :returns: whether any of them is new.
+        """
+        learned = [record for record in records if not self._is_known(record)]
+        for record in learned:
+            _log.info("upstream learned", extra={"upstream": record.name})
+            self._put(record, now)
+        return bool(learned)
+
+    def _is_known(self, record: UpstreamRecord) -> bool:
+        known = self.find_record(record.name)
+        return known is not None and known.incarnation == record.incarnation
 
     def judge_start(
         self, start: UpstreamStart, current_s: float, now: float
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -4,7 +4,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from persimmonferry_core.cache_stores import CacheStoreIndex, StoreUpdate
 from persimmonferry_core.codes import ResultCode
@@ -581,6 +581,7 @@
         records = await self._entry_questions.ask_record(upstream)
         if records is None:
             return None
+        self._learn(records)
         return StatedStart(records[0].incarnation if records else None)
 
     async def _ask_upstream(self, upstream: str) -> StatedStart | None:
@@ -595,9 +596,11 @@
         """Ask other gateways for upstreams of a build if none is known here."""
         if self._cluster.list_serving(item) or await self._catch_up(read_boot_clock()):
             return
-        records = await self._entry_questions.ask_serving(item)
-        self._cluster.learn(records, self._loop.time())
-        self._after_registry_change()
+        self._learn(await self._entry_questions.ask_serving(item))
+
+    def _learn(self, records: Iterable[UpstreamRecord]) -> None:
+        if self._cluster.learn(records, self._loop.time()):
+            self._after_registry_change()
 
     async def _ask_version(self, record: UpstreamRecord) -> None:
         report = await self._prober.ask(record)
--- a/packages/gateway/src/persimmonferry_gateway/plain_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/plain_handler.py
@@ -21,12 +21,16 @@
         await self._find_origin()
         context.dispatcher.plain_offered(self._service, self._arrival_s)
         while True:
-            await self._prepare_continuation()
             self._check_quarantine()
             now = context.read_clock()
             avoid = self._avoid | self._list_other_builds()
             name = context.dispatcher.choose_plain(self._service, now, avoid)
+            if name:
+                await self._prepare_continuation(name)
             record = context.cluster.find_record(name) if name else None
+            if record is not None and self._build not in ("", record.build):
+                # It has started again; the next choice leaves it out.
+                continue
             if record is None:
                 wait_s = context.dispatcher.find_return_wait(self._service, now)
                 wait_s = wait_s or NO_UPSTREAM_RETRY_S
--- a/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
+++ b/packages/gateway/src/persimmonferry_gateway/prompt_handler.py
@@ -39,7 +39,7 @@
         self._queue(context.dispatcher.offer(self._make_request(), self._arrival_s))
         while True:
             assignment = await self._wait_for_assignment(parts)
-            await self._prepare_continuation()
+            await self._prepare_continuation(assignment.upstream)
             self._check_quarantine()
             record = context.cluster.find_record(assignment.upstream)
             now = context.read_clock()
--- a/packages/gateway/src/persimmonferry_gateway/registry_watch.py
+++ b/packages/gateway/src/persimmonferry_gateway/registry_watch.py
@@ -67,6 +67,8 @@
         self._era: int | None = None
         self._reread_s = float("inf")
         self._failures = 0
+        # Since a caller waited in vain; the next response ends it.
+        self._is_late = False
         self._keys: set[str] = set()
         # Changes made until then have been received.
         self._current_s = float("-inf")
@@ -146,12 +148,15 @@
         """
         if self._current_s >= until_s:
             return True
+        if self._failures or self._is_late:
+            return False
         try:
             async with asyncio.timeout(CATCH_UP_TIMEOUT_S):
                 await asyncio.sleep(until_s - read_boot_clock())
-                if not self._failures and self._current_s < until_s:
+                if self._current_s < until_s:
                     await self._present.get(until_s)
         except TimeoutError:
+            self._is_late = True
             _log.info("registry not read in time", extra={"for_s": CATCH_UP_TIMEOUT_S})
         return self._current_s >= until_s
 
@@ -189,6 +194,7 @@
 
     def _record_response(self) -> None:
         self.gap_s = read_boot_clock() - self._current_s
+        self._is_late = False
         if self._failures:
             _log.warning("registry reachable", extra={"failures": self._failures})
             self._record_reachable(True)
