Order an engine's weights anew when it has restarted

Callers saw: an engine that had restarted while new weights were ordered stayed on the replaced ones for six seconds more, and took a place of the few that load at once. What is sent there begins on older weights, or is refused.

Cause: orders were kept by the name of the engine. One is taken for lost when the engine has counted as many as before, but a restart sets the count to 0, so after any order before it the two never agree, and the order ran into its limit.

Evidence: the new test, with an order that was lost as the engine went down.

Change: an order has the incarnation of the engine that it was sent to; the leader drops those of former starts before it chooses.

The test failed before.

--- a/packages/gateway/src/persimmonferry_gateway/weights.py
+++ b/packages/gateway/src/persimmonferry_gateway/weights.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from persimmonferry_adapters.http_client import (
@@ -55,12 +55,14 @@
     """
     An order that was sent to an engine.
 
+    :param incarnation: of the engine, which loses all orders when it restarts.
     :param accepted_before: orders that the engine had accepted before this one, None
         when it did not report the number.
     """
 
     version: int
     sent_s: float
+    incarnation: int
     accepted_before: int | None
 
 
@@ -166,6 +168,7 @@
             for item in self._cluster.list_engines(model)
             if not self._cluster.is_leaving(item)
         }
+        self._drop_former_starts(records.values())
         await self._probe_loading(records, model)
         now = read_boot_clock()
         states = [self._make_state(item, version) for item in records.values()]
@@ -187,6 +190,14 @@
             )
         return frozenset(loading | set(chosen))
 
+    def _drop_former_starts(self, records: Iterable[UpstreamRecord]) -> None:
+        """Drop the orders to engines that have restarted since."""
+        for record in records:
+            for orders in (self._orders, self._last_orders):
+                order = orders.get(record.name)
+                if order is not None and order.incarnation != record.incarnation:
+                    del orders[record.name]
+
     def _find_first_order_time(self, leadership: Leadership) -> float:
         """
         Return when this leader may send its first order, on the boot clock.
@@ -250,7 +261,9 @@
         if self._election.find_leadership(read_boot_clock()) is None:
             return
         expected = before.accepted_orders if before else None
-        sent_order = _SentOrder(version, read_boot_clock(), expected)
+        sent_order = _SentOrder(
+            version, read_boot_clock(), record.incarnation, expected
+        )
         self._orders[record.name] = sent_order
         self._record_last_order(record.name, sent_order)
         order = WeightOrder(
