Keep what an upstream stated before its restart was known

Callers saw: 503 at once from an upstream that had just asked to be left alone, and refusals and errors of one that was overloaded beyond the limit it had named.

Cause: what an upstream states in an answer is kept with the incarnation of its entry, and dropped when an entry of another one arrives. One that has started again under its name answers before its entry is read: 0.4 to 1.5 s in calm, for as long as the store is out of reach otherwise. Then its own cooldown or limit was dropped as that of a former start.

Change: when a new incarnation becomes known, what was stated since the registry's copy before is kept for it, and what was stated a second earlier, as an upstream may answer before it registers. An answer to a call that was sent before the cooldown's own ones counts as old.

--- a/packages/core/src/persimmonferry_core/upstreams/availability.py
+++ b/packages/core/src/persimmonferry_core/upstreams/availability.py
@@ -155,6 +155,18 @@
         self.limits.clear_outdated(upstream, incarnation)
         self.cooldowns.clear_outdated(upstream, incarnation)
 
+    def keep_recent(self, upstream: str, incarnation: int, since_s: float) -> None:
+        """
+        Keep what an upstream has stated lately, as it may have restarted before.
+
+        An upstream answers calls before entries hear of its restart.
+
+        :param incarnation: that has just become known.
+        :param since_s: earliest time at which it may have answered a call.
+        """
+        self.limits.keep_recent(upstream, incarnation, since_s)
+        self.cooldowns.keep_recent(upstream, incarnation, since_s)
+
     def record_restart(self, upstream: str) -> None:
         """
         Record that an upstream has started again, or is gone.
@@ -162,12 +174,14 @@
         Calls sent to it still count: it may be cold when it is back.
         """
         self.unread.clear(upstream)
+        self.cooldowns.forget_calls(upstream)
 
     def take(self, upstream: str, now: float) -> None:
         """Count a call that is sent to an upstream."""
         self.limits.take(upstream, now)
         self.rates.take(upstream, now)
         self.unread.record_sent(upstream, now)
+        self.cooldowns.record_sent(upstream, now)
 
     def list_closed(self, now: float) -> frozenset[str]:
         """Return the upstreams to leave out: they don't count in the capacity."""
--- a/packages/core/src/persimmonferry_core/upstreams/cooldowns.py
+++ b/packages/core/src/persimmonferry_core/upstreams/cooldowns.py
@@ -1,8 +1,25 @@
 """Upstreams that asked callers to retry after some time."""
 
+import math
+from dataclasses import dataclass, replace
+
 __all__ = ["UpstreamCooldowns"]
 
 
+@dataclass(frozen=True)
+class _Cooldown:
+    """
+    Until when an upstream refuses calls.
+
+    :param incarnation: of the upstream.
+    :param sent_s: when the last call before was sent there.
+    """
+
+    until_s: float
+    incarnation: int
+    sent_s: float
+
+
 class UpstreamCooldowns:
     """
     The time until which each upstream refuses calls.
@@ -17,30 +34,48 @@
     """
 
     def __init__(self) -> None:
-        self._until_s: dict[str, float] = {}
-        self._incarnations: dict[str, int] = {}
+        self._cooldowns: dict[str, _Cooldown] = {}
+        # When the last call was sent to each upstream.
+        self._sent_s: dict[str, float] = {}
+
+    def record_sent(self, upstream: str, now: float) -> None:
+        """Record that a call is sent to an upstream."""
+        self._sent_s[upstream] = now
 
     def note(self, upstream: str, incarnation: int, until_s: float) -> None:
         """Record until when an upstream refuses calls; the latest time counts."""
-        self._until_s[upstream] = max(until_s, self._until_s.get(upstream, until_s))
-        self._incarnations[upstream] = incarnation
+        known = self._cooldowns.get(upstream)
+        until_s = max(until_s, known.until_s) if known else until_s
+        sent_s = self._sent_s.get(upstream, -math.inf)
+        self._cooldowns[upstream] = _Cooldown(until_s, incarnation, sent_s)
+
+    def keep_recent(self, upstream: str, incarnation: int, since_s: float) -> None:
+        """Keep the cooldown of an upstream that may have restarted before it."""
+        known = self._cooldowns.get(upstream)
+        if known is not None and known.sent_s >= since_s:
+            self._cooldowns[upstream] = replace(known, incarnation=incarnation)
 
     def clear_outdated(self, upstream: str, incarnation: int) -> None:
         """End the cooldown of an upstream that has restarted since."""
-        if self._incarnations.get(upstream, incarnation) < incarnation:
-            del self._until_s[upstream], self._incarnations[upstream]
+        known = self._cooldowns.get(upstream)
+        if known is not None and known.incarnation < incarnation:
+            del self._cooldowns[upstream]
+
+    def forget_calls(self, upstream: str) -> None:
+        """Forget the calls that were sent to an upstream; its cooldown goes on."""
+        self._sent_s.pop(upstream, None)
 
     def list_cooling(self, now: float) -> frozenset[str]:
         """Return the upstreams whose cooldown has not ended."""
-        if self._until_s:
-            self._until_s = {
-                name: end_s for name, end_s in self._until_s.items() if end_s > now
-            }
-            self._incarnations = {
-                name: self._incarnations[name] for name in self._until_s
+        if self._cooldowns:
+            self._cooldowns = {
+                name: item
+                for name, item in self._cooldowns.items()
+                if item.until_s > now
             }
-        return frozenset(self._until_s)
+        return frozenset(self._cooldowns)
 
     def find_wait(self, upstream: str, now: float) -> float:
         """Return the seconds until an upstream takes calls again, 0 if it does now."""
-        return max(0.0, self._until_s.get(upstream, now) - now)
+        known = self._cooldowns.get(upstream)
+        return max(0.0, known.until_s - now) if known else 0.0
--- a/packages/core/src/persimmonferry_core/upstreams/limits.py
+++ b/packages/core/src/persimmonferry_core/upstreams/limits.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from persimmonferry_core.upstreams.subsets import rank_entries
 
@@ -190,6 +190,12 @@
             for name, limit in self._limits.items()
         }
 
+    def keep_recent(self, upstream: str, incarnation: int, since_s: float) -> None:
+        """Keep the limit of an upstream that may have restarted before it."""
+        limit = self._limits.get(upstream)
+        if limit is not None and limit.notice.stated_s >= since_s:
+            limit.notice = replace(limit.notice, incarnation=incarnation)
+
     def clear_outdated(self, upstream: str, incarnation: int) -> None:
         """Remove the limit that another incarnation of an upstream has set."""
         limit = self._limits.get(upstream)
--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -31,6 +31,8 @@
 # The lowest version of weights.
 FIRST_VERSION = 1
 MAX_LEAVING_UPSTREAMS = 1024
+# An upstream that starts may answer calls this long before its entry is written.
+REGISTRATION_S = 1.0
 # Mean of the stated slowness that is logged, and its end.
 LOGGED_SLOWNESS = 2.0
 ENDED_SLOWNESS = 1.5
@@ -300,7 +302,7 @@
             elif item.key.startswith(codec.weights_prefix):
                 self._apply_weights(item, now, since_s)
             elif item.key.startswith(codec.upstream_prefix):
-                self._apply_upstream(item, now, is_restored=is_restored)
+                self._apply_upstream(item, now, since_s, is_restored=is_restored)
             elif item.key.startswith(codec.evacuation_prefix):
                 self._apply_evacuation(item)
 
@@ -364,7 +366,9 @@
             }
             _log.info("weights wanted", extra=fields)
 
-    def _apply_upstream(self, item: Item, now: float, *, is_restored: bool) -> None:
+    def _apply_upstream(
+        self, item: Item, now: float, since_s: float, *, is_restored: bool
+    ) -> None:
         name = item.key.removeprefix(self._codec.upstream_prefix)
         if item.value is None:
             self._remove(name, now)
@@ -382,15 +386,19 @@
             _log.info("outdated upstream entry ignored", extra={"upstream": name})
             return
         try:
-            self._put(record, now)
+            self._put(record, now, since_s)
         except Exception:
             # It would end the application of each later change of the deployment.
             self.fleet.drop(name)
             self._forget(name)
             raise
 
-    def _put(self, record: UpstreamRecord, now: float) -> None:
-        """Add or replace an upstream."""
+    def _put(self, record: UpstreamRecord, now: float, since_s: float) -> None:
+        """
+        Add or replace an upstream.
+
+        :param since_s: earliest time of the change, on the boot clock.
+        """
         name = record.name
         former = self.find_record(name)
         self.fleet.put(record)
@@ -401,6 +409,10 @@
         if is_restarted:
             self._loads.pop(name, None)
             self._versions.pop(name, None)
+            age_s = read_boot_clock() - since_s + REGISTRATION_S
+            self._dispatcher.availability.keep_recent(
+                name, record.incarnation, now - age_s
+            )
         self._record_initial_versions(record)
         if is_restarted or former.weights != record.weights:
             self._record_registered_version(record)
