Take a cooldown for that of the upstream's present start

Callers saw: 503 from an upstream that had just asked to be left alone, as soon as another of its answers was read.

Cause: a cooldown had the incarnation of the entry by which its call was sent. If the entry of a later start was read before the answer, the next report of that start dropped its own cooldown as that of a former one.

Evidence: the new test; by reading also any call under way when an entry arrives.

Change: the later of both incarnations counts. The former start has ended when its next one registers, so the answer can be its own only if it waited to be read; the cost is then one cooldown.

The test failed before. The tests of core's upstreams and dispatcher passed, of the platform those of late and lapsed entries.

--- a/packages/core/src/persimmonferry_core/dispatch.py
+++ b/packages/core/src/persimmonferry_core/dispatch.py
@@ -563,7 +563,14 @@
         Send nothing to an upstream until a time, because it refuses calls.
 
         This holds until it restarts, also while its entry is away.
+
+        :param incarnation: to which the call was sent. If a later one is known by now,
+            the answer is taken for its own: the former one has ended.
         """
+        pool = self._find_pool(self._services_of.get(upstream, ""))
+        if pool is not None:
+            known = pool.upstreams[upstream].report.incarnation
+            incarnation = max(incarnation, known)
         self.availability.cooldowns.note(upstream, incarnation, until_s)
 
     def record_slowness(self, upstream: str, slowness: float, now: float) -> float:
--- a/packages/core/tests/upstreams/test_cooldowns.py
+++ b/packages/core/tests/upstreams/test_cooldowns.py
@@ -93,3 +93,12 @@
     offer(dispatcher, "r1", 1.0)
     (made,) = dispatcher.assign(1.0)
     assert made.upstream == "e1"
+
+
+# The cooldown of an upstream's present start ended early if its call was chosen before.
+def test_a_cooldown_stated_to_a_call_to_a_former_start_ends_with_the_next_report():
+    dispatcher = make_dispatcher()
+    dispatcher.report(make_report("p1", "plain", incarnation=2), 1.0)
+    dispatcher.set_cooldown("p1", 1, 9.0)
+    dispatcher.report(make_report("p1", "plain", incarnation=2), 1.0)
+    assert {dispatcher.choose_plain("plain", 1.0) for _ in range(20)} == {"p2"}
