Forget the silence and the waits of an engine's former start

Callers saw: 503 while an engine stood idle that had started again, as long as its weights were replaced and not loaded yet.

Cause: an engine with replaced weights gets a prompt only if it has begun or ended one lately, and if its recent waits fit into the time left. Both were kept by the engine's name: after a crash with prompts under way, its next start counted as silent since then, and got none that could have shown otherwise.

Evidence: the two new tests, with a control without a restart.

Change: a report of another incarnation clears both, as it clears the speed.

The test of the silence failed before, that of the waits also with the silence alone cleared; the control passed before and now. All tests of core passed.

--- a/packages/core/src/persimmonferry_core/upstreams/views.py
+++ b/packages/core/src/persimmonferry_core/upstreams/views.py
@@ -344,6 +344,8 @@
         if report.incarnation != self.report.incarnation:
             self._peak_runs = 0
             self.speed = UpstreamSpeed()
+            self._silent_since_s = None
+            self._longest_wait_s = 0.0
         self.other_runs = max(0, report.running + report.waiting - self._peak_runs)
         own_prefill_s = sum(run.prefill_s for run in self._waiting.values())
         reported_s = _prefill_s(report, report.waiting_prefill_tokens)
--- a/packages/core/tests/test_dispatch.py
+++ b/packages/core/tests/test_dispatch.py
@@ -453,6 +453,36 @@
     assert 24.0 < max(sent_s) <= 29.0 - 2.0
 
 
+# An engine that had started again counted as silent since its former start had ended.
+@pytest.mark.parametrize("incarnation", [1, 2])
+def test_an_engine_with_replaced_weights_gets_no_prompt_after_its_restart(incarnation):
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    dispatcher.report(make_report("u0", slots=8), 0.0)
+    dispatcher.offer(make_request(1, 0.0, "dawn", tokens=10), 0.0)
+    assert dispatcher.assign(0.0)
+    dispatcher.failed("r1", True, 0.2)
+    dispatcher.cancel("r1", 0.2)
+    report = make_report("u0", sequence=2, slots=8, incarnation=incarnation)
+    dispatcher.report(report, 3.0)
+    dispatcher.set_start_limits({"u0": 11.0})
+    dispatcher.offer(make_request(2, 3.0, "dawn", tokens=10), 3.0)
+    assert bool(dispatcher.assign(3.0)) == (incarnation == 2)
+
+
+# An engine that had started again was expected to let prompts wait as long as before.
+def test_the_waits_at_a_former_start_of_an_engine_count_for_its_next():
+    dispatcher = Dispatcher(DOCUMENT, seed=1)
+    dispatcher.report(make_report("u0", slots=8), 0.0)
+    dispatcher.offer(make_request(1, 0.0, "dawn", tokens=10), 0.0)
+    assert dispatcher.assign(0.0)
+    dispatcher.failed("r1", True, 5.0)
+    dispatcher.cancel("r1", 5.0)
+    dispatcher.report(make_report("u0", sequence=2, slots=8, incarnation=2), 8.0)
+    dispatcher.set_start_limits({"u0": 16.0})
+    dispatcher.offer(make_request(2, 8.0, "dawn", tokens=10), 8.0)
+    assert dispatcher.assign(8.0)
+
+
 # An engine that stood still got prompts, and began them later on replaced weights.
 @pytest.mark.parametrize("is_limited", [True, False])
 def test_prompts_are_sent_to_an_engine_that_stands_still(is_limited):
