Ignore an entry of a former start that is written late

Callers saw: a stream that an upstream of one software version had begun went on at one of another.

Cause: an upstream's entry replaced the one before, whatever its incarnation. A write that a process left behind may take effect after its next start has registered. Until the next renewal the upstream then had the build, address and state of its former start, and a stream that it began was recorded for that build. The dispatcher ignored the same entry, so for it the upstream had the present ones.

Evidence: the new test, which passes without the late entry.

Change: an entry of an earlier incarnation counts only when no entry of the later one has come for 2.5 s; upstreams renew theirs about once a second.

--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -385,6 +385,14 @@
         if is_restored and self.fleet.is_outdated(record):
             _log.info("outdated upstream entry ignored", extra={"upstream": name})
             return
+        if self.fleet.is_written_late(record, now):
+            _log.info("late upstream entry ignored", extra={"upstream": name})
+            return
+        former = self.find_record(name)
+        if former is not None and record.incarnation < former.incarnation:
+            # Reports of an earlier incarnation have no effect.
+            self.fleet.drop(name)
+            self._forget(name)
         try:
             self._put(record, now, since_s)
         except Exception:
--- a/packages/gateway/src/persimmonferry_gateway/fleet.py
+++ b/packages/gateway/src/persimmonferry_gateway/fleet.py
@@ -10,6 +10,9 @@
 # time.
 REREGISTRATION_GRACE_S = 2.0
 MAX_DROPPED_UPSTREAMS = 1024
+# Upstreams renew their entries about once a second, so one of a former start that was
+# written late is followed by one of the present start within this time.
+RENEWAL_S = 2.5
 
 
 @dataclass
@@ -25,6 +28,8 @@
     _removal_due_s: dict[str, float] = field(default_factory=dict)
     # Incarnations of the upstreams that were dropped last.
     _dropped: dict[str, int] = field(default_factory=dict)
+    # Since when the entries of upstreams have had an earlier incarnation than before.
+    _earlier_since_s: dict[str, float] = field(default_factory=dict)
     _is_registry_lost: bool = False
     _restored_s: float = float("-inf")
 
@@ -58,8 +63,17 @@
             return False
         return record.incarnation < known.incarnation or known.is_leaving
 
+    def is_written_late(self, record: UpstreamRecord, now: float) -> bool:
+        """Return whether an entry is probably that of a former start."""
+        known = self.records.get(record.name)
+        if known is None or record.incarnation >= known.incarnation:
+            return False
+        since_s = self._earlier_since_s.setdefault(record.name, now)
+        return now < since_s + RENEWAL_S
+
     def put(self, record: UpstreamRecord) -> None:
         """Add or replace an entry."""
+        self._earlier_since_s.pop(record.name, None)
         self._removal_due_s.pop(record.name, None)
         self._dropped.pop(record.name, None)
         self.records[record.name] = record
@@ -84,6 +98,7 @@
 
     def drop(self, name: str) -> None:
         """Drop an upstream at once."""
+        self._earlier_since_s.pop(name, None)
         self._removal_due_s.pop(name, None)
         record = self.records.pop(name, None)
         if record is not None:
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -1,5 +1,9 @@
 from persimmonferry_core.deployment import UpstreamRecord
-from persimmonferry_gateway.fleet import REREGISTRATION_GRACE_S, Fleet
+from persimmonferry_gateway.fleet import (
+    RENEWAL_S,
+    REREGISTRATION_GRACE_S,
+    Fleet,
+)
 
 
 def make_record(name, **changes):
@@ -94,3 +98,16 @@
     fleet = make_fleet("u1")
     fleet.remove("u1", 5.0)
     assert not fleet.is_outdated(make_record("u1", incarnation=2))
+
+
+# The entry of a former start replaced that of the present one.
+def test_an_entry_of_a_former_start_is_taken_for_late_until_it_goes_on():
+    fleet = Fleet()
+    present, former = make_record("u1", incarnation=2), make_record("u1")
+    fleet.put(present)
+    assert not fleet.is_written_late(present, 1.0)
+    assert fleet.is_written_late(former, 1.0)
+    fleet.put(present)
+    assert fleet.is_written_late(former, 3.0)
+    assert fleet.is_written_late(former, 2.9 + RENEWAL_S)
+    assert not fleet.is_written_late(former, 3.0 + RENEWAL_S)
