--- a/packages/gateway/src/persimmonferry_gateway/fleet.py
+++ b/packages/gateway/src/persimmonferry_gateway/fleet.py
@@ -10,6 +10,9 @@
 # time.
 REREGISTRATION_GRACE_S = 2.0
 MAX_DROPPED_UPSTREAMS = 1024
+# Upstreams renew their entries about once a second, so one of a former start that was
+# written late is followed by one of the present start within this time.
+RENEWAL_S = 2.5
 
 
 @dataclass
@@ -26,6 +29,8 @@
     _received_s: dict[str, float] = field(default_factory=dict)
     # Incarnations of the upstreams that were dropped last.
     _dropped: dict[str, int] = field(default_factory=dict)
+    # Since when the entries of upstreams have had an earlier incarnation than before.
+    _earlier_since_s: dict[str, float] = field(default_factory=dict)
     _is_registry_lost: bool = False
     _restored_s: float = float("-inf")
 
@@ -64,16 +69,26 @@
         Whether the registry holds what an upstream has written last.
 
         After an outage of the registry, entries that expired or were lost in it are
-        missing until their upstreams have written them again.
+        missing until their upstreams have written them again. While entries of two
+        incarnations come, it is open which one is the present one.
         """
-        if self._is_registry_lost:
+        if self._is_registry_lost or name in self._earlier_since_s:
             return False
         is_received = self._received_s.get(name, float("-inf")) >= self._restored_s
         return is_received or now >= self._restored_s + REREGISTRATION_GRACE_S
 
+    def is_written_late(self, record: UpstreamRecord, now: float) -> bool:
+        """Return whether an entry is probably that of a former start."""
+        known = self.records.get(record.name)
+        if known is None or record.incarnation >= known.incarnation:
+            return False
+        since_s = self._earlier_since_s.setdefault(record.name, now)
+        return now < since_s + RENEWAL_S
+
     def put(self, record: UpstreamRecord, now: float) -> None:
         """Add or replace an entry."""
         self._received_s[record.name] = now
+        self._earlier_since_s.pop(record.name, None)
         self._removal_due_s.pop(record.name, None)
         self._dropped.pop(record.name, None)
         self.records[record.name] = record
@@ -98,6 +113,7 @@
 
     def drop(self, name: str) -> None:
         """Drop an upstream at once."""
+        self._earlier_since_s.pop(name, None)
         self._removal_due_s.pop(name, None)
         self._received_s.pop(name, None)
         record = self.records.pop(name, None)
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -1,5 +1,10 @@
+import pytest
 from persimmonferry_core.deployment import UpstreamRecord
-from persimmonferry_gateway.fleet import REREGISTRATION_GRACE_S, Fleet
+from persimmonferry_gateway.fleet import (
+    RENEWAL_S,
+    REREGISTRATION_GRACE_S,
+    Fleet,
+)
 
 
 def make_record(name, **changes):
@@ -94,3 +99,40 @@
     fleet = make_fleet("u1")
     fleet.remove("u1", 5.0)
     assert not fleet.is_outdated(make_record("u1", incarnation=2))
+
+
+# The entry of a former start replaced that of the present one.
+def test_an_entry_of_a_former_start_is_taken_for_late_until_it_goes_on():
+    fleet = Fleet()
+    present, former = make_record("u1", incarnation=2), make_record("u1")
+    fleet.put(present, 0.0)
+    assert not fleet.is_written_late(present, 1.0)
+    assert fleet.is_written_late(former, 1.0)
+    fleet.put(present, 0.0)
+    assert fleet.is_written_late(former, 3.0)
+    assert fleet.is_written_late(former, 2.9 + RENEWAL_S)
+    assert not fleet.is_written_late(former, 3.0 + RENEWAL_S)
+
+
+# A process whose clock was set back has an earlier incarnation than its former start.
+def test_an_entry_is_settled_while_entries_of_two_incarnations_come():
+    fleet = Fleet()
+    fleet.put(make_record("u1", incarnation=2), 0.0)
+    assert fleet.is_settled("u1", 9.0)
+    assert fleet.is_written_late(make_record("u1"), 9.0)
+    assert not fleet.is_settled("u1", 9.0)
+    fleet.put(make_record("u1", incarnation=2), 10.0)
+    assert fleet.is_settled("u1", 10.0)
+
+
+@pytest.mark.parametrize("is_received", [True, False])
+def test_an_entry_is_settled_just_after_an_outage(is_received):
+    fleet = make_fleet("u1")
+    fleet.record_registry_lost()
+    assert not fleet.is_settled("u1", 4.0)
+    fleet.record_registry_restored(5.0)
+    assert not fleet.is_settled("u1", 5.5)
+    if is_received:
+        fleet.put(make_record("u1"), 6.0)
+    assert fleet.is_settled("u1", 6.0) == is_received
+    assert fleet.is_settled("u1", 5.0 + REREGISTRATION_GRACE_S)
