Log why a response of an upstream could not be read

The loss is 'response not readable' and has the result code that it had (3001, 502). One line with this name has the call, the address, the connection and the cause.

--- a/packages/adapters/src/persimmonferry_adapters/http_client.py
+++ b/packages/adapters/src/persimmonferry_adapters/http_client.py
@@ -42,6 +42,7 @@
     TIMED_OUT = "timed out waiting for the response"
     TRUNCATED = "response truncated"
     TOO_LARGE = "response too large"
+    UNREADABLE = "response not readable"
 
 
 _FAILURES_BY_CURL_CODE = {
@@ -236,7 +237,7 @@
     match failure:
         case RequestFailure.NOT_SENT:
             return NotRun(ResultCode.UPSTREAM_REFUSED, text)
-        case RequestFailure.CONNECTION_LOST:
+        case RequestFailure.CONNECTION_LOST | RequestFailure.UNREADABLE:
             return OutcomeUnknown(ResultCode.UPSTREAM_LOST, text)
         case RequestFailure.TIMED_OUT:
             return OutcomeUnknown(ResultCode.UPSTREAM_TIMEOUT, text)
--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -122,7 +122,7 @@
         # Tornado uses the handle again at once.
         curl.info["is_connection_open"] = curl.getinfo(pycurl.LASTSOCKET) != -1
         curl.info["errno"] = curl.getinfo(pycurl.OS_ERRNO)
-        curl.info["is_readable"] = curl_error not in _UNREADABLE_CODES
+        curl.info["fault"] = curl_message if curl_error in _UNREADABLE_CODES else ""
         curl.info["uploaded_bytes"] = int(curl.getinfo(pycurl.SIZE_UPLOAD_T))
         super()._finish(curl, curl_error, curl_message)
 
@@ -272,6 +272,7 @@
         self.mismatch: Mismatch | None = None
         self.loss: RequestFailure | None = None
         self._client = client
+        self._address = address
         self._call_id = call_id
         self._decode_head = decode_head
         self._lines = ResponseLines()
@@ -286,6 +287,8 @@
         self._is_ended = False
         self._is_cancelled = False
         self._is_rejected = False
+        # What makes a line, or what libcurl reads as one, none of the response.
+        self._fault = ""
         self.sent_s: float | None = None
         self._opened_descriptor: int | None = None
         self._is_connection_stale = False
@@ -445,7 +448,10 @@
                 body=self._body, reuse=ConnectionReuse.NEW
             )
             result = await self._fetch()
-        if isinstance(result, RequestFailure):
+        if self._fault:
+            self.loss = RequestFailure.UNREADABLE
+            self._log_fault()
+        elif isinstance(result, RequestFailure):
             self.loss = result
         elif self.head is None or self._ends_before_upload:
             self.loss = RequestFailure.TRUNCATED
@@ -460,12 +466,24 @@
             self._is_connection_open = self._transfer.info["is_connection_open"]
             self._errno = self._transfer.info["errno"]
             self._unsent_bytes -= self._transfer.info["uploaded_bytes"]
-            self._is_rejected |= not self._transfer.info["is_readable"]
+            self._fault = self._fault or self._transfer.info["fault"]
+            self._is_rejected |= bool(self._fault)
         self._transfer = None
         if self.is_answer_hidden:
             self._client.kept_connections.retire_upstream(self._addresses)
         return result
 
+    def _log_fault(self) -> None:
+        fields = {
+            "call": self._call_id,
+            "address": self._address,
+            "cause": self._fault,
+            "status": self._lines.status,
+            "is_connection_kept": self.is_connection_kept,
+            "local_port": self.local_port,
+        }
+        _log.warning("response not readable", extra=fields)
+
     def _prepare(self, curl: pycurl.Curl) -> None:
         self._transfer = Transfer(curl)
         self._request.prepare(curl)
@@ -525,9 +543,12 @@
         try:
             if self.head is not None:
                 fields = self._lines.parse_trailer(line)
-                return not is_identified(fields, self._decode_head)
+                if is_identified(fields, self._decode_head):
+                    raise ValueError("call id or seal after the body")
+                return True
             self._lines.feed(line)
-        except ValueError:
+        except ValueError as error:
+            self._fault = str(error)
             return False
         if not self._lines.is_whole:
             return True
