--- a/packages/adapters/tests/test_engine.py
+++ b/packages/adapters/tests/test_engine.py
@@ -1,4 +1,5 @@
 import asyncio
+from contextlib import suppress
 from dataclasses import replace
 
 import pytest
@@ -33,6 +34,7 @@
     Refuse,
     SlowDown,
 )
+from persimmonferry_standins.heads import SPOILT_HEADS
 from persimmonferry_standins.raw import RawAnswer, RawServer
 
 IDLE_TIMEOUT_S = 10.0
@@ -428,6 +430,27 @@
     asyncio.run(asyncio.wait_for(scenario(), 60))
 
 
+# A run whose answer had two lengths, or none that was read, was complete.
+def test_run_with_a_spoilt_head_is_complete():
+    body = make_response(chunked=False).partition(b"\r\n\r\n")[2]
+    answers = [head.encode(body) for head in SPOILT_HEADS.values()]
+
+    async def scenario():
+        server = RawServer(lambda _: RawAnswer(answers[len(server.requests) - 1]))
+        await server.start()
+        batches, ends = [], []
+        async with open_session() as client:
+            adapter = HttpEngine(client, server.url)
+            for name in SPOILT_HEADS:
+                with suppress(OutcomeUnknown):
+                    await adapter.run(replace(ORDER, max_tokens=3), batches.append)
+                    ends.append(name)
+        await server.stop()
+        assert (ends, batches) == ([], [])
+
+    asyncio.run(asyncio.wait_for(scenario(), 60))
+
+
 def test_end_mark_with_error_status_is_upstream_lost():
     whole = make_response(chunked=False).replace(b"200 OK", b"500 Fault")
 
--- a/packages/daemon/tests/test_agent_client.py
+++ b/packages/daemon/tests/test_agent_client.py
@@ -5,8 +5,13 @@
 from hypothesis import given, settings, strategies as st
 from persimmonferry_adapters.http_client import RequestFailure
 from persimmonferry_core.exceptions import FerryError, NotRun, OutcomeUnknown
-from persimmonferry_daemon.agent_client import AnswerStream
-from persimmonferry_wire import encode_frame
+from persimmonferry_core.runs import RunEnd
+from persimmonferry_core.topology import Address
+from persimmonferry_daemon.agent_client import AgentClient, AnswerStream
+from persimmonferry_standins import open_session
+from persimmonferry_standins.heads import SOUND_HEADS, SPOILT_HEADS
+from persimmonferry_standins.raw import RawAnswer, RawServer
+from persimmonferry_wire import PeerClient, encode_frame
 from persimmonferry_wire.generated.runs.ttypes import (
     EndMark,
     Failure,
@@ -111,3 +116,36 @@
 def test_a_connection_that_was_refused_says_not_run():
     _, ending = asyncio.run(receive([], 0, RequestFailure.NOT_SENT))
     assert isinstance(ending, NotRun)
+
+
+async def run_at_agent(head):
+    """Return how a run ends whose answer has this head, and what was delivered."""
+    frames = make_frames("mine", RIGHT, [4], 0)
+    body = b"".join(encode_frame(frame) for frame in frames)
+    server = RawServer(lambda request: RawAnswer(head.encode(body)))
+    await server.start()
+    tokens = []
+    async with open_session() as client:
+        agent = AgentClient(client, PeerClient(client))
+        request = RunRequest(run_id="mine", delivered=[])
+        address = Address("127.0.0.1", server.port)
+        try:
+            end = await agent.run(address, request, tokens.extend)
+        except FerryError as error:
+            end = error
+    await server.stop()
+    return type(end), tokens
+
+
+# An agent's answer with a line that is no field was relayed.
+def test_a_run_with_a_spoilt_head_is_relayed():
+    async def scenario():
+        return [await run_at_agent(head) for head in SPOILT_HEADS.values()]
+
+    found = asyncio.run(asyncio.wait_for(scenario(), 30))
+    assert found == [(OutcomeUnknown, [])] * len(SPOILT_HEADS)
+
+
+def test_a_run_with_a_sound_head_is_refused():
+    head = SOUND_HEADS["chunks in other letters"]
+    assert asyncio.run(run_at_agent(head)) == (RunEnd, RIGHT)
