Check the whole grammar of response heads before bodies are relayed

The 500 was Tornado's refusal to send a name that is no token to the caller.

ResponseLines, now in a module of its own of the adapters, takes a head only if it leaves no choice: a status line of HTTP/1.0 or 1.1, lines that end with CR and LF, names that are tokens, values without control characters, and one length of at most 18 digits, or 'chunked' once, or neither. 'identity' alone still means neither. Interim and 204 responses announce no body, 101 is refused. A value that holds the name of a length or coding with its colon counts as a line that libcurl has joined.

Tests of the gateway, of unframed, split, odd and broken-off answers pass as before.

--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -1,10 +1,8 @@
 """HTTP client for upstreams whose responses are relayed while they arrive."""
 
 import asyncio
-import enum
 import errno
 import logging
-import re
 import socket
 from collections import deque
 from functools import partial
@@ -18,6 +16,7 @@
     RequestFailure,
     fetch,
 )
+from persimmonferry_adapters.response_head import Framing, ResponseLines
 from persimmonferry_core.held_bytes import HeldAnswer, HeldBytes, Place
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPResponse
@@ -44,7 +43,6 @@
 UNACKNOWLEDGED_TIMEOUT_MS = 1000
 # Receive buffer of a connection in the kernel, where an answer waits for room.
 RECEIVE_BUFFER_BYTES = 16 * 1024
-MAX_HEAD_BYTES = 64 * 1024
 # Of Tornado's client.
 DEFAULT_CONNECTIONS = 10
 # Several round trips between failure domains. A connection that takes longer waits for
@@ -59,24 +57,11 @@
 )
 # Errors of libcurl about bytes that are no response.
 _UNREADABLE_CODES = (pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY)
-# libcurl takes the first three digits of a longer number for the status.
-_STATUS = re.compile(r"[1-5][0-9]{2}")
-_FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-# The line belongs to another response that broke off where this one begins.
-_STATUS_LINE_INSIDE = re.compile(r".HTTP/1\.[01] \d{3}")
 
 
 _log = logging.getLogger(__name__)
 
 
-class Framing(enum.Enum):
-    """What marks the end of a response."""
-
-    LENGTH = "length"
-    CHUNKS = "chunks"
-    CONNECTION = "connection"
-
-
 class Transfer:
     """
     The use of a handle of libcurl for one request; handles are used again.
@@ -139,106 +124,6 @@
         self._set_timeout(0)
 
 
-class ResponseLines:
-    """
-    Collects the header lines of a response; each interim response resets them.
-
-    >>> lines = ResponseLines()
-    >>> for line in (b"HTTP/1.1 200 OK\\r\\n", b"A: 1\\r\\n", b"\\r\\n"):
-    ...     lines.feed(line)
-    >>> lines.status, lines.reason, lines.fields, lines.is_whole
-    (200, 'OK', [('A', '1')], True)
-    """
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.reason = ""
-        self.fields: list[tuple[str, str]] = []
-        self.is_whole = False
-        self._is_begun = False
-        self._is_persistent = True
-        self._size = 0
-
-    @property
-    def framing(self) -> Framing:
-        """
-        Return what marks the end of the response.
-
-        >>> lines = ResponseLines()
-        >>> lines.fields = [("Transfer-Encoding", "identity")]
-        >>> lines.framing
-        <Framing.CONNECTION: 'connection'>
-        """
-        values = {name.lower(): value.lower() for name, value in self.fields}
-        if "chunked" in values.get("transfer-encoding", ""):
-            return Framing.CHUNKS
-        if values.get("content-length", "").isdecimal():
-            return Framing.LENGTH
-        return Framing.CONNECTION
-
-    def feed(self, line: bytes) -> None:
-        """
-        Parse one line; the last line of a response that broke off may have no end.
-
-        :raises ValueError: it is not a header line, the head is too long, or another
-            response broke off in it.
-        """
-        self._count(line)
-        text = line.decode("latin-1").rstrip("\r\n")
-        if _STATUS_LINE_INSIDE.search(text):
-            raise ValueError("status line inside a line of the response head")
-        if text.startswith("HTTP/"):
-            if self._is_begun:
-                raise ValueError("status line inside the response head")
-            self._is_begun = True
-            version, _, rest = text.partition(" ")
-            self._is_persistent = version != "HTTP/1.0"
-            code, _, self.reason = rest.partition(" ")
-            if not _STATUS.fullmatch(code):
-                raise ValueError(f"no status of HTTP: {code[:60]!r}")
-            self.status = int(code)
-            self.fields = []
-            self.is_whole = False
-        elif text:
-            name, colon, value = text.partition(":")
-            if not colon:
-                raise ValueError("response header line without a colon")
-            self.fields.append((name, value.strip()))
-        elif line.endswith(b"\n"):
-            self._is_begun = False
-            self.is_whole = self.status >= 200
-
-    @property
-    def announces_close(self) -> bool:
-        """Whether the upstream closes the connection after the response."""
-        values = [value for name, value in self.fields if name.lower() == "connection"]
-        return not self._is_persistent or "close" in ",".join(values).lower()
-
-    def parse_trailer(self, line: bytes) -> list[tuple[str, str]]:
-        """
-        Return the field in a line after the body; trailers are not relayed.
-
-        :raises ValueError: it is no field, or head and trailers are too long.
-
-        >>> ResponseLines().parse_trailer(b"HTTP/1.1 200 OK\\r\\n")
-        Traceback (most recent call last):
-        ValueError: no field after the body: 'HTTP/1.1 200 OK'
-        """
-        self._count(line)
-        text = line.decode("latin-1").rstrip("\r\n")
-        if not text:
-            return []
-        name, colon, value = text.partition(":")
-        if not colon or not _FIELD_NAME.fullmatch(name):
-            raise ValueError(f"no field after the body: {text[:60]!r}")
-        return [(name, value.strip())]
-
-    def _count(self, line: bytes) -> None:
-        self._size += len(line)
-        if self._size > MAX_HEAD_BYTES:
-            raise ValueError(f"response head longer than {MAX_HEAD_BYTES} bytes")
-
-
 class UpstreamExchange:
     """
     One request to an upstream and its response.
