--- a/packages/gateway/src/persimmonferry_gateway/upstream_client.py
+++ b/packages/gateway/src/persimmonferry_gateway/upstream_client.py
@@ -56,7 +56,11 @@
     (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ENETDOWN)
 )
 # Errors of libcurl about bytes that are no response.
-_UNREADABLE_CODES = (pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY)
+_UNREADABLE_CODES = (
+    pycurl.E_UNSUPPORTED_PROTOCOL,
+    pycurl.E_FTP_WEIRD_SERVER_REPLY,
+    pycurl.E_BAD_CONTENT_ENCODING,
+)
 
 
 _log = logging.getLogger(__name__)
