Accept a length beside chunks, as the chunks alone count

Three tests of callers' connections failed since (test_a_stream_is_not_cut_at_a_length_that_is_too_short): callers of upstreams that state a length in the head of a chunked stream got 502 in place of the stream.

A length that is one, beside 'chunked' once, doesn't count: libcurl reads the chunks in either order of the two fields (probed), the framing is that of chunks, and callers never get the length. That is the rule of RFC 9112 (6.3), and nothing is ambiguous then. The two heads are among the sound ones of the tests now; two lengths or one that is none beside chunks are refused.

--- a/packages/adapters/tests/test_response_head.py
+++ b/packages/adapters/tests/test_response_head.py
@@ -13,6 +13,8 @@
 STATUS = b"HTTP/1.1 200 OK\r\n"
 FRAMINGS = {
     "chunks in other letters": Framing.CHUNKS,
+    "length and chunks": Framing.CHUNKS,
+    "chunks and another length": Framing.CHUNKS,
     "no length": Framing.CONNECTION,
     "no coding": Framing.CONNECTION,
 }
--- a/packages/standins/src/persimmonferry_standins/heads.py
+++ b/packages/standins/src/persimmonferry_standins/heads.py
@@ -77,8 +77,8 @@
     "length in a continued line": _spoil("X-Note: a", "\tContent-Length: {more}"),
     "coding in a continued line": _spoil("X-Note: a", " Transfer-Encoding: chunked"),
     "continued status line": _spoil(_LENGTH, status_line=f"{_STATUS_LINE}\r\n X: 3"),
-    "length and chunks": _spoil(_LENGTH, _CHUNKED, is_chunked=True),
-    "chunks and a length": _spoil(_CHUNKED, "Content-Length: {more}", is_chunked=True),
+    "two lengths and chunks": _spoil(_LENGTH, _LENGTH, _CHUNKED, is_chunked=True),
+    "chunks and no length": _spoil(_CHUNKED, "Content-Length: 8x0", is_chunked=True),
     "chunks twice": _spoil(_CHUNKED, _CHUNKED, is_chunked=True),
     "joined codings": _spoil(f"{_CHUNKED}, chunked", is_chunked=True),
     "empty element of codings": _spoil("Transfer-Encoding: , chunked", is_chunked=True),
@@ -130,6 +130,10 @@
     "chunks in other letters": RawHead(
         ("transfer-encoding: Chunked",), is_chunked=True
     ),
+    "length and chunks": RawHead((_LENGTH, _CHUNKED), is_chunked=True),
+    "chunks and another length": RawHead(
+        (_CHUNKED, "Content-Length: {more}"), is_chunked=True
+    ),
     "no length": RawHead(),
     "no coding": RawHead(("Transfer-Encoding: identity",)),
     "HTTP/1.0": RawHead((_LENGTH,), status_line="HTTP/1.0 200 OK"),
