--- a/packages/gateway/tests/test_registry_watch.py
+++ b/packages/gateway/tests/test_registry_watch.py
@@ -233,3 +233,17 @@
         assert len(registry.calls) - before <= 4
 
     run_scenario(scenario)
+
+
+# The call that waited for it was answered with an internal fault.
+def test_an_answer_that_cannot_be_read_ends_the_call_that_catches_up():
+    async def scenario(registry, recorded, watch):
+        await wait_until(lambda: registry.calls.count("watch") == 1)
+
+        async def watch_malformed(*arguments):
+            raise ValueError("no storeRevision")
+
+        registry.watch = watch_malformed
+        assert not await watch.catch_up(read_boot_clock())
+
+    run_scenario(scenario)
