--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -106,7 +106,9 @@
 
         :returns: whether any of them is new.
         """
-        learned = [record for record in records if not self._is_known(record)]
+        new = (record for record in records if not self._is_known(record))
+        # An answer may be older than what the registry has stated meanwhile.
+        learned = [record for record in new if not self.fleet.is_outdated(record)]
         for record in learned:
             _log.info("upstream learned", extra={"upstream": record.name})
             self._put(record, now, float("-inf"))
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -600,6 +600,7 @@
         self._learn(await self._entry_questions.ask_serving(item))
 
     def _learn(self, records: Iterable[UpstreamRecord]) -> None:
+        self._streams.settle()
         if self._cluster.learn(records, self._loop.time()):
             self._after_change()
 
--- a/packages/gateway/src/persimmonferry_gateway/start_checks.py
+++ b/packages/gateway/src/persimmonferry_gateway/start_checks.py
@@ -105,9 +105,11 @@
         if name not in self._calls:
             self._calls[name] = SharedCall(lambda: self._ask(name), self._read_clock)
         call = self._calls[name]
-        stated = await call.get(start.connected_s)
-        if not call.is_running:
-            self._calls.pop(name, None)
+        try:
+            stated = await call.get(start.connected_s)
+        finally:
+            if not call.is_running:
+                self._calls.pop(name, None)
         if stated is None:
             return StartVerdict.UNDECIDED
         return judge_start(start, stated.incarnation, start.stated_s)
