--- a/packages/core/src/persimmonferry_core/stream_origins.py
+++ b/packages/core/src/persimmonferry_core/stream_origins.py
@@ -54,8 +54,8 @@
     :param stream: as of ``hash_stream``.
     :param build: software version of the upstream that sent the first event.
     :param expires_s: when the caller no longer waits for the stream.
-    :param start: process that has the build, if another one may have sent the first
-        event; None if the build is certain.
+    :param unconfirmed_start: process that was to send the first event, while another
+        one may have sent it; None if the build is certain.
     :param entry: where the stream began, which is the first to be certain; empty if it
         need not be asked.
     """
@@ -64,13 +64,13 @@
     service: str
     build: str
     expires_s: float
-    start: UpstreamStart | None = None
+    unconfirmed_start: UpstreamStart | None = None
     entry: str = ""
 
     @property
     def is_certain(self) -> bool:
         """Whether the first event came from an upstream of the build."""
-        return self.start is None
+        return self.unconfirmed_start is None
 
 
 class StreamOrigins:
@@ -200,7 +200,7 @@
         A stream of the latter is remembered, as one of several builds may have it.
         """
         for stream in tuple(self._uncertain):
-            match judge(self._streams[stream].start):
+            match judge(self._streams[stream].unconfirmed_start):
                 case StartVerdict.SAME:
                     self.confirm(stream)
                 case StartVerdict.OTHER:
@@ -210,7 +210,7 @@
         """Record that the build of a stream is certain."""
         origin = self._streams.get(stream)
         if origin is not None:
-            self._streams[stream] = replace(origin, start=None)
+            self._streams[stream] = replace(origin, unconfirmed_start=None)
             self._note_certainty(stream)
 
     def forget(self, stream: int) -> None:
--- a/packages/core/src/persimmonferry_core/upstream_starts.py
+++ b/packages/core/src/persimmonferry_core/upstream_starts.py
@@ -48,8 +48,8 @@
     connected_s: float
 
     @property
-    def stated_s(self) -> float:
-        """From when on the registry has the entry of the process that was connected."""
+    def registered_by_s(self) -> float:
+        """When the process that was connected has usually written its entry."""
         return self.connected_s + ENTRY_DELAY_S
 
 
@@ -62,7 +62,7 @@
     :param incarnation: of the upstream's entry, None if there is none.
     :param current_s: until when the registry's changes are known, on the boot clock.
     """
-    if incarnation is None or current_s < start.stated_s:
+    if incarnation is None or current_s < start.registered_by_s:
         return StartVerdict.UNDECIDED
     is_same = incarnation == start.incarnation
     return StartVerdict.SAME if is_same else StartVerdict.OTHER
--- a/packages/core/tests/test_stream_origins.py
+++ b/packages/core/tests/test_stream_origins.py
@@ -133,7 +133,7 @@
 @pytest.mark.parametrize("verdict", StartVerdict)
 def test_a_stream_of_a_build_that_is_not_certain_is_forgotten(verdict):
     origins = make_origins()
-    origins.record(replace(begin(1), start=START), 1.0)
+    origins.record(replace(begin(1), unconfirmed_start=START), 1.0)
     origins.settle(lambda start: verdict)
     assert origins.find(1, 2.0).is_certain == (verdict is StartVerdict.SAME)
 
@@ -141,7 +141,7 @@
 # What was certain once stays so when the upstream starts again later.
 def test_a_certain_build_is_forgotten_after_a_restart():
     origins = make_origins()
-    origins.record(replace(begin(1), start=START), 1.0)
+    origins.record(replace(begin(1), unconfirmed_start=START), 1.0)
     origins.record(begin(1), 1.5)
     origins.settle(lambda start: StartVerdict.OTHER)
     assert origins.find(1, 2.0).build == "v1"
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -64,7 +64,7 @@
 from persimmonferry_gateway.registry_items import apply_each
 from persimmonferry_gateway.registry_watch import RegistryWatch
 from persimmonferry_gateway.settings import GatewaySettings
-from persimmonferry_gateway.start_checks import StartChecks, StatedStart
+from persimmonferry_gateway.start_checks import ReportedStart, StartChecks
 from persimmonferry_gateway.stores import StoreWatch
 from persimmonferry_gateway.stream_directory import StreamDirectory
 from persimmonferry_gateway.upstream_client import CancellableClient
@@ -577,21 +577,21 @@
     async def _catch_up(self, until_s: float) -> bool:
         return await self._registry_watch.catch_up(until_s)
 
-    async def _ask_gateways(self, upstream: str) -> StatedStart | None:
+    async def _ask_gateways(self, upstream: str) -> ReportedStart | None:
         """Ask other gateways which process an upstream is by its entry."""
         record = await self._entry_questions.ask_record(upstream)
         if record is None:
             return None
         self._learn((record,))
-        return StatedStart(record.incarnation)
+        return ReportedStart(record.incarnation)
 
-    async def _ask_upstream(self, upstream: str) -> StatedStart | None:
+    async def _ask_upstream(self, upstream: str) -> ReportedStart | None:
         """Ask an upstream which process it is."""
         record = self._cluster.find_record(upstream)
         report = await self._prober.ask(record) if record else None
         if report is None or report.incarnation is None:
             return None
-        return StatedStart(report.incarnation)
+        return ReportedStart(report.incarnation)
 
     async def _learn_upstreams(self, item: ServiceBuild) -> None:
         """Ask other gateways for upstreams of a build if none is known here."""
--- a/packages/gateway/src/persimmonferry_gateway/start_checks.py
+++ b/packages/gateway/src/persimmonferry_gateway/start_checks.py
@@ -13,20 +13,20 @@
 
 from persimmonferry_gateway.shared_calls import SharedCall
 
-__all__ = ["StartChecks", "StatedStart", "Witness"]
+__all__ = ["ReportedStart", "StartChecks", "StartSource"]
 
 _log = logging.getLogger(__name__)
 
 
 @dataclass(frozen=True)
-class StatedStart:
+class ReportedStart:
     """What someone else states of the present process of an upstream."""
 
     incarnation: int
 
 
 # Returns what the asked one states of an upstream, None if that is unknown.
-Witness = Callable[[str], Awaitable[StatedStart | None]]
+StartSource = Callable[[str], Awaitable[ReportedStart | None]]
 
 
 class StartChecks:
@@ -48,8 +48,8 @@
         self,
         judge: Callable[[UpstreamStart], StartVerdict],
         catch_up: Callable[[float], Awaitable[bool]],
-        ask_upstream: Witness,
-        ask_gateways: Witness,
+        ask_upstream: StartSource,
+        ask_gateways: StartSource,
         read_clock: Callable[[], float],
     ) -> None:
         self._judge = judge
@@ -64,7 +64,9 @@
     async def confirm(self, start: UpstreamStart) -> bool:
         """Whether the process that took a connection is certainly the expected one."""
         verdict = self._judge(start)
-        if verdict is StartVerdict.UNDECIDED and await self._catch_up(start.stated_s):
+        if verdict is StartVerdict.UNDECIDED and await self._catch_up(
+            start.registered_by_s
+        ):
             verdict = self._judge(start)
         for question in (self._gateways, self._upstream):
             if verdict is StartVerdict.UNDECIDED:
@@ -90,10 +92,10 @@
 class _SharedQuestions:
     """Questions about upstreams; those about the same one share an answer."""
 
-    def __init__(self, ask: Witness, read_clock: Callable[[], float]) -> None:
+    def __init__(self, ask: StartSource, read_clock: Callable[[], float]) -> None:
         self._ask = ask
         self._read_clock = read_clock
-        self._calls: dict[str, SharedCall[StatedStart | None]] = {}
+        self._calls: dict[str, SharedCall[ReportedStart | None]] = {}
 
     async def ask(self, start: UpstreamStart) -> StartVerdict:
         """
@@ -112,7 +114,7 @@
                 self._calls.pop(name, None)
         if stated is None:
             return StartVerdict.UNDECIDED
-        return judge_start(start, stated.incarnation, start.stated_s)
+        return judge_start(start, stated.incarnation, start.registered_by_s)
 
 
 def _log_verdict(start: UpstreamStart, verdict: StartVerdict) -> bool:
--- a/packages/gateway/src/persimmonferry_gateway/stream_directory.py
+++ b/packages/gateway/src/persimmonferry_gateway/stream_directory.py
@@ -103,9 +103,11 @@
 
     def record(self, origin: StreamOrigin) -> None:
         """Record a stream before its caller receives the first event."""
-        verdict = origin.start and self._starts.judge(origin.start)
+        verdict = origin.unconfirmed_start and self._starts.judge(
+            origin.unconfirmed_start
+        )
         if verdict is StartVerdict.SAME:
-            origin = replace(origin, start=None)
+            origin = replace(origin, unconfirmed_start=None)
         self._origins.record(origin, self._read_clock())
         self._announce((origin,))
 
@@ -114,7 +116,7 @@
         known = self.find_known(origin.stream) or origin
         if known.is_certain:
             return True
-        is_certain = await self._starts.confirm(known.start)
+        is_certain = await self._starts.confirm(known.unconfirmed_start)
         if is_certain:
             self._origins.confirm(known.stream)
         return is_certain
@@ -226,8 +228,8 @@
                 origin.service,
                 origin.build,
                 max(0, round((origin.expires_s - now) * MS_PER_S)),
-                _encode_start(origin.start),
-                origin.entry if origin.start else None,
+                _encode_start(origin.unconfirmed_start),
+                origin.entry if origin.unconfirmed_start else None,
             )
             for origin in origins
         ]
--- a/packages/gateway/tests/test_start_checks.py
+++ b/packages/gateway/tests/test_start_checks.py
@@ -2,7 +2,7 @@
 
 import pytest
 from persimmonferry_core.upstream_starts import StartVerdict, UpstreamStart, judge_start
-from persimmonferry_gateway.start_checks import StartChecks, StatedStart
+from persimmonferry_gateway.start_checks import ReportedStart, StartChecks
 
 START = UpstreamStart("u1", 17, 100.0)
 
@@ -47,17 +47,17 @@
 def test_a_start_is_confirmed_by_a_copy_that_is_older_than_the_connection():
     evidence = Evidence(99.0)
     assert evidence.confirm()
-    assert evidence.current_s >= START.stated_s
+    assert evidence.current_s >= START.registered_by_s
     assert not Evidence(99.0, incarnation=23).confirm()
 
 
 @pytest.mark.parametrize(
     ("stated", "is_confirmed", "asked"),
     [
-        ([StatedStart(17)], True, 1),
-        ([StatedStart(23)], False, 1),
-        ([None, StatedStart(17)], True, 2),
-        ([None, StatedStart(23)], False, 2),
+        ([ReportedStart(17)], True, 1),
+        ([ReportedStart(23)], False, 1),
+        ([None, ReportedStart(17)], True, 2),
+        ([None, ReportedStart(23)], False, 2),
         ([None, None], False, 2),
     ],
 )
@@ -67,7 +67,7 @@
 
 
 def test_many_checks_of_an_upstream_share_what_is_stated():
-    evidence = Evidence(99.0, stated=[StatedStart(17)], responds=False)
+    evidence = Evidence(99.0, stated=[ReportedStart(17)], responds=False)
 
     async def scenario():
         checks = (evidence.checks.confirm(START) for _ in range(20))
@@ -87,10 +87,10 @@
 @pytest.mark.parametrize(
     ("current_s", "stated", "is_confirmed", "asked"),
     [
-        (100.5, StatedStart(23), False, 1),
-        (100.5, StatedStart(17), True, 1),
+        (100.5, ReportedStart(23), False, 1),
+        (100.5, ReportedStart(17), True, 1),
         (100.5, None, True, 1),
-        (102.0, StatedStart(23), True, 0),
+        (102.0, ReportedStart(23), True, 0),
     ],
 )
 def test_an_entry_that_may_be_on_its_way_counts_more_than_the_process(
