--- a/packages/gateway/src/persimmonferry_gateway/start_checks.py
+++ b/packages/gateway/src/persimmonferry_gateway/start_checks.py
@@ -1,5 +1,6 @@
 """Finds out which process of an upstream took a connection."""
 
+import asyncio
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
@@ -34,7 +35,8 @@
     Tells whether the process of an upstream that took a connection is the expected one.
 
     The registry tells if it was read after the connection had been made. While it does
-    not respond, other gateways are asked.
+    not respond, other gateways are asked. They know entries, as this one does, so a
+    process needs the time to write its own; the upstream itself states its start.
 
     :param judge: decides by the present copy of the registry.
     :param catch_up: receives the changes of the registry until a time on the boot
@@ -63,14 +65,13 @@
 
     async def confirm(self, start: UpstreamStart) -> bool:
         """Whether the process that took a connection is certainly the expected one."""
-        verdict = self._judge(start)
-        if verdict is StartVerdict.UNDECIDED and await self._catch_up(
-            start.registered_by_s
-        ):
+        verdict, since_s = self._judge(start), start.registered_by_s
+        if verdict is StartVerdict.UNDECIDED and await self._catch_up(since_s):
             verdict = self._judge(start)
-        for question in (self._gateways, self._upstream):
-            if verdict is StartVerdict.UNDECIDED:
-                verdict = await question.ask(start)
+        if verdict is StartVerdict.UNDECIDED:
+            verdict = await self._gateways.ask(start, since_s)
+        if verdict is StartVerdict.UNDECIDED:
+            verdict = await self._upstream.ask(start, start.connected_s)
         return _log_verdict(start, verdict)
 
     async def confirm_running(self, start: UpstreamStart) -> bool:
@@ -83,7 +84,7 @@
         later_s = start.connected_s + MAX_ENTRY_DELAY_S
         verdict = self._judge(replace(start, connected_s=later_s))
         if verdict is StartVerdict.UNDECIDED:
-            verdict = await self._upstream.ask(start)
+            verdict = await self._upstream.ask(start, start.connected_s)
         if verdict is StartVerdict.UNDECIDED:
             return await self.confirm(start)
         return _log_verdict(start, verdict)
@@ -97,18 +98,19 @@
         self._read_clock = read_clock
         self._calls: dict[str, SharedCall[ReportedStart | None]] = {}
 
-    async def ask(self, start: UpstreamStart) -> StartVerdict:
+    async def ask(self, start: UpstreamStart, since_s: float) -> StartVerdict:
         """
-        Ask which process an upstream is now.
+        Ask at a time or later which process an upstream is.
 
         It is the one that was connected, or a later one.
         """
+        await asyncio.sleep(since_s - self._read_clock())
         name = start.upstream
         if name not in self._calls:
             self._calls[name] = SharedCall(lambda: self._ask(name), self._read_clock)
         call = self._calls[name]
         try:
-            stated = await call.get(start.connected_s)
+            stated = await call.get(since_s)
         finally:
             if not call.is_running:
                 self._calls.pop(name, None)
