--- a/packages/gateway/src/persimmonferry_gateway/cluster_state.py
+++ b/packages/gateway/src/persimmonferry_gateway/cluster_state.py
@@ -128,8 +128,8 @@
         """
         incarnation = self.fleet.find_incarnation(start.upstream)
         verdict = judge_start(start, incarnation, current_s)
-        is_settled = self.fleet.is_settled(start.upstream, now)
-        if verdict is StartVerdict.SAME and not is_settled:
+        is_known = self.fleet.is_known_at(start.upstream, start.registered_by_s, now)
+        if verdict is StartVerdict.SAME and not is_known:
             return StartVerdict.UNDECIDED
         return verdict
 
--- a/packages/gateway/src/persimmonferry_gateway/fleet.py
+++ b/packages/gateway/src/persimmonferry_gateway/fleet.py
@@ -36,10 +36,17 @@
     # written before it.
     _is_first_after_outage: bool = False
     _restored_s: float = float("-inf")
+    # Until when the registry was known before its last outage, on the boot clock.
+    _known_until_s: float = float("-inf")
 
-    def record_registry_lost(self) -> None:
-        """Record that the registry does not respond."""
+    def record_registry_lost(self, known_until_s: float) -> None:
+        """
+        Record that the registry does not respond.
+
+        :param known_until_s: until when its changes are known, on the boot clock.
+        """
         self._is_registry_lost = True
+        self._known_until_s = known_until_s
 
     def record_registry_restored(self, now: float) -> None:
         """Record that the registry responds again."""
@@ -73,6 +80,14 @@
             return False
         return record.incarnation < known.incarnation or known.is_leaving
 
+    def is_known_at(self, name: str, registered_by_s: float, now: float) -> bool:
+        """
+        Whether an upstream's entry is that of the process that had it at a time.
+
+        :param registered_by_s: on the boot clock.
+        """
+        return registered_by_s <= self._known_until_s or self.is_settled(name, now)
+
     def is_settled(self, name: str, now: float) -> bool:
         """
         Whether the registry holds what an upstream has written last.
--- a/packages/gateway/src/persimmonferry_gateway/gateway.py
+++ b/packages/gateway/src/persimmonferry_gateway/gateway.py
@@ -756,7 +756,8 @@
         if is_reachable:
             self._cluster.fleet.record_registry_restored(self._loop.time())
         else:
-            self._cluster.fleet.record_registry_lost()
+            known_until_s = self._registry_watch.current_s
+            self._cluster.fleet.record_registry_lost(known_until_s)
 
     def _maintain(self) -> None:
         # Planned first, as an error ends this run.
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -35,7 +35,7 @@
 
 def test_entries_that_expired_in_an_outage_are_used_during_the_grace_period():
     fleet = make_fleet("u1", "u2")
-    fleet.record_registry_lost()
+    fleet.record_registry_lost(3.0)
     fleet.record_registry_restored(10.0)
     fleet.keep_only(frozenset(), 10.0)
     fleet.put(make_record("u1"), 0.0)
@@ -48,7 +48,7 @@
 def test_an_upstream_that_was_leaving_before_the_outage_gets_no_grace():
     fleet = Fleet()
     fleet.put(make_record("u1", is_leaving=True), 0.0)
-    fleet.record_registry_lost()
+    fleet.record_registry_lost(3.0)
     fleet.record_registry_restored(10.0)
     fleet.keep_only(frozenset(), 10.0)
     assert fleet.records == {}
@@ -56,7 +56,7 @@
 
 def test_an_entry_removed_after_the_grace_period_is_dropped_at_once():
     fleet = make_fleet("u1")
-    fleet.record_registry_lost()
+    fleet.record_registry_lost(3.0)
     fleet.record_registry_restored(10.0)
     fleet.remove("u1", 10.0 + REREGISTRATION_GRACE_S)
     assert fleet.records == {}
@@ -131,7 +131,7 @@
 )
 def test_an_entry_is_settled_just_after_an_outage(responses, is_settled):
     fleet = make_fleet("u1")
-    fleet.record_registry_lost()
+    fleet.record_registry_lost(3.0)
     assert not fleet.is_settled("u1", 4.0)
     fleet.record_registry_restored(5.0)
     for _ in range(responses):
@@ -139,3 +139,18 @@
         fleet.record_received()
     assert fleet.is_settled("u1", 6.0) == is_settled
     assert fleet.is_settled("u1", 5.0 + REREGISTRATION_GRACE_S)
+
+
+# A connection from before an outage ends when its process does.
+@pytest.mark.parametrize(("registered_by_s", "is_known"), [(2.9, True), (3.1, False)])
+def test_an_entry_from_before_an_outage_tells_nothing_of_older_connections(
+    registered_by_s, is_known
+):
+    fleet = make_fleet("u1")
+    fleet.record_registry_lost(3.0)
+    assert fleet.is_known_at("u1", registered_by_s, 4.0) == is_known
+    fleet.record_registry_restored(5.0)
+    assert fleet.is_known_at("u1", registered_by_s, 5.5) == is_known
+    fleet.record_received()
+    fleet.put(make_record("u1"), 6.0)
+    assert fleet.is_known_at("u1", registered_by_s, 6.0)
